Lay out the workspace, records, interfaces and the configuration fold

Cause: an empty repository needs shared types before its parts can be built side by side. Conclusion: parts can start from these interfaces.

--- /dev/null
+++ b/cli/minttide_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- /dev/null
+++ b/cli/minttide_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each subcommand."""
--- /dev/null
+++ b/cli/minttide_cli/main.py
@@ -0,0 +1,5 @@
+"""The entry point of `minttide`."""
+
+
+def main() -> None:
+    """Run the command line."""
--- /dev/null
+++ b/core/minttide/agree/__init__.py
@@ -0,0 +1,1 @@
+"""Folds of the platform log: configuration, idempotency keys, leases and plans."""
--- /dev/null
+++ b/core/minttide/agree/config.py
@@ -0,0 +1,157 @@
+"""The fold of the configuration stream: compare and accept, a publish whole or not at all."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from minttide.agree.fold import Decision, FoldClock, Verdict
+from minttide.config.service import SITE_NAME, ModelService, PlainService, ServiceFile, Site
+from minttide.ids import NO_OFFSET, Offset, PublishId, ServiceName
+from minttide.records import BadRecordError, Envelope, NewerFormatError, Publish, decode
+
+PUBLISH_MAX_AGE_MS = 10 * 60 * 1000
+"""A publish older than this against the fold's time is a late copy and is rejected."""
+
+TOMBSTONE_MS = 60 * 60 * 1000
+"""How long a withdrawn service's last change is remembered; longer than a publish may be late."""
+
+
+class ServiceEntry(msgspec.Struct, frozen=True):
+    """One service as it stands. `file` is absent once the service was withdrawn."""
+
+    changed: Offset
+    publish_id: PublishId
+    time_ms: int
+    file: ServiceFile | None
+
+
+class _State(msgspec.Struct):
+    applied: Offset = NO_OFFSET
+    stopped_at: Offset | None = None
+    clock: FoldClock = msgspec.field(default_factory=FoldClock)
+    services: dict[ServiceName, ServiceEntry] = {}
+
+
+_decoder = msgspec.json.Decoder(_State)
+
+
+class ConfigFold:
+    """The configuration in force after the records folded so far."""
+
+    def __init__(self) -> None:
+        self._state = _State()
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+        return self._state.applied
+
+    @property
+    def stopped_at(self) -> Offset | None:
+        """Return the offset of the first record of a newer format, if one has come."""
+        return self._state.stopped_at
+
+    @property
+    def entries(self) -> dict[ServiceName, ServiceEntry]:
+        """Return every remembered service, withdrawn ones among them."""
+        return self._state.services
+
+    @property
+    def files(self) -> dict[ServiceName, ServiceFile]:
+        """Return the files in force by service name."""
+        return {n: e.file for n, e in self._state.services.items() if e.file is not None}
+
+    @property
+    def site(self) -> Site | None:
+        """Return the site file, if one is in force."""
+        file = self.find(SITE_NAME)
+        return file if isinstance(file, Site) else None
+
+    def find(self, service: ServiceName) -> ServiceFile | None:
+        """Return the file of a service in force."""
+        entry = self._state.services.get(service)
+        return entry.file if entry else None
+
+    def model(self, service: ServiceName) -> ModelService | None:
+        """Return a model service in force."""
+        file = self.find(service)
+        return file if isinstance(file, ModelService) else None
+
+    def plain(self, service: ServiceName) -> PlainService | None:
+        """Return a plain service in force."""
+        file = self.find(service)
+        return file if isinstance(file, PlainService) else None
+
+    def changed(self, service: ServiceName) -> Offset:
+        """Return the offset of a service's last change, or -1."""
+        entry = self._state.services.get(service)
+        return entry.changed if entry else NO_OFFSET
+
+    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
+        """Fold the record at `offset` and return its verdict."""
+        state = self._state
+        if offset <= state.applied:
+            return []
+        state.applied = offset
+        if state.stopped_at is not None:
+            return [Verdict(offset, Decision.STOPPED)]
+        try:
+            envelope = decode(payload)
+        except NewerFormatError as exc:
+            state.stopped_at = offset
+            return [Verdict(offset, Decision.STOPPED, detail=str(exc))]
+        except BadRecordError as exc:
+            return [Verdict(offset, Decision.MALFORMED, detail=str(exc))]
+        state.clock.observe(envelope.host, envelope.time_ms)
+        self._forget_tombstones()
+        decision, detail = self._decide(offset, envelope)
+        return [
+            Verdict(offset, decision, envelope.host, envelope.incarnation, envelope.body, detail)
+        ]
+
+    def _decide(self, offset: Offset, envelope: Envelope) -> tuple[Decision, str]:
+        body = envelope.body
+        if not isinstance(body, Publish):
+            return Decision.FOREIGN, type(body).__name__
+        if envelope.time_ms < self._state.clock.now_ms - PUBLISH_MAX_AGE_MS:
+            return Decision.TOO_OLD, "written too long ago"
+        if self._is_repeat(body):
+            return Decision.REPEATED, "this publish was accepted before"
+        lost = [c.service for c in body.changes if c.seen != self.changed(c.service)]
+        if lost:
+            return Decision.STALE, "changed by another publish: " + ", ".join(sorted(lost))
+        if self._changes_key_shards(body):
+            return Decision.MALFORMED, "key_shards can't be changed"
+        for change in body.changes:
+            self._state.services[change.service] = ServiceEntry(
+                offset, body.publish_id, envelope.time_ms, change.file
+            )
+        return Decision.ACCEPTED, ""
+
+    def _is_repeat(self, body: Publish) -> bool:
+        entries = [self._state.services.get(c.service) for c in body.changes]
+        return bool(entries) and all(e and e.publish_id == body.publish_id for e in entries)
+
+    def _changes_key_shards(self, body: Publish) -> bool:
+        site = self.site
+        files = [c.file for c in body.changes if c.service == SITE_NAME]
+        return site is not None and any(
+            isinstance(f, Site) and f.key_shards != site.key_shards for f in files
+        )
+
+    def _forget_tombstones(self) -> None:
+        horizon = self._state.clock.now_ms - TOMBSTONE_MS
+        services = self._state.services
+        for name in [n for n, e in services.items() if e.file is None and e.time_ms < horizon]:
+            del services[name]
+
+    def snapshot(self) -> bytes:
+        """Encode all that the fold looks at."""
+        return msgspec.json.encode(self._state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
+        try:
+            self._state = _decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise BadRecordError(str(exc)) from exc
--- /dev/null
+++ b/core/minttide/agree/fold.py
@@ -0,0 +1,83 @@
+"""What all folds of log streams have in common: the clock, the verdicts and the interface.
+
+A fold is deterministic: its verdicts depend on the records alone, never on a host's own clock. A
+reader that starts from a checkpoint and one that has read every record give the same verdicts.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from minttide.ids import HostId, Incarnation, Offset
+from minttide.records import Body
+
+
+class Decision(Enum):
+    """What a fold makes of one change in a record."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"  # a copy of a change that was accepted before
+    STALE = "stale"  # the state has moved on from what the writer saw
+    TOO_OLD = "too-old"  # written too long before the fold's time
+    MALFORMED = "malformed"
+    FOREIGN = "foreign"  # a well-formed record that doesn't belong to this stream
+    STOPPED = "stopped"  # a newer format came before; nothing counts from there on
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """The fold's decision on one change, with its writer; batches give one verdict a change."""
+
+    offset: Offset
+    decision: Decision
+    host: HostId | None = None
+    incarnation: Incarnation | None = None
+    body: Body | None = None
+    detail: str = ""
+    index: int = 0  # place of the change within its record
+
+
+class FoldClock(msgspec.Struct):
+    """Time as the records tell it: the latest time that two different hosts have reached.
+
+    One host with a wrong clock can't move it, so it can't make others forget.
+    """
+
+    now_ms: int = 0
+    ahead_ms: int = 0
+    ahead_host: HostId = HostId("")
+
+    def observe(self, host: HostId, time_ms: int) -> None:
+        """Take the time of one record into account."""
+        if host == self.ahead_host:
+            self.ahead_ms = max(self.ahead_ms, time_ms)
+        elif time_ms > self.ahead_ms:
+            self.now_ms = max(self.now_ms, self.ahead_ms)
+            self.ahead_ms, self.ahead_host = time_ms, host
+        else:
+            self.now_ms = max(self.now_ms, time_ms)
+
+
+class Fold(Protocol):
+    """The folded state of one stream. `applied` never goes down."""
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+
+    @property
+    def stopped_at(self) -> Offset | None:
+        """Return the offset of the first record of a newer format, if one has come."""
+
+    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
+        """Fold the record at `offset`, which is `applied + 1`, and return its verdicts.
+
+        An offset at or below `applied` changes nothing and returns no verdict.
+        """
+
+    def snapshot(self) -> bytes:
+        """Encode all that the fold looks at."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
--- /dev/null
+++ b/core/minttide/config/__init__.py
@@ -0,0 +1,1 @@
+"""Service files, daemon settings and the checks of both."""
--- /dev/null
+++ b/core/minttide/config/service.py
@@ -0,0 +1,177 @@
+"""Service files: what operators write, one JSON object a file, told apart by `kind`."""
+
+import msgspec
+
+from minttide.ids import (
+    AccountId,
+    AdapterName,
+    Address,
+    ModelVersion,
+    RegionId,
+    ServiceName,
+    UpstreamId,
+    ZoneId,
+)
+
+SITE_NAME = ServiceName("site")
+
+
+class Zone(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One availability zone of the site."""
+
+    name: ZoneId
+    region: RegionId = RegionId("local")
+
+
+class Link(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The link between two availability zones, the same in both directions."""
+
+    a: ZoneId
+    b: ZoneId
+    one_way_ms: float
+    mbit_per_s: float
+
+
+class PowerLevel(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A power limit that an accelerator can be set to, and its speed there.
+
+    `speed` is a fraction of the rated speed, in (0, 1].
+    """
+
+    watts: int
+    speed: float
+
+
+class AcceleratorKind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of accelerator with its rated speed for one layer of the reference width.
+
+    `decode_us` is the time of one layer for one decode step, plus `decode_stream_us` for each
+    stream in the batch; `prefill_us` is the time of one layer for each prompt token.
+    """
+
+    name: str
+    memory_mb: int
+    decode_us: float
+    decode_stream_us: float
+    prefill_us: float
+    power: list[PowerLevel]  # by rising watts
+
+
+class Account(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A client account. `token_sha256` is the hex digest of its bearer token."""
+
+    name: AccountId
+    token_sha256: str
+    weight: float = 1.0
+    max_streams: int = 64
+    requests_per_s: float = 100.0
+    priority: int = 0  # higher runs first
+
+
+class WeightStore(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The store that engines load weights from, and the rate it allows for the whole site."""
+
+    address: Address
+    mb_per_s: float
+
+
+class Site(msgspec.Struct, frozen=True, tag_field="kind", tag="site", forbid_unknown_fields=True):
+    """What all services of a site share. There is one such file, named `site`.
+
+    `key_shards` can't be changed once published: it decides the stream that a key lives in.
+    """
+
+    service: ServiceName
+    power_cap_watts: int
+    zones: list[Zone]
+    links: list[Link]
+    accelerators: list[AcceleratorKind]
+    accounts: list[Account]
+    weight_store: WeightStore | None = None
+    key_shards: int = 4
+    key_memory_s: int = 24 * 3600
+    answer_keep_s: float = 10.0
+
+
+class Engine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One model engine. `checks_fencing` says whether it refuses orders with an old number."""
+
+    id: UpstreamId
+    address: Address
+    zone: ZoneId
+    accelerator: str
+    accelerators: int = 1
+    checks_fencing: bool = True
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The shape of a model. `width` scales the accelerators' layer times (1.0 is the reference)."""
+
+    layers: int
+    mb_per_layer: float
+    kv_kb_per_token_layer: float
+    activation_kb: float  # what one token carries from one stage to the next
+    width: float = 1.0
+
+
+class ModelService(
+    msgspec.Struct, frozen=True, tag_field="kind", tag="model", forbid_unknown_fields=True
+):
+    """A service that streams drafts or commentary from a model split over engines.
+
+    `engines` or `discover` (the group's name in the platform's host list) says where they are.
+    Times are in milliseconds.
+    """
+
+    service: ServiceName
+    model: Model
+    version: ModelVersion
+    engines: list[Engine] = []
+    discover: str | None = None
+    adapters: list[AdapterName] = []
+    accounts: list[AccountId] = []  # empty: all accounts
+    max_tokens: int = 1024
+    max_prompt_tokens: int = 8192
+    deadline_ms: int = 60_000
+    first_token_ms: int = 730
+    between_tokens_ms: int = 44
+    weight: float = 1.0  # share of the site's output that placement aims at
+
+
+class Upstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One process of a plain service."""
+
+    id: UpstreamId
+    address: Address
+    zone: ZoneId
+
+
+class Call(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of call to a plain service. `path` is a prefix, the longest match counts."""
+
+    method: str
+    path: str
+    idempotent: bool = False
+    timeout_ms: int = 5_000
+
+
+class PlainService(
+    msgspec.Struct, frozen=True, tag_field="kind", tag="plain", forbid_unknown_fields=True
+):
+    """A service whose calls the system passes to one of its upstreams.
+
+    `rejects_duplicates` says that the upstreams themselves reject a second call with the same
+    idempotency key, so that keyed calls may go on while the platform log is out.
+    """
+
+    service: ServiceName
+    calls: list[Call]
+    upstreams: list[Upstream] = []
+    discover: str | None = None
+    rejects_duplicates: bool = False
+    accounts: list[AccountId] = []
+    deadline_ms: int = 10_000
+    max_body_kb: int = 256
+
+
+ServiceFile = Site | ModelService | PlainService
--- /dev/null
+++ b/core/minttide/config/settings.py
@@ -0,0 +1,56 @@
+"""Settings of one daemon: what a process can't learn from the log."""
+
+from enum import Enum
+
+import msgspec
+
+from minttide.ids import Address, HostId, ZoneId
+
+
+class LogFormat(Enum):
+    """How log lines are written."""
+
+    KEY_VALUE = "key-value"
+    JSON = "json"
+
+
+class LogLevel(Enum):
+    """The lowest level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Upper bounds on what one daemon takes in."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    max_connections: int = 2_000
+    max_streams: int = 800
+    max_queue: int = 400
+    header_timeout_s: float = 10.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The settings file of `minttided`. Addresses are "<IP number>:<port>".
+
+    `resume_secret` signs resume tokens and is the same on every host of a site.
+    """
+
+    host: HostId
+    zone: ZoneId
+    callers: Address
+    operators: Address
+    peer: Address
+    log_service: Address
+    resume_secret: str
+    host_list: Address | None = None
+    peers: list[Address] = []
+    domain: str = "site"
+    log_level: LogLevel = LogLevel.INFO
+    log_format: LogFormat = LogFormat.KEY_VALUE
+    bounds: Bounds = Bounds()
+    shutdown_limit_s: float = 120.0
--- /dev/null
+++ b/core/minttide/findings.py
@@ -0,0 +1,48 @@
+"""Findings of a check: what is wrong, in which file, at which place inside it."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+
+class Finding(msgspec.Struct, frozen=True, order=True):
+    """One thing that a check found wrong. `place` is a JSON path such as `$.engines[2].zone`."""
+
+    file: str
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.place}: {self.message}"
+
+
+class Findings:
+    """Collects the findings of one whole check, so that all are reported together."""
+
+    def __init__(self) -> None:
+        self._found: list[Finding] = []
+
+    def add(self, file: str, place: str, message: str) -> None:
+        """Record one finding."""
+        self._found.append(Finding(file, place, message))
+
+    def extend(self, found: "Findings") -> None:
+        """Record all findings of another check."""
+        self._found.extend(found)
+
+    def __iter__(self) -> Iterator[Finding]:
+        return iter(sorted(self._found))
+
+    def __len__(self) -> int:
+        return len(self._found)
+
+    def __bool__(self) -> bool:
+        return bool(self._found)
+
+
+class CheckError(Exception):
+    """A file or a set of files did not pass its checks."""
+
+    def __init__(self, findings: Findings):
+        super().__init__("\n".join(str(f) for f in findings))
+        self.findings = findings
--- /dev/null
+++ b/core/minttide/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, placement, limits and recovery decisions as pure functions."""
--- /dev/null
+++ b/daemon/minttided/__init__.py
@@ -0,0 +1,1 @@
+"""The minttide daemon: one process on each entry host."""
--- /dev/null
+++ b/daemon/minttided/main.py
@@ -0,0 +1,5 @@
+"""The entry point of `minttided`."""
+
+
+def main() -> None:
+    """Run the daemon."""
--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,1 @@
+"""Runs every measurement and prints its table."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the protocols on the log, checked exhaustively."""
--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,1 @@
+"""Checks every specification and its broken variants."""
--- /dev/null
+++ b/test/test_config_fold.py
@@ -0,0 +1,67 @@
+"""The fold of the configuration stream."""
+
+import pytest
+
+from minttide.agree.config import PUBLISH_MAX_AGE_MS, ConfigFold
+from minttide.agree.fold import Decision
+from minttide.config.service import Call, PlainService
+from minttide.ids import HostId, Incarnation, Offset, PublishId, ServiceName
+from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
+
+BOOKING = ServiceName("booking")
+FILE = PlainService(BOOKING, [Call("POST", "/")])
+
+
+def publish(name, seen, file=FILE, time_ms=1000, host="cli", service=BOOKING):
+    body = Publish(PublishId(name), "ann", [ServiceChange(service, Offset(seen), file)])
+    return encode(Envelope(FORMAT, HostId(host), Incarnation(1), time_ms, body))
+
+
+def decisions(payloads):
+    fold = ConfigFold()
+    return fold, [fold.apply(Offset(i), p)[0].decision for i, p in enumerate(payloads)]
+
+
+@pytest.mark.parametrize(
+    ("payloads", "expected"),
+    [
+        ([publish("a", -1)], ["accepted"]),
+        ([publish("a", -1), publish("b", -1)], ["accepted", "stale"]),
+        ([publish("a", -1), publish("b", 0)], ["accepted", "accepted"]),
+        ([publish("a", -1), publish("a", -1)], ["accepted", "repeated"]),
+        ([publish("a", -1), publish("b", 0), publish("a", -1)], ["accepted", "accepted", "stale"]),
+        ([b"\xff\xfe", publish("a", -1)], ["malformed", "accepted"]),
+        ([b'{"format":2}', publish("a", -1)], ["stopped", "stopped"]),
+        (
+            [publish("a", -1), publish("b", 0, None), publish("a", -1)],
+            ["accepted", "accepted", "stale"],
+        ),
+    ],
+)
+def test_decides_alike(payloads, expected):
+    _, found = decisions(payloads)
+    assert [d.value for d in found] == expected
+
+
+def test_rejects_a_late_copy_once_the_tombstone_is_gone():
+    late = PUBLISH_MAX_AGE_MS * 10
+    other = ServiceName("other")
+    payloads = [
+        publish("a", -1),
+        publish("b", 0, None),
+        publish("c", -1, time_ms=late, host="x", service=other),
+        publish("d", 2, time_ms=late, host="y", service=other),
+        publish("a", -1),
+    ]
+    fold, found = decisions(payloads)
+    assert BOOKING not in fold.entries
+    assert found[-1] is Decision.TOO_OLD
+
+
+def test_snapshot_gives_the_same_verdicts_afterwards():
+    fold, _ = decisions([publish("a", -1), publish("b", 0)])
+    copy = ConfigFold()
+    copy.restore(fold.snapshot())
+    for offset, payload in enumerate([publish("a", -1), publish("c", 1)], start=2):
+        assert copy.apply(Offset(offset), payload) == fold.apply(Offset(offset), payload)
+    assert copy.snapshot() == fold.snapshot()
