Fold keys, leases, plans and checkpoints of the platform log

Cause: at-most-once calls, leases and the power cap must have one verdict on every host. Change: KeyFold (claims compared by the key's last change, copies rejected by age), PlacementFold (lease by compare, plans accepted only when reserved power stays under the cap), checkpoints in parts with a digest. Conclusion: the daemon's tail and append can be built on these.

--- /dev/null
+++ b/core/minttide/agree/checkpoint.py
@@ -0,0 +1,65 @@
+"""Checkpoints of a fold: split for the log, and found again by a host that starts."""
+
+import hashlib
+
+import msgspec
+
+from minttide.agree.fold import Fold
+from minttide.ids import Offset
+from minttide.records import BadRecordError, CheckpointPart, NewerFormatError, decode
+
+PART_BYTES = 32 * 1024
+"""Most bytes of state in one part, so that its record stays below 64 KiB with its encoding."""
+
+
+class Checkpoint(msgspec.Struct, frozen=True):
+    """A complete checkpoint: the state after the record at `covers`."""
+
+    covers: Offset
+    data: bytes
+
+
+def split_checkpoint(fold: Fold, checkpoint_id: str) -> list[CheckpointPart]:
+    """Split the state of `fold` into the parts to append to its stream, in order."""
+    data = fold.snapshot()
+    digest = hashlib.sha256(data).hexdigest()
+    chunks = [data[i : i + PART_BYTES] for i in range(0, len(data), PART_BYTES)]
+    return [
+        CheckpointPart(checkpoint_id, fold.applied, index, len(chunks), digest, chunk)
+        for index, chunk in enumerate(chunks)
+    ]
+
+
+class CheckpointFinder:
+    """Collects the checkpoint parts among the records of a stream, in whatever order they come."""
+
+    def __init__(self) -> None:
+        self._parts: dict[str, dict[int, CheckpointPart]] = {}
+        self._newest: Checkpoint | None = None
+
+    def feed(self, payload: bytes) -> None:
+        """Look at one record; anything but a part of a checkpoint is passed over."""
+        try:
+            body = decode(payload).body
+        except (BadRecordError, NewerFormatError):
+            return
+        if not isinstance(body, CheckpointPart):
+            return
+        parts = self._parts.setdefault(body.checkpoint_id, {})
+        parts[body.part] = body
+        if len(parts) == body.parts:
+            self._complete(body, self._parts.pop(body.checkpoint_id))
+
+    def _complete(self, last: CheckpointPart, parts: dict[int, CheckpointPart]) -> None:
+        if sorted(parts) != list(range(last.parts)):
+            return
+        data = b"".join(parts[i].data for i in range(last.parts))
+        if hashlib.sha256(data).hexdigest() != last.digest:
+            return
+        if self._newest is None or last.covers > self._newest.covers:
+            self._newest = Checkpoint(last.covers, data)
+
+    def find_newest(self, first: Offset) -> Checkpoint | None:
+        """Return the newest checkpoint whose following records are kept, `first` the oldest."""
+        newest = self._newest
+        return newest if newest is not None and newest.covers + 1 >= first else None
--- a/core/minttide/agree/config.py
+++ b/core/minttide/agree/config.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from minttide.agree.fold import Decision, FoldClock, Verdict
+from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
 from minttide.config.service import SITE_NAME, ModelService, PlainService, ServiceFile, Site
 from minttide.ids import NO_OFFSET, Offset, PublishId, ServiceName
-from minttide.records import BadRecordError, Envelope, NewerFormatError, Publish, decode
+from minttide.records import BadRecordError, CheckpointPart, Envelope, Publish
 
 PUBLISH_MAX_AGE_MS = 10 * 60 * 1000
 """A publish older than this against the fold's time is a late copy and is rejected."""
@@ -25,10 +25,7 @@
     file: ServiceFile | None
 
 
-class _State(msgspec.Struct):
-    applied: Offset = NO_OFFSET
-    stopped_at: Offset | None = None
-    clock: FoldClock = msgspec.field(default_factory=FoldClock)
+class _State(BaseState):
     services: dict[ServiceName, ServiceEntry] = {}
 
 
@@ -89,28 +86,17 @@
 
     def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
         """Fold the record at `offset` and return its verdict."""
-        state = self._state
-        if offset <= state.applied:
-            return []
-        state.applied = offset
-        if state.stopped_at is not None:
-            return [Verdict(offset, Decision.STOPPED)]
-        try:
-            envelope = decode(payload)
-        except NewerFormatError as exc:
-            state.stopped_at = offset
-            return [Verdict(offset, Decision.STOPPED, detail=str(exc))]
-        except BadRecordError as exc:
-            return [Verdict(offset, Decision.MALFORMED, detail=str(exc))]
-        state.clock.observe(envelope.host, envelope.time_ms)
+        envelope, verdicts = open_record(self._state, offset, payload)
+        if envelope is None:
+            return verdicts
         self._forget_tombstones()
         decision, detail = self._decide(offset, envelope)
-        return [
-            Verdict(offset, decision, envelope.host, envelope.incarnation, envelope.body, detail)
-        ]
+        return [judge(offset, envelope, decision, detail)]
 
     def _decide(self, offset: Offset, envelope: Envelope) -> tuple[Decision, str]:
         body = envelope.body
+        if isinstance(body, CheckpointPart):
+            return Decision.ACCEPTED, ""
         if not isinstance(body, Publish):
             return Decision.FOREIGN, type(body).__name__
         if envelope.time_ms < self._state.clock.now_ms - PUBLISH_MAX_AGE_MS:
@@ -147,7 +133,7 @@
 
     def snapshot(self) -> bytes:
         """Encode all that the fold looks at."""
-        return msgspec.json.encode(self._state)
+        return msgspec.json.encode(self._state, order="deterministic")
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
--- a/core/minttide/agree/fold.py
+++ b/core/minttide/agree/fold.py
@@ -10,8 +10,15 @@
 
 import msgspec
 
-from minttide.ids import HostId, Incarnation, Offset
-from minttide.records import Body
+from minttide.ids import NO_OFFSET, HostId, Incarnation, Offset
+from minttide.records import (
+    BadRecordError,
+    Body,
+    Envelope,
+    KeyChange,
+    NewerFormatError,
+    decode,
+)
 
 
 class Decision(Enum):
@@ -22,6 +29,7 @@
     STALE = "stale"  # the state has moved on from what the writer saw
     TOO_OLD = "too-old"  # written too long before the fold's time
     MALFORMED = "malformed"
+    OVER_CAP = "over-cap"  # the plan could draw more than the power cap
     FOREIGN = "foreign"  # a well-formed record that doesn't belong to this stream
     STOPPED = "stopped"  # a newer format came before; nothing counts from there on
 
@@ -33,7 +41,7 @@
     decision: Decision
     host: HostId | None = None
     incarnation: Incarnation | None = None
-    body: Body | None = None
+    body: Body | KeyChange | None = None
     detail: str = ""
     index: int = 0  # place of the change within its record
 
@@ -81,3 +89,39 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
+
+
+class BaseState(msgspec.Struct):
+    """The part of a fold's state that every stream has."""
+
+    applied: Offset = NO_OFFSET
+    stopped_at: Offset | None = None
+    clock: FoldClock = msgspec.field(default_factory=FoldClock)
+
+
+def open_record(
+    state: BaseState, offset: Offset, payload: bytes
+) -> tuple[Envelope | None, list[Verdict]]:
+    """Advance `state` to `offset` and decode the record there.
+
+    Returns the envelope, or none and the verdicts when the record doesn't count.
+    """
+    if offset <= state.applied:
+        return None, []
+    state.applied = offset
+    if state.stopped_at is not None:
+        return None, [Verdict(offset, Decision.STOPPED)]
+    try:
+        envelope = decode(payload)
+    except NewerFormatError as exc:
+        state.stopped_at = offset
+        return None, [Verdict(offset, Decision.STOPPED, detail=str(exc))]
+    except BadRecordError as exc:
+        return None, [Verdict(offset, Decision.MALFORMED, detail=str(exc))]
+    state.clock.observe(envelope.host, envelope.time_ms)
+    return envelope, []
+
+
+def judge(offset: Offset, envelope: Envelope, decision: Decision, detail: str = "") -> Verdict:
+    """Return the verdict on a record that holds a single change."""
+    return Verdict(offset, decision, envelope.host, envelope.incarnation, envelope.body, detail)
--- /dev/null
+++ b/core/minttide/agree/keys.py
@@ -0,0 +1,207 @@
+"""The fold of a key stream: which claim of an idempotency key may dispatch its one call."""
+
+import heapq
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
+from minttide.ids import NO_OFFSET, ClaimId, HostId, IdempotencyKey, Incarnation, Offset
+from minttide.records import (
+    Answer,
+    BadRecordError,
+    CheckpointPart,
+    Claim,
+    Envelope,
+    KeyBatch,
+    KeyChange,
+    Withdrawal,
+)
+
+CLAIM_MAX_AGE_MS = 60 * 1000
+"""A claim older than this against the fold's time is a late copy and is rejected."""
+
+MIN_REMEMBER_MS = 10 * 60 * 1000
+"""The shortest time that a key is remembered; far above `CLAIM_MAX_AGE_MS`, so that no copy of a
+claim can still count once its key has been forgotten."""
+
+
+class KeyStatus(Enum):
+    """How far the call of a key has come, as far as the log tells."""
+
+    FREE = "free"  # claimed and withdrawn
+    CLAIMED = "claimed"  # its call may have run
+    ANSWERED = "answered"
+
+
+class KeyEntry(msgspec.Struct, frozen=True):
+    """One remembered key. The answer's fields are set once it is `ANSWERED`."""
+
+    status: KeyStatus
+    changed: Offset
+    claim_id: ClaimId
+    host: HostId
+    incarnation: Incarnation
+    digest: str
+    expires_ms: int
+    remember_ms: int
+    answer: Answer | None = None
+
+
+class _State(BaseState):
+    keys: dict[str, KeyEntry] = {}
+
+
+_decoder = msgspec.json.Decoder(_State)
+
+
+def key_name(scope: str, key: IdempotencyKey) -> str:
+    """Return the name that a key has in the fold; scopes hold no line feed."""
+    return f"{scope}\n{key}"
+
+
+class KeyFold:
+    """The keys of one shard after the records folded so far."""
+
+    def __init__(self) -> None:
+        self._state = _State()
+        self._expiry: list[tuple[int, str]] = []
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+        return self._state.applied
+
+    @property
+    def stopped_at(self) -> Offset | None:
+        """Return the offset of the first record of a newer format, if one has come."""
+        return self._state.stopped_at
+
+    @property
+    def now_ms(self) -> int:
+        """Return the fold's time in milliseconds since the epoch."""
+        return self._state.clock.now_ms
+
+    def __len__(self) -> int:
+        return len(self._state.keys)
+
+    def find(self, scope: str, key: IdempotencyKey) -> KeyEntry | None:
+        """Return what is remembered of a key."""
+        entry = self._state.keys.get(key_name(scope, key))
+        return entry if entry and entry.expires_ms >= self.now_ms else None
+
+    def changed(self, scope: str, key: IdempotencyKey) -> Offset:
+        """Return the offset of a key's last change, or -1."""
+        entry = self.find(scope, key)
+        return entry.changed if entry else NO_OFFSET
+
+    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
+        """Fold the record at `offset` and return a verdict for each change in it."""
+        envelope, verdicts = open_record(self._state, offset, payload)
+        if envelope is None:
+            return verdicts
+        self._forget_expired()
+        body = envelope.body
+        if isinstance(body, CheckpointPart):
+            return [judge(offset, envelope, Decision.ACCEPTED)]
+        if not isinstance(body, KeyBatch):
+            return [judge(offset, envelope, Decision.FOREIGN)]
+        return [
+            Verdict(
+                offset,
+                self._decide(offset, envelope, change),
+                envelope.host,
+                envelope.incarnation,
+                change,
+                index=index,
+            )
+            for index, change in enumerate(body.changes)
+        ]
+
+    def _decide(self, offset: Offset, envelope: Envelope, change: KeyChange) -> Decision:
+        if isinstance(change, Claim):
+            return self._decide_claim(offset, envelope, change)
+        entry = self.find(change.scope, change.key)
+        if entry is None or entry.claim_id != change.claim_id:
+            return Decision.STALE
+        if (entry.host, entry.incarnation) != (envelope.host, envelope.incarnation):
+            return Decision.STALE
+        closed = KeyStatus.FREE if isinstance(change, Withdrawal) else KeyStatus.ANSWERED
+        if entry.status is closed:
+            return Decision.REPEATED
+        if entry.status is not KeyStatus.CLAIMED:
+            return Decision.STALE
+        self._close(offset, envelope, change, entry)
+        return Decision.ACCEPTED
+
+    def _decide_claim(self, offset: Offset, envelope: Envelope, claim: Claim) -> Decision:
+        if envelope.time_ms < self.now_ms - CLAIM_MAX_AGE_MS:
+            return Decision.TOO_OLD
+        entry = self.find(claim.scope, claim.key)
+        if entry is not None and entry.claim_id == claim.claim_id:
+            return Decision.REPEATED
+        if claim.seen != self.changed(claim.scope, claim.key):
+            return Decision.STALE
+        if entry is not None and entry.status is not KeyStatus.FREE:
+            return Decision.STALE
+        remember_ms = max(claim.remember_ms, MIN_REMEMBER_MS)
+        expires_ms = max(envelope.time_ms, self.now_ms) + remember_ms
+        if entry is not None:
+            expires_ms = max(expires_ms, entry.expires_ms)
+        self._put(
+            claim,
+            KeyEntry(
+                KeyStatus.CLAIMED,
+                offset,
+                claim.claim_id,
+                envelope.host,
+                envelope.incarnation,
+                claim.digest,
+                expires_ms,
+                remember_ms,
+            ),
+        )
+        return Decision.ACCEPTED
+
+    def _close(
+        self, offset: Offset, envelope: Envelope, change: Withdrawal | Answer, entry: KeyEntry
+    ) -> None:
+        expires_ms = max(entry.expires_ms, envelope.time_ms + entry.remember_ms)
+        answered = isinstance(change, Answer)
+        self._put(
+            change,
+            msgspec.structs.replace(
+                entry,
+                status=KeyStatus.ANSWERED if answered else KeyStatus.FREE,
+                changed=offset,
+                expires_ms=expires_ms,
+                answer=change if isinstance(change, Answer) else None,
+            ),
+        )
+
+    def _put(self, change: KeyChange, entry: KeyEntry) -> None:
+        name = key_name(change.scope, change.key)
+        self._state.keys[name] = entry
+        heapq.heappush(self._expiry, (entry.expires_ms, name))
+
+    def _forget_expired(self) -> None:
+        keys = self._state.keys
+        while self._expiry and self._expiry[0][0] < self.now_ms:
+            _, name = heapq.heappop(self._expiry)
+            entry = keys.get(name)
+            if entry is not None and entry.expires_ms < self.now_ms:
+                del keys[name]
+
+    def snapshot(self) -> bytes:
+        """Encode all that the fold looks at."""
+        return msgspec.json.encode(self._state, order="deterministic")
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
+        try:
+            self._state = _decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise BadRecordError(str(exc)) from exc
+        self._expiry = [(e.expires_ms, n) for n, e in self._state.keys.items()]
+        heapq.heapify(self._expiry)
--- /dev/null
+++ b/core/minttide/agree/placement.py
@@ -0,0 +1,171 @@
+"""The fold of a placement stream: who holds the lease, the plan in force, the power reserved.
+
+Power stays under the cap whatever becomes of an order, because the fold accepts a plan only if the
+site stays under the cap with every engine at the highest level that an order still on its way may
+set. A level is released once the engine was read back with the plan's fencing number: it refuses
+older orders from then on.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
+from minttide.ids import NO_OFFSET, HostId, Incarnation, Offset, UpstreamId
+from minttide.records import (
+    BadRecordError,
+    Body,
+    CheckpointPart,
+    Confirmation,
+    Envelope,
+    LeaseRelease,
+    LeaseRenewal,
+    LeaseTake,
+    Plan,
+)
+
+
+class Lease(msgspec.Struct, frozen=True):
+    """The lease of a placement domain. `holder` is absent before the first and after a release."""
+
+    term: Offset = NO_OFFSET
+    changed: Offset = NO_OFFSET
+    holder: HostId | None = None
+    incarnation: Incarnation = Incarnation(0)
+    duration_ms: int = 0
+
+
+class _State(BaseState):
+    lease: Lease = Lease()
+    plan: Plan | None = None
+    plan_offset: Offset = NO_OFFSET
+    reserved: dict[UpstreamId, int] = {}
+
+
+_decoder = msgspec.json.Decoder(_State)
+
+
+class PlacementFold:
+    """The lease, plan and reserved power of one domain after the records folded so far."""
+
+    def __init__(self) -> None:
+        self._state = _State()
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+        return self._state.applied
+
+    @property
+    def stopped_at(self) -> Offset | None:
+        """Return the offset of the first record of a newer format, if one has come."""
+        return self._state.stopped_at
+
+    @property
+    def lease(self) -> Lease:
+        """Return the lease as it stands."""
+        return self._state.lease
+
+    @property
+    def plan(self) -> Plan | None:
+        """Return the plan in force."""
+        return self._state.plan
+
+    @property
+    def plan_offset(self) -> Offset:
+        """Return the fencing number of the plan in force, or -1."""
+        return self._state.plan_offset
+
+    @property
+    def reserved(self) -> dict[UpstreamId, int]:
+        """Return the highest watts that each engine may still be set to."""
+        return self._state.reserved
+
+    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
+        """Fold the record at `offset` and return its verdict."""
+        envelope, verdicts = open_record(self._state, offset, payload)
+        if envelope is None:
+            return verdicts
+        return [judge(offset, envelope, self._decide(offset, envelope))]
+
+    def _decide(self, offset: Offset, envelope: Envelope) -> Decision:
+        match envelope.body:
+            case CheckpointPart():
+                return Decision.ACCEPTED
+            case LeaseTake() as take:
+                return self._take(offset, envelope, take)
+            case LeaseRenewal() | LeaseRelease() | Plan() | Confirmation() as body:
+                if not self._holds(envelope, body.term):
+                    return Decision.STALE
+                return self._decide_for_holder(offset, body)
+        return Decision.FOREIGN
+
+    def _holds(self, envelope: Envelope, term: Offset) -> bool:
+        lease = self._state.lease
+        writer = (envelope.host, envelope.incarnation)
+        return lease.term == term and (lease.holder, lease.incarnation) == writer
+
+    def _take(self, offset: Offset, envelope: Envelope, take: LeaseTake) -> Decision:
+        if take.seen != self._state.lease.changed:
+            return Decision.STALE
+        self._state.lease = Lease(
+            offset, offset, envelope.host, envelope.incarnation, take.duration_ms
+        )
+        return Decision.ACCEPTED
+
+    def _decide_for_holder(self, offset: Offset, body: Body) -> Decision:
+        lease = self._state.lease
+        match body:
+            case LeaseRenewal(seen=seen) if seen != lease.changed:
+                return Decision.STALE
+            case LeaseRenewal():
+                self._state.lease = msgspec.structs.replace(lease, changed=offset)
+            case LeaseRelease():
+                self._state.lease = msgspec.structs.replace(lease, changed=offset, holder=None)
+            case Plan() as plan:
+                return self._accept_plan(offset, plan)
+            case Confirmation() as confirmation:
+                return self._confirm(confirmation)
+        return Decision.ACCEPTED
+
+    def _accept_plan(self, offset: Offset, plan: Plan) -> Decision:
+        kept = {e: w for e, w in self._state.reserved.items() if e not in plan.gone}
+        raised = reserve(kept, plan)
+        if raised != kept and sum(raised.values()) > plan.cap_watts:
+            return Decision.OVER_CAP
+        self._state.plan = plan
+        self._state.plan_offset = offset
+        self._state.reserved = raised
+        return Decision.ACCEPTED
+
+    def _confirm(self, confirmation: Confirmation) -> Decision:
+        plan = self._state.plan
+        if plan is None:
+            return Decision.STALE
+        planned = {a.engine: a.watts for a in plan.assignments}
+        read_back = [e for e in confirmation.engines if e.fencing == self._state.plan_offset]
+        if not read_back:
+            return Decision.STALE
+        for engine in read_back:
+            if planned.get(engine.engine) == engine.watts:
+                self._state.reserved[engine.engine] = engine.watts
+        return Decision.ACCEPTED
+
+    def snapshot(self) -> bytes:
+        """Encode all that the fold looks at."""
+        return msgspec.json.encode(self._state, order="deterministic")
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
+        try:
+            self._state = _decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise BadRecordError(str(exc)) from exc
+
+
+def reserve(reserved: dict[UpstreamId, int], plan: Plan) -> dict[UpstreamId, int]:
+    """Return the watts to reserve for each engine while the orders of `plan` are on their way."""
+    raised = dict(reserved)
+    for assignment in plan.assignments:
+        raised[assignment.engine] = max(raised.get(assignment.engine, 0), assignment.watts)
+    return raised
--- a/core/minttide/records.py
+++ b/core/minttide/records.py
@@ -47,7 +47,7 @@
     """The right to dispatch the one call of a key. `seen` is the key's last change, or -1.
 
     `scope` is "<account>/<service>"; `digest` is the hex digest of the call, so that another call
-    under the same key is told apart.
+    under the same key is told apart. The key is remembered for `remember_ms`.
     """
 
     claim_id: ClaimId
@@ -55,6 +55,7 @@
     key: IdempotencyKey
     digest: str
     seen: Offset
+    remember_ms: int
 
 
 class Withdrawal(msgspec.Struct, frozen=True, tag="withdrawal"):
@@ -121,12 +122,16 @@
 
 
 class Plan(msgspec.Struct, frozen=True, tag="plan"):
-    """The whole placement of a domain. The record's offset is the fencing number of its orders."""
+    """The whole placement of a domain. The record's offset is the fencing number of its orders.
+
+    Every engine of the domain stands in `assignments`, idle ones with an empty range. `gone` lists
+    engines that operators have taken out of the service files.
+    """
 
     term: Offset
     assignments: list[Assignment]
-    fixed_watts: dict[UpstreamId, int]  # engines that ignore fencing, at their highest draw
     cap_watts: int
+    gone: list[UpstreamId] = []
 
 
 class EngineWatts(msgspec.Struct, frozen=True):
