--- /dev/null
+++ b/fakes/minttide_fakes/engine.py
@@ -0,0 +1,353 @@
+"""A model engine in memory: a layer range, KV caches, continuous batches, orders and faults."""
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from minttide.config.service import AcceleratorKind, Engine, Model
+from minttide.ids import NO_OFFSET, ModelVersion, Offset, RequestId, ServiceName
+from minttide.interfaces import EngineError, StaleFencingError
+from minttide.steps import (
+    CacheEvent,
+    EngineState,
+    LoadReport,
+    Order,
+    Step,
+    StepBatch,
+    StepReplies,
+    StepReply,
+)
+from minttide_fakes.kv import Fabric
+from minttide_fakes.prefixes import PrefixCache
+from minttide_fakes.stage import Stage
+from minttide_fakes.weights import FakeWeightStore
+
+MAX_BATCH = 256
+"""Steps that an engine runs together at most."""
+
+REPORT_LAG_S = 0.5
+"""How old a load report is when it shows."""
+
+
+class ReplyFault(Enum):
+    """What happens to the replies of one batch."""
+
+    LOST = "lost"  # one reply is missing
+    LATE = "late"  # they come after `late_s`
+    DOUBLED = "doubled"  # each comes twice
+    CROSSED = "crossed"  # they come with the replies of the next batch instead
+    BROKEN = "broken"  # the steps ran, and the exchange breaks off
+
+
+@dataclass
+class _Waiting:
+    step: Step
+    done: "asyncio.Future[StepReply]"
+
+
+class FakeEngine:
+    """One model engine, as `EngineClient`. Its speed follows its accelerator and power level."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        kind: AcceleratorKind,
+        models: dict[ServiceName, Model],
+        fabric: Fabric,
+        weights: FakeWeightStore | None = None,
+    ) -> None:
+        self.engine = engine
+        self.kind = kind
+        self.prefixes = PrefixCache(engine.id)
+        self.stage = Stage(engine.id, fabric, self.prefixes)
+        self.faults: deque[ReplyFault] = deque()
+        self.late_s = 1.0
+        self.slow_factor = 1.0
+        self.report_lag_s = REPORT_LAG_S
+        self.steps_run = 0
+        self.orders: list[Order] = []
+        self.peak_watts = 0
+        self._models = models
+        self._fabric = fabric
+        self._weights = weights
+        self._queue: list[_Waiting] = []
+        self._running: list[_Waiting] = []
+        self._worker: asyncio.Task[None] | None = None
+        self._loading: asyncio.Task[None] | None = None
+        self._held: list[StepReply] = []
+        self._reports: deque[LoadReport] = deque(maxlen=64)
+        self._dead = False
+        self._die_after: int | None = None
+        self._leaving = False
+        self._fencing = NO_OFFSET
+        self._service = ServiceName("")
+        self._version = ModelVersion("")
+        self._first = self._last = 0
+        self._watts = 0
+        self._set_watts((kind.power[0] if engine.checks_fencing else kind.power[-1]).watts)
+
+    # Faults and looks inside, for tests.
+
+    @property
+    def dead(self) -> bool:
+        """Return whether the engine has died."""
+        return self._dead
+
+    @property
+    def watts(self) -> int:
+        """Return the power level that the engine is set to now."""
+        return self._watts
+
+    @property
+    def left_behind(self) -> int:
+        """Return how many caches, outputs and exports are kept for requests."""
+        return self.stage.kept + self._fabric.exports_of(self.engine.id)
+
+    def order_fault(self, fault: ReplyFault, times: int = 1) -> None:
+        """Let the replies of the next `times` batches meet `fault`."""
+        self.faults.extend([fault] * times)
+
+    def die(self, after_steps: int | None = None) -> None:
+        """Die now, or in the middle of the step that comes after `after_steps` more."""
+        if after_steps is not None:
+            self._die_after = after_steps
+            return
+        self._dead = True
+        self._die_after = None
+        self.stage.clear()
+        self._fabric.forget_engine(self.engine.id)
+        for task in (self._worker, self._loading):
+            if task is not None and not task.done():
+                task.cancel()
+        self._fail_waiting()
+
+    def restart(self) -> None:
+        """Come back as a new process that holds nothing and has seen no fencing number."""
+        self._dead = False
+        self._leaving = False
+        self.stage.restart()
+        self._fencing = NO_OFFSET
+        self._service, self._version = ServiceName(""), ModelVersion("")
+        self._first = self._last = 0
+        level = self.kind.power[0] if self.engine.checks_fencing else self.kind.power[-1]
+        self._set_watts(level.watts)
+
+    def leave(self) -> None:
+        """Take no new request from now on."""
+        self._leaving = True
+        self.stage.leaving = True
+
+    def hold(
+        self, service: ServiceName, version: ModelVersion, first: int, last: int, watts: int
+    ) -> None:
+        """Hold these layers at once, without an order or a load time."""
+        self._service, self._version = service, version
+        self._first, self._last = first, last
+        self.stage.hold(service, version, first, last)
+        self._set_watts(watts)
+
+    # The engine's interface.
+
+    async def run_steps(self, batch: StepBatch) -> StepReplies:
+        """Run one batch of steps together with what else is waiting."""
+        self._check_alive()
+        futures = [self._enqueue(step) for step in batch.steps]
+        if self._worker is None or self._worker.done():
+            self._worker = asyncio.create_task(self._work())
+        replies = [await fut for fut in futures]
+        return StepReplies(await self._deliver(replies))
+
+    def _enqueue(self, step: Step) -> "asyncio.Future[StepReply]":
+        fut: asyncio.Future[StepReply] = asyncio.get_running_loop().create_future()
+        self._queue.append(_Waiting(step, fut))
+        return fut
+
+    async def _work(self) -> None:
+        while self._queue:
+            self._queue.sort(key=lambda waiting: -waiting.step.priority)
+            batch, self._queue = self._queue[:MAX_BATCH], self._queue[MAX_BATCH:]
+            self._running = batch
+            try:
+                await asyncio.sleep(self._batch_s([waiting.step for waiting in batch]))
+                self._run(batch)
+            finally:
+                self._running = []
+                _fail(batch)
+            self._note_report()
+
+    def _run(self, batch: list[_Waiting]) -> None:
+        for waiting in batch:
+            if self._die_after is not None:
+                self._die_after -= 1
+                if self._die_after < 0:
+                    self.die()
+                    return
+            reply = self.stage.run(waiting.step)
+            self.steps_run += reply.error is None
+            if not waiting.done.done():
+                waiting.done.set_result(reply)
+
+    def _batch_s(self, steps: Sequence[Step]) -> float:
+        model = self._models.get(self._service)
+        layers = (self._last - self._first) * (model.width if model else 1.0)
+        prefill = sum(self.stage.new_tokens(step) for step in steps if step.prefill)
+        layer_us = self.kind.decode_us + len(steps) * self.kind.decode_stream_us
+        layer_us += prefill * self.kind.prefill_us
+        return layers * layer_us * self.slow_factor / self._speed() / 1e6
+
+    def _speed(self) -> float:
+        allowed = [level.speed for level in self.kind.power if level.watts <= self._watts]
+        return max(allowed, default=self.kind.power[0].speed) * self.engine.accelerators
+
+    async def _deliver(self, replies: list[StepReply]) -> list[StepReply]:
+        held, self._held = self._held, []
+        match self.faults.popleft() if self.faults else None:
+            case ReplyFault.LOST:
+                return held + replies[1:]
+            case ReplyFault.DOUBLED:
+                return held + replies + replies
+            case ReplyFault.CROSSED:
+                self._held = replies
+                return held
+            case ReplyFault.LATE:
+                await asyncio.sleep(self.late_s)
+            case ReplyFault.BROKEN:
+                raise EngineError(f"{self.engine.id} broke the exchange off")
+        return held + replies
+
+    async def cancel(self, requests: Sequence[RequestId]) -> None:
+        """Drop all that the engine keeps for these requests, and their waiting steps."""
+        self._check_alive()
+        gone = set(requests)
+        self._fabric.drop_exports(self.engine.id, gone)
+        attempts = dict.fromkeys(gone, 0)
+        for waiting in self._queue + self._running:
+            if waiting.step.request in gone:
+                attempts[waiting.step.request] = waiting.step.attempt
+        for request, attempt in attempts.items():
+            self.stage.cancel(request, attempt)
+        dropped = [w for w in self._queue if w.step.request in gone]
+        self._queue = [w for w in self._queue if w.step.request not in gone]
+        for waiting in dropped:
+            if not waiting.done.done():
+                waiting.done.set_result(self.stage.cancelled_reply(waiting.step))
+
+    async def read_state(self) -> EngineState:
+        """Read what the engine holds now."""
+        self._check_alive()
+        return EngineState(
+            self.engine.id,
+            self._fencing,
+            self._service,
+            self._version,
+            self._first,
+            self._last,
+            self._watts,
+            self._is_loading(),
+            self._leaving,
+        )
+
+    def _is_loading(self) -> bool:
+        return self._loading is not None and not self._loading.done()
+
+    async def order(self, order: Order) -> EngineState:
+        """Take an order: set the power at once and load other layers in the background."""
+        self._check_alive()
+        if self.engine.checks_fencing and order.fencing < self._fencing:
+            raise StaleFencingError(f"{self.engine.id} has taken {self._fencing}")
+        self._fencing = Offset(max(self._fencing, order.fencing))
+        self.orders.append(order)
+        self._set_watts(order.watts)
+        wanted = (order.service, order.version, order.first, order.last)
+        if wanted != (self._service, self._version, self._first, self._last):
+            self._load(order)
+        return await self.read_state()
+
+    def _load(self, order: Order) -> None:
+        if self._loading is not None:
+            self._loading.cancel()
+        megabytes = self._missing_mb(order)
+        self._service, self._version = order.service, order.version
+        self._first, self._last = order.first, order.last
+        self.stage.hold(ServiceName(""), ModelVersion(""), 0, 0)
+        self._loading = asyncio.create_task(self._finish_load(order, megabytes))
+
+    def _missing_mb(self, order: Order) -> float:
+        model = self._models.get(order.service)
+        held: set[int] = set()
+        if (order.service, order.version) == (self._service, self._version):
+            held = set(range(self._first, self._last))
+        missing = set(range(order.first, order.last)) - held
+        return len(missing) * (model.mb_per_layer if model else 0.0)
+
+    async def _finish_load(self, order: Order, megabytes: float) -> None:
+        if self._weights is not None:
+            await self._weights.load(megabytes)
+        self.stage.hold(order.service, order.version, order.first, order.last)
+
+    def _set_watts(self, watts: int) -> None:
+        self._watts = watts
+        self.peak_watts = max(self.peak_watts, watts)
+
+    async def report(self) -> LoadReport:
+        """Return the newest load report that is older than the lag."""
+        self._check_alive()
+        self._note_report()
+        newest_ms = _now_ms() - self.report_lag_s * 1000
+        shown = [r for r in self._reports if r.at_ms <= newest_ms]
+        return shown[-1] if shown else self._reports[0]
+
+    def _note_report(self) -> None:
+        report = LoadReport(
+            self.engine.id,
+            int(_now_ms()),
+            self.stage.streams,
+            len(self._queue),
+            self._batch_s([]) * 1000,
+            self._kv_free_mb(),
+        )
+        self._reports.append(report)
+
+    def _kv_free_mb(self) -> float:
+        model = self._models.get(self._service)
+        if model is None:
+            return float(self.kind.memory_mb * self.engine.accelerators)
+        layers = self._last - self._first
+        used = layers * model.mb_per_layer
+        used += self.stage.kv_tokens * layers * model.kv_kb_per_token_layer / 1024
+        return max(0.0, self.kind.memory_mb * self.engine.accelerators - used)
+
+    async def cache_events(self, after: int) -> Sequence[CacheEvent]:
+        """Return the cache events above `after` that show by now."""
+        self._check_alive()
+        return self.prefixes.events(after)
+
+    async def export_kv(self, request: RequestId) -> str:
+        """Export a request's KV cache and return its handle."""
+        self._check_alive()
+        cache = self.stage.find_cache(request)
+        if cache is None:
+            raise EngineError(f"{self.engine.id} keeps nothing for the request")
+        return self._fabric.export(self.engine.id, request, cache)
+
+    def _check_alive(self) -> None:
+        if self._dead:
+            raise EngineError(f"{self.engine.id} can't be reached")
+
+    def _fail_waiting(self) -> None:
+        waiting, self._queue = self._queue, []
+        _fail(waiting)
+
+
+def _fail(batch: list[_Waiting]) -> None:
+    """End what is still waiting in a batch; after a death mid-step its callers get an error."""
+    for waiting in batch:
+        if not waiting.done.done():
+            waiting.done.set_exception(EngineError("the engine died during the step"))
+            waiting.done.exception()  # its caller may be gone
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
--- /dev/null
+++ b/fakes/minttide_fakes/plain.py
@@ -0,0 +1,91 @@
+"""A process of a plain service in memory. It counts what it ran, by idempotency key."""
+
+import asyncio
+from collections import Counter, deque
+from enum import Enum
+
+from minttide.interfaces import (
+    UpstreamBrokenError,
+    UpstreamCall,
+    UpstreamRefusedError,
+    UpstreamReply,
+)
+
+KEY_HEADER = "idempotency-key"
+
+
+class CallFault(Enum):
+    """What happens to one call."""
+
+    REFUSED = "refused"  # no byte reaches the upstream
+    BREAKS_BEFORE = "breaks-before"  # the connection breaks before the call runs
+    BREAKS_AFTER = "breaks-after"  # it ran, and the answer is lost
+    FAILS = "fails"  # it answers 503 without running
+
+
+class FakeUpstream:
+    """One process of a plain service. `ran` counts runs by key; keyless calls count under "".
+
+    `ledger` may be shared by the processes of one service, so that duplicates are rejected over all
+    of them where `rejects_duplicates` is set.
+    """
+
+    def __init__(
+        self,
+        name: str = "upstream",
+        service_s: float = 0.002,
+        rejects_duplicates: bool = False,
+        ledger: "Counter[str] | None" = None,
+    ) -> None:
+        self.name = name
+        self.service_s = service_s
+        self.rejects_duplicates = rejects_duplicates
+        self.ran: Counter[str] = Counter() if ledger is None else ledger
+        self.faults: deque[CallFault] = deque()
+        self.calls: list[UpstreamCall] = []
+        self.down = False
+        self.leaving = False
+        self.open = 0
+
+    def order_fault(self, fault: CallFault, times: int = 1) -> None:
+        """Let the next `times` calls meet `fault`."""
+        self.faults.extend([fault] * times)
+
+    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
+        """Run one call as `UpstreamClient.call`."""
+        if self.down:
+            raise UpstreamRefusedError(f"{self.name} is down")
+        self.open += 1
+        try:
+            return await asyncio.wait_for(self.handle(call), timeout_s)
+        except TimeoutError as exc:
+            raise UpstreamBrokenError("the call timed out") from exc
+        finally:
+            self.open -= 1
+
+    async def handle(self, call: UpstreamCall) -> UpstreamReply:
+        """Run one call that has arrived."""
+        fault = self.faults.popleft() if self.faults else None
+        if fault is CallFault.REFUSED:
+            raise UpstreamRefusedError(f"{self.name} refused the connection")
+        if fault is CallFault.BREAKS_BEFORE:
+            raise UpstreamBrokenError(f"{self.name} broke the connection off")
+        if fault is CallFault.FAILS:
+            return _reply(503, b'{"error":"not available"}')
+        await asyncio.sleep(self.service_s)
+        reply = self._run(call)
+        if fault is CallFault.BREAKS_AFTER:
+            raise UpstreamBrokenError(f"{self.name} broke the connection off")
+        return reply
+
+    def _run(self, call: UpstreamCall) -> UpstreamReply:
+        self.calls.append(call)
+        key = dict(call.headers).get(KEY_HEADER, "")
+        if key and self.rejects_duplicates and self.ran[key]:
+            return _reply(409, b'{"error":"this key has run before"}')
+        self.ran[key] += 1
+        return _reply(200, b'{"ok":true,"by":"%s"}' % self.name.encode())
+
+
+def _reply(status: int, body: bytes) -> UpstreamReply:
+    return UpstreamReply(status, "application/json", body)
