--- a/fakes/minttide_fakes/engine.py
+++ b/fakes/minttide_fakes/engine.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from minttide.config.service import AcceleratorKind, Engine, Model
+from minttide.config.service import AcceleratorKind, Engine, Model, PowerLevel
 from minttide.ids import NO_OFFSET, ModelVersion, Offset, RequestId, ServiceName
 from minttide.interfaces import EngineError, StaleFencingError
 from minttide.steps import (
@@ -86,7 +86,9 @@
         self._version = ModelVersion("")
         self._first = self._last = 0
         self._watts = 0
-        self._set_watts((kind.power[0] if engine.checks_fencing else kind.power[-1]).watts)
+        count = engine.accelerators
+        self._levels = [PowerLevel(p.watts * count, p.speed * count) for p in kind.power]
+        self._set_watts(self._boot_watts())
 
     # Faults and looks inside, for tests.
 
@@ -131,8 +133,7 @@
         self._fencing = NO_OFFSET
         self._service, self._version = ServiceName(""), ModelVersion("")
         self._first = self._last = 0
-        level = self.kind.power[0] if self.engine.checks_fencing else self.kind.power[-1]
-        self._set_watts(level.watts)
+        self._set_watts(self._boot_watts())
 
     def leave(self) -> None:
         """Take no new request from now on."""
@@ -198,8 +199,11 @@
         return layers * layer_us * self.slow_factor / self._speed() / 1e6
 
     def _speed(self) -> float:
-        allowed = [level.speed for level in self.kind.power if level.watts <= self._watts]
-        return max(allowed, default=self.kind.power[0].speed) * self.engine.accelerators
+        allowed = [level.speed for level in self._levels if level.watts <= self._watts]
+        return max(allowed, default=self._levels[0].speed)
+
+    def _boot_watts(self) -> int:
+        return (self._levels[0] if self.engine.checks_fencing else self._levels[-1]).watts
 
     async def _deliver(self, replies: list[StepReply]) -> list[StepReply]:
         held, self._held = self._held, []
