Keep the cost of a configuration record apart from the number of services

Cause: the fold looked through every service for expired tombstones at each record; 1,000 records cost 25.8 us each against 14.6 us for 100 (one reading each). Ruled out: decoding, which costs the same at both sizes. Change: the fold remembers which services are withdrawn and looks at those only.

--- a/core/minttide/agree/config.py
+++ b/core/minttide/agree/config.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self._state = _State()
+        self._withdrawn: set[ServiceName] = set()
 
     @property
     def applied(self) -> Offset:
@@ -109,11 +110,17 @@
         if self._changes_key_shards(body):
             return Decision.MALFORMED, "key_shards can't be changed"
         for change in body.changes:
-            self._state.services[change.service] = ServiceEntry(
-                offset, body.publish_id, envelope.time_ms, change.file
-            )
+            entry = ServiceEntry(offset, body.publish_id, envelope.time_ms, change.file)
+            self._put(change.service, entry)
         return Decision.ACCEPTED, ""
 
+    def _put(self, service: ServiceName, entry: ServiceEntry) -> None:
+        self._state.services[service] = entry
+        if entry.file is None:
+            self._withdrawn.add(service)
+        else:
+            self._withdrawn.discard(service)
+
     def _is_repeat(self, body: Publish) -> bool:
         entries = [self._state.services.get(c.service) for c in body.changes]
         return bool(entries) and all(e and e.publish_id == body.publish_id for e in entries)
@@ -128,8 +135,9 @@
     def _forget_tombstones(self) -> None:
         horizon = self._state.clock.now_ms - TOMBSTONE_MS
         services = self._state.services
-        for name in [n for n, e in services.items() if e.file is None and e.time_ms < horizon]:
+        for name in [n for n in self._withdrawn if services[n].time_ms < horizon]:
             del services[name]
+            self._withdrawn.discard(name)
 
     def snapshot(self) -> bytes:
         """Encode all that the fold looks at."""
@@ -141,3 +149,4 @@
             self._state = _decoder.decode(data)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise BadRecordError(str(exc)) from exc
+        self._withdrawn = {n for n, e in self._state.services.items() if e.file is None}
