--- a/core/minttide/agree/keys.py
+++ b/core/minttide/agree/keys.py
@@ -1,6 +1,7 @@
 """The fold of a key stream: which claim of an idempotency key may dispatch its one call."""
 
 import heapq
+import sys
 from collections.abc import Sequence
 from enum import Enum
 
@@ -35,8 +36,16 @@
     ANSWERED = "answered"
 
 
-class KeyEntry(msgspec.Struct, frozen=True):
-    """One remembered key. The answer's fields are set once it is `ANSWERED`."""
+class KeptAnswer(msgspec.Struct, frozen=True, gc=False):
+    """The answer of a call. `body` is absent when it was too large to keep."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+class KeyEntry(msgspec.Struct, frozen=True, gc=False):
+    """One remembered key. `answer` is set once it is `ANSWERED`."""
 
     status: KeyStatus
     changed: Offset
@@ -46,7 +55,7 @@
     digest: str
     expires_ms: int
     remember_ms: int
-    answer: Answer | None = None
+    answer: KeptAnswer | None = None
 
 
 class _State(BaseState):
@@ -61,6 +70,11 @@
     return f"{scope}\n{key}"
 
 
+def _keep_answer(change: Answer) -> KeptAnswer:
+    # The few content types are shared, since a shard remembers tens of thousands of answers.
+    return KeptAnswer(change.status, sys.intern(change.content_type), change.body)
+
+
 class KeyFold:
     """The keys of one shard after the records folded so far."""
 
@@ -155,7 +169,7 @@
                 KeyStatus.CLAIMED,
                 offset,
                 claim.claim_id,
-                envelope.host,
+                HostId(sys.intern(envelope.host)),
                 envelope.incarnation,
                 claim.digest,
                 expires_ms,
@@ -168,30 +182,33 @@
         self, offset: Offset, envelope: Envelope, change: Withdrawal | Answer, entry: KeyEntry
     ) -> None:
         expires_ms = max(entry.expires_ms, envelope.time_ms + entry.remember_ms)
-        answered = isinstance(change, Answer)
+        answer = _keep_answer(change) if isinstance(change, Answer) else None
         self._put(
             change,
             msgspec.structs.replace(
                 entry,
-                status=KeyStatus.ANSWERED if answered else KeyStatus.FREE,
+                status=KeyStatus.ANSWERED if answer else KeyStatus.FREE,
                 changed=offset,
                 expires_ms=expires_ms,
-                answer=change if isinstance(change, Answer) else None,
+                answer=answer,
             ),
         )
 
     def _put(self, change: KeyChange, entry: KeyEntry) -> None:
         name = key_name(change.scope, change.key)
+        if name not in self._state.keys:
+            heapq.heappush(self._expiry, (entry.expires_ms, name))
         self._state.keys[name] = entry
-        heapq.heappush(self._expiry, (entry.expires_ms, name))
 
     def _forget_expired(self) -> None:
         keys = self._state.keys
         while self._expiry and self._expiry[0][0] < self.now_ms:
             _, name = heapq.heappop(self._expiry)
-            entry = keys.get(name)
-            if entry is not None and entry.expires_ms < self.now_ms:
+            expires_ms = keys[name].expires_ms
+            if expires_ms < self.now_ms:
                 del keys[name]
+            else:
+                heapq.heappush(self._expiry, (expires_ms, name))
 
     def snapshot(self) -> bytes:
         """Encode all that the fold looks at."""
