Serve and call HTTP with h11, and reach engines and upstreams by it

Cause: nothing in the daemon could take a request from a socket or reach an engine or a plain service. Change: http_server.py (bounds on header, body, time and connections; keep-alive; streamed answers; a handler is cancelled when its caller closes), http_client.py (pool; tells a request of which no byte left from a broken exchange), problems.py (application/problem+json), and the adapters engine_http.py and upstream_http.py behind the interfaces of core. Conclusion: the listeners and stand-ins of the other parts can be put on this server.

--- /dev/null
+++ b/daemon/minttided/problems.py
@@ -0,0 +1,78 @@
+"""Problem answers: what a caller is told when a request is refused or fails."""
+
+import math
+
+import msgspec
+
+from minttide.outcome import Problem, ProblemType, Ran, RequestError
+from minttided.http_messages import HttpResponse
+
+TYPE_BASE = "https://minttide.invalid/problems/"
+CONTENT_TYPE = "application/problem+json"
+
+_STATUS = {
+    ProblemType.BAD_REQUEST: 400,
+    ProblemType.UNAUTHENTICATED: 401,
+    ProblemType.FORBIDDEN: 403,
+    ProblemType.NOT_FOUND: 404,
+    ProblemType.TOO_LARGE: 413,
+    ProblemType.OVER_LIMIT: 429,
+    ProblemType.KEY_TOO_OLD: 409,
+    ProblemType.KEY_IN_USE: 409,
+    ProblemType.KEY_MISMATCH: 422,
+    ProblemType.DEADLINE: 504,
+    ProblemType.UPSTREAM_FAILED: 502,
+    ProblemType.OUTCOME_UNKNOWN: 502,
+    ProblemType.ANSWER_NOT_KEPT: 409,
+    ProblemType.INTERNAL: 500,
+}
+_UNAVAILABLE = 503
+
+
+class _Body(msgspec.Struct, omit_defaults=True):
+    type: str
+    title: str
+    status: int
+    ran: str
+    detail: str
+    retry_after_s: float | None = None
+
+
+def problem(
+    kind: ProblemType,
+    detail: str,
+    ran: Ran = Ran.NOT_RUN,
+    retry_after_s: float | None = None,
+    status: int | None = None,
+) -> Problem:
+    """Return a problem with the status that belongs to its type unless `status` is given."""
+    return Problem(kind, status or _STATUS.get(kind, _UNAVAILABLE), ran, detail, retry_after_s)
+
+
+def refusal(kind: ProblemType, detail: str, retry_after_s: float | None = None) -> RequestError:
+    """Return the error of a request that was refused before any of it ran."""
+    return RequestError(problem(kind, detail, Ran.NOT_RUN, retry_after_s))
+
+
+def encode_problem(problem: Problem) -> bytes:
+    """Encode a problem as the body of an `application/problem+json` answer."""
+    return msgspec.json.encode(
+        _Body(
+            TYPE_BASE + problem.type.value,
+            problem.type.value.replace("-", " "),
+            problem.status,
+            problem.ran.value,
+            problem.detail,
+            problem.retry_after_s,
+        )
+    )
+
+
+def problem_response(problem: Problem) -> HttpResponse:
+    """Return the answer for a problem, with `Retry-After` in whole seconds where it has one."""
+    headers = []
+    if problem.retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, math.ceil(problem.retry_after_s)))))
+    if problem.type is ProblemType.UNAUTHENTICATED:
+        headers.append(("www-authenticate", "Bearer"))
+    return HttpResponse(problem.status, encode_problem(problem), CONTENT_TYPE, headers)
--- /dev/null
+++ b/daemon/minttided/upstream_http.py
@@ -0,0 +1,70 @@
+"""Plain services over HTTP, and the clients of a daemon by address."""
+
+from types import TracebackType
+from typing import Self
+
+from minttide.ids import Address, UpstreamId
+from minttide.interfaces import (
+    UpstreamBrokenError,
+    UpstreamCall,
+    UpstreamRefusedError,
+    UpstreamReply,
+)
+from minttided.engine_http import EngineHttp
+from minttided.http_client import BrokenError, HttpClient, NotSentError
+
+
+class UpstreamHttp:
+    """One process of a plain service, reached over HTTP."""
+
+    def __init__(self, client: HttpClient):
+        self._client = client
+
+    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
+        """Make one call; see `UpstreamClient`."""
+        try:
+            reply = await self._client.request(
+                call.method, call.path, call.body, call.headers, timeout_s, fresh
+            )
+        except NotSentError as exc:
+            raise UpstreamRefusedError(str(exc)) from exc
+        except BrokenError as exc:
+            raise UpstreamBrokenError(str(exc)) from exc
+        return UpstreamReply(reply.status, reply.content_type, reply.body)
+
+
+class HttpClients:
+    """The HTTP clients of a daemon, one for each address, closed together."""
+
+    def __init__(self) -> None:
+        self._clients: dict[Address, HttpClient] = {}
+
+    def engine(self, engine: UpstreamId, address: Address) -> EngineHttp:
+        """Return the client of an engine."""
+        return EngineHttp(self._client(address))
+
+    def upstream(self, address: Address) -> UpstreamHttp:
+        """Return the client of a plain service's process."""
+        return UpstreamHttp(self._client(address))
+
+    def _client(self, address: Address) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = HttpClient(address)
+        return client
+
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close the clients of all other addresses."""
+        for address in set(self._clients) - addresses:
+            self._clients.pop(address).close()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.keep_only(set())
--- /dev/null
+++ b/test/test_http_server.py
@@ -0,0 +1,225 @@
+import asyncio
+
+import msgspec
+import pytest
+
+from minttide.config.settings import Bounds
+from minttide.ids import Address
+from minttided.http_client import BrokenError, HttpClient, NotSentError
+from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse, split_address
+from minttided.http_server import HttpServer
+
+BOUNDS = Bounds(
+    max_header_bytes=2048, max_body_bytes=1000, max_connections=8, header_timeout_s=0.05
+)
+ANYWHERE = Address("127.0.0.1:0")
+
+
+class Handlers:
+    def __init__(self):
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+        self.bodies = []
+
+    async def __call__(self, req: HttpRequest):
+        self.bodies.append(req.body)
+        self.started.set()
+        if req.path == "/hang":
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        if req.path == "/stream":
+            return StreamResponse(self._chunks())
+        if req.path == "/fail":
+            raise ValueError("broken")
+        return HttpResponse(200, req.method.encode() + b" " + req.body, "text/plain")
+
+    async def _chunks(self):
+        try:
+            for i in range(3):
+                yield b"%d" % i
+            await asyncio.sleep(60)
+        finally:
+            self.cancelled.set()
+
+
+async def exchange(address: Address, sent: bytes) -> bytes:
+    """Send raw bytes, end the sending side and return all that comes back."""
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(sent)
+    writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+HOST = b"Host: a\r\n"
+BAD = {
+    "ends in the header": (b"GET / HTTP/1.1\r\nHos", 400),
+    "ends in the body": (b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 9\r\n\r\nabc", 400),
+    "body of no length": (b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: x\r\n\r\n", 400),
+    "two lengths": (
+        b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        400,
+    ),
+    "huge header": (b"GET / HTTP/1.1\r\n" + HOST + b"X: " + b"y" * 5000 + b"\r\n\r\n", 431),
+    "target of no ASCII": (b"GET /\xff HTTP/1.1\r\n" + HOST + b"\r\n", 400),
+    "no host": (b"GET / HTTP/1.1\r\n\r\n", 400),
+    "huge body": (
+        b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 2000\r\n\r\n" + b"z" * 2000,
+        413,
+    ),
+    "no HTTP at all": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
+}
+
+
+@pytest.mark.parametrize("case", BAD)
+def test_bad_input_is_answered_as_not_run_and_leaves_others_alone(case):
+    sent, status = BAD[case]
+
+    async def run():
+        handlers = Handlers()
+        async with HttpServer(handlers, ANYWHERE, BOUNDS) as server:
+            client = HttpClient(server.address)
+            waiting = asyncio.create_task(client.request("POST", "/hang", b"keep"))
+            await handlers.started.wait()
+            answer = await exchange(server.address, sent)
+            assert not waiting.done()
+            assert (await client.request("POST", "/", b"next")).body == b"POST next"
+            waiting.cancel()
+            await asyncio.wait([waiting])
+            client.close()
+        assert handlers.bodies == [b"keep", b"next"]
+        return answer
+
+    head, _, body = asyncio.run(run()).partition(b"\r\n\r\n")
+    assert head.split(b" ")[1] == b"%d" % status
+    assert b"connection: close" in head.lower()
+    assert msgspec.json.decode(body)["ran"] == "not run"
+
+
+def test_a_slow_request_is_given_up_with_an_answer():
+    async def run():
+        async with HttpServer(Handlers(), ANYWHERE, BOUNDS) as server:
+            reader, writer = await asyncio.open_connection(*split_address(server.address))
+            writer.write(b"GET / HT")
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 408 ")
+
+
+@pytest.mark.parametrize("path", ["/hang", "/stream"])
+def test_a_handler_is_cancelled_when_its_caller_goes(path):
+    async def run():
+        handlers = Handlers()
+        async with HttpServer(handlers, ANYWHERE, BOUNDS) as server:
+            _, writer = await asyncio.open_connection(*split_address(server.address))
+            writer.write(b"GET " + path.encode() + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+            await handlers.started.wait()
+            assert server.open_requests == 1
+            writer.close()
+            await asyncio.wait_for(handlers.cancelled.wait(), 5)
+            assert server.open_requests == 0
+
+    asyncio.run(run())
+
+
+def test_pipelined_requests_are_answered_in_order_and_the_last_one_may_close():
+    one = b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n"
+    sent = one + b"\r\na" + one + b"\r\nb" + one + b"Connection: close\r\n\r\nc"
+
+    async def run():
+        async with HttpServer(Handlers(), ANYWHERE, BOUNDS) as server:
+            reader, writer = await asyncio.open_connection(*split_address(server.address))
+            writer.write(sent)
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    answers = asyncio.run(run())
+    assert [answers.index(b"POST " + x) for x in (b"a", b"b", b"c")] == sorted(
+        answers.index(b"POST " + x) for x in (b"a", b"b", b"c")
+    )
+
+
+def test_connections_over_the_bound_are_told_to_come_back():
+    async def run():
+        async with HttpServer(Handlers(), ANYWHERE, BOUNDS) as server:
+            open_conns = [
+                await asyncio.open_connection(*split_address(server.address))
+                for _ in range(BOUNDS.max_connections)
+            ]
+            answer = await exchange(server.address, b"")
+            for _, writer in open_conns:
+                writer.close()
+            return answer
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1" in answer.lower()
+
+
+def test_stopping_closes_idle_connections_and_finishes_open_requests():
+    async def run():
+        handlers = Handlers()
+        async with HttpServer(handlers, ANYWHERE, BOUNDS) as server:
+            address = server.address
+            client = HttpClient(address)
+            assert (await client.request("GET", "/")).status == 200
+            busy_reader, busy = await asyncio.open_connection(*split_address(address))
+            busy.write(b"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+            await busy_reader.readuntil(b"\r\n2\r\n")
+            server.stop_accepting()
+            with pytest.raises(NotSentError):
+                await client.request("GET", "/", fresh=True)
+            assert server.open_requests == 1
+            busy.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("reply", "error"),
+    [
+        (None, NotSentError),
+        (b"", BrokenError),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", BrokenError),
+        (b"no answer at all\r\n\r\n", BrokenError),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"a" * 5000, BrokenError),
+    ],
+)
+def test_the_client_tells_unsent_from_broken(reply, error):
+    async def run():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server:
+            if reply is None:
+                server.close()
+                await server.wait_closed()
+            with pytest.raises(error):
+                client = HttpClient(Address(f"127.0.0.1:{port}"), max_reply_bytes=4096)
+                await client.request("GET", "/")
+
+    asyncio.run(run())
+
+
+def test_an_unexpected_error_is_answered_as_unknown():
+    async def run():
+        async with HttpServer(Handlers(), ANYWHERE, BOUNDS) as server:
+            client = HttpClient(server.address)
+            reply = await client.request("GET", "/fail")
+            client.close()
+            return reply
+
+    reply = asyncio.run(run())
+    assert reply.status == 500
+    assert msgspec.json.decode(reply.body)["ran"] == "unknown"
