--- /dev/null
+++ b/test/test_virtual.py
@@ -0,0 +1,31 @@
+"""The virtual clock that other tests run on."""
+
+import asyncio
+
+import pytest
+
+from minttide_fakes.virtual import run_virtual
+
+
+def test_time_jumps_to_the_next_timer_and_keeps_order():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        seen = []
+
+        async def wait(name, delay_s):
+            await asyncio.sleep(delay_s)
+            seen.append((name, round(loop.time(), 3)))
+
+        await asyncio.gather(wait("late", 900.0), wait("soon", 0.5), wait("next", 30.0))
+        return seen
+
+    assert run_virtual(scenario()) == [("soon", 0.5), ("next", 30.0), ("late", 900.0)]
+
+
+@pytest.mark.parametrize("wait", [lambda: asyncio.sleep(10.0), lambda: asyncio.Event().wait()])
+def test_a_scenario_past_its_limit_ends_with_an_error(wait):
+    async def scenario():
+        await wait()
+
+    with pytest.raises(TimeoutError):
+        run_virtual(scenario(), limit_s=5.0)
