Follow a log stream through outages and gaps, under supervisors

Cause: keys, placement and configuration all need one reader of a stream that survives an outage, never goes back, and starts from a checkpoint where old records are gone. `Supervisor` runs children in order with a restart policy each, and gives up past an intensity. A state counts as known only once read up to the end of the log, or when taken from a peer. Conclusion: other parts can follow streams by it.

--- /dev/null
+++ b/daemon/minttided/follower.py
@@ -0,0 +1,305 @@
+"""Follows one stream of the platform log and folds its records in offset order.
+
+The applied offset never goes down. While the log is out the follower retries with backoff; after a
+gap it starts again from a checkpoint, and only if that lies ahead of what it has folded.
+"""
+
+import asyncio
+import heapq
+import itertools
+import logging
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from enum import Enum
+from typing import Generic, TypeVar
+
+from minttide.agree.checkpoint import Checkpoint
+from minttide.agree.fold import Decision, Fold, Verdict
+from minttide.ids import Offset, StreamName
+from minttide.interfaces import LogPage, LogRecord, LogUnavailableError, PlatformLog
+from minttided.backoff import Backoff
+from minttided.bootstrap import find_checkpoint, restore_forward
+from minttided.supervisor import Child, Ready, Supervised, Supervisor
+
+log = logging.getLogger(__name__)
+
+F = TypeVar("F", bound=Fold)
+
+PAGE_RECORDS = 256
+POLL_WAIT_S = 20.0
+READ_MARGIN_S = 5.0
+"""How much longer than its own wait a read may take before it counts as failed."""
+
+OnVerdicts = Callable[[Sequence[Verdict]], None]
+OnRecord = Callable[[LogRecord], None]
+PeerSnapshot = Callable[[], Awaitable[Checkpoint | None]]
+"""Asks peers for the folded state with its offset; none when no peer has it."""
+
+_FINDINGS = {Decision.MALFORMED, Decision.FOREIGN}
+
+
+class FollowState(Enum):
+    """What a follower is doing."""
+
+    LOCATING = "locating"  # looks for where it can start, or start again after a gap
+    FOLLOWING = "following"
+
+
+class Follower(Generic[F]):
+    """Keeps `fold` up to date with `stream`. A context manager that runs while it is open."""
+
+    def __init__(
+        self,
+        platform_log: PlatformLog,
+        stream: StreamName,
+        fold: F,
+        on_verdicts: OnVerdicts | None = None,
+        *,
+        on_record: OnRecord | None = None,
+        on_restored: Callable[[], None] | None = None,
+        peer_snapshot: PeerSnapshot | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.log = platform_log
+        self.stream = stream
+        self.fold = fold
+        self.state = FollowState.LOCATING
+        self.known = False
+        self.log_offset = Offset(-1)
+        self.outage_since: float | None = None
+        self._on_verdicts = on_verdicts
+        self._on_record = on_record
+        self._on_restored = on_restored
+        self._peer_snapshot = peer_snapshot
+        self._backoff = Backoff(rng)
+        self._target: Offset | None = None
+        self._known_event = asyncio.Event()
+        self._waiters: list[tuple[Offset, int, asyncio.Future[None]]] = []
+        self._order = itertools.count()
+        self._stop_logged = False
+        self._supervised = Supervised(
+            Supervisor(f"follow {stream}", [Child("reader", self.run)], intensity=1_000_000)
+        )
+
+    # Ownership.
+
+    async def __aenter__(self) -> "Follower[F]":
+        await self._supervised.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._supervised.__aexit__(*exc)
+        self._fail_waiters()
+
+    async def run(self, ready: Ready = lambda: None) -> None:
+        """Follow the stream until cancelled."""
+        ready()
+        steps = {FollowState.LOCATING: self._locate, FollowState.FOLLOWING: self._poll}
+        while True:
+            try:
+                await steps[self.state]()
+            except (LogUnavailableError, TimeoutError) as exc:
+                await self._survive_outage(str(exc))
+
+    # What others ask.
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+        return self.fold.applied
+
+    @property
+    def stopped(self) -> bool:
+        """Return whether a record of a newer format has stopped the fold."""
+        return self.fold.stopped_at is not None
+
+    async def append(self, payload: bytes) -> Offset:
+        """Append one record to the stream and return its offset.
+
+        Raises `LogUnavailableError` when it was not appended, `LogUncertainError` when unknown.
+        """
+        return await self.log.append(self.stream, payload)
+
+    async def wait_known(self) -> None:
+        """Wait until the state was once read up to the end of the log, or taken from a peer."""
+        await self._known_event.wait()
+
+    async def wait_applied(self, offset: Offset) -> None:
+        """Wait until the record at `offset` is folded. Raises `LogUnavailableError` on closing."""
+        if self.applied >= offset:
+            return
+        fut = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (offset, next(self._order), fut))
+        await fut
+
+    async def read_to_end(self) -> Offset:
+        """Read all records that stand in the log now and return the applied offset.
+
+        Raises `LogUnavailableError` when the log can't be read, or no usable start was found.
+        """
+        while True:
+            page = await self._read(0.0)
+            if page.first > self.applied + 1:
+                raise LogUnavailableError(f"{self.stream}: records were lost to retention")
+            self._take(page)
+            if self.applied >= page.end - 1:
+                return self.applied
+
+    def offer(self, records: Sequence[LogRecord]) -> int:
+        """Fold records that a peer relayed, as far as they follow on. Returns how many did.
+
+        Nothing is taken before the state is known: a relayed record says nothing on older ones.
+        """
+        if not self.known:
+            return 0
+        before = self.applied
+        for record in records:
+            self._apply(record)
+        self._wake()
+        return self.applied - before
+
+    def offer_snapshot(self, checkpoint: Checkpoint) -> bool:
+        """Take over a peer's folded state if it is ahead of this one's."""
+        if self.stopped or not restore_forward(self.fold, checkpoint):
+            return False
+        self._note_restored("peer")
+        self._become_known()
+        return True
+
+    # Reading.
+
+    async def _read(self, wait_s: float) -> LogPage:
+        async with asyncio.timeout(wait_s + READ_MARGIN_S):
+            page = await self.log.read(self.stream, Offset(self.applied + 1), PAGE_RECORDS, wait_s)
+        if self.outage_since is not None:
+            log.info("log is back", extra={"stream": self.stream, "applied": self.applied})
+            self.outage_since = None
+        self._backoff.reset()
+        return page
+
+    async def _locate(self) -> None:
+        page = await self._read(0.0)
+        if page.first > self.applied + 1 and not await self._restore_from_log(page.first):
+            log.warning(
+                "no usable checkpoint in the log",
+                extra={"stream": self.stream, "first": page.first, "applied": self.applied},
+            )
+            await self._restore_from_peer()
+            await self._backoff.wait()
+            return
+        self._target = max(self._target or Offset(-1), Offset(page.end - 1))
+        self._take(page)
+        self.state = FollowState.FOLLOWING
+
+    async def _poll(self) -> None:
+        page = await self._read(POLL_WAIT_S if self.known else 0.0)
+        if page.first > self.applied + 1:
+            log.warning(
+                "records were lost to retention",
+                extra={"stream": self.stream, "first": page.first, "applied": self.applied},
+            )
+            self.state = FollowState.LOCATING
+            return
+        if page.end <= self.applied:
+            await self._wait_for_end(page)
+            return
+        self._take(page)
+
+    async def _wait_for_end(self, page: LogPage) -> None:
+        """The log ends before what was applied; nothing is undone, the log has to catch up."""
+        log.warning(
+            "log ends before the applied offset",
+            extra={"stream": self.stream, "end": page.end, "applied": self.applied},
+        )
+        await self._backoff.wait()
+
+    def _take(self, page: LogPage) -> None:
+        for record in page.records:
+            self._apply(record)
+            self.log_offset = max(self.log_offset, record.offset)
+        if page.end - 1 <= self.applied:
+            self.log_offset = max(self.log_offset, Offset(page.end - 1))
+        if not self.known and self._target is not None and self.applied >= self._target:
+            self._become_known()
+        self._wake()
+
+    def _apply(self, record: LogRecord) -> None:
+        if record.offset != self.applied + 1:
+            return
+        verdicts = self.fold.apply(record.offset, record.payload)
+        self._report_findings(verdicts)
+        if self._on_record is not None:
+            self._on_record(record)
+        if self._on_verdicts is not None:
+            self._on_verdicts(verdicts)
+
+    # Starting from elsewhere.
+
+    async def _restore_from_log(self, first: Offset) -> bool:
+        if self.stopped:
+            return False
+        checkpoint = await find_checkpoint(self.log, self.stream, first)
+        if checkpoint is None or not restore_forward(self.fold, checkpoint):
+            return False
+        self._note_restored("log")
+        return True
+
+    async def _restore_from_peer(self) -> None:
+        if self._peer_snapshot is None:
+            return
+        checkpoint = await self._peer_snapshot()
+        if checkpoint is not None:
+            self.offer_snapshot(checkpoint)
+
+    async def _survive_outage(self, reason: str) -> None:
+        if self.outage_since is None:
+            self.outage_since = asyncio.get_running_loop().time()
+            log.warning("log is out", extra={"stream": self.stream, "reason": reason})
+        if not self.known:
+            await self._restore_from_peer()
+        await self._backoff.wait()
+
+    # Telling others.
+
+    def _become_known(self) -> None:
+        if not self.known:
+            log.info("state known", extra={"stream": self.stream, "applied": self.applied})
+        self.known = True
+        self._known_event.set()
+
+    def _note_restored(self, source: str) -> None:
+        log.info(
+            "state restored",
+            extra={"stream": self.stream, "source": source, "applied": self.applied},
+        )
+        if self._on_restored is not None:
+            self._on_restored()
+        self._wake()
+
+    def _report_findings(self, verdicts: Sequence[Verdict]) -> None:
+        for verdict in verdicts:
+            stopping = verdict.decision is Decision.STOPPED and not self._stop_logged
+            if verdict.decision not in _FINDINGS and not stopping:
+                continue
+            self._stop_logged = self._stop_logged or stopping
+            log.warning(
+                "record rejected",
+                extra={
+                    "stream": self.stream,
+                    "offset": verdict.offset,
+                    "decision": verdict.decision.value,
+                    "reason": verdict.detail,
+                },
+            )
+
+    def _wake(self) -> None:
+        while self._waiters and self._waiters[0][0] <= self.applied:
+            _, _, fut = heapq.heappop(self._waiters)
+            if not fut.done():
+                fut.set_result(None)
+
+    def _fail_waiters(self) -> None:
+        for _, _, fut in self._waiters:
+            if not fut.done():
+                fut.set_exception(LogUnavailableError("the follower was closed"))
+        self._waiters.clear()
--- /dev/null
+++ b/daemon/minttided/supervisor.py
@@ -0,0 +1,191 @@
+"""Supervisors: they start children in order, restart them by policy and stop them in reverse.
+
+A child that fails too often makes its supervisor fail in turn, so that the parent decides.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from minttided.backoff import Backoff
+
+log = logging.getLogger(__name__)
+
+Ready = Callable[[], None]
+"""Called by a child once it is up; the next child is started only then."""
+
+INTENSITY = 8
+PERIOD_S = 60.0
+
+
+class Restart(Enum):
+    """When a child that has ended is started again."""
+
+    PERMANENT = "permanent"  # always
+    TRANSIENT = "transient"  # only after an error
+    TEMPORARY = "temporary"  # never
+
+
+_RESTARTS = {
+    (Restart.PERMANENT, True): True,
+    (Restart.PERMANENT, False): True,
+    (Restart.TRANSIENT, True): False,
+    (Restart.TRANSIENT, False): True,
+    (Restart.TEMPORARY, True): False,
+    (Restart.TEMPORARY, False): False,
+}
+"""Whether to restart, by policy and by whether the child ended without an error."""
+
+
+@dataclass(frozen=True)
+class Child:
+    """One part of a process. `run` opens what it needs, calls `ready`, and returns when done."""
+
+    name: str
+    run: Callable[[Ready], Awaitable[None]]
+    restart: Restart = Restart.PERMANENT
+
+
+class TooManyRestartsError(Exception):
+    """The children of a supervisor failed more often than its intensity allows."""
+
+
+class _RestartBudget:
+    """Counts restarts in a sliding period."""
+
+    def __init__(self, intensity: int, period_s: float):
+        self._intensity = intensity
+        self._period_s = period_s
+        self._times: deque[float] = deque()
+
+    def spend(self) -> bool:
+        """Count one restart and return whether it is within the intensity."""
+        now = asyncio.get_running_loop().time()
+        self._times.append(now)
+        while self._times and self._times[0] < now - self._period_s:
+            self._times.popleft()
+        return len(self._times) <= self._intensity
+
+
+class Supervisor:
+    """Runs its children one for one. `run` is itself usable as the `run` of a parent's child."""
+
+    def __init__(
+        self,
+        name: str,
+        children: Sequence[Child],
+        intensity: int = INTENSITY,
+        period_s: float = PERIOD_S,
+    ):
+        self.name = name
+        self._children = list(children)
+        self._intensity = intensity
+        self._period_s = period_s
+        self.restarts = 0
+
+    async def run(self, ready: Ready = lambda: None) -> None:
+        """Run all children until each has ended for good.
+
+        Raises `TooManyRestartsError` when children fail more than `intensity` times a period.
+        """
+        budget = _RestartBudget(self._intensity, self._period_s)
+        running: list[asyncio.Task[None]] = []
+        try:
+            for child in self._children:
+                await self._start(child, budget, running)
+            ready()
+            await _wait_all(running)
+        finally:
+            for task in reversed(running):
+                await _stop(task)
+
+    async def _start(
+        self, child: Child, budget: _RestartBudget, running: list[asyncio.Task[None]]
+    ) -> None:
+        started = asyncio.Event()
+        running.append(asyncio.create_task(self._keep(child, budget, started)))
+        waiter = asyncio.create_task(started.wait())
+        try:
+            pending = {waiter, *(t for t in running if not t.done())}
+            while not started.is_set():
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    task.result()
+        finally:
+            waiter.cancel()
+
+    async def _keep(self, child: Child, budget: _RestartBudget, started: asyncio.Event) -> None:
+        backoff = Backoff()
+        while True:
+            clean = await self._run_once(child, started)
+            if not _RESTARTS[child.restart, clean]:
+                started.set()
+                return
+            self.restarts += 1
+            if not budget.spend():
+                raise TooManyRestartsError(f"{self.name}: {child.name} failed too often")
+            await backoff.wait()
+
+    async def _run_once(self, child: Child, started: asyncio.Event) -> bool:
+        try:
+            await child.run(started.set)
+        except Exception as exc:
+            reason = f"{type(exc).__name__}: {exc}"
+            log.error(
+                "child failed",
+                extra={"supervisor": self.name, "child": child.name, "reason": reason},
+                exc_info=exc,
+            )
+            return False
+        return True
+
+
+async def _wait_all(running: Sequence[asyncio.Task[None]]) -> None:
+    """Wait until all tasks have ended; the first error ends the wait and is raised."""
+    if not running:
+        return
+    done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_EXCEPTION)
+    for task in done:
+        task.result()
+
+
+async def _stop(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.wait([task])
+    if not task.cancelled():
+        task.exception()  # Marked as retrieved; the first error is already on its way up.
+
+
+class Supervised:
+    """Keeps one supervisor running for as long as a context is open."""
+
+    def __init__(self, supervisor: Supervisor):
+        self._supervisor = supervisor
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "Supervised":
+        started = asyncio.Event()
+        self._task = asyncio.create_task(self._supervisor.run(started.set))
+        waiter = asyncio.create_task(started.wait())
+        try:
+            await asyncio.wait({self._task, waiter}, return_when=asyncio.FIRST_COMPLETED)
+        except BaseException:
+            await _stop(self._task)
+            raise
+        finally:
+            waiter.cancel()
+        if self._task.done():
+            self._task.result()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._task is not None:
+            await _stop(self._task)
+
+    async def wait(self) -> None:
+        """Wait until the supervisor ends by itself. Raises its error."""
+        if self._task is not None:
+            await asyncio.shield(self._task)
--- /dev/null
+++ b/test/test_supervisor.py
@@ -0,0 +1,84 @@
+"""Supervisors: order of start and stop, restart policies, intensity."""
+
+import asyncio
+
+import pytest
+
+from minttide_fakes.virtual import run_virtual
+from minttided.supervisor import Child, Restart, Supervised, Supervisor, TooManyRestartsError
+
+
+class Part:
+    """A child that follows a script: one outcome for each run, then it stays up."""
+
+    def __init__(self, name, events, script=()):
+        self.name, self.events, self.script, self.runs = name, events, list(script), 0
+
+    async def run(self, ready):
+        self.runs += 1
+        outcome = self.script.pop(0) if self.script else "stay"
+        if outcome == "fail before ready":
+            raise OSError("can't start")
+        self.events.append(f"{self.name} up")
+        ready()
+        try:
+            await asyncio.sleep(1.0)
+            if outcome == "fail":
+                raise ValueError("broken")
+            if outcome == "stay":
+                await asyncio.Event().wait()
+        finally:
+            self.events.append(f"{self.name} down")
+
+
+def test_children_start_in_order_and_stop_in_reverse():
+    async def scenario():
+        events = []
+        parts = [Part(name, events) for name in ("log", "peers", "callers")]
+        async with Supervised(Supervisor("root", [Child(p.name, p.run) for p in parts])):
+            events.append("open")
+        return events
+
+    assert run_virtual(scenario()) == [
+        *("log up", "peers up", "callers up", "open"),
+        *("callers down", "peers down", "log down"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("restart", "script", "runs"),
+    [
+        (Restart.PERMANENT, ["end", "fail"], 3),
+        (Restart.TRANSIENT, ["fail", "fail", "end"], 3),
+        (Restart.TRANSIENT, ["end"], 1),
+        (Restart.TEMPORARY, ["fail"], 1),
+        (Restart.PERMANENT, ["fail before ready", "stay"], 2),
+    ],
+)
+def test_restart_policy_decides_how_often_a_child_runs(restart, script, runs):
+    async def scenario():
+        part = Part("part", [], script)
+        other = Part("other", [])
+        supervisor = Supervisor(
+            "root", [Child("part", part.run, restart), Child("other", other.run)]
+        )
+        async with Supervised(supervisor):
+            await asyncio.sleep(60.0)
+        assert other.runs == 1
+        return part.runs
+
+    assert run_virtual(scenario()) == runs
+
+
+def test_too_many_restarts_end_the_supervisor_and_its_parent():
+    async def scenario():
+        events = []
+        part = Part("part", events, ["fail"] * 100)
+        inner = Supervisor("inner", [Child("part", part.run)], intensity=2)
+        outer = Supervisor("outer", [Child("inner", inner.run)], intensity=1)
+        async with Supervised(outer) as supervised:
+            with pytest.raises(TooManyRestartsError, match="outer"):
+                await supervised.wait()
+        return part.runs
+
+    assert run_virtual(scenario()) == 6
