--- /dev/null
+++ b/fakes/minttide_fakes/log_server.py
@@ -0,0 +1,51 @@
+"""The stand-in platform log and host list behind HTTP."""
+
+import re
+
+from minttide.ids import Address, Offset, StreamName
+from minttide.interfaces import HostList, LogUnavailableError, LogUncertainError, PlatformLog
+from minttide_fakes.routes import ANY_PORT, Answer, RoutedServer, answer, break_off, refuse
+from minttided.http_messages import HttpRequest
+
+RECORDS_PATH = re.compile(r"/v1/streams/([A-Za-z0-9._-]{1,128})/records")
+MAX_WAIT_S = 60.0
+MAX_PAGE = 1_000
+
+
+class LogServer(RoutedServer):
+    """Serves `log`, and the list of hosts beside it."""
+
+    def __init__(
+        self, log: PlatformLog, hosts: HostList | None = None, address: Address = ANY_PORT
+    ) -> None:
+        self._log = log
+        self._hosts = hosts
+        super().__init__({("GET", "/v1/hosts"): self._list_hosts}, address)
+
+    async def _handle(self, req: HttpRequest) -> Answer:
+        matched = RECORDS_PATH.fullmatch(req.path)
+        if matched is None:
+            return await super()._handle(req)
+        stream = StreamName(matched.group(1))
+        try:
+            if req.method == "POST":
+                return answer({"offset": await self._log.append(stream, req.body)})
+            return await self._read(stream, req)
+        except LogUnavailableError as exc:
+            return refuse(503, str(exc))
+        except LogUncertainError:
+            return break_off()
+        except ValueError as exc:
+            return refuse(400, str(exc))
+
+    async def _read(self, stream: StreamName, req: HttpRequest) -> Answer:
+        start = Offset(int(req.parameter("start") or 0))
+        limit = min(int(req.parameter("limit") or MAX_PAGE), MAX_PAGE)
+        wait_s = min(int(req.parameter("wait_ms") or 0) / 1000, MAX_WAIT_S)
+        return answer(await self._log.read(stream, start, limit, wait_s))
+
+    async def _list_hosts(self, req: HttpRequest) -> Answer:
+        try:
+            return answer(list(await self._hosts.list()) if self._hosts else [])
+        except OSError as exc:
+            return refuse(503, str(exc))
--- /dev/null
+++ b/fakes/minttide_fakes/plain_server.py
@@ -0,0 +1,26 @@
+"""A stand-in process of a plain service behind HTTP."""
+
+from minttide.ids import Address
+from minttide.interfaces import UpstreamBrokenError, UpstreamCall, UpstreamRefusedError
+from minttide_fakes.plain import FakeUpstream
+from minttide_fakes.routes import ANY_PORT, Answer, RoutedServer, break_off
+from minttided.http_messages import HttpRequest, HttpResponse
+
+
+class PlainServer(RoutedServer):
+    """Serves one `FakeUpstream` on every path."""
+
+    def __init__(self, upstream: FakeUpstream, address: Address = ANY_PORT) -> None:
+        self.upstream = upstream
+        super().__init__({}, address)
+
+    async def _handle(self, req: HttpRequest) -> Answer:
+        path = f"{req.path}?{req.query}" if req.query else req.path
+        call = UpstreamCall(req.method, path, req.headers, req.body)
+        if self.upstream.down:
+            return break_off()
+        try:
+            reply = await self.upstream.handle(call)
+        except (UpstreamBrokenError, UpstreamRefusedError):
+            return break_off()
+        return HttpResponse(reply.status, reply.body, reply.content_type)
