Publish through the platform log and settle lost answers

Cause: operators publish at the same moment, and an append's answer may be lost after its effect. Change: minttided/publisher.py compares with what is in force, appends until the log shows the record, tells accepted, lost, rejected and unknown apart, and waits until hosts have applied it. Conclusion: each publish counts once whatever becomes of its answer; a loser is told the service.

--- /dev/null
+++ b/daemon/minttided/publisher.py
@@ -0,0 +1,227 @@
+"""Publishes service files through the platform log, settled when an answer was lost."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Self
+
+import msgspec
+
+from minttide.agree.config import ConfigFold
+from minttide.agree.fold import Decision, Verdict
+from minttide.config.service import ServiceFile
+from minttide.ids import (
+    CONFIG_STREAM,
+    HostId,
+    Incarnation,
+    Offset,
+    PublishId,
+    ServiceName,
+)
+from minttide.interfaces import LogUnavailableError, LogUncertainError, PlatformLog
+from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
+from minttided.follower import Follower
+
+log = logging.getLogger(__name__)
+
+KNOW_TIMEOUT_S = 10.0
+SETTLE_TIMEOUT_S = 30.0
+RETRY_S = 0.5
+POLL_S = 0.2
+
+
+class Action(Enum):
+    """What a publish does to one service."""
+
+    ADD = "add"
+    CHANGE = "change"
+    WITHDRAW = "withdraw"
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """One place in a service file whose value changes; an absent value is None."""
+
+    place: str
+    before: Any
+    after: Any
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """How one service would change against what is in force. `seen` is its last change."""
+
+    service: ServiceName
+    action: Action
+    seen: Offset
+    file: ServiceFile | None
+    edits: list[Edit] = []
+
+
+class Settled(Enum):
+    """How a publish ended."""
+
+    ACCEPTED = "accepted"
+    LOST = "lost"  # another publish changed one of the services first
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"  # the log gave no answer that settles it
+
+
+class Publication(msgspec.Struct, frozen=True):
+    """The outcome of a publish. `offset` is where it stands in the log once it was accepted."""
+
+    publish_id: PublishId
+    settled: Settled
+    offset: Offset = Offset(-1)
+    detail: str = ""
+
+
+class ConfigUnknownError(Exception):
+    """The configuration in force can't be read now."""
+
+
+def find_differences(
+    fold: ConfigFold, files: Sequence[ServiceFile], withdrawn: Sequence[ServiceName] = ()
+) -> list[Difference]:
+    """Return how `files` and withdrawals differ from what `fold` has in force."""
+    found = [_compare(fold, file) for file in files]
+    found += [
+        Difference(name, Action.WITHDRAW, fold.changed(name), None)
+        for name in withdrawn
+        if fold.find(name) is not None
+    ]
+    return [difference for difference in found if difference is not None]
+
+
+def _compare(fold: ConfigFold, file: ServiceFile) -> Difference | None:
+    before = fold.find(file.service)
+    if before == file:
+        return None
+    action = Action.ADD if before is None else Action.CHANGE
+    edits = [] if before is None else list_edits(_plain(before), _plain(file))
+    return Difference(file.service, action, fold.changed(file.service), file, edits)
+
+
+def _plain(file: ServiceFile) -> Any:
+    return msgspec.to_builtins(file)
+
+
+def list_edits(before: Any, after: Any, place: str = "$") -> list[Edit]:
+    """Return the places at which two decoded JSON values differ."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        keys = [*before, *(key for key in after if key not in before)]
+        pairs = [(f"{place}.{key}", before.get(key), after.get(key)) for key in keys]
+    elif isinstance(before, list) and isinstance(after, list):
+        pairs = [
+            (f"{place}[{i}]", _item(before, i), _item(after, i))
+            for i in range(max(len(before), len(after)))
+        ]
+    else:
+        return [] if before == after else [Edit(place, before, after)]
+    return [edit for at, old, new in pairs for edit in list_edits(old, new, at)]
+
+
+def _item(values: list[Any], index: int) -> Any:
+    return values[index] if index < len(values) else None
+
+
+@dataclass
+class Publisher:
+    """Publishes from one operator's machine; a context manager that follows the log meanwhile."""
+
+    platform_log: PlatformLog
+    author: str
+    now_ms: Callable[[], int]
+    fold: ConfigFold = field(default_factory=ConfigFold)
+    _verdicts: dict[PublishId, Verdict] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._host = HostId(f"publisher-{uuid.uuid4().hex[:12]}")
+        self._follower = Follower(self.platform_log, CONFIG_STREAM, self.fold, self._note_verdicts)
+
+    async def __aenter__(self) -> Self:
+        await self._follower.__aenter__()
+        try:
+            async with asyncio.timeout(KNOW_TIMEOUT_S):
+                await self._follower.wait_known()
+        except TimeoutError:
+            await self._follower.__aexit__(None, None, None)
+            raise ConfigUnknownError("the platform log gives no configuration now") from None
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._follower.__aexit__(*exc)
+
+    def _note_verdicts(self, verdicts: Sequence[Verdict]) -> None:
+        for verdict in verdicts:
+            if isinstance(verdict.body, Publish) and verdict.host == self._host:
+                self._verdicts.setdefault(verdict.body.publish_id, verdict)
+
+    async def publish(self, differences: Sequence[Difference]) -> Publication:
+        """Publish the differences whole or not at all, and settle a lost answer."""
+        publish_id = PublishId(uuid.uuid4().hex)
+        changes = [ServiceChange(d.service, d.seen, d.file) for d in differences]
+        body = Publish(publish_id, self.author, changes)
+        envelope = Envelope(FORMAT, self._host, Incarnation(0), self.now_ms(), body)
+        payload = encode(envelope)
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                return await self._settle(publish_id, payload)
+        except TimeoutError:
+            detail = "no answer of the log settles it; publishing again is safe"
+            return Publication(publish_id, Settled.UNKNOWN, detail=detail)
+
+    async def _settle(self, publish_id: PublishId, payload: bytes) -> Publication:
+        """Append until the log shows the record. The fold takes at most one copy as a change."""
+        while True:
+            try:
+                await self._follower.append(payload)
+            except LogUncertainError:
+                log.info("append uncertain", extra={"publish": publish_id})
+            except LogUnavailableError:
+                log.info("log unavailable", extra={"publish": publish_id})
+            if await self._read_verdict(publish_id):
+                return self._outcome(publish_id)
+            await asyncio.sleep(RETRY_S)
+
+    async def _read_verdict(self, publish_id: PublishId) -> bool:
+        try:
+            await self._follower.read_to_end()
+        except (LogUnavailableError, TimeoutError):
+            return False
+        return publish_id in self._verdicts
+
+    def _outcome(self, publish_id: PublishId) -> Publication:
+        verdict = self._verdicts[publish_id]
+        settled = _SETTLED.get(verdict.decision, Settled.REJECTED)
+        return Publication(publish_id, settled, verdict.offset, verdict.detail)
+
+    def winner_of(self, service: ServiceName) -> str:
+        """Say which publish changed a service last."""
+        entry = self.fold.entries.get(service)
+        return "withdrawn" if entry is None else f"publish {entry.publish_id} at {entry.changed}"
+
+
+_SETTLED = {
+    Decision.ACCEPTED: Settled.ACCEPTED,
+    Decision.REPEATED: Settled.ACCEPTED,
+    Decision.STALE: Settled.LOST,
+}
+
+AppliedOffsets = Callable[[], Awaitable[Mapping[HostId, Offset]]]
+"""Reads the configuration offset that each live host has applied."""
+
+
+async def wait_in_force(
+    read_applied: AppliedOffsets, offset: Offset, timeout_s: float
+) -> Mapping[HostId, Offset]:
+    """Wait until every live host has applied `offset`; return the hosts that still lag."""
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    while True:
+        applied = await read_applied()
+        lagging = {host: at for host, at in applied.items() if at < offset}
+        in_force = bool(applied) and not lagging
+        if in_force or asyncio.get_running_loop().time() >= deadline:
+            return lagging
+        await asyncio.sleep(POLL_S)
--- a/fakes/minttide_fakes/memory.py
+++ b/fakes/minttide_fakes/memory.py
@@ -261,8 +261,10 @@
 
 
 async def _wait(event: asyncio.Event, wait_s: float) -> None:
+    # Not `wait_for`: on Python 3.11 it loses a cancellation that comes together with the event.
     try:
-        await asyncio.wait_for(event.wait(), wait_s)
+        async with asyncio.timeout(wait_s):
+            await event.wait()
     except TimeoutError:
         return
 
--- a/fakes/minttide_fakes/plain.py
+++ b/fakes/minttide_fakes/plain.py
@@ -57,7 +57,8 @@
             raise UpstreamRefusedError(f"{self.name} is down")
         self.open += 1
         try:
-            return await asyncio.wait_for(self.handle(call), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self.handle(call)
         except TimeoutError as exc:
             raise UpstreamBrokenError("the call timed out") from exc
         finally:
