Add the operators' command line and a caller that resumes drafts

Cause: operators steer by files and commands, and the demo needs a real caller over HTTP. Change: minttide check, publish, status, drain, where, ask, schema and version, one module each, with documented exit statuses; Caller keeps the answer of where, streams drafts, takes a broken stream up on another host with the resume token, and comes back when a refusal says so. A check takes the services that stay in force into account. publish, status and demo await the daemon's log adapter. Conclusion: all that needs no daemon works; broken streams give the whole answer once.

--- a/cli/minttide_cli/main.py
+++ b/cli/minttide_cli/main.py
@@ -1,5 +1,29 @@
 """The entry point of `minttide`."""
 
+import click
 
+from minttide_cli.commands.ask import ask
+from minttide_cli.commands.check import check
+from minttide_cli.commands.demo import demo
+from minttide_cli.commands.drain import drain
+from minttide_cli.commands.publish import publish
+from minttide_cli.commands.schema import schema
+from minttide_cli.commands.status import status
+from minttide_cli.commands.version import version
+from minttide_cli.commands.where import where
+
+EPILOG = """\
+Exit status: 0 done, 1 failed, 2 wrong usage or findings in files, 3 lost to another publish,
+4 published but not yet in force on every host.
+
+Shell completion: eval "$(_MINTTIDE_COMPLETE=bash_source minttide)", or zsh_source, fish_source.
+"""
+
+
+@click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
-    """Run the command line."""
+    """Check and publish service files, look at a site, and ask it as a caller does."""
+
+
+for command in (check, publish, status, drain, where, ask, schema, demo, version):
+    main.add_command(command)
--- /dev/null
+++ b/cli/minttide_cli/operators.py
@@ -0,0 +1,58 @@
+"""Asks daemons on their addresses for operators."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from minttide.ids import Address, HostId, Offset
+from minttided.http_client import BrokenError, HttpClient, NotSentError
+
+TIMEOUT_S = 3.0
+OK_STATUSES = (200, 202, 204)
+
+
+class OperatorsError(Exception):
+    """A daemon gave no usable answer."""
+
+
+async def ask_daemon(address: Address, method: str, path: str) -> Any:
+    """Make one request and return the decoded answer. Raises `OperatorsError`."""
+    client = HttpClient(address)
+    try:
+        reply = await client.request(method, path, timeout_s=TIMEOUT_S, fresh=True)
+    except (NotSentError, BrokenError) as exc:
+        raise OperatorsError(f"{address}: {exc}") from exc
+    finally:
+        client.close()
+    if reply.status not in OK_STATUSES:
+        text = reply.body[:200].decode("utf-8", "replace")
+        raise OperatorsError(f"{address}: status {reply.status}: {text}")
+    try:
+        return msgspec.json.decode(reply.body) if reply.body else None
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise OperatorsError(f"{address}: the answer doesn't parse: {exc}") from exc
+
+
+async def read_statuses(addresses: Sequence[Address]) -> list[dict[str, Any]]:
+    """Return the status of every daemon that answers. Raises `OperatorsError` if none does."""
+    answers = await asyncio.gather(
+        *(ask_daemon(address, "GET", "/v1/status") for address in addresses),
+        return_exceptions=True,
+    )
+    statuses = [answer for answer in answers if isinstance(answer, dict)]
+    if not statuses:
+        raise OperatorsError("; ".join(str(answer) for answer in answers))
+    return statuses
+
+
+async def read_applied(addresses: Sequence[Address]) -> Mapping[HostId, Offset]:
+    """Return the configuration offset of every live host that these daemons know of."""
+    applied: dict[HostId, Offset] = {}
+    for status in await read_statuses(addresses):
+        for member in status["members"]:
+            if not member.get("suspect") and not member.get("down"):
+                host = HostId(member["host"])
+                applied[host] = Offset(max(applied.get(host, -1), member["applied"]))
+    return applied
--- /dev/null
+++ b/cli/minttide_cli/platform_log.py
@@ -0,0 +1,16 @@
+"""Reaches the platform log from the command line."""
+
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+
+from minttide.ids import Address
+from minttide.interfaces import PlatformLog
+
+
+@asynccontextmanager
+async def open_log(address: Address) -> AsyncGenerator[PlatformLog, None]:
+    """Open the platform log at `address`."""
+    from minttided.log_http import LogHttp
+
+    async with LogHttp(address) as platform_log:
+        yield platform_log
--- a/core/minttide/config/checks.py
+++ b/core/minttide/config/checks.py
@@ -11,6 +11,7 @@
 from minttide.config.shape import decode_checked
 from minttide.config.site_rules import check_site
 from minttide.findings import Findings
+from minttide.ids import ServiceName
 
 MAX_FILE_BYTES = 1024 * 1024
 """Largest service file; the record that publishes it must fit into the platform log."""
@@ -19,17 +20,20 @@
 
 
 def check_service_files(
-    texts: Iterable[tuple[str, bytes]], in_force: Mapping[str, ServiceFile] | None = None
+    texts: Iterable[tuple[str, bytes]],
+    in_force: Mapping[ServiceName, ServiceFile] | None = None,
 ) -> Result[Files, Findings]:
-    """Check files given as (file name, text), together with files that stay in force.
+    """Check files given as (file name, text), together with services that stay in force.
 
-    Returns the decoded files by file name, or every finding. `in_force` gives the files of other
-    services, by a name to report them under; references may lead to them.
+    Returns the decoded files by file name, or every finding. A file of a service takes the place of
+    what `in_force` has under its name; references may lead to the others.
     """
     findings = Findings()
     decoded = {name: decode_service_file(name, text, findings) for name, text in texts}
     files = {name: file for name, file in decoded.items() if file is not None}
-    together = {**files, **(in_force or {})}
+    names = {file.service for file in files.values()}
+    kept = {f"(in force) {n}": f for n, f in (in_force or {}).items() if n not in names}
+    together = {**files, **kept}
     if len(files) == len(decoded) or _has_site(together):
         check_together(together, findings)
     return Error(findings) if findings else Ok(files)
--- a/test/test_checks.py
+++ b/test/test_checks.py
@@ -108,7 +108,12 @@
     assert "no file of kind 'site'" in found(files)[0]
     texts = [(n, msgspec.json.encode(f)) for n, f in BUREAU.items()]
     kept = check_service_files(texts).ok
-    assert found({D: BUREAU[D]}, in_force={n: f for n, f in kept.items() if n != D}) == []
+    in_force = {file.service: file for file in kept.values()}
+    assert found({D: BUREAU[D]}, in_force=in_force) == []
+    site = changed((S, "accounts", []), (S, "zones", BUREAU[S]["zones"][:2]))
+    assert any(
+        "(in force) drafts: $.engines[2].zone" in f for f in found({S: site[S]}, in_force=in_force)
+    )
 
 
 @pytest.mark.parametrize("kind", KINDS)
--- /dev/null
+++ b/test/test_cli.py
@@ -0,0 +1,126 @@
+"""The operators' command line, and the caller that it asks with."""
+
+import asyncio
+import json
+import shutil
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from minttide.outcome import Problem, ProblemType, Ran
+from minttide_cli.caller import Caller, CallerError, DraftRequest, UnreachableError
+from minttide_cli.main import main
+from minttide_fakes.routes import RoutedServer, answer
+from minttided.http_messages import StreamResponse
+from minttided.problems import problem_response
+
+EXAMPLES = Path(__file__).parents[1] / "examples"
+
+
+def invoke(*args):
+    return CliRunner().invoke(main, [str(arg) for arg in args])
+
+
+@pytest.mark.parametrize(
+    ("args", "status", "says"),
+    [
+        (["check", EXAMPLES / "bureau"], 0, "3 service files checked, nothing found"),
+        (["check", EXAMPLES / "zaloga"], 0, "3 service files checked"),
+        (["check", "--settings", EXAMPLES / "settings.json"], 0, "1 settings file checked"),
+        (["check", EXAMPLES / "settings.json"], 2, "$: the key 'kind' is missing"),
+        (["check", EXAMPLES / "bureau", "--json"], 0, "[]"),
+        (["check", "/nowhere"], 2, "does not exist"),
+        (["schema", "settings"], 0, '"resume_secret"'),
+        (["version"], 0, "minttide 0.1.0, record format 1"),
+        (["where", "--entry", "localhost:1"], 2, "is not an IP number and a port"),
+        (["where", "--entry", "127.0.0.1:1"], 1, "127.0.0.1:1: "),
+        (["status"], 1, "name a daemon"),
+        (["drain", "127.0.0.1:1"], 1, "127.0.0.1:1: "),
+        (["--help"], 0, "3 lost to"),
+    ],
+)
+def test_commands_say_and_exit(args, status, says):
+    result = invoke(*args)
+    assert (result.exit_code, says in result.output) == (status, True), result.output
+
+
+@pytest.mark.parametrize("command", main.commands)
+def test_every_command_has_help_with_an_example(command):
+    assert "Example: minttide " in invoke(command, "--help").output
+
+
+def test_check_prints_every_finding_as_json(tmp_path):
+    shutil.copytree(EXAMPLES / "bureau", tmp_path / "b")
+    (tmp_path / "b" / "drafts.json").write_text('{"kind": "model", "srvice": "x"}')
+    (tmp_path / "b" / "x.json").write_text("{")
+    result = invoke("check", tmp_path, "--json")
+    assert result.exit_code == 2
+    assert {f["file"] for f in json.loads(result.stdout)} == {"b/drafts.json", "b/x.json"}
+
+
+TOKENS = [ord(c) for c in "a whole answer"]
+
+
+class StubEntry(RoutedServer):
+    """An entry host that streams TOKENS, and breaks each stream off after `cut` tokens."""
+
+    def __init__(self, cut=None, refuse=0):
+        self.cut, self.refuse, self.asked = cut, refuse, []
+        super().__init__(
+            {("GET", "/v1/where"): self.where, ("POST", "/v1/services/d/draft"): self.draft},
+            "127.0.0.1:0",
+        )
+
+    async def where(self, req):
+        return answer({"addresses": [self.address], "keep_s": 1.0})
+
+    async def draft(self, req):
+        body = json.loads(req.body)
+        self.asked.append((body.get("resume"), body.get("delivered", [])))
+        if self.refuse:
+            self.refuse -= 1
+            retry = Problem(ProblemType.OVERLOADED, 503, Ran.NOT_RUN, "full", 0.01)
+            return problem_response(retry)
+        return StreamResponse(self.chunks(len(body.get("delivered", []))))
+
+    async def chunks(self, done):
+        yield b'id: 0\nevent: open\ndata: {"resume":"r","version":"v"}\n\n'
+        for index, token in enumerate(TOKENS[done:]):
+            if index == self.cut:
+                raise ConnectionResetError
+            data = json.dumps({"token": token, "text": chr(token)})
+            yield f"id: {done + index + 1}\nevent: token\ndata: {data}\n\n".encode()
+        yield b'event: end\ndata: {"tokens":%d,"ran":"done"}\n\n' % len(TOKENS)
+
+
+@pytest.mark.parametrize(
+    ("options", "connections", "asked"),
+    [
+        ({}, 1, [(None, 0)]),
+        ({"cut": 6}, 3, [(None, 0), ("r", 6), ("r", 12)]),
+        ({"refuse": 2}, 1, [(None, 0)] * 3),
+    ],
+)
+def test_a_caller_gets_the_whole_answer_once(options, connections, asked):
+    async def run():
+        async with StubEntry(**options) as stub:
+            caller = Caller([stub.address], "token")
+            draft = await caller.draft("d", DraftRequest("p", len(TOKENS)))
+            return draft, [(resume, len(done)) for resume, done in stub.asked]
+
+    draft, seen = asyncio.run(run())
+    assert (draft.text, draft.whole, draft.connections) == ("a whole answer", True, connections)
+    assert seen == asked
+
+
+@pytest.mark.parametrize(
+    ("cut", "refuse", "error"), [(0, 0, UnreachableError), (1, 9, CallerError)]
+)
+def test_a_caller_gives_up_and_says_why(cut, refuse, error):
+    async def run():
+        async with StubEntry(cut, refuse) as stub:
+            await Caller([stub.address], "token").draft("d", DraftRequest("p", 3))
+
+    with pytest.raises(error, match="broke off|full"):
+        asyncio.run(run())
