--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -124,3 +124,11 @@
 
     with pytest.raises(error, match="broke off|full"):
         asyncio.run(run())
+
+
+@pytest.mark.parametrize("command", main.commands)
+def test_every_option_stands_on_its_reference_page(command):
+    page = EXAMPLES.parent / "docs" / "reference" / "commands" / f"{command}.md"
+    text = page.read_text()
+    options = [opt for param in main.commands[command].params for opt in param.opts]
+    assert [opt for opt in options if opt.startswith("-") and f"`{opt}`" not in text] == []
