Know the other hosts by probes, and talk to them over gRPC

Cause: callers' answers, key owners and the relay need to know which hosts are up, leaving or new, at a cost that does not grow with their number. Change: `membership` is a SWIM table (versions, suspicion, refutation, replaced incarnations, the platform's list as a source of seeds and leaving upstreams), `membership_loop` probes one peer a second and at once when there is news of a leaving or suspect host. Conclusion: the mechanism holds on today's sizes; its cost a host is to be measured with the app.

--- /dev/null
+++ b/daemon/minttided/membership_loop.py
@@ -0,0 +1,267 @@
+"""Drives the table of entry hosts: probes, the platform's host list, and urgent news."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from minttide.config.settings import Settings
+from minttide.gossip import Gossip, Member, Status
+from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId
+from minttide.interfaces import HostList, ListedHost, MemberView
+from minttide.membership import MemberTable
+from minttided.peer_link import PeerError, PeerLink, Probe, ProbeAnswer
+from minttided.supervisor import Ready
+
+log = logging.getLogger(__name__)
+
+ENTRY_GROUP = "entry"
+"""The group of entry hosts in the platform's host list; their address there is the peer one."""
+
+PROBE_PERIOD_S = 1.0
+PROBE_TIMEOUT_S = 0.4
+INDIRECT_TIMEOUT_S = 0.9
+INDIRECT_HELPERS = 2
+URGENT_SPACING_S = 0.25
+URGENT_FANOUT = 2
+FAREWELL_FANOUT = 16
+SEED_PERIOD_S = 5.0
+LIST_PERIOD_S = 10.0
+LIST_TIMEOUT_S = 5.0
+
+ReadVitals = Callable[[], tuple[Offset, float]]
+"""Returns this host's applied configuration offset and its load from 0 to 1."""
+
+OnPeerOffset = Callable[[Address, Offset], None]
+"""Told of the configuration offset of a peer at an address."""
+
+
+class Membership:
+    """This host's view of the others, kept fresh by probes. Implements `Members` of the node."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        incarnation: Incarnation,
+        link: PeerLink,
+        host_list: HostList | None,
+        read_vitals: ReadVitals,
+        on_peer_offset: OnPeerOffset = lambda address, offset: None,
+        rng: random.Random | None = None,
+        wall_ms: Callable[[], int] = lambda: int(time.time() * 1000),
+    ):
+        me = Member(cfg.host, incarnation, cfg.zone, cfg.callers, cfg.peer)
+        self._rng = rng or random.Random()
+        self.table = MemberTable(me, self._rng)
+        self._cfg = cfg
+        self._link = link
+        self._host_list = host_list
+        self._read_vitals = read_vitals
+        self._on_peer_offset = on_peer_offset
+        self._wall_ms = wall_ms
+        self._listed: Sequence[ListedHost] = []
+        self._listed_leaving: set[UpstreamId] = set()
+        self._urgent = asyncio.Event()
+        self._seed_due = 0.0
+
+    # Members of the node.
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether this host itself is leaving."""
+        return self.table.me.leaving
+
+    def hosts(self) -> Sequence[MemberView]:
+        """Return the hosts believed to be up, this one among them."""
+        return self.table.views()
+
+    def upstream_leaving(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream is known to be leaving, by a peer or the host list."""
+        if upstream in self._listed_leaving:
+            return True
+        return self.table.upstreams.is_leaving(upstream, self._wall_ms())
+
+    def announce_upstream_leaving(self, upstream: UpstreamId) -> None:
+        """Remember, and pass on to peers, that an upstream is leaving."""
+        known = self.upstream_leaving(upstream)
+        self.table.upstreams.announce(upstream, self._wall_ms())
+        if not known:
+            log.info("upstream leaving", extra={"upstream": upstream, "source": "engine"})
+            self.hurry()
+
+    @property
+    def listed(self) -> Sequence[ListedHost]:
+        """Return the platform's host list as it was last read."""
+        return self._listed
+
+    # Control.
+
+    def hurry(self) -> None:
+        """Pass news on at once instead of with the next probe."""
+        self._urgent.set()
+
+    def set_addresses(self, callers: Address, peer: Address) -> None:
+        """Put the addresses that this host really listens on into its entry."""
+        self.table.move(callers, peer)
+
+    async def leave(self) -> None:
+        """Announce that this host is leaving, to as many peers as a small site has."""
+        self.table.leave(_now())
+        told = self.table.helpers(self._cfg.host, FAREWELL_FANOUT)
+        await asyncio.gather(*(self._exchange(member) for member in told))
+
+    async def run(self, ready: Ready = lambda: None) -> None:
+        """Probe one peer a period, and more while there is urgent news, until cancelled."""
+        ready()
+        while True:
+            started = _now()
+            urgent = self._urgent.is_set()
+            self._urgent.clear()
+            await self._tick(urgent)
+            await self._pause(started)
+
+    async def run_listing(self, ready: Ready = lambda: None) -> None:
+        """Read the platform's host list now and then, until cancelled."""
+        ready()
+        if self._host_list is None:
+            await asyncio.Event().wait()
+            return
+        while True:
+            await self._read_list(self._host_list)
+            await asyncio.sleep(LIST_PERIOD_S * (0.75 + 0.5 * self._rng.random()))
+
+    async def on_probe(self, probe: Probe) -> ProbeAnswer:
+        """Take in a peer's news and answer with one's own; probe for it when asked to."""
+        self._merge(probe.gossip)
+        reached = True
+        if probe.indirect is not None:
+            reached = await self._reach(probe.indirect)
+        self._beat()
+        return ProbeAnswer(self.table.gossip(probe.gossip.sender.host, probe.full), reached)
+
+    # One period.
+
+    async def _pause(self, started: float) -> None:
+        await asyncio.sleep(URGENT_SPACING_S)
+        left_s = started + PROBE_PERIOD_S - _now()
+        if left_s <= 0 or self._urgent.is_set():
+            return
+        try:
+            async with asyncio.timeout(left_s):
+                await self._urgent.wait()
+        except TimeoutError:
+            return
+
+    async def _tick(self, urgent: bool) -> None:
+        for member in self.table.expire(_now()):
+            _log_change(member)
+        self.table.upstreams.expire(self._wall_ms())
+        await self._greet_seeds()
+        targets = [self.table.next_probe()]
+        if urgent:
+            targets.extend(self.table.helpers(self._cfg.host, URGENT_FANOUT - 1))
+        known = {member.host: member for member in targets if member is not None}
+        await asyncio.gather(*(self._probe(member) for member in known.values()))
+
+    async def _probe(self, member: Member) -> None:
+        if await self._exchange(member) or await self._exchange_indirectly(member):
+            return
+        if self.table.suspect(member, _now()):
+            _log_change(self.table.find(member.host) or member)
+            self.hurry()
+
+    async def _exchange(self, member: Member) -> bool:
+        return await self._talk(member.peer, member.host)
+
+    async def _talk(self, address: Address, host: HostId | None, full: bool = False) -> bool:
+        self._beat()
+        probe = Probe(self.table.gossip(host), full=full)
+        try:
+            answer = await self._link.probe(address, probe, PROBE_TIMEOUT_S)
+        except PeerError:
+            return False
+        self._merge(answer.gossip)
+        return host is None or answer.gossip.sender.host == host
+
+    async def _exchange_indirectly(self, member: Member) -> bool:
+        helpers = self.table.helpers(member.host, INDIRECT_HELPERS)
+        asked = [self._ask_helper(helper, member) for helper in helpers]
+        return any(await asyncio.gather(*asked))
+
+    async def _ask_helper(self, helper: Member, member: Member) -> bool:
+        probe = Probe(self.table.gossip(helper.host), indirect=member.peer)
+        try:
+            answer = await self._link.probe(helper.peer, probe, INDIRECT_TIMEOUT_S)
+        except PeerError:
+            return False
+        self._merge(answer.gossip)
+        return answer.reached
+
+    async def _reach(self, address: Address) -> bool:
+        return await self._talk(address, None)
+
+    # Joining.
+
+    async def _greet_seeds(self) -> None:
+        if _now() < self._seed_due:
+            return
+        self._seed_due = _now() + SEED_PERIOD_S
+        seeds = [a for a in self._seeds() if not self.table.knows_address(a)]
+        self._rng.shuffle(seeds)
+        alone = not self.table.up()
+        for address in seeds if alone else seeds[:1]:
+            if await self._talk(address, None, full=True):
+                return
+        if alone:
+            self._seed_due = _now()
+
+    def _seeds(self) -> list[Address]:
+        listed = [h.address for h in self._listed if h.group == ENTRY_GROUP]
+        return list(dict.fromkeys([*self._cfg.peers, *listed]))
+
+    async def _read_list(self, host_list: HostList) -> None:
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                self._listed = await host_list.list()
+        except (OSError, TimeoutError) as exc:
+            log.warning("host list not read", extra={"reason": str(exc)})
+            return
+        self._listed_leaving = {
+            UpstreamId(h.id) for h in self._listed if h.leaving and h.group != ENTRY_GROUP
+        }
+
+    # News.
+
+    def _beat(self) -> None:
+        self.table.beat(*self._read_vitals())
+
+    def _merge(self, gossip: Gossip) -> None:
+        changed = self.table.merge(gossip, _now())
+        for member in changed:
+            _log_change(member)
+        if any(m.leaving or m.status is not Status.ALIVE for m in changed):
+            self.hurry()
+        if self.table.upstreams.heard_news:
+            self.table.upstreams.heard_news = False
+            self.hurry()
+        for vitals in gossip.vitals:
+            if vitals.host == gossip.sender.host:
+                self._on_peer_offset(gossip.sender.peer, vitals.applied)
+
+
+def _log_change(member: Member) -> None:
+    log.info(
+        "host changed",
+        extra={
+            "peer_host": member.host,
+            "incarnation": member.incarnation,
+            "status": member.status.value,
+            "leaving": member.leaving,
+            "version": member.version,
+        },
+    )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/daemon/minttided/peer_link.py
@@ -0,0 +1,73 @@
+"""What peers ask of each other, as typed messages, whatever carries them."""
+
+from typing import Protocol
+
+import msgspec
+
+from minttide.agree.checkpoint import Checkpoint
+from minttide.gossip import Gossip
+from minttide.ids import AccountId, Address, IdempotencyKey, Offset, ServiceName
+from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
+from minttide.outcome import Problem
+
+
+class PeerError(Exception):
+    """A peer could not be reached in time or broke the exchange off."""
+
+
+class Probe(msgspec.Struct, frozen=True):
+    """News for a peer. With `indirect`, the peer probes that address first; `full` asks for all."""
+
+    gossip: Gossip
+    indirect: Address | None = None
+    full: bool = False
+
+
+class ProbeAnswer(msgspec.Struct, frozen=True):
+    """A peer's news, and whether it reached the address that it was to probe."""
+
+    gossip: Gossip
+    reached: bool = True
+
+
+class Pulled(msgspec.Struct, frozen=True):
+    """Configuration records in offset order, or the folded state where those are not kept."""
+
+    records: list[LogRecord] = []
+    snapshot: Checkpoint | None = None
+
+
+class KeyedCall(msgspec.Struct, frozen=True):
+    """A call with an idempotency key for the host that owns the key."""
+
+    account: AccountId
+    service: ServiceName
+    key: IdempotencyKey
+    call: UpstreamCall
+    remaining_s: float
+
+
+class PeerLink(Protocol):
+    """Reaches peers by address. Every method raises `PeerError`."""
+
+    async def probe(self, address: Address, probe: Probe, timeout_s: float) -> ProbeAnswer:
+        """Exchange news with a peer."""
+
+    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
+        """Ask a peer for configuration records from `start` on."""
+
+    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+        """Have a peer run a keyed call."""
+
+
+class PeerService(Protocol):
+    """Answers peers."""
+
+    async def on_probe(self, probe: Probe) -> ProbeAnswer:
+        """Take in a peer's news and answer with one's own."""
+
+    async def on_pull(self, start: Offset) -> Pulled:
+        """Return configuration records from `start` on."""
+
+    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+        """Run a keyed call on this host."""
--- /dev/null
+++ b/daemon/minttided/peers.py
@@ -0,0 +1,188 @@
+"""Peers over gRPC: a client that keeps a few channels open, and the server."""
+
+import asyncio
+import logging
+import socket
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+from h2.exceptions import H2Error
+
+from minttide.ids import Address, Offset
+from minttide.interfaces import UpstreamReply
+from minttide.outcome import Problem
+from minttided import peer_codec as codec
+from minttided.peer_link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.proto import peer_pb2 as pb
+from minttided.proto.peer_grpc import PeerBase, PeerStub
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+MAX_CHANNELS = 16
+CALL_MARGIN_S = 0.5
+"""How much longer than its deadline a forwarded call is waited for."""
+
+_CONFIG = Configuration(
+    http2_connection_window_size=1024 * 1024, http2_stream_window_size=256 * 1024
+)
+_BROKEN = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    H2Error,
+    TimeoutError,
+    ValueError,
+)
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Split "<IP number>:<port>" into its parts. Raises `ValueError`."""
+    ip, _, port = address.rpartition(":")
+    return ip.strip("[]"), int(port)
+
+
+class GrpcPeers:
+    """Implements `PeerLink`. A context manager; the least recently used channels are closed."""
+
+    def __init__(self) -> None:
+        self._channels: OrderedDict[Address, Channel] = OrderedDict()
+        self._in_use: dict[Channel, int] = {}
+
+    async def __aenter__(self) -> "GrpcPeers":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def probe(self, address: Address, probe: Probe, timeout_s: float) -> ProbeAnswer:
+        """Exchange news with a peer. Raises `PeerError`."""
+        req = codec.probe_out(probe)
+        msg = await self._ask(address, lambda stub: stub.Probe(req, timeout=timeout_s), timeout_s)
+        return codec.answer_in(msg)
+
+    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
+        """Ask a peer for configuration records from `start` on. Raises `PeerError`."""
+        req = pb.PullRequest(start=start)
+        msg = await self._ask(address, lambda stub: stub.Pull(req, timeout=timeout_s), timeout_s)
+        return codec.pulled_in(msg)
+
+    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+        """Have a peer run a keyed call. Raises `PeerError`."""
+        req = codec.call_out(call)
+        timeout_s = call.remaining_s + CALL_MARGIN_S
+        msg = await self._ask(address, lambda stub: stub.Call(req, timeout=timeout_s), timeout_s)
+        try:
+            return codec.outcome_in(msg)
+        except ValueError as exc:
+            raise PeerError(str(exc)) from exc
+
+    async def _ask(
+        self, address: Address, ask: Callable[[PeerStub], Awaitable[T]], timeout_s: float
+    ) -> T:
+        try:
+            channel = self._channel(address)
+            self._in_use[channel] = self._in_use.get(channel, 0) + 1
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await ask(PeerStub(channel))
+            finally:
+                self._release(channel)
+        except _BROKEN as exc:
+            self._drop(address)
+            raise PeerError(f"{address}: {type(exc).__name__}: {exc}") from exc
+
+    def _channel(self, address: Address) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            ip, port = split_address(address)
+            channel = self._channels[address] = Channel(ip, port, config=_CONFIG)
+        self._channels.move_to_end(address)
+        self._trim()
+        return channel
+
+    def _trim(self) -> None:
+        idle = [a for a, c in self._channels.items() if c not in self._in_use]
+        for address in idle[: max(0, len(self._channels) - MAX_CHANNELS)]:
+            if next(reversed(self._channels)) != address:
+                self._channels.pop(address).close()
+
+    def _release(self, channel: Channel) -> None:
+        self._in_use[channel] -= 1
+        if not self._in_use[channel]:
+            del self._in_use[channel]
+            if channel not in self._channels.values():
+                channel.close()
+
+    def _drop(self, address: Address) -> None:
+        """Forget a channel after an error, so that the next call connects anew."""
+        channel = self._channels.pop(address, None)
+        if channel is not None and channel not in self._in_use:
+            channel.close()
+
+
+class _Handlers(PeerBase):
+    """Unwraps the gRPC streams of calls to a `PeerService`."""
+
+    def __init__(self, service: PeerService):
+        self._service = service
+
+    async def Probe(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
+        msg = await stream.recv_message()
+        if msg is not None:
+            answer = await self._service.on_probe(codec.probe_in(msg))
+            await stream.send_message(codec.answer_out(answer))
+
+    async def Pull(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
+        msg = await stream.recv_message()
+        if msg is not None:
+            pulled = await self._service.on_pull(Offset(msg.start))
+            await stream.send_message(codec.pulled_out(pulled))
+
+    async def Call(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
+        msg = await stream.recv_message()
+        if msg is not None:
+            outcome = await self._service.on_call(codec.call_in(msg))
+            await stream.send_message(codec.outcome_out(outcome))
+
+
+class PeerServer:
+    """Listens for peers. A context manager; `address` is known once it is open."""
+
+    def __init__(self, address: Address, service: PeerService):
+        self.address = address
+        self._service = service
+        self._server: Server | None = None
+
+    async def __aenter__(self) -> "PeerServer":
+        ip, port = split_address(self.address)
+        self._server = Server([_Handlers(self._service)], config=_CONFIG)
+        sock = _listen(ip, port)
+        await self._server.start(sock=sock)
+        self.address = Address(f"{ip}:{sock.getsockname()[1]}")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+
+def _listen(ip: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((ip, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/daemon/minttided/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the entry hosts, generated from `peer.proto`."""
--- /dev/null
+++ b/fakes/minttide_fakes/peer_net.py
@@ -0,0 +1,83 @@
+"""Peers in memory: links between addresses, with delay, cuts and hosts that stop answering."""
+
+import asyncio
+
+from minttide.ids import Address, Offset
+from minttide.interfaces import UpstreamReply
+from minttide.outcome import Problem
+from minttided.peer_link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+
+
+class MemoryNet:
+    """The network between entry hosts. Put a service at an address to answer for it."""
+
+    def __init__(self, delay_s: float = 0.0005) -> None:
+        self.delay_s = delay_s
+        self.messages = 0
+        self._services: dict[Address, PeerService] = {}
+        self._cuts: set[frozenset[Address]] = set()
+        self._silent: set[Address] = set()
+
+    def put(self, address: Address, service: PeerService) -> None:
+        """Let `service` answer at `address`."""
+        self._services[address] = service
+
+    def remove(self, address: Address) -> None:
+        """Let nothing listen at `address`; connections are refused."""
+        self._services.pop(address, None)
+
+    def silence(self, address: Address, silent: bool = True) -> None:
+        """Let a host neither answer nor send, as when it is paused."""
+        (self._silent.add if silent else self._silent.discard)(address)
+
+    def cut(self, a: Address, b: Address) -> None:
+        """Part two addresses from each other."""
+        self._cuts.add(frozenset((a, b)))
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self._cuts.clear()
+
+    def link(self, source: Address) -> "MemoryLink":
+        """Return the link that the host at `source` reaches its peers by."""
+        return MemoryLink(self, source)
+
+    async def reach(self, source: Address, target: Address, timeout_s: float) -> PeerService:
+        """Return the service at `target`, after the delay. Raises `PeerError`."""
+        self.messages += 1
+        parted = frozenset((source, target)) in self._cuts
+        if parted or source in self._silent or target in self._silent:
+            await asyncio.sleep(timeout_s)
+            raise PeerError(f"{target}: no answer")
+        await asyncio.sleep(self.delay_s)
+        service = self._services.get(target)
+        if service is None:
+            raise PeerError(f"{target}: connection refused")
+        return service
+
+
+class MemoryLink:
+    """Implements `PeerLink` for the host at one address."""
+
+    def __init__(self, net: MemoryNet, source: Address) -> None:
+        self._net = net
+        self._source = source
+
+    async def probe(self, address: Address, probe: Probe, timeout_s: float) -> ProbeAnswer:
+        """Exchange news with a peer."""
+        service = await self._net.reach(self._source, address, timeout_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await service.on_probe(probe)
+        except TimeoutError as exc:
+            raise PeerError(f"{address}: no answer") from exc
+
+    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
+        """Ask a peer for configuration records."""
+        service = await self._net.reach(self._source, address, timeout_s)
+        return await service.on_pull(start)
+
+    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+        """Have a peer run a keyed call."""
+        service = await self._net.reach(self._source, address, call.remaining_s)
+        return await service.on_call(call)
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,251 @@
+"""Membership: which belief wins, and how a site of hosts finds out on the virtual clock."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+import pytest
+
+from minttide.config.settings import Settings
+from minttide.gossip import Gossip, Member, Status
+from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
+from minttide.interfaces import ListedHost
+from minttide.membership import MemberTable
+from minttide_fakes.peer_net import MemoryNet
+from minttide_fakes.virtual import run_virtual
+from minttided.membership_loop import Membership
+
+HOSTS = 9
+
+
+def member(host="b", incarnation=1, version=0, status=Status.ALIVE, leaving=False, peer=None):
+    peer = Address(peer or f"{host}:1")
+    return Member(
+        HostId(host),
+        Incarnation(incarnation),
+        ZoneId("z"),
+        Address(f"{host}:2"),
+        peer,
+        version,
+        status,
+        leaving,
+    )
+
+
+@pytest.mark.parametrize(
+    ("known", "told", "status", "incarnation"),
+    [
+        (member(), member(status=Status.SUSPECT), Status.SUSPECT, 1),
+        (member(status=Status.SUSPECT), member(), Status.SUSPECT, 1),
+        (member(status=Status.SUSPECT), member(version=1), Status.ALIVE, 1),
+        (member(version=2), member(version=1, status=Status.DOWN), Status.ALIVE, 1),
+        (member(status=Status.DOWN), member(), Status.DOWN, 1),
+        (member(status=Status.DOWN), member(incarnation=2), Status.ALIVE, 2),
+        (member(incarnation=2), member(version=9, status=Status.DOWN), Status.ALIVE, 2),
+        (member(peer="x:1"), member("c", incarnation=2, peer="x:1"), Status.DOWN, 1),
+        (member(incarnation=3, peer="x:1"), member("c", incarnation=2, peer="x:1"), "alive", 3),
+    ],
+)
+def test_the_newer_belief_about_a_host_wins(known, told, status, incarnation):
+    table = MemberTable(member("a"), random.Random(1))
+    first = msgspec.structs.replace(known, status=Status.ALIVE)
+    for heard in (first, known, told):
+        table.merge(Gossip(member("d"), [heard]), 0.0)
+    found = table.find(HostId("b"))
+    assert (found.status, found.incarnation) == (Status(status), incarnation)
+
+
+@pytest.mark.parametrize(
+    ("told", "version", "superseded"),
+    [
+        (member("a", status=Status.DOWN), 1, False),
+        (member("a", version=5, status=Status.SUSPECT), 6, False),
+        (member("a", incarnation=0, status=Status.DOWN), 0, False),
+        (member("a", incarnation=2), 0, True),
+    ],
+)
+def test_a_host_refutes_what_is_said_of_it_unless_it_was_replaced(told, version, superseded):
+    table = MemberTable(member("a"), random.Random(1))
+    table.merge(Gossip(member("b"), [told]), 0.0)
+    assert (table.me.version, table.superseded) == (version, superseded)
+    assert table.me.status is Status.ALIVE
+
+
+def test_news_rides_on_a_bounded_number_of_messages_of_bounded_size():
+    table = MemberTable(member("a"), random.Random(1))
+    table.merge(Gossip(member("b"), [member(f"h{i}") for i in range(200)]), 0.0)
+    sizes = [len(table.gossip().members) for _ in range(1000)]
+    assert max(sizes) == 8
+    assert sum(sizes) == 202 * 3 * 8  # Each entry three times the binary logarithm of 203.
+
+
+class Host:
+    """One entry host with nothing but membership."""
+
+    def __init__(self, net, number, incarnation=1, seeds=("h0:1",), host_list=None, host=None):
+        name = host or f"h{number}"
+        self.peer = Address(f"h{number}:1")
+        cfg = Settings(
+            HostId(name),
+            ZoneId("z"),
+            Address(f"{name}:2"),
+            Address("o"),
+            self.peer,
+            Address("l"),
+            "secret",
+            peers=[Address(s) for s in seeds],
+        )
+        self.members = Membership(
+            cfg,
+            Incarnation(incarnation),
+            net.link(self.peer),
+            host_list,
+            lambda: (Offset(number), 0.0),
+            rng=random.Random(number),
+            wall_ms=lambda: int(asyncio.get_running_loop().time() * 1000) + 10**12,
+        )
+        net.put(self.peer, self)
+        self.on_probe = self.members.on_probe
+
+    async def run(self):
+        await asyncio.gather(self.members.run(), self.members.run_listing())
+
+    def sees(self, name):
+        return next((h for h in self.members.hosts() if h.host == name), None)
+
+
+@contextlib.asynccontextmanager
+async def site(hosts):
+    tasks = [asyncio.create_task(host.run()) for host in hosts]
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def seconds_until(condition, limit_s=60.0):
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    while not condition():
+        assert loop.time() < start + limit_s, "it never came about"
+        await asyncio.sleep(0.05)
+    return loop.time() - start
+
+
+def test_hosts_with_one_common_seed_find_each_other_and_their_offsets():
+    async def scenario():
+        net = MemoryNet()
+        hosts = [Host(net, i) for i in range(HOSTS)]
+        async with site(hosts):
+            await seconds_until(lambda: all(len(h.members.hosts()) == HOSTS for h in hosts), 5.0)
+            await seconds_until(
+                lambda: all({v.applied for v in h.members.hosts()} == set(range(9)) for h in hosts),
+                10.0,
+            )
+
+    run_virtual(scenario())
+
+
+def stop(net, hosts, tasks):
+    tasks[3].cancel()
+    net.remove(hosts[3].peer)
+
+
+def pause(net, hosts, tasks):
+    net.silence(hosts[3].peer)
+
+
+def leave(net, hosts, tasks):
+    tasks.append(asyncio.create_task(hosts[3].members.leave()))
+
+
+def announce(net, hosts, tasks):
+    hosts[3].members.announce_upstream_leaving(UpstreamId("e1"))
+
+
+def replace(net, hosts, tasks):
+    stop(net, hosts, tasks)
+    new = Host(net, 3, incarnation=2, host="new")
+    tasks.append(asyncio.create_task(new.run()))
+
+
+@pytest.mark.parametrize(
+    ("event", "noticed", "limit_s"),
+    [
+        (stop, lambda h: h.sees("h3") is None or h.sees("h3").suspect, 3.0),
+        (stop, lambda h: h.sees("h3") is None, 10.0),
+        (pause, lambda h: h.sees("h3") is None or h.sees("h3").suspect, 5.0),
+        (leave, lambda h: h.sees("h3").leaving, 1.0),
+        (announce, lambda h: h.members.upstream_leaving(UpstreamId("e1")), 3.0),
+        (replace, lambda h: h.sees("h3") is None and h.sees("new") is not None, 3.0),
+    ],
+)
+def test_every_other_host_notices_in_time(event, noticed, limit_s):
+    async def scenario():
+        net = MemoryNet()
+        hosts = [Host(net, i) for i in range(HOSTS)]
+        async with site(hosts) as tasks:
+            await asyncio.sleep(10.0)
+            event(net, hosts, tasks)
+            others = [h for i, h in enumerate(hosts) if i != 3]
+            return await seconds_until(lambda: all(noticed(h) for h in others))
+
+    assert run_virtual(scenario()) <= limit_s
+
+
+def test_a_cut_between_two_hosts_declares_neither_down():
+    async def scenario():
+        net = MemoryNet()
+        hosts = [Host(net, i) for i in range(HOSTS)]
+        async with site(hosts):
+            await asyncio.sleep(10.0)
+            net.cut(hosts[1].peer, hosts[2].peer)
+            for _ in range(600):
+                await asyncio.sleep(0.1)
+                assert all(len(h.members.hosts()) == HOSTS for h in hosts)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("apart_s", [20.0, 400.0])
+def test_a_healed_partition_leaves_one_site(apart_s):
+    async def scenario():
+        net = MemoryNet()
+        hosts = [Host(net, i, seeds=("h0:1", "h8:1")) for i in range(HOSTS)]
+        async with site(hosts):
+            await asyncio.sleep(10.0)
+            for a in hosts[:4]:
+                for b in hosts[4:]:
+                    net.cut(a.peer, b.peer)
+            await asyncio.sleep(apart_s)
+            assert [len(h.members.hosts()) for h in hosts] == [4] * 4 + [5] * 5
+            net.heal()
+            await seconds_until(lambda: all(len(h.members.hosts()) == HOSTS for h in hosts), 30.0)
+
+    run_virtual(scenario())
+
+
+class Listing:
+    def __init__(self, entries):
+        self.entries = entries
+
+    async def list(self):
+        return self.entries
+
+
+def test_the_host_list_gives_seeds_and_leaving_upstreams():
+    async def scenario():
+        net = MemoryNet()
+        entries = [
+            ListedHost("h0", "entry", Address("h0:1"), ZoneId("z"), False),
+            ListedHost("e7", "drafting", Address("e7:1"), ZoneId("z"), True),
+        ]
+        hosts = [Host(net, i, seeds=(), host_list=Listing(entries)) for i in range(3)]
+        async with site(hosts):
+            await seconds_until(lambda: all(len(h.members.hosts()) == 3 for h in hosts), 30.0)
+            return [h.members.upstream_leaving(UpstreamId("e7")) for h in hosts]
+
+    assert run_virtual(scenario()) == [True] * 3
