Close four gaps of the folds and hold them by tables

Cause: a review of the folds found verdicts that depended on writers' clocks or let an old state come back: a publish that lost could be accepted after the service's withdrawal was forgotten, when its writer's clock was ahead; key_shards could change once the site file had been withdrawn and forgotten; a repeated append of an older plan came into force again; an engine that operators took out and put back was reserved at its new level only, though it may stand at its old one. Change: a service entry keeps the latest time of any publish that named it; key_shards is remembered for good; a plan names the plan it replaces (new field Plan.seen in records.py); what was reserved for an engine that went is kept until it returns; leases longer than 60 s, publishes that name a service twice or under another's name are malformed; a stopped fold writes no checkpoint, since a newer host would start from a state with records left out. The test of a forgotten tombstone used a file of another service name; it now names its own. Conclusion: verdicts of the folds no longer hang on how far a writer's clock is ahead.

--- a/core/minttide/agree/checkpoint.py
+++ b/core/minttide/agree/checkpoint.py
@@ -11,6 +11,9 @@
 PART_BYTES = 32 * 1024
 """Most bytes of state in one part, so that its record stays below 64 KiB with its encoding."""
 
+MAX_INCOMPLETE = 64
+"""Most incomplete checkpoints that a finder keeps; the oldest is dropped first."""
+
 
 class Checkpoint(msgspec.Struct, frozen=True):
     """A complete checkpoint: the state after the record at `covers`."""
@@ -20,7 +23,13 @@
 
 
 def split_checkpoint(fold: Fold, checkpoint_id: str) -> list[CheckpointPart]:
-    """Split the state of `fold` into the parts to append to its stream, in order."""
+    """Split the state of `fold` into the parts to append to its stream, in order.
+
+    Raises `ValueError` for a fold that stopped at a newer format: its state leaves out what it
+    could not read, so a newer host must not start from it.
+    """
+    if fold.stopped_at is not None:
+        raise ValueError("a stopped fold writes no checkpoint")
     data = fold.snapshot()
     digest = hashlib.sha256(data).hexdigest()
     chunks = [data[i : i + PART_BYTES] for i in range(0, len(data), PART_BYTES)]
@@ -46,6 +55,8 @@
         if not isinstance(body, CheckpointPart):
             return
         parts = self._parts.setdefault(body.checkpoint_id, {})
+        if len(self._parts) > MAX_INCOMPLETE:
+            del self._parts[next(iter(self._parts))]
         parts[body.part] = body
         if len(parts) == body.parts:
             self._complete(body, self._parts.pop(body.checkpoint_id))
--- a/core/minttide/agree/config.py
+++ b/core/minttide/agree/config.py
@@ -7,7 +7,7 @@
 from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
 from minttide.config.service import SITE_NAME, ModelService, PlainService, ServiceFile, Site
 from minttide.ids import NO_OFFSET, Offset, PublishId, ServiceName
-from minttide.records import BadRecordError, CheckpointPart, Envelope, Publish
+from minttide.records import BadRecordError, CheckpointPart, Envelope, Publish, ServiceChange
 
 PUBLISH_MAX_AGE_MS = 10 * 60 * 1000
 """A publish older than this against the fold's time is a late copy and is rejected."""
@@ -17,7 +17,11 @@
 
 
 class ServiceEntry(msgspec.Struct, frozen=True):
-    """One service as it stands. `file` is absent once the service was withdrawn."""
+    """One service as it stands. `file` is absent once the service was withdrawn.
+
+    `time_ms` is the latest time in any publish, accepted or not, that named the service, so that
+    every copy of one of them is too old by the time the entry is forgotten.
+    """
 
     changed: Offset
     publish_id: PublishId
@@ -27,6 +31,7 @@
 
 class _State(BaseState):
     services: dict[ServiceName, ServiceEntry] = {}
+    key_shards: int | None = None  # of the first accepted site file, for good
 
 
 _decoder = msgspec.json.Decoder(_State)
@@ -103,27 +108,60 @@
             return Decision.TOO_OLD, "written too long ago"
         if self._is_repeat(body):
             return Decision.REPEATED, "this publish was accepted before"
+        malformed = self._find_malformed(body)
+        if malformed:
+            return Decision.MALFORMED, malformed
+        self._note_time(body, envelope.time_ms)
         lost = [c.service for c in body.changes if c.seen != self.changed(c.service)]
         if lost:
             return Decision.STALE, "changed by another publish: " + ", ".join(sorted(lost))
-        if self._changes_key_shards(body):
-            return Decision.MALFORMED, "key_shards can't be changed"
-        for change in body.changes:
-            self._state.services[change.service] = ServiceEntry(
-                offset, body.publish_id, envelope.time_ms, change.file
-            )
+        self._accept(offset, envelope.time_ms, body)
         return Decision.ACCEPTED, ""
 
+    def _accept(self, offset: Offset, time_ms: int, publish: Publish) -> None:
+        services = self._state.services
+        for change in publish.changes:
+            old = services.get(change.service)
+            latest_ms = max(time_ms, old.time_ms if old else 0)
+            services[change.service] = ServiceEntry(
+                offset, publish.publish_id, latest_ms, change.file
+            )
+            if isinstance(change.file, Site):
+                self._state.key_shards = change.file.key_shards
+
+    def _note_time(self, publish: Publish, time_ms: int) -> None:
+        services = self._state.services
+        for change in publish.changes:
+            entry = services.get(change.service)
+            if entry is not None and entry.time_ms < time_ms:
+                services[change.service] = msgspec.structs.replace(entry, time_ms=time_ms)
+
     def _is_repeat(self, body: Publish) -> bool:
         entries = [self._state.services.get(c.service) for c in body.changes]
         return bool(entries) and all(e and e.publish_id == body.publish_id for e in entries)
 
-    def _changes_key_shards(self, body: Publish) -> bool:
-        site = self.site
-        files = [c.file for c in body.changes if c.service == SITE_NAME]
-        return site is not None and any(
-            isinstance(f, Site) and f.key_shards != site.key_shards for f in files
-        )
+    def _find_malformed(self, publish: Publish) -> str:
+        names = [c.service for c in publish.changes]
+        if not names or len(set(names)) != len(names):
+            return "a publish names each of its services once"
+        for change in publish.changes:
+            problem = self._find_bad_change(change)
+            if problem:
+                return problem
+        return ""
+
+    def _find_bad_change(self, change: ServiceChange) -> str:
+        file = change.file
+        if file is None:
+            return ""
+        if file.service != change.service:
+            return f"the file of {change.service} is of {file.service}"
+        if isinstance(file, Site) != (change.service == SITE_NAME):
+            return f"the name {SITE_NAME} is for the site file alone"
+        fixed = self._state.key_shards
+        if isinstance(file, Site) and fixed is not None and file.key_shards != fixed:
+            return "key_shards can't be changed"
+        return ""
 
     def _forget_tombstones(self) -> None:
         horizon = self._state.clock.now_ms - TOMBSTONE_MS
--- a/core/minttide/agree/placement.py
+++ b/core/minttide/agree/placement.py
@@ -24,6 +24,9 @@
     Plan,
 )
 
+MAX_LEASE_MS = 60 * 1000
+"""The longest lease that the fold accepts; a longer one could block a domain."""
+
 
 class Lease(msgspec.Struct, frozen=True):
     """The lease of a placement domain. `holder` is absent before the first and after a release."""
@@ -40,6 +43,7 @@
     plan: Plan | None = None
     plan_offset: Offset = NO_OFFSET
     reserved: dict[UpstreamId, int] = {}
+    retired: dict[UpstreamId, int] = {}  # what was reserved for engines that have gone
 
 
 _decoder = msgspec.json.Decoder(_State)
@@ -106,6 +110,8 @@
         return lease.term == term and (lease.holder, lease.incarnation) == writer
 
     def _take(self, offset: Offset, envelope: Envelope, take: LeaseTake) -> Decision:
+        if not 0 < take.duration_ms <= MAX_LEASE_MS:
+            return Decision.MALFORMED
         if take.seen != self._state.lease.changed:
             return Decision.STALE
         self._state.lease = Lease(
@@ -129,12 +135,19 @@
         return Decision.ACCEPTED
 
     def _accept_plan(self, offset: Offset, plan: Plan) -> Decision:
-        kept = {e: w for e, w in self._state.reserved.items() if e not in plan.gone}
-        raised = reserve(kept, plan)
+        if plan.seen != self._state.plan_offset:
+            return Decision.STALE
+        gone = set(plan.gone) - {a.engine for a in plan.assignments}
+        kept = {e: w for e, w in self._state.reserved.items() if e not in gone}
+        raised = reserve(kept, plan, self._state.retired)
         if raised != kept and sum(raised.values()) > plan.cap_watts:
             return Decision.OVER_CAP
         self._state.plan = plan
         self._state.plan_offset = offset
+        left = {e: w for e, w in self._state.reserved.items() if e in gone}
+        self._state.retired = {
+            e: w for e, w in (self._state.retired | left).items() if e not in raised
+        }
         self._state.reserved = raised
         return Decision.ACCEPTED
 
@@ -163,9 +176,17 @@
             raise BadRecordError(str(exc)) from exc
 
 
-def reserve(reserved: dict[UpstreamId, int], plan: Plan) -> dict[UpstreamId, int]:
-    """Return the watts to reserve for each engine while the orders of `plan` are on their way."""
+def reserve(
+    reserved: dict[UpstreamId, int], plan: Plan, retired: dict[UpstreamId, int]
+) -> dict[UpstreamId, int]:
+    """Return the watts to reserve for each engine while the orders of `plan` are on their way.
+
+    An engine that comes back after it had gone may still stand at the level of that time, which
+    is found in `retired`.
+    """
     raised = dict(reserved)
     for assignment in plan.assignments:
-        raised[assignment.engine] = max(raised.get(assignment.engine, 0), assignment.watts)
+        engine = assignment.engine
+        before = raised.get(engine, retired.get(engine, 0))
+        raised[engine] = max(before, assignment.watts)
     return raised
--- a/core/minttide/records.py
+++ b/core/minttide/records.py
@@ -125,10 +125,12 @@
     """The whole placement of a domain. The record's offset is the fencing number of its orders.
 
     Every engine of the domain stands in `assignments`, idle ones with an empty range. `gone` lists
-    engines that operators have taken out of the service files.
+    engines that operators have taken out of the service files. `seen` is the offset of the plan
+    that was in force for the writer, or -1; a copy of an older plan doesn't come into force again.
     """
 
     term: Offset
+    seen: Offset
     assignments: list[Assignment]
     cap_watts: int
     gone: list[UpstreamId] = []
--- a/test/test_config_fold.py
+++ b/test/test_config_fold.py
@@ -1,10 +1,11 @@
 """The fold of the configuration stream."""
 
+import msgspec
 import pytest
 
 from minttide.agree.config import PUBLISH_MAX_AGE_MS, ConfigFold
 from minttide.agree.fold import Decision
-from minttide.config.service import Call, PlainService
+from minttide.config.service import SITE_NAME, Call, PlainService, Site
 from minttide.ids import HostId, Incarnation, Offset, PublishId, ServiceName
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 
@@ -12,7 +13,13 @@
 FILE = PlainService(BOOKING, [Call("POST", "/")])
 
 
+def site(shards):
+    return Site(SITE_NAME, 1000, [], [], [], [], key_shards=shards)
+
+
 def publish(name, seen, file=FILE, time_ms=1000, host="cli", service=BOOKING):
+    if file is FILE:
+        file = msgspec.structs.replace(FILE, service=service)
     body = Publish(PublishId(name), "ann", [ServiceChange(service, Offset(seen), file)])
     return encode(Envelope(FORMAT, HostId(host), Incarnation(1), time_ms, body))
 
@@ -36,6 +43,15 @@
             [publish("a", -1), publish("b", 0, None), publish("a", -1)],
             ["accepted", "accepted", "stale"],
         ),
+        ([publish("a", -1, site(4))], ["malformed"]),
+        (
+            [
+                publish("a", -1, site(4), service=SITE_NAME),
+                publish("b", 0, None, service=SITE_NAME),
+                publish("c", 1, site(8), service=SITE_NAME),
+            ],
+            ["accepted", "accepted", "malformed"],
+        ),
     ],
 )
 def test_decides_alike(payloads, expected):
@@ -58,6 +74,23 @@
     assert found[-1] is Decision.TOO_OLD
 
 
+def test_a_publish_that_lost_never_comes_into_force_later():
+    late = PUBLISH_MAX_AGE_MS * 10
+    other = ServiceName("other")
+    lost = publish("lost", -1, time_ms=late * 3)  # its writer's clock is far ahead
+    payloads = [
+        publish("a", -1),
+        lost,
+        publish("b", 0, None, host="y"),
+        publish("c", -1, time_ms=late * 2, host="x", service=other),
+        publish("d", 3, time_ms=late * 2, host="y", service=other),
+        lost,
+    ]
+    _, found = decisions(payloads)
+    assert found[1] is Decision.STALE
+    assert found[-1] is Decision.STALE
+
+
 def test_snapshot_gives_the_same_verdicts_afterwards():
     fold, _ = decisions([publish("a", -1), publish("b", 0)])
     copy = ConfigFold()
