--- a/core/minttide/agree/config.py
+++ b/core/minttide/agree/config.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self._state = _State()
+        self._withdrawn: set[ServiceName] = set()
 
     @property
     def applied(self) -> Offset:
@@ -123,8 +124,9 @@
         for change in publish.changes:
             old = services.get(change.service)
             latest_ms = max(time_ms, old.time_ms if old else 0)
-            services[change.service] = ServiceEntry(
-                offset, publish.publish_id, latest_ms, change.file
+            self._put(
+                change.service,
+                ServiceEntry(offset, publish.publish_id, latest_ms, change.file),
             )
             if isinstance(change.file, Site):
                 self._state.key_shards = change.file.key_shards
@@ -136,6 +138,13 @@
             if entry is not None and entry.time_ms < time_ms:
                 services[change.service] = msgspec.structs.replace(entry, time_ms=time_ms)
 
+    def _put(self, service: ServiceName, entry: ServiceEntry) -> None:
+        self._state.services[service] = entry
+        if entry.file is None:
+            self._withdrawn.add(service)
+        else:
+            self._withdrawn.discard(service)
+
     def _is_repeat(self, body: Publish) -> bool:
         entries = [self._state.services.get(c.service) for c in body.changes]
         return bool(entries) and all(e and e.publish_id == body.publish_id for e in entries)
@@ -166,8 +175,9 @@
     def _forget_tombstones(self) -> None:
         horizon = self._state.clock.now_ms - TOMBSTONE_MS
         services = self._state.services
-        for name in [n for n, e in services.items() if e.file is None and e.time_ms < horizon]:
+        for name in [n for n in self._withdrawn if services[n].time_ms < horizon]:
             del services[name]
+            self._withdrawn.discard(name)
 
     def snapshot(self) -> bytes:
         """Encode all that the fold looks at."""
@@ -179,3 +189,4 @@
             self._state = _decoder.decode(data)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise BadRecordError(str(exc)) from exc
+        self._withdrawn = {n for n, e in self._state.services.items() if e.file is None}
