Let a node read its wall clock through one function

Cause: records carry the writer's wall clock, and tests on a virtual clock need it to move with it. Change: Node.wall_ms, by default the system's clock (additive, shared file node.py).

--- a/daemon/minttided/node.py
+++ b/daemon/minttided/node.py
@@ -1,7 +1,8 @@
 """The state that the parts of one daemon share, and the interfaces between them."""
 
 import asyncio
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -94,6 +95,11 @@
         """
 
 
+def read_wall_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return int(time.time() * 1000)
+
+
 @dataclass
 class Node:
     """One daemon. The parts that others call are filled in while the daemon is assembled."""
@@ -103,6 +109,7 @@
     log: PlatformLog
     clients: Clients
     host_list: HostList | None = None
+    wall_ms: Callable[[], int] = read_wall_ms  # stamps records; tests put a virtual clock here
     config: ConfigFold = field(default_factory=ConfigFold)
     config_known: bool = False  # false until the configuration was read from log or peer
     members: Members | None = None
