--- /dev/null
+++ b/core/minttide/policy/attempt.py
@@ -0,0 +1,192 @@
+"""The state table of one request on its chain: attempt, position and stage.
+
+A reply counts only when it names exactly the awaited three. All others are dropped, so that a
+late, doubled or crossed reply can never reach a caller or run a layer twice.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from minttide.ids import AdapterName, ModelVersion, RequestId, UpstreamId
+from minttide.policy.chains import Chain
+from minttide.steps import Step, StepError, StepReply
+
+
+class AttemptState(Enum):
+    """Where a request stands."""
+
+    IDLE = "idle"  # no attempt is under way
+    PREFILL = "prefill"
+    DECODE = "decode"
+    FAILED = "failed"  # the attempt failed; another may be started
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+class Taken(Enum):
+    """What became of a reply."""
+
+    DROPPED = "dropped"
+    NEXT_STAGE = "next-stage"
+    TOKEN = "token"
+    LAST_TOKEN = "last-token"
+    FAILED = "failed"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """The result of a reply. `step` is what to send next, `reason` says why one was dropped."""
+
+    taken: Taken
+    step: Step | None = None
+    token: int | None = None
+    error: StepError | None = None
+    reason: str = ""
+
+
+_ACCEPTS = {AttemptState.PREFILL, AttemptState.DECODE}
+_CLOSED = {AttemptState.DONE, AttemptState.CANCELLED}
+
+
+class Attempt:
+    """One request from its first step to its last token, over as many attempts as it takes.
+
+    `delivered` holds the answer's tokens so far; a new attempt goes on after the last of them.
+    """
+
+    def __init__(
+        self,
+        request: RequestId,
+        prompt: list[int],
+        max_tokens: int,
+        delivered: list[int] | None = None,
+        adapter: AdapterName | None = None,
+        priority: int = 0,
+    ):
+        self.request = request
+        full = len(delivered or []) >= max_tokens
+        self.state = AttemptState.DONE if full else AttemptState.IDLE
+        self.number = 0
+        self.stage = 0
+        self.delivered: list[int] = list(delivered or [])
+        self.chain: Chain | None = None
+        self.touched: set[UpstreamId] = set()
+        self._prompt = prompt
+        self._max_tokens = max_tokens
+        self._adapter = adapter
+        self._priority = priority
+        self._kv_handles: tuple[str | None, ...] = ()
+
+    @property
+    def position(self) -> int:
+        """Return the number of tokens before the awaited one."""
+        return len(self._prompt) + len(self.delivered)
+
+    @property
+    def awaited_engine(self) -> UpstreamId | None:
+        """Return the engine whose reply is awaited, if any."""
+        if self.chain is None or self.state not in _ACCEPTS:
+            return None
+        return self.chain.stages[self.stage].engine
+
+    def start(self, chain: Chain, kv_handles: Sequence[str | None] = ()) -> Step:
+        """Begin a new attempt on `chain` after the last delivered token; returns its first step.
+
+        `kv_handles` names for each stage the KV cache to import, where there is one. Raises
+        `ValueError` once the request is done or cancelled, and for a chain of another version than
+        the one that earlier tokens came from.
+        """
+        if self.state in _CLOSED:
+            raise ValueError(f"request {self.request} is {self.state.value}")
+        if self.chain is not None and self.chain.version != chain.version:
+            raise ValueError(f"request {self.request} runs on version {self.chain.version}")
+        self.number += 1
+        self.stage = 0
+        self.chain = chain
+        self.state = AttemptState.PREFILL
+        self._kv_handles = tuple(kv_handles)
+        return self._step(handle="", source=None)
+
+    def take(self, engine: UpstreamId, reply: StepReply) -> Outcome:
+        """Take a reply that came from `engine` and say what to do next."""
+        reason = self._mismatch(engine, reply)
+        if reason:
+            return Outcome(Taken.DROPPED, reason=reason)
+        if reply.error is not None:
+            self.state = AttemptState.FAILED
+            return Outcome(Taken.FAILED, error=reply.error)
+        assert self.chain is not None
+        if self.stage + 1 < len(self.chain.stages):
+            self.stage += 1
+            step = self._step(reply.handle, engine)
+            return Outcome(Taken.NEXT_STAGE, step)
+        return self._deliver(reply)
+
+    def fail(self) -> None:
+        """Give up the attempt under way; replies to it are dropped from now on."""
+        if self.state in _ACCEPTS:
+            self.state = AttemptState.FAILED
+
+    def cancel(self) -> frozenset[UpstreamId]:
+        """End the request and return every engine that had a part in any attempt."""
+        if self.state is not AttemptState.DONE:
+            self.state = AttemptState.CANCELLED
+        return frozenset(self.touched)
+
+    def _mismatch(self, engine: UpstreamId, reply: StepReply) -> str:
+        if self.state not in _ACCEPTS:
+            return f"nothing is awaited while {self.state.value}"
+        awaited = (
+            ("request", reply.request, self.request),
+            ("attempt", reply.attempt, self.number),
+            ("position", reply.position, self.position),
+            ("stage", reply.stage, self.stage),
+            ("engine", engine, self.awaited_engine),
+        )
+        wrong = [f"{name} {got} is not {want}" for name, got, want in awaited if got != want]
+        return ", ".join(wrong)
+
+    def _deliver(self, reply: StepReply) -> Outcome:
+        if reply.token is None:
+            self.state = AttemptState.FAILED
+            return Outcome(Taken.FAILED, error=StepError.WRONG_POSITION)
+        self.delivered.append(reply.token)
+        if len(self.delivered) >= self._max_tokens:
+            self.state = AttemptState.DONE
+            return Outcome(Taken.LAST_TOKEN, token=reply.token)
+        self.state = AttemptState.DECODE
+        self.stage = 0
+        return Outcome(Taken.TOKEN, self._step("", None), reply.token)
+
+    def _kv_handle(self) -> str | None:
+        if self.state is AttemptState.PREFILL and self.stage < len(self._kv_handles):
+            return self._kv_handles[self.stage]
+        return None
+
+    def _step(self, handle: str, source: UpstreamId | None) -> Step:
+        assert self.chain is not None
+        stage = self.chain.stages[self.stage]
+        self.touched.add(stage.engine)
+        prefill = self.state is AttemptState.PREFILL
+        tokens: list[int] = []
+        if self.stage == 0:
+            tokens = self._prompt + self.delivered if prefill else self.delivered[-1:]
+        return Step(
+            request=self.request,
+            attempt=self.number,
+            position=self.position,
+            stage=self.stage,
+            service=self.chain.service,
+            version=ModelVersion(self.chain.version),
+            first=stage.first,
+            last=stage.last,
+            final=self.stage + 1 == len(self.chain.stages),
+            prefill=prefill,
+            tokens=tokens,
+            handle=handle,
+            source=source,
+            adapter=self._adapter,
+            priority=self._priority,
+            kv_handle=self._kv_handle(),
+        )
--- /dev/null
+++ b/core/minttide/policy/chains.py
@@ -0,0 +1,230 @@
+"""Chains of engines that hold every layer of a model once, and the choice among them."""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+from minttide.config.service import ModelService, Site
+from minttide.ids import ChainId, ServiceName, UpstreamId, ZoneId
+from minttide.policy.links import Links
+from minttide.policy.speed import (
+    EngineShape,
+    decode_layer_us,
+    level_at,
+    prefill_layer_us,
+    shape_engines,
+)
+from minttide.records import Assignment
+from minttide.steps import LoadReport
+
+SAMPLED_CHAINS = 3
+"""Chains that are compared for one request."""
+
+REPORT_STALE_MS = 5_000
+"""A load report older than this says nothing."""
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """One engine's part of a chain: layers `first` to `last - 1`."""
+
+    engine: UpstreamId
+    first: int
+    last: int
+    zone: ZoneId
+    watts: int = 0
+
+
+class Chain(msgspec.Struct, frozen=True):
+    """Engines that together hold layers 0 to N-1 once each, in order."""
+
+    id: ChainId
+    service: ServiceName
+    version: str
+    stages: tuple[Stage, ...]
+
+    @property
+    def engines(self) -> tuple[UpstreamId, ...]:
+        """Return the engines in the order of their layers."""
+        return tuple(s.engine for s in self.stages)
+
+
+def chains_of(
+    assignments: Iterable[Assignment],
+    zones: Mapping[UpstreamId, ZoneId],
+    layers: Mapping[ServiceName, int] | None = None,
+) -> list[Chain]:
+    """Return the whole chains among `assignments`, by id.
+
+    An assignment without a chain name is idle or being retired and belongs to none. A group with a
+    gap, an overlap or fewer than the service's `layers` is left out.
+    """
+    groups: dict[str, list[Assignment]] = defaultdict(list)
+    for assignment in assignments:
+        if assignment.chain and assignment.first < assignment.last:
+            groups[assignment.chain].append(assignment)
+    found = []
+    for name, members in sorted(groups.items()):
+        members.sort(key=lambda a: a.first)
+        if _is_whole(members, layers):
+            found.append(_chain(name, members, zones))
+    return found
+
+
+def _is_whole(members: Sequence[Assignment], layers: Mapping[ServiceName, int] | None) -> bool:
+    head = members[0]
+    if any((a.service, a.version) != (head.service, head.version) for a in members):
+        return False
+    if head.first != 0:
+        return False
+    if any(a.last != b.first for a, b in zip(members, members[1:], strict=False)):
+        return False
+    return layers is None or members[-1].last == layers.get(head.service)
+
+
+def _chain(name: str, members: Sequence[Assignment], zones: Mapping[UpstreamId, ZoneId]) -> Chain:
+    stages = tuple(
+        Stage(a.engine, a.first, a.last, zones.get(a.engine, ZoneId("")), a.watts) for a in members
+    )
+    return Chain(ChainId(name), members[0].service, members[0].version, stages)
+
+
+class ChainNews(msgspec.Struct):
+    """What a daemon knows of the engines when it chooses. Times are in milliseconds.
+
+    `own_streams` and `own_prefill` (prompt tokens waiting) are this daemon's own work and exact.
+    `reports` come late. `cached` is the tokens of the prompt's prefix believed cached on an engine;
+    an engine whose cache events had a gap is absent. `step_factor` is the step time seen over the
+    rated one, above 1 where an engine or its link is slow.
+    """
+
+    now_ms: float
+    own_streams: Mapping[UpstreamId, int] = {}
+    own_prefill: Mapping[UpstreamId, int] = {}
+    reports: Mapping[UpstreamId, LoadReport] = {}
+    cached: Mapping[UpstreamId, int] = {}
+    step_factor: Mapping[UpstreamId, float] = {}
+    others: float = 1.0  # streams that other daemons add for each own stream, without a report
+
+
+class Estimate(msgspec.Struct, frozen=True):
+    """Expected times of a request on one chain, in milliseconds."""
+
+    chain: ChainId
+    first_token_ms: float
+    between_tokens_ms: float
+
+    def cost_ms(self, tokens: int) -> float:
+        """Return the expected time until `tokens` tokens have come."""
+        return self.first_token_ms + max(0, tokens - 1) * self.between_tokens_ms
+
+
+class ChainDecision(msgspec.Struct, frozen=True):
+    """The chain that was chosen, the candidates with their estimates, and the reason."""
+
+    chain: Chain | None
+    candidates: tuple[Estimate, ...]
+    reason: str
+
+
+class ChainEstimator:
+    """Estimates chains of one site's services from rated speeds and what is known of load."""
+
+    def __init__(self, site: Site, services: Sequence[ModelService], home: ZoneId):
+        self._links = Links(site)
+        self._home = home
+        self._models = {s.service: s.model for s in services}
+        self._shapes: dict[UpstreamId, EngineShape] = {
+            shape.engine: shape for s in services for shape in shape_engines(site, s.engines)
+        }
+
+    @property
+    def links(self) -> Links:
+        """Return the links, which can be marked as degraded."""
+        return self._links
+
+    def kv_transfer_ms(
+        self, service: ServiceName, source: UpstreamId, stage: Stage, tokens: int
+    ) -> float:
+        """Return the time to move the KV cache of `tokens` for one stage, in milliseconds."""
+        shape = self._shapes.get(source)
+        origin = shape.zone if shape else stage.zone
+        model = self._models[service]
+        kilobytes = model.kv_kb_per_token_layer * (stage.last - stage.first) * tokens
+        return self._links.between(origin, stage.zone).transfer_us(kilobytes) / 1000.0
+
+    def estimate(self, chain: Chain, prompt_tokens: int, news: ChainNews) -> Estimate:
+        """Return the expected first-token and between-tokens time of `chain`."""
+        prefill_us = decode_us = queue_us = 0.0
+        model = self._models[chain.service]
+        new_tokens = prompt_tokens - min((news.cached.get(e, 0) for e in chain.engines), default=0)
+        new_tokens = max(1, new_tokens)
+        previous = self._home
+        for stage in chain.stages:
+            shape = self._shapes.get(stage.engine)
+            if shape is None:
+                return Estimate(chain.id, float("inf"), float("inf"))
+            level = level_at(shape, stage.watts)
+            layers = stage.last - stage.first
+            factor = news.step_factor.get(stage.engine, 1.0)
+            streams = estimate_streams(stage.engine, news)
+            step_us = layers * factor * decode_layer_us(shape, level, model, streams + 1)
+            token_us = layers * factor * prefill_layer_us(shape, level, model)
+            prefill_us += token_us * new_tokens
+            queue_us = max(queue_us, token_us * news.own_prefill.get(stage.engine, 0))
+            decode_us += step_us
+            link = self._links.between(previous, stage.zone)
+            decode_us += link.transfer_us(model.activation_kb)
+            prefill_us += link.transfer_us(model.activation_kb * new_tokens)
+            previous = stage.zone
+        first_ms = (queue_us + prefill_us + decode_us) / 1000.0
+        return Estimate(chain.id, first_ms, decode_us / 1000.0)
+
+
+def estimate_streams(engine: UpstreamId, news: ChainNews) -> float:
+    """Return the streams expected on an engine, own ones exact and others' from a late report."""
+    own = news.own_streams.get(engine, 0)
+    report = news.reports.get(engine)
+    if report is None or news.now_ms - report.at_ms > REPORT_STALE_MS:
+        return own * (1.0 + news.others)
+    return float(max(own, report.streams))
+
+
+def choose_chain(
+    chains: Sequence[Chain],
+    estimator: ChainEstimator,
+    news: ChainNews,
+    prompt_tokens: int,
+    expected_tokens: int,
+    rng: random.Random,
+    avoid: frozenset[UpstreamId] = frozenset(),
+    samples: int = SAMPLED_CHAINS,
+) -> ChainDecision:
+    """Choose the chain with the least expected time among a few sampled ones.
+
+    Chains with an engine in `avoid` (suspected or leaving) are not considered. Chains that have a
+    cached prefix are always among the candidates.
+    """
+    usable = [c for c in chains if not avoid.intersection(c.engines)]
+    if not usable:
+        return ChainDecision(None, (), "no chain without a suspected or leaving engine")
+    picked = _sample(usable, news, rng, samples)
+    estimates = [(estimator.estimate(c, prompt_tokens, news), c) for c in picked]
+    best, chain = min(estimates, key=lambda pair: pair[0].cost_ms(expected_tokens))
+    reason = f"least expected time of {len(picked)} of {len(usable)}"
+    if any(news.cached.get(e, 0) for e in chain.engines):
+        reason += ", prefix cached"
+    return ChainDecision(chain, tuple(e for e, _ in estimates), reason)
+
+
+def _sample(
+    usable: Sequence[Chain], news: ChainNews, rng: random.Random, samples: int
+) -> list[Chain]:
+    if len(usable) <= samples:
+        return list(usable)
+    picked = rng.sample(usable, samples)
+    warm = max(usable, key=lambda c: min(news.cached.get(e, 0) for e in c.engines))
+    if warm not in picked and min(news.cached.get(e, 0) for e in warm.engines) > 0:
+        picked.append(warm)
+    return picked
--- /dev/null
+++ b/core/minttide/policy/circuit.py
@@ -0,0 +1,102 @@
+"""A circuit breaker for one upstream or engine, which closes again step by step.
+
+After the open time a single trial goes through. Each success doubles how many calls may be in
+flight, until the circuit is closed; a failure on the way opens it again for twice as long.
+"""
+
+import random
+from enum import Enum
+
+FAILURES_TO_OPEN = 3
+"""Failures in a row that open a closed circuit."""
+
+FIRST_OPEN_S = 1.0
+LONGEST_OPEN_S = 30.0
+OPEN_JITTER = 0.2
+"""The open time is spread by this share, so that daemons don't try at the same moment."""
+
+TRIALS_TO_CLOSE = 16
+"""Calls that may be in flight at which a half-open circuit counts as closed."""
+
+
+class CircuitState(Enum):
+    """How many calls a circuit lets through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class Circuit:
+    """The circuit of one upstream as one daemon sees it. Times are in seconds."""
+
+    def __init__(self, rng: random.Random):
+        self.state = CircuitState.CLOSED
+        self.in_flight = 0
+        self._rng = rng
+        self._failures = 0
+        self._open_s = FIRST_OPEN_S
+        self._until_s = 0.0
+        self._trials = 1
+        self._on_failure = {
+            CircuitState.CLOSED: self._count_failure,
+            CircuitState.HALF_OPEN: self._reopen,
+            CircuitState.OPEN: self._stay_open,
+        }
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether a call may be sent now; changes nothing."""
+        if self.state is CircuitState.OPEN:
+            return now_s >= self._until_s
+        if self.state is CircuitState.HALF_OPEN:
+            return self.in_flight < self._trials
+        return True
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return the time until the next trial may be sent, in seconds."""
+        return max(0.0, self._until_s - now_s) if self.state is CircuitState.OPEN else 0.0
+
+    def begin(self, now_s: float) -> None:
+        """Note that a call that `allows` let through is sent."""
+        if self.state is CircuitState.OPEN and now_s >= self._until_s:
+            self.state = CircuitState.HALF_OPEN
+            self._trials = 1
+        self.in_flight += 1
+
+    def end(self, now_s: float, succeeded: bool) -> None:
+        """Note how a call ended. A late answer of before the circuit opened changes nothing."""
+        self.in_flight = max(0, self.in_flight - 1)
+        if not succeeded:
+            self._on_failure[self.state](now_s)
+        elif self.state is CircuitState.HALF_OPEN:
+            self._widen()
+        elif self.state is CircuitState.CLOSED:
+            self._failures = 0
+
+    def abandon(self) -> None:
+        """Note that a call ended without telling anything of the upstream."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def _widen(self) -> None:
+        self._trials *= 2
+        if self._trials >= TRIALS_TO_CLOSE:
+            self.state = CircuitState.CLOSED
+            self._failures = 0
+            self._open_s = FIRST_OPEN_S
+
+    def _count_failure(self, now_s: float) -> None:
+        self._failures += 1
+        if self._failures >= FAILURES_TO_OPEN:
+            self._open(now_s)
+
+    def _reopen(self, now_s: float) -> None:
+        self._open_s = min(LONGEST_OPEN_S, 2 * self._open_s)
+        self._open(now_s)
+
+    def _stay_open(self, now_s: float) -> None:
+        """Ignore a failure of a call that was sent before the circuit opened."""
+
+    def _open(self, now_s: float) -> None:
+        spread = 1.0 + OPEN_JITTER * (2 * self._rng.random() - 1)
+        self.state = CircuitState.OPEN
+        self._until_s = now_s + self._open_s * spread
--- /dev/null
+++ b/core/minttide/policy/group.py
@@ -0,0 +1,118 @@
+"""Groups engines into chains: dynamic programming over cuts of an ordered list of engines.
+
+Within one zone the links are alike, so that only the set of a chain's engines matters. Engines are
+put in a few sensible orders, and each order is cut where the chains' summed scores are best.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from minttide.ids import UpstreamId
+from minttide.policy.links import Links
+from minttide.policy.speed import EngineShape, Level, Shapes
+from minttide.policy.split import Split, rate_chain
+
+MAX_STAGES = 16
+"""Engines in one chain at most."""
+
+Group = tuple[tuple[EngineShape, ...], Split]
+
+
+class ChainRater:
+    """Rates groups of engines for one service, remembering groups of engines alike."""
+
+    def __init__(
+        self,
+        shapes: Shapes,
+        levels: Mapping[UpstreamId, Level],
+        links: Links,
+        spare: float,
+    ):
+        self.shapes = shapes
+        self.levels = levels
+        self.links = links
+        self._spare = spare
+        self._classes: dict[tuple[object, ...], int] = {}
+        self._known: dict[tuple[object, ...], Split | None] = {}
+
+    def _class(self, engine: EngineShape) -> int:
+        """Return a small number that engines alike in ability and level share."""
+        name = (engine.sort_key, self.levels[engine.engine])
+        return self._classes.setdefault(name, len(self._classes))
+
+    def rate(self, engines: Sequence[EngineShape]) -> Split | None:
+        """Rate a chain of `engines` in this order, or return none where the model doesn't fit."""
+        key = tuple((self._class(e), e.zone) for e in engines)
+        if key not in self._known:
+            levels = [self.levels[e.engine] for e in engines]
+            self._known[key] = rate_chain(self.shapes, engines, levels, self.links, self._spare)
+        return self._known[key]
+
+
+def _by_kind(engines: Sequence[EngineShape], rater: ChainRater) -> list[EngineShape]:
+    return sorted(
+        engines, key=lambda e: (e.sort_key, e.zone, rater.levels[e.engine].watts, e.engine)
+    )
+
+
+def _interleaved(engines: Sequence[EngineShape], rater: ChainRater) -> list[EngineShape]:
+    """Spread each kind evenly over the list, so that every run of it holds a like mixture."""
+    kinds: dict[tuple[object, ...], list[EngineShape]] = {}
+    for engine in _by_kind(engines, rater):
+        kinds.setdefault((engine.sort_key, rater.levels[engine.engine]), []).append(engine)
+    placed = [
+        ((i + 0.5) / len(group), str(key), engine)
+        for key, group in kinds.items()
+        for i, engine in enumerate(group)
+    ]
+    return [engine for _, _, engine in sorted(placed, key=lambda p: (p[0], p[1], p[2].engine))]
+
+
+def _by_zone(engines: Sequence[EngineShape], rater: ChainRater) -> list[EngineShape]:
+    return sorted(_by_kind(engines, rater), key=lambda e: e.zone)
+
+
+def _stage_order(engines: Sequence[EngineShape]) -> tuple[EngineShape, ...]:
+    """Put engines of one zone in a common order, so that like groups are rated once."""
+    if any(e.zone != engines[0].zone for e in engines):
+        return tuple(engines)
+    return tuple(sorted(engines, key=lambda e: e.sort_key))
+
+
+def cut_into_chains(ordered: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+    """Cut `ordered` into chains, leaving engines out where that is better."""
+    best = [0.0] * (len(ordered) + 1)
+    chosen: list[Group | None] = [None] * (len(ordered) + 1)
+    for end in range(1, len(ordered) + 1):
+        best[end] = best[end - 1]
+        for start in range(max(0, end - MAX_STAGES), end):
+            engines = _stage_order(ordered[start:end])
+            split = rater.rate(engines)
+            if split is not None and best[start] + split.score > best[end]:
+                best[end] = best[start] + split.score
+                chosen[end] = (engines, split)
+    groups: list[Group] = []
+    end = len(ordered)
+    while end > 0:
+        group = chosen[end]
+        if group is None:
+            end -= 1
+            continue
+        groups.append(group)
+        end -= len(group[0])
+    return groups[::-1]
+
+
+def group_engines(engines: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+    """Group the engines of one zone, trying a few orders; returns the groups of the best."""
+    tried = [cut_into_chains(order(engines, rater), rater) for order in (_by_kind, _interleaved)]
+    return max(tried, key=total_score)
+
+
+def group_over_zones(engines: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+    """Group engines that are left over in several zones into chains that cross links."""
+    return cut_into_chains(_by_zone(engines, rater), rater)
+
+
+def total_score(groups: Sequence[Group]) -> float:
+    """Return the summed scores of groups."""
+    return sum(split.score for _, split in groups)
--- /dev/null
+++ b/core/minttide/policy/limits.py
@@ -0,0 +1,231 @@
+"""Weighted fair sharing among client accounts, deadlines and early refusal on one daemon.
+
+Each daemon shares its own capacity out by weight, without agreement: start-time fair queueing over
+the accounts that wait here. Capacity that an account leaves unused goes to the others.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+
+import msgspec
+
+from minttide.ids import AccountId, RequestId
+from minttide.outcome import Problem, ProblemType, Ran
+
+PRIORITY_WINDOW = 2_000.0
+"""How far ahead of its share a higher priority may put an account, in tokens over weight."""
+
+RATE_SMOOTHING = 0.2
+LEAST_RATE = 1.0
+"""Tokens a second assumed while nothing has been served yet."""
+
+BURST_S = 2.0
+"""Requests of an account that may come at once, in seconds of its rate."""
+
+LEAST_RETRY_S = 0.5
+MOST_RETRY_S = 60.0
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """A request that waits for capacity. `cost` is its expected tokens; times are in seconds."""
+
+    request: RequestId
+    account: AccountId
+    cost: float
+    deadline_s: float
+    priority: int = 0
+
+
+class _Line:
+    """The waiting requests of one account and how much it was served."""
+
+    def __init__(self, tag: float, weight: float):
+        self.tag = tag
+        self.weight = weight
+        self.tickets: deque[Ticket] = deque()
+        self.waiting_cost = 0.0
+
+
+class FairQueue:
+    """Requests waiting on one daemon, served by weight. Times are in seconds."""
+
+    def __init__(self, most_waiting: int, tokens_per_s: float = 0.0):
+        self._most = most_waiting
+        self._rate = tokens_per_s
+        self._lines: dict[AccountId, _Line] = {}
+        self._count = 0
+        self._virtual = 0.0
+        self._served_s: float | None = None
+
+    def __len__(self) -> int:
+        return self._count
+
+    def expected_wait_s(self, account: AccountId, weight: float) -> float:
+        """Return how long a new request of `account` would wait, in seconds."""
+        waiting = {a: line for a, line in self._lines.items() if line.tickets}
+        if not waiting:
+            return 0.0
+        own = waiting.pop(account, None)
+        own_cost = own.waiting_cost if own else 0.0
+        share_time = own_cost / weight
+        ahead = own_cost + sum(
+            min(line.waiting_cost, share_time * line.weight) for line in waiting.values()
+        )
+        return ahead / max(self._rate, LEAST_RATE)
+
+    def offer(
+        self, ticket: Ticket, weight: float, now_s: float, work_s: float = 0.0
+    ) -> Problem | None:
+        """Queue a request, or return why it is refused; a refused request was not run.
+
+        `work_s` is the expected time from the start to the first token.
+        """
+        wait_s = self.expected_wait_s(ticket.account, weight)
+        if now_s + wait_s + work_s > ticket.deadline_s:
+            return _refuse(ProblemType.DEADLINE, "the deadline can't be met", wait_s)
+        if self._count >= self._most and not self._has_room_by_share(ticket.account, weight):
+            return _refuse(ProblemType.OVERLOADED, "too many requests are waiting", wait_s)
+        line = self._line(ticket.account, weight)
+        line.tickets.append(ticket)
+        line.waiting_cost += ticket.cost
+        self._count += 1
+        return None
+
+    def _has_room_by_share(self, account: AccountId, weight: float) -> bool:
+        """Return whether an account below its share of the queue may pass the common bound.
+
+        The queue thus holds at most twice its bound, and a large account can't fill it alone.
+        """
+        weights = {a: line.weight for a, line in self._lines.items() if line.tickets}
+        weights[account] = weight
+        share = self._most * weight / sum(weights.values())
+        line = self._lines.get(account)
+        own = len(line.tickets) if line else 0
+        return own < share and self._count < 2 * self._most
+
+    def _line(self, account: AccountId, weight: float) -> _Line:
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(self._virtual, weight)
+        line.weight = weight
+        if not line.tickets:
+            line.tag = max(line.tag, self._virtual)
+        return line
+
+    def take(self, now_s: float) -> Ticket | None:
+        """Return the next request to run, or none. Call `drop_expired` before."""
+        waiting = [(line.tag, a) for a, line in self._lines.items() if line.tickets]
+        if not waiting:
+            return None
+        least = min(waiting)[0]
+        near = [(tag, a) for tag, a in waiting if tag <= least + PRIORITY_WINDOW]
+        _, _, account = min((-self._lines[a].tickets[0].priority, tag, a) for tag, a in near)
+        line = self._lines[account]
+        ticket = line.tickets.popleft()
+        line.waiting_cost -= ticket.cost
+        self._count -= 1
+        self._virtual = max(self._virtual, least)
+        line.tag += ticket.cost / line.weight
+        self._observe(ticket.cost, now_s)
+        return ticket
+
+    def _observe(self, cost: float, now_s: float) -> None:
+        if self._served_s is not None and now_s > self._served_s:
+            seen = cost / (now_s - self._served_s)
+            self._rate += RATE_SMOOTHING * (seen - self._rate)
+        self._served_s = now_s
+
+    def correct(self, account: AccountId, expected: float, used: float) -> None:
+        """Charge an account for what its request really used instead of what was expected."""
+        line = self._lines.get(account)
+        if line is not None:
+            line.tag += (used - expected) / line.weight
+
+    def remove(self, request: RequestId, account: AccountId) -> bool:
+        """Take a request out, as when its caller is gone; returns whether it was waiting."""
+        line = self._lines.get(account)
+        found = [t for t in line.tickets if t.request == request] if line else []
+        if line is None or not found:
+            return False
+        self._discard(line, found[0])
+        return True
+
+    def drop_expired(self, now_s: float) -> list[Ticket]:
+        """Take out and return the requests whose deadline has passed; none of them was run."""
+        expired = [
+            (line, t)
+            for line in self._lines.values()
+            for t in line.tickets
+            if t.deadline_s <= now_s
+        ]
+        for line, ticket in expired:
+            self._discard(line, ticket)
+        return [t for _, t in expired]
+
+    def _discard(self, line: _Line, ticket: Ticket) -> None:
+        line.tickets.remove(ticket)
+        line.waiting_cost -= ticket.cost
+        self._count -= 1
+
+    def forget_idle(self) -> None:
+        """Drop accounts that wait for nothing and are not ahead of their share."""
+        idle = [
+            a for a, line in self._lines.items() if not line.tickets and line.tag <= self._virtual
+        ]
+        for account in idle:
+            del self._lines[account]
+
+
+def _refuse(problem: ProblemType, detail: str, wait_s: float) -> Problem:
+    retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
+    return Problem(problem, HTTP_UNAVAILABLE, Ran.NOT_RUN, detail, retry_s)
+
+
+def host_share(own_per_s: float, others_per_s: float | None, hosts: int) -> float:
+    """Return this host's share of an account's limit over all `hosts`.
+
+    `others_per_s` is the account's demand elsewhere as peers hinted, or none where nothing is
+    known. An even part is always allowed, so the sum over the hosts stays below twice the limit.
+    """
+    even = 1.0 / max(1, hosts)
+    if others_per_s is None:
+        return even
+    total = own_per_s + others_per_s
+    return max(even, own_per_s / total) if total > 0 else even
+
+
+class RateLimit:
+    """A token bucket for one account's requests on one host. Times are in seconds."""
+
+    def __init__(self, now_s: float):
+        self._filled_s = now_s
+        self._saved: float | None = None
+
+    def try_take(self, per_s: float, now_s: float) -> Problem | None:
+        """Take one request out of the bucket, which fills by `per_s`, or return the refusal."""
+        most = max(1.0, per_s * BURST_S)
+        if self._saved is None:
+            self._saved = most
+        self._saved = min(most, self._saved + per_s * max(0.0, now_s - self._filled_s))
+        self._filled_s = max(now_s, self._filled_s)
+        if self._saved >= 1.0:
+            self._saved -= 1.0
+            return None
+        wait_s = (1.0 - self._saved) / per_s if per_s > 0 else MOST_RETRY_S
+        retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
+        return Problem(
+            ProblemType.OVER_LIMIT,
+            HTTP_TOO_MANY,
+            Ran.NOT_RUN,
+            "the account's rate of requests is used up",
+            retry_s,
+        )
+
+
+def sum_demand(hints: Mapping[str, Mapping[AccountId, float]], account: AccountId) -> float | None:
+    """Return an account's demand on other hosts from their hints, or none without any hint."""
+    if not hints:
+        return None
+    return sum(h.get(account, 0.0) for h in hints.values())
--- /dev/null
+++ b/core/minttide/policy/links.py
@@ -0,0 +1,56 @@
+"""Links between availability zones: latency and transfer time, as the site file rates them."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from minttide.config.service import Site
+from minttide.ids import ZoneId
+
+LOCAL_ONE_WAY_US = 100.0
+"""One-way time within an availability zone, microseconds."""
+
+LOCAL_MBIT_PER_S = 25_000.0
+UNKNOWN_ONE_WAY_US = 50_000.0
+UNKNOWN_MBIT_PER_S = 100.0
+BITS_PER_KB = 8192
+
+
+class LinkRate(msgspec.Struct, frozen=True):
+    """One direction of a link. `one_way_us` is in microseconds."""
+
+    one_way_us: float
+    mbit_per_s: float
+
+    def transfer_us(self, kilobytes: float) -> float:
+        """Return the time until all of `kilobytes` has arrived, in microseconds."""
+        return self.one_way_us + kilobytes * BITS_PER_KB / self.mbit_per_s
+
+
+LOCAL = LinkRate(LOCAL_ONE_WAY_US, LOCAL_MBIT_PER_S)
+UNKNOWN = LinkRate(UNKNOWN_ONE_WAY_US, UNKNOWN_MBIT_PER_S)
+
+
+class Links:
+    """The links of a site. `slowdown` multiplies the times of links seen to be degraded."""
+
+    def __init__(self, site: Site, slowdown: Mapping[tuple[ZoneId, ZoneId], float] | None = None):
+        self._rates: dict[tuple[ZoneId, ZoneId], LinkRate] = {}
+        for link in site.links:
+            rate = LinkRate(link.one_way_ms * 1000.0, link.mbit_per_s)
+            self._rates[link.a, link.b] = self._rates[link.b, link.a] = rate
+        for (a, b), factor in (slowdown or {}).items():
+            self.degrade(a, b, factor)
+
+    def degrade(self, a: ZoneId, b: ZoneId, factor: float) -> None:
+        """Multiply the times of the link between `a` and `b` by `factor`."""
+        rate = self.between(a, b)
+        slower = LinkRate(rate.one_way_us * factor, rate.mbit_per_s / factor)
+        self._rates[a, b] = self._rates[b, a] = slower
+
+    def between(self, a: ZoneId, b: ZoneId) -> LinkRate:
+        """Return the rate of a link; one that the site file doesn't list counts as very slow."""
+        found = self._rates.get((a, b))
+        if found is not None:
+            return found
+        return LOCAL if a == b else UNKNOWN
--- /dev/null
+++ b/core/minttide/policy/retries.py
@@ -0,0 +1,33 @@
+"""A budget for retries, so that failures of upstreams can't multiply the load on them."""
+
+RETRY_SHARE = 0.1
+"""Retries allowed for each first try."""
+
+LEAST_RETRIES_PER_S = 1.0
+"""Retries allowed each second however few first tries there are."""
+
+MOST_SAVED = 50.0
+"""Retries that can be saved up."""
+
+
+class RetryBudget:
+    """Retries that one daemon may still send to one service. Times are in seconds."""
+
+    def __init__(self, now_s: float, share: float = RETRY_SHARE):
+        self._share = share
+        self._saved = LEAST_RETRIES_PER_S
+        self._filled_s = now_s
+
+    def note_first_try(self) -> None:
+        """Count a first try, which earns part of a retry."""
+        self._saved = min(MOST_SAVED, self._saved + self._share)
+
+    def try_spend(self, now_s: float) -> bool:
+        """Take one retry out of the budget, or return false where it is used up."""
+        earned = max(0.0, now_s - self._filled_s) * LEAST_RETRIES_PER_S
+        self._filled_s = max(now_s, self._filled_s)
+        self._saved = min(MOST_SAVED, self._saved + earned)
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/core/minttide/policy/upstreams.py
@@ -0,0 +1,60 @@
+"""Choice of one upstream of a plain service."""
+
+import random
+from collections.abc import Collection, Mapping, Sequence
+
+import msgspec
+
+from minttide.config.service import Upstream
+from minttide.ids import UpstreamId, ZoneId
+from minttide.policy.circuit import Circuit
+
+AWAY_CALLS = 2
+"""Calls in flight that being in another availability zone counts for."""
+
+
+class UpstreamDecision(msgspec.Struct, frozen=True):
+    """The upstream that was chosen, the candidates, and the reason.
+
+    `retry_after_s` is set where none can be used now.
+    """
+
+    upstream: Upstream | None
+    candidates: tuple[UpstreamId, ...]
+    reason: str
+    retry_after_s: float | None = None
+
+
+def choose_upstream(
+    upstreams: Sequence[Upstream],
+    circuits: Mapping[UpstreamId, Circuit],
+    leaving: Collection[UpstreamId],
+    home: ZoneId,
+    now_s: float,
+    rng: random.Random,
+    tried: Collection[UpstreamId] = (),
+) -> UpstreamDecision:
+    """Choose the upstream with the fewest calls in flight, preferring the home zone.
+
+    Leaving upstreams, open circuits and those in `tried` are never chosen. `circuits` also counts
+    this daemon's calls in flight; an upstream without one has none.
+    """
+    present = [u for u in upstreams if u.id not in leaving]
+    if not present:
+        return UpstreamDecision(None, (), "no upstream that stays")
+    fresh = [u for u in present if u.id not in tried]
+    if not fresh:
+        return UpstreamDecision(None, (), "every upstream was tried")
+    open_to = [u for u in fresh if u.id not in circuits or circuits[u.id].allows(now_s)]
+    if not open_to:
+        wait_s = min(circuits[u.id].retry_after_s(now_s) for u in fresh)
+        return UpstreamDecision(None, (), "every circuit is open", max(wait_s, 0.1))
+
+    def cost(upstream: Upstream) -> float:
+        circuit = circuits.get(upstream.id)
+        away = 0 if upstream.zone == home else AWAY_CALLS
+        return (circuit.in_flight if circuit else 0) + away + rng.random()
+
+    chosen = min(open_to, key=cost)
+    reason = "fewest calls in flight" + ("" if chosen.zone == home else ", in another zone")
+    return UpstreamDecision(chosen, tuple(u.id for u in open_to), reason)
