Test the policies by tables and give estimators the rating of a chain

Cause: the policies had tests only for placement, and a daemon could not tell how many streams a chain of the plan carries. Change: tables for attempts, limits, circuits, entry answers, subsets, suspicion and recovery; ChainEstimator.rating, rated_streams, prefill_ms_per_token and stage_ms; has_room. Subsets are dealt out a round at a time. Conclusion: the subset was unbalanced and is mended.

--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -15,13 +15,18 @@
     level_at,
     prefill_layer_us,
     shape_engines,
+    shape_service,
 )
+from minttide.policy.split import Split, rate_chain
 from minttide.records import Assignment
 from minttide.steps import LoadReport
 
 SAMPLED_CHAINS = 3
 """Chains that are compared for one request."""
 
+ROOM_SHARE = 0.95
+"""Share of the rated streams up to which reported room is used, as reports come late."""
+
 REPORT_STALE_MS = 5_000
 """A load report older than this says nothing."""
 
@@ -135,6 +140,8 @@
         self._links = Links(site)
         self._home = home
         self._models = {s.service: s.model for s in services}
+        self._figures = {s.service: shape_service(s) for s in services}
+        self._ratings: dict[Chain, Split | None] = {}
         self._shapes: dict[UpstreamId, EngineShape] = {
             shape.engine: shape for s in services for shape in shape_engines(site, s.engines)
         }
@@ -144,6 +151,49 @@
         """Return the links, which can be marked as degraded."""
         return self._links
 
+    def rating(self, chain: Chain) -> Split | None:
+        """Return what the chain does at its rated load, or none where it can't serve at all."""
+        if chain not in self._ratings:
+            self._ratings[chain] = self._rate(chain)
+        return self._ratings[chain]
+
+    def _rate(self, chain: Chain) -> Split | None:
+        if any(s.engine not in self._shapes for s in chain.stages):
+            return None
+        engines = [self._shapes[s.engine] for s in chain.stages]
+        levels = [level_at(e, stage.watts) for e, stage in zip(engines, chain.stages, strict=True)]
+        layers = [s.last - s.first for s in chain.stages]
+        figures = self._figures[chain.service]
+        return rate_chain(figures, engines, levels, self._links, 1.0, layers)
+
+    def rated_streams(self, chain: Chain) -> int:
+        """Return how many streams the chain carries within the time between tokens."""
+        split = self.rating(chain)
+        return split.streams if split else 0
+
+    def prefill_ms_per_token(self, chain: Chain) -> float:
+        """Return the time of the slowest stage for one prompt token, in milliseconds."""
+        model = self._models[chain.service]
+        shapes = ((self._shapes.get(s.engine), s) for s in chain.stages)
+        return max(
+            (
+                (s.last - s.first) * prefill_layer_us(e, level_at(e, s.watts), model) / 1000.0
+                if e
+                else float("inf")
+            )
+            for e, s in shapes
+        )
+
+    def stage_ms(self, chain: Chain, stage: int, streams: float, prompt_tokens: int = 0) -> float:
+        """Return the expected time of one step of one stage, in milliseconds."""
+        part = chain.stages[stage]
+        shape = self._shapes[part.engine]
+        model = self._models[chain.service]
+        level = level_at(shape, part.watts)
+        layer_us = decode_layer_us(shape, level, model, streams)
+        layer_us += prompt_tokens * prefill_layer_us(shape, level, model)
+        return (part.last - part.first) * layer_us / 1000.0
+
     def kv_transfer_ms(
         self, service: ServiceName, source: UpstreamId, stage: Stage, tokens: int
     ) -> float:
@@ -191,6 +241,20 @@
     return float(max(own, report.streams))
 
 
+def has_room(chain: Chain, estimator: ChainEstimator, news: ChainNews, followers: int) -> bool:
+    """Return whether this daemon may start one more stream on `chain`.
+
+    It may while its own streams are below its even part of the rated streams, and beyond that
+    while fewer than the rated streams are believed to be there.
+    """
+    rated = estimator.rated_streams(chain)
+    head = chain.engines[0]
+    if news.own_streams.get(head, 0) < rated / max(1, followers):
+        return True
+    busiest = max(estimate_streams(e, news) for e in chain.engines)
+    return busiest + 1 <= rated * ROOM_SHARE
+
+
 def choose_chain(
     chains: Sequence[Chain],
     estimator: ChainEstimator,
--- a/core/minttide/policy/subset.py
+++ b/core/minttide/policy/subset.py
@@ -36,7 +36,7 @@
     most = ceil(len(hosts) * size / len(chains))
     followers = dict.fromkeys(chains, 0)
     pairs = sorted((_rank(h, c), h, c) for h in hosts for c in chains)
-    for limit in (1, most):
+    for limit in range(1, most + 1):
         for _, host, chain in pairs:
             if followers[chain] < limit and len(table[host]) < size and chain not in table[host]:
                 table[host].append(chain)
--- /dev/null
+++ b/test/test_policy_chains.py
@@ -0,0 +1,203 @@
+"""Chains: which are whole, which is chosen, who follows them, suspicion and recovery."""
+
+import random
+
+import pytest
+
+from measure.sites import bureau
+from minttide.ids import ChainId, HostId, RequestId, UpstreamId, ZoneId
+from minttide.policy.chains import ChainEstimator, ChainNews, chains_of, choose_chain
+from minttide.policy.placement import plan_site
+from minttide.policy.recovery import KvExport, RecoveryPacer, ResumeWay, Stalled, choose_resume
+from minttide.policy.subset import spread_evenly, subset_for
+from minttide.policy.suspicion import Health, Suspicion
+from minttide.records import Assignment
+from minttide.steps import LoadReport
+
+SITE, SERVICES = bureau(1)
+PLAN = plan_site(SITE, SERVICES, {})
+ZONES = {e.id: e.zone for e in SERVICES[0].engines}
+CHAINS = chains_of(PLAN.assignments, ZONES, {SERVICES[0].service: 48})
+ESTIMATOR = ChainEstimator(SITE, SERVICES, ZoneId("a"))
+
+
+def assign(engine, first, last, chain="c1", version="v1"):
+    return Assignment(UpstreamId(engine), "drafts", version, first, last, 100, chain)
+
+
+@pytest.mark.parametrize(
+    ("assignments", "count"),
+    [
+        ([assign("e2", 4, 8), assign("e1", 0, 4)], 1),
+        ([assign("e1", 0, 4)], 0),
+        ([assign("e1", 0, 4), assign("e2", 5, 8)], 0),
+        ([assign("e1", 0, 5), assign("e2", 4, 8)], 0),
+        ([assign("e1", 1, 8)], 0),
+        ([assign("e1", 0, 4), assign("e2", 4, 8, version="v2")], 0),
+        ([assign("e1", 0, 8, chain=""), assign("e2", 0, 0)], 0),
+    ],
+)
+def test_only_whole_chains_count(assignments, count):
+    assert len(chains_of(assignments, {}, {"drafts": 8})) == count
+
+
+def test_estimate_reacts_to_load_cache_and_slow_stages():
+    chain = CHAINS[0]
+    engines = chain.engines
+    idle = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0))
+    busy = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0, own_streams=dict.fromkeys(engines, 50)))
+    cached = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0, cached=dict.fromkeys(engines, 900)))
+    gap = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0, cached={engines[0]: 900}))
+    slow = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0, step_factor={engines[1]: 4.0}))
+    report = LoadReport(engines[0], 0, 50, 0, 1.0, 1.0)
+    loaded = ESTIMATOR.estimate(chain, 1000, ChainNews(0.0, reports={engines[0]: report}))
+    stale = ESTIMATOR.estimate(chain, 1000, ChainNews(60_000.0, reports={engines[0]: report}))
+    assert busy.between_tokens_ms > idle.between_tokens_ms
+    assert cached.first_token_ms < 0.5 * idle.first_token_ms
+    assert gap.first_token_ms == idle.first_token_ms
+    assert slow.between_tokens_ms > idle.between_tokens_ms
+    assert loaded.between_tokens_ms > idle.between_tokens_ms == stale.between_tokens_ms
+
+
+@pytest.mark.parametrize("case", ["load", "avoid", "cache", "none"])
+def test_choice_of_a_chain(case):
+    rng = random.Random(1)
+    first = choose_chain(CHAINS, ESTIMATOR, ChainNews(0.0), 500, 100, rng, samples=99).chain
+    news, avoid = ChainNews(0.0), frozenset()
+    if case == "load":
+        news = ChainNews(0.0, own_streams=dict.fromkeys(first.engines, 2_000))
+    elif case == "avoid":
+        avoid = frozenset(first.engines[:1])
+    elif case == "none":
+        avoid = frozenset(c.engines[0] for c in CHAINS)
+    else:
+        news = ChainNews(0.0, cached=dict.fromkeys(first.engines, 500))
+    found = choose_chain(CHAINS, ESTIMATOR, news, 500, 100, rng, avoid, samples=2)
+    if case == "none":
+        assert (found.chain, found.candidates) == (None, ())
+    elif case == "cache":
+        assert found.chain == first
+    else:
+        found = choose_chain(CHAINS, ESTIMATOR, news, 500, 100, rng, avoid, samples=99)
+        assert found.chain not in (None, first)
+        assert len(found.candidates) == len(CHAINS) - (case == "avoid")
+    assert found.reason
+
+
+@pytest.mark.parametrize(
+    ("hosts", "chains", "size"), [(9, 7, 8), (44, 60, 8), (3, 60, 8), (44, 5, 4)]
+)
+def test_subsets_are_balanced_complete_and_stable(hosts, chains, size):
+    names = [HostId(f"h{i}") for i in range(hosts)]
+    ids = [ChainId(f"c{i}") for i in range(chains)]
+    table = spread_evenly(names, ids, size)
+    followers = {c: sum(c in t for t in table.values()) for c in ids}
+    sizes = [len(t) for t in table.values()]
+    assert min(followers.values()) >= 1
+    assert max(followers.values()) - min(followers.values()) <= 2
+    assert max(sizes) - min(sizes) <= 1
+    after = spread_evenly(names[1:], ids, size)
+    lost = sum(len(set(table[h]) - set(after[h])) for h in names[1:])
+    assert lost <= 0.25 * sum(sizes)
+
+
+def test_host_follows_chains_of_its_own_zone_first():
+    hosts = {HostId(f"h{i}"): ZoneId("abc"[i % 3]) for i in range(9)}
+    found = subset_for(HostId("h0"), hosts, CHAINS)
+    assert {c.id for c in CHAINS if c.stages[0].zone == "a"} <= {c.id for c in found}
+    assert any(c.stages[0].zone != "a" for c in found)
+
+
+def watch(engines, steps=40, factor=1.0, into=None, seed=1):
+    rng = random.Random(seed)
+    suspicion = into or Suspicion()
+    for _ in range(steps):
+        for engine in engines:
+            suspicion.observe(engine, 10.0, 10.0 * factor * rng.uniform(0.9, 1.1))
+    return suspicion
+
+
+def test_patience_follows_what_was_seen():
+    unknown = Suspicion().patience_ms(UpstreamId("e"), 10.0)
+    steady = watch(["e"]).patience_ms(UpstreamId("e"), 10.0)
+    slow = watch(["e"], factor=12.0).patience_ms(UpstreamId("e"), 10.0)
+    prefill = watch(["e"]).patience_ms(UpstreamId("e"), 600.0)
+    assert steady <= unknown
+    assert steady <= 0.1 * 730
+    assert slow > 120.0
+    assert 1_200 < prefill <= 2_600.0
+
+
+def test_slow_engine_and_degraded_link_are_told_apart():
+    zones = {f"{z}{i}": ZoneId(z) for z in "ab" for i in range(3)}
+    one_slow = watch(["a0", "a1", "b0", "b1", "b2"])
+    watch(["a2"], factor=5.0, into=one_slow)
+    assert one_slow.health("a2") is Health.SLOW
+    assert one_slow.health("a1") is Health.GOOD
+    assert one_slow.degraded_links(zones) == []
+    link = watch(["a0", "a1", "a2"])
+    watch(["b0", "b1", "b2"], factor=5.0, into=link)
+    assert [d.zone for d in link.degraded_links(zones)] == ["b"]
+    link.suspect("a0")
+    assert (link.health("a0"), link.suspected) == (Health.SUSPECT, {"a0"})
+    link.observe("a0", 10.0, 10.0)
+    assert link.suspected == set()
+
+
+@pytest.mark.parametrize(
+    ("tokens", "exports", "way"),
+    [
+        (4000, "whole", ResumeWay.IMPORT),
+        (4000, "part", ResumeWay.PREFILL),
+        (4000, "old", ResumeWay.PREFILL),
+        (4, "whole", ResumeWay.PREFILL),  # a short prefill is sooner than an import
+        (4000, "none", ResumeWay.PREFILL),
+    ],
+)
+def test_resume_takes_the_sooner_way(tokens, exports, way):
+    chain = CHAINS[0]
+    source = CHAINS[1].engines[0]
+    kept = {"whole": chain.stages, "old": chain.stages, "part": chain.stages[1:], "none": ()}
+    covered = 1 if exports == "old" else tokens
+    found = [KvExport("k", source, s.first, s.last, covered) for s in kept[exports]]
+    resume = choose_resume([chain], ESTIMATOR, ChainNews(0.0), tokens, "v1", found)
+    assert resume.way is way
+    assert len(resume.handles) == (len(chain.stages) if way is ResumeWay.IMPORT else 0)
+
+
+def test_resume_needs_the_same_version_and_a_chain_that_lives():
+    news = ChainNews(0.0)
+    assert choose_resume(CHAINS, ESTIMATOR, news, 10, "v2") is None
+    heads = {c.engines[0] for c in CHAINS}
+    assert choose_resume(CHAINS, ESTIMATOR, news, 10, "v1", avoid=heads) is None
+
+
+def stalled(number, tokens=100, priority=0, since_ms=0.0):
+    return Stalled(RequestId(f"r{number}"), tokens, priority, since_ms)
+
+
+def test_recovery_is_ordered_and_paced():
+    pacer = RecoveryPacer(backlog_ms=50.0)
+    for s in (stalled(1, since_ms=5.0), stalled(2, 50), stalled(3), stalled(4, 1, 9, 9.0)):
+        pacer.add(s)
+    speeds = {ChainId("c1"): 0.4}
+    started = [pacer.next(speeds) for _ in range(4)]
+    assert [s.stalled.request if s else None for s in started] == ["r4", "r2", "r3", None]
+    pacer.finish(RequestId("r3"))
+    assert pacer.next(speeds).stalled.request == "r1"
+    assert len(pacer) == 0
+
+
+def test_stream_that_fails_again_keeps_its_place_and_leaves_no_backlog():
+    pacer = RecoveryPacer(backlog_ms=10.0)
+    pacer.add(stalled(1, since_ms=0.0))
+    assert pacer.next({ChainId("c1"): 1.0}).chain == "c1"
+    pacer.add(stalled(2, since_ms=3.0))
+    assert pacer.next({ChainId("c1"): 1.0}) is None
+    pacer.drop_chain(ChainId("c1"))
+    pacer.add(stalled(1, since_ms=7.0))
+    started = pacer.next({ChainId("c2"): 1.0})
+    assert (started.stalled.request, started.stalled.since_ms) == ("r1", 0.0)
+    pacer.finish(RequestId("r1"))
+    assert pacer.next({ChainId("c2"): 1.0}).stalled.request == "r2"
+    assert pacer.next({}) is None
--- /dev/null
+++ b/test/test_policy_limits.py
@@ -0,0 +1,229 @@
+"""Limits, retries, circuits, upstreams and entry answers."""
+
+import random
+
+import msgspec
+import pytest
+
+from measure.sites import build_site
+from minttide.config.service import Upstream
+from minttide.ids import AccountId, Address, HostId, Offset, RequestId, UpstreamId, ZoneId
+from minttide.interfaces import MemberView
+from minttide.outcome import ProblemType, Ran
+from minttide.policy.circuit import TRIALS_TO_CLOSE, Circuit, CircuitState
+from minttide.policy.entry import answer_where
+from minttide.policy.limits import FairQueue, RateLimit, Ticket, host_share, sum_demand
+from minttide.policy.retries import RetryBudget
+from minttide.policy.upstreams import choose_upstream
+
+
+def ticket(number, account="a", cost=100.0, deadline_s=1e9, priority=0):
+    return Ticket(RequestId(f"r{number}"), AccountId(account), cost, deadline_s, priority)
+
+
+@pytest.mark.parametrize(
+    ("weights", "asked", "served", "wanted"),
+    [
+        ({"a": 1, "b": 1}, {"a": 100, "b": 100}, 40, {"a": 20, "b": 20}),
+        ({"a": 3, "b": 1}, {"a": 100, "b": 100}, 40, {"a": 30, "b": 10}),
+        ({"a": 1, "b": 1}, {"a": 200, "b": 10}, 40, {"a": 30, "b": 10}),  # b asks for less
+    ],
+)
+def test_served_work_follows_the_weights(weights, asked, served, wanted):
+    queue = FairQueue(1000, 1e9)
+    for account, count in asked.items():
+        for i in range(count):
+            assert queue.offer(ticket(i, account), weights[account], 0.0) is None
+    taken = [queue.take(0.0).account for _ in range(served)]
+    assert {a: taken.count(a) for a in weights} == wanted
+
+
+def test_account_that_was_idle_saves_nothing_up():
+    queue = FairQueue(1000, 1e9)
+    for i in range(50):
+        queue.offer(ticket(i, "a"), 1.0, 0.0)
+    for _ in range(20):
+        queue.take(0.0)
+    for i in range(50):
+        queue.offer(ticket(i, "b"), 1.0, 0.0)
+    taken = [queue.take(0.0).account for _ in range(20)]
+    assert 9 <= taken.count("b") <= 11
+
+
+def test_priority_runs_first_but_stays_within_its_share():
+    queue = FairQueue(1000, 1e9)
+    for i in range(200):
+        queue.offer(ticket(i, "low", 200.0), 1.0, 0.0)
+        queue.offer(ticket(i, "high", 200.0, priority=5), 1.0, 0.0)
+    taken = [queue.take(0.0).account for _ in range(200)]
+    assert set(taken[:8]) == {"high"}
+    assert taken.count("low") >= 90
+
+
+@pytest.mark.parametrize(
+    ("deadline_s", "most", "problem"),
+    [(4.0, 100, ProblemType.DEADLINE), (100.0, 10, ProblemType.OVERLOADED), (100.0, 100, None)],
+)
+def test_request_that_can_not_be_met_is_refused_as_not_run(deadline_s, most, problem):
+    queue = FairQueue(most, tokens_per_s=200.0)
+    for i in range(10):
+        queue.offer(ticket(i), 1.0, 0.0)
+    refused = queue.offer(ticket(99, deadline_s=deadline_s), 1.0, 0.0)
+    if problem is None:
+        assert refused is None
+        return
+    assert (refused.type, refused.ran) == (problem, Ran.NOT_RUN)
+    assert refused.retry_after_s == pytest.approx(5.0)
+
+
+def test_full_queue_still_has_room_for_a_small_account():
+    queue = FairQueue(10, 1e9)
+    for i in range(10):
+        assert queue.offer(ticket(i, "large"), 1.0, 0.0) is None
+    assert queue.offer(ticket(10, "large"), 1.0, 0.0) is not None
+    assert queue.offer(ticket(11, "small"), 1.0, 0.0) is None
+    assert len(queue) == 11
+
+
+def test_expired_and_removed_requests_are_never_run():
+    queue = FairQueue(10, 1e9)
+    for i in range(3):
+        queue.offer(ticket(i, deadline_s=1.0 + i), 1.0, 0.0)
+    assert [t.request for t in queue.drop_expired(1.5)] == ["r0"]
+    assert queue.remove(RequestId("r1"), AccountId("a"))
+    assert not queue.remove(RequestId("r1"), AccountId("a"))
+    assert queue.take(1.5).request == "r2"
+    assert queue.take(1.5) is None
+    queue.forget_idle()
+
+
+def test_rate_limit_refuses_and_says_when_to_come_back():
+    limit = RateLimit(0.0)
+    assert [limit.try_take(1.0, 0.0) is None for _ in range(3)] == [True, True, False]
+    refused = limit.try_take(1.0, 0.25)
+    assert (refused.type, refused.retry_after_s) == (ProblemType.OVER_LIMIT, 0.75)
+    assert limit.try_take(1.0, 1.0) is None
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "hosts", "share"),
+    [(5.0, None, 8, 0.125), (5.0, 0.0, 8, 1.0), (5.0, 15.0, 8, 0.25), (0.0, 15.0, 8, 0.125)],
+)
+def test_share_of_a_limit(own, others, hosts, share):
+    assert host_share(own, others, hosts) == share
+    account = AccountId("a")
+    hints = {} if others is None else {"h2": {account: others}, "h3": {}}
+    assert sum_demand(hints, account) == others
+
+
+def test_retries_stay_within_the_budget():
+    budget = RetryBudget(0.0, share=0.125)
+    for _ in range(100):
+        budget.note_first_try()
+    assert sum(budget.try_spend(0.0) for _ in range(100)) == 13
+    assert sum(budget.try_spend(3.0) for _ in range(100)) == 3
+
+
+def open_circuit(now_s=0.0):
+    circuit = Circuit(random.Random(1))
+    for _ in range(3):
+        circuit.begin(now_s)
+        circuit.end(now_s, False)
+    return circuit
+
+
+def test_circuit_opens_and_closes_step_by_step():
+    circuit = open_circuit()
+    assert circuit.state is CircuitState.OPEN
+    assert not circuit.allows(0.5)
+    now, widths = 2.0, []
+    while circuit.state is not CircuitState.CLOSED:
+        width = 0
+        while circuit.allows(now) and width < 2 * TRIALS_TO_CLOSE:
+            circuit.begin(now)
+            width += 1
+        widths.append(width)
+        for _ in range(width):
+            circuit.end(now, True)
+            if circuit.state is CircuitState.CLOSED:
+                break
+    assert widths[0] == 1
+    assert widths == sorted(widths)
+
+
+def test_failed_trial_keeps_the_circuit_open_for_longer():
+    circuit, now, waits = open_circuit(), 0.0, []
+    for _ in range(8):
+        wait = circuit.retry_after_s(now)
+        waits.append(wait)
+        now += wait
+        assert circuit.allows(now)
+        circuit.begin(now)
+        assert not circuit.allows(now)
+        circuit.end(now, False)
+    assert waits[1] > 1.3 * waits[0]
+    assert max(waits) <= 36.0
+
+
+@pytest.mark.parametrize(
+    ("leaving", "opened", "tried", "busy", "chosen"),
+    [
+        (set(), set(), set(), {}, "u1"),  # home zone
+        (set(), set(), set(), {"u1": 9}, "u2"),
+        ({"u1"}, set(), set(), {}, "u2"),
+        (set(), {"u1"}, set(), {}, "u2"),
+        (set(), set(), {"u1"}, {}, "u2"),
+        ({"u1", "u2"}, set(), set(), {}, None),
+        (set(), {"u1", "u2"}, set(), {}, None),
+        (set(), set(), {"u1", "u2"}, {}, None),
+    ],
+)
+def test_choice_of_an_upstream(leaving, opened, tried, busy, chosen):
+    rng = random.Random(1)
+    upstreams = [
+        Upstream(UpstreamId(u), Address("127.0.0.1:1"), ZoneId(z))
+        for u, z in (("u1", "a"), ("u2", "b"))
+    ]
+    circuits = {u: open_circuit() for u in opened}
+    for upstream, count in busy.items():
+        circuits[upstream] = Circuit(rng)
+        for _ in range(count):
+            circuits[upstream].begin(0.0)
+    found = choose_upstream(upstreams, circuits, leaving, ZoneId("a"), 0.1, rng, tried)
+    assert (found.upstream.id if found.upstream else None) == chosen
+    assert found.reason
+    assert bool(found.retry_after_s) == (len(opened) == 2)
+
+
+def member(name, zone="a", load=0.0, **changes):
+    view = MemberView(
+        HostId(name), 1, ZoneId(zone), Address(name), Address(name), False, False, load, Offset(0)
+    )
+    return msgspec.structs.replace(view, **changes)
+
+
+@pytest.mark.parametrize(
+    ("members", "wanted", "keep_s"),
+    [
+        ([member("b1", "b"), member("a1")], ["a1", "b1"], 10.0),
+        ([member("a1", leaving=True), member("b1", "b")], ["b1"], 10.0),
+        ([member("a1", load=0.95), member("b1", "b")], ["b1", "a1"], 10.0),
+        ([member("a1", suspect=True), member("b1", "b", load=0.95)], ["b1", "a1"], 5.0),
+        ([member("a1", leaving=True)], [], 10.0),
+    ],
+)
+def test_entry_answers(members, wanted, keep_s):
+    answer = answer_where(members, ZoneId("a"), 10.0, build_site(1), random.Random(1))
+    assert answer.addresses == wanted
+    assert answer.keep_s == keep_s
+
+
+def test_callers_that_keep_answers_are_spread_by_free_load():
+    rng = random.Random(1)
+    members = [member("a1", load=0.0), member("a2", load=0.5), member("a3", load=0.75)]
+    firsts = [
+        answer_where(members, ZoneId("a"), 10.0, build_site(1), rng).addresses[0]
+        for _ in range(2_000)
+    ]
+    counts = [firsts.count(m.callers) for m in members]
+    assert counts[0] > 1.6 * counts[1] > 2.4 * counts[2] > 300
