Decide placements by the holder of a lease in the log

Cause: nothing took the lease, planned, ordered engines or followed the plan. Controller appends a plan, orders engines (lower first, the lease looked at just before each order), confirms what was read back, and orders again what differs. Engines that ignore fencing are pinned to their highest power level.

--- /dev/null
+++ b/daemon/minttided/controller.py
@@ -0,0 +1,315 @@
+"""The decider of a placement domain: plans, orders engines, reads back, confirms, repairs.
+
+It acts only while its host holds the domain's lease. Orders are absolute and carry the offset of
+their accepted plan as fencing number. The clock is looked at again just before each order.
+"""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+import msgspec
+
+from minttide.config.service import Engine, Site
+from minttide.ids import ModelVersion, Offset, UpstreamId
+from minttide.interfaces import (
+    EngineError,
+    LogUnavailableError,
+    LogUncertainError,
+    StaleFencingError,
+)
+from minttide.records import Assignment, Body, Confirmation, EngineWatts, Plan
+from minttide.steps import EngineState, Order
+from minttided.lease_holder import LeaseHolder
+from minttided.node import Node
+from minttided.placement_view import PlacementView
+from minttided.planning import ChangeStep, Planner, StepWait
+from minttided.streams import seal
+
+log = logging.getLogger(__name__)
+
+ROUND_S = 0.5
+"""Longest time between two rounds of the controller, in seconds."""
+
+ORDER_TIMEOUT_S = 3.0
+MAX_ORDERS_OPEN = 16
+APPEND_TIMEOUT_S = 3.0
+
+WAIT_LIMIT_S = {
+    StepWait.CONFIRMED: 5.0,
+    StepWait.DRAINED: 60.0,
+    StepWait.LOADED: 120.0,
+}
+"""How long a step may take before the next is tried all the same, in seconds."""
+
+DRAIN_MIN_S = 3.0
+"""Shortest wait for retired chains, in seconds: load reports lag, and hosts read plans late."""
+
+
+class _Trigger(msgspec.Struct, frozen=True):
+    """What a wanted plan was made from; another value asks for another plan."""
+
+    config: Offset
+    term: Offset
+    lost: frozenset[UpstreamId]
+    leaving: frozenset[UpstreamId]
+
+
+class Controller:
+    """Places the domain while its host holds the lease. Use as an async context manager."""
+
+    def __init__(self, node: Node, view: PlacementView, lease: LeaseHolder, planner: Planner):
+        self._node = node
+        self._view = view
+        self._lease = lease
+        self._planner = planner
+        self._trigger: _Trigger | None = None
+        self._wanted: tuple[Assignment, ...] = ()
+        self._wait: StepWait | None = None
+        self._wait_since = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "Controller":
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except (LogUnavailableError, LogUncertainError, TimeoutError) as exc:
+                log.info("placement record not settled", extra={"error": str(exc)})
+            except Exception as exc:
+                log.warning("placement round failed", extra={"error": repr(exc)})
+            await asyncio.sleep(0)
+            await self._view.wait_change(ROUND_S)
+
+    async def _round(self) -> None:
+        cfg = self._node.config
+        site = cfg.site
+        if not self._lease.holds() or site is None or cfg.stopped_at is not None:
+            self._trigger = None
+            return
+        await self._carry_out()
+        self._plan_if_changed(site)
+        if self._is_step_done():
+            await self._take_next_step(site)
+
+    # Planning.
+
+    def _plan_if_changed(self, site: Site) -> None:
+        states = self._view.poller.states
+        leaving = frozenset(e for e, s in states.items() if s.leaving)
+        term = self._lease.term
+        assert term is not None
+        lost = self._view.poller.lost()
+        trigger = _Trigger(self._node.config.applied, term, lost, leaving)
+        if trigger == self._trigger:
+            return
+        previous = self._view.assignments()
+        wanted = self._planner.plan(site, self._view.models(), states, previous, lost)
+        self._wanted = tuple(self._pin_power(site, a) for a in wanted.assignments)
+        self._trigger = trigger
+        self._start_wait(StepWait.DRAINED if self._is_retiring() else None)
+        log.info(
+            "placement decided",
+            extra={
+                "chosen": len(self._wanted),
+                "lost": ",".join(sorted(lost)),
+                "watts": sum(a.watts for a in self._wanted),
+                "why": wanted.reason,
+            },
+        )
+
+    def _pin_power(self, site: Site, assignment: Assignment) -> Assignment:
+        """Keep an engine that ignores fencing at its highest level, so no late order raises it."""
+        engine = self._view.engines().get(assignment.engine)
+        if engine is None or engine.checks_fencing:
+            return assignment
+        levels = {k.name: k.power[-1].watts for k in site.accelerators}
+        highest = levels.get(engine.accelerator, assignment.watts)
+        return msgspec.structs.replace(assignment, watts=max(assignment.watts, highest))
+
+    async def _take_next_step(self, site: Site) -> None:
+        current = tuple(self._view.assignments())
+        steps = self._planner.steps(current, self._wanted, site.power_cap_watts)
+        step = next((s for s in steps if s.assignments != current), None)
+        if step is None:
+            return
+        # Set before the append, whose answer may be lost after the plan came into force.
+        self._start_wait(step.wait)
+        if await self._append_plan(site, step):
+            await self._carry_out()
+
+    async def _append_plan(self, site: Site, step: ChangeStep) -> bool:
+        fold = self._view.fold
+        term = self._lease.term
+        if term is None or not self._lease.holds():
+            return False
+        placed = {a.engine for a in step.assignments}
+        gone = sorted(set(fold.reserved) - placed - set(self._view.engines()))
+        plan = Plan(term, fold.plan_offset, list(step.assignments), site.power_cap_watts, gone)
+        await self._append(plan)
+        accepted = fold.plan == plan
+        log.info(
+            "plan appended",
+            extra={"accepted": accepted, "offset": fold.plan_offset, "why": step.reason},
+        )
+        return accepted
+
+    async def _append(self, body: Body) -> None:
+        async with asyncio.timeout(APPEND_TIMEOUT_S):
+            offset = await self._view.follower.append(seal(self._node, body))
+            await self._view.follower.wait_applied(offset)
+
+    # Orders.
+
+    async def _carry_out(self) -> None:
+        """Order every engine that differs from the plan, lower first, and confirm."""
+        due = [a for a in self._view.assignments() if self._needs_order(a)]
+        lower = [a for a in due if not self._is_raise(a)]
+        raises = [a for a in due if self._is_raise(a)]
+        await self._order_all(lower)
+        await self._confirm()
+        await self._order_all(raises)
+        await self._confirm()
+
+    def _needs_order(self, assignment: Assignment) -> bool:
+        engine = self._view.engines().get(assignment.engine)
+        if engine is None or assignment.engine in self._view.poller.lost():
+            return False
+        state = self._view.state(assignment.engine)
+        if state is None or not _matches(state, assignment):
+            return True
+        unconfirmed = self._view.fold.reserved.get(engine.id) != assignment.watts
+        return engine.checks_fencing and unconfirmed and state.fencing < self._view.offset
+
+    def _is_raise(self, assignment: Assignment) -> bool:
+        state = self._view.state(assignment.engine)
+        return state is not None and state.watts < assignment.watts
+
+    async def _order_all(self, assignments: Sequence[Assignment]) -> None:
+        slots = asyncio.Semaphore(MAX_ORDERS_OPEN)
+        fencing = self._view.offset
+
+        async def order(assignment: Assignment) -> None:
+            async with slots:
+                await self._order(assignment, fencing)
+
+        await asyncio.gather(*(order(a) for a in assignments))
+
+    async def _order(self, assignment: Assignment, fencing: Offset) -> None:
+        engine = self._view.engines().get(assignment.engine)
+        if engine is None or not self._lease.holds() or fencing != self._view.offset:
+            return
+        order = Order(
+            fencing,
+            assignment.service,
+            ModelVersion(assignment.version),
+            assignment.first,
+            assignment.last,
+            assignment.watts,
+        )
+        result = await self._send(engine, order)
+        log.info(
+            "engine ordered",
+            extra={
+                "engine": engine.id,
+                "fencing": fencing,
+                "layers": f"{order.first}-{order.last}",
+                "watts": order.watts,
+                "result": result,
+            },
+        )
+
+    async def _send(self, engine: Engine, order: Order) -> str:
+        client = self._node.clients.engine(engine.id, engine.address)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                self._view.poller.note_state(await client.order(order))
+        except StaleFencingError:
+            return "refused: a newer order was taken"
+        except (EngineError, TimeoutError) as exc:
+            # The order may have been taken; the next round reads the engine and orders again.
+            self._view.poller.note_failure(engine.id)
+            self._view.poller.hurry(engine.id)
+            return f"no answer: {exc}"
+        return "taken"
+
+    async def _confirm(self) -> None:
+        rows = [
+            EngineWatts(a.engine, self._view.offset, a.watts)
+            for a in self._view.assignments()
+            if self._is_unconfirmed(a)
+        ]
+        term = self._lease.term
+        if rows and term is not None and self._lease.holds():
+            await self._append(Confirmation(term, rows))
+
+    def _is_unconfirmed(self, assignment: Assignment) -> bool:
+        engine = self._view.engines().get(assignment.engine)
+        state = self._view.state(assignment.engine)
+        if engine is None or state is None or not engine.checks_fencing:
+            return False
+        read_back = state.fencing == self._view.offset and state.watts == assignment.watts
+        return read_back and self._view.fold.reserved.get(engine.id) != assignment.watts
+
+    # Waiting for a step.
+
+    def _is_retiring(self) -> bool:
+        return any(a.last > a.first and not a.chain for a in self._view.assignments())
+
+    def _start_wait(self, wait: StepWait | None) -> None:
+        self._wait = wait
+        self._wait_since = self._now()
+
+    def _is_step_done(self) -> bool:
+        if self._wait is None or self._now() >= self._wait_since + WAIT_LIMIT_S[self._wait]:
+            return True
+        done = {
+            StepWait.CONFIRMED: self._is_confirmed,
+            StepWait.DRAINED: self._is_drained,
+            StepWait.LOADED: self._is_loaded,
+        }
+        left = [a.engine for a in self._reachable() if not done[self._wait](a)]
+        for engine in left:
+            self._view.poller.hurry(engine)
+        return not left
+
+    def _reachable(self) -> list[Assignment]:
+        lost = self._view.poller.lost()
+        return [a for a in self._view.assignments() if a.engine not in lost]
+
+    def _is_confirmed(self, assignment: Assignment) -> bool:
+        return self._view.fold.reserved.get(assignment.engine) == assignment.watts
+
+    def _is_drained(self, assignment: Assignment) -> bool:
+        if assignment.chain:
+            return True
+        if self._now() < self._wait_since + DRAIN_MIN_S:
+            return False
+        report = self._view.report(assignment.engine)
+        return report is not None and report.streams == 0
+
+    def _is_loaded(self, assignment: Assignment) -> bool:
+        state = self._view.state(assignment.engine)
+        return state is not None and _matches(state, assignment) and not state.loading
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _matches(state: EngineState, assignment: Assignment) -> bool:
+    held = (state.service, state.version, state.first, state.last, state.watts)
+    return held == (
+        assignment.service,
+        assignment.version,
+        assignment.first,
+        assignment.last,
+        assignment.watts,
+    )
--- a/daemon/minttided/key_shard.py
+++ b/daemon/minttided/key_shard.py
@@ -8,13 +8,13 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Coroutine, Sequence
-from contextlib import AbstractAsyncContextManager, AsyncExitStack
-from typing import Any, Protocol
+from collections.abc import Coroutine, Sequence
+from contextlib import AsyncExitStack
+from typing import Any
 
-from minttide.agree.fold import Decision, Fold, Verdict
+from minttide.agree.fold import Decision, Verdict
 from minttide.agree.keys import KeyEntry, KeyFold, KeyStatus, key_name
-from minttide.ids import ClaimId, Offset, RequestId, StreamName, key_stream
+from minttide.ids import ClaimId, RequestId, key_stream
 from minttide.interfaces import LogUnavailableError, LogUncertainError, UpstreamReply
 from minttide.outcome import ProblemType, Ran, RequestError
 from minttide.records import Answer, Claim, KeyChange, Withdrawal
@@ -22,6 +22,7 @@
 from minttided.key_batch import BatchFullError, KeyBatcher
 from minttided.keyed_request import KeyedRequest
 from minttided.node import Node
+from minttided.streams import Follow
 
 log = logging.getLogger(__name__)
 
@@ -44,23 +45,6 @@
 """How long a closing shard waits for calls and records in progress, in seconds."""
 
 
-class StreamFollower(Protocol):
-    """Follows one stream of the platform log into a fold."""
-
-    async def wait_applied(self, offset: Offset) -> None:
-        """Wait until the record at `offset` has been folded."""
-
-    async def wait_known(self) -> None:
-        """Wait until the stream's state is known and has been read to its end once."""
-
-    async def append(self, payload: bytes) -> Offset:
-        """Append to the stream. Raises as `PlatformLog.append`."""
-
-
-OnVerdicts = Callable[[Sequence[Verdict]], None]
-Follow = Callable[[StreamName, Fold, OnVerdicts], AbstractAsyncContextManager[StreamFollower]]
-
-
 class KeyShard:
     """One shard, followed and written by this host. Use as an async context manager."""
 
--- a/daemon/minttided/keyed.py
+++ b/daemon/minttided/keyed.py
@@ -13,9 +13,10 @@
 from minttide.outcome import RequestError
 from minttide.rendezvous import OWNERS, rank_hosts, shard_of
 from minttided import key_problems as problems
-from minttided.key_shard import Follow, KeyShard, is_log_out
+from minttided.key_shard import KeyShard, is_log_out
 from minttided.keyed_request import KeyedRequest
 from minttided.node import Node
+from minttided.streams import Follow
 
 log = logging.getLogger(__name__)
 
