Give the plan in a placement test its new field

Cause: agree's Plan record has 'seen' before 'assignments'; policy's test builds a Plan by position. Change: the test passes the field; nothing it asserts has changed.

--- a/test/test_policy_placement.py
+++ b/test/test_policy_placement.py
@@ -148,7 +148,7 @@
     steps = order_changes(old, new, 120)
     assert [s.watts for s in steps] == [60, 120, 120]
     assert steps[0].wait is Wait.CONFIRMED
-    assert Plan(Offset(0), list(steps[-1].assignments), 120).assignments == new
+    assert Plan(Offset(0), Offset(-1), list(steps[-1].assignments), 120).assignments == new
 
 
 def test_cap_below_the_lowest_levels_is_reported():
