--- /dev/null
+++ b/daemon/minttided/host_list_http.py
@@ -0,0 +1,40 @@
+"""The platform's host list over HTTP."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from minttide.ids import Address
+from minttide.interfaces import ListedHost
+from minttided.http_client import BrokenError, HttpClient, NotSentError
+
+TIMEOUT_S = 5.0
+
+_OK = 200
+_hosts = msgspec.json.Decoder(list[ListedHost])
+
+
+class HostListHttp:
+    """Implements `HostList`. A context manager that owns its connections."""
+
+    def __init__(self, address: Address):
+        self._client = HttpClient(address)
+
+    async def __aenter__(self) -> "HostListHttp":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._client.close()
+
+    async def list(self) -> Sequence[ListedHost]:
+        """Return the whole list. Raises `OSError` when it can't be had."""
+        try:
+            reply = await self._client.request("GET", "/v1/hosts", timeout_s=TIMEOUT_S)
+        except (NotSentError, BrokenError) as exc:
+            raise OSError(str(exc)) from exc
+        if reply.status != _OK:
+            raise OSError(f"the host list answered {reply.status}")
+        try:
+            return _hosts.decode(reply.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise OSError(f"the host list doesn't parse: {exc}") from exc
--- /dev/null
+++ b/daemon/minttided/log_http.py
@@ -0,0 +1,87 @@
+"""The platform log over HTTP."""
+
+import msgspec
+
+from minttide.ids import Address, Offset, StreamName
+from minttide.interfaces import LogPage, LogUnavailableError, LogUncertainError
+from minttided.http_client import BrokenError, HttpClient, HttpReply, NotSentError
+
+APPEND_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 4.0
+"""How much longer than its own wait a read may take."""
+
+MAX_PAGE_BYTES = 32 * 1024 * 1024
+
+_OK = 200
+_UNAVAILABLE = 503
+_HEADERS = (("content-type", "application/octet-stream"),)
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    offset: Offset
+
+
+_appended = msgspec.json.Decoder(_Appended)
+_page = msgspec.json.Decoder(LogPage)
+
+
+class LogHttp:
+    """Implements `PlatformLog`. A context manager that owns its connections."""
+
+    def __init__(self, address: Address):
+        self._client = HttpClient(address, MAX_PAGE_BYTES)
+
+    async def __aenter__(self) -> "LogHttp":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._client.close()
+
+    async def append(self, stream: StreamName, payload: bytes) -> Offset:
+        """Append one record and return its offset.
+
+        Raises `LogUnavailableError` when it was not appended, `LogUncertainError` when unknown.
+        """
+        try:
+            reply = await self._client.request(
+                "POST", f"/v1/streams/{stream}/records", payload, _HEADERS, APPEND_TIMEOUT_S
+            )
+        except NotSentError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        except BrokenError as exc:
+            raise LogUncertainError(str(exc)) from exc
+        _check_appended(reply)
+        try:
+            return _appended.decode(reply.body).offset
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise LogUncertainError(f"the log's answer doesn't parse: {exc}") from exc
+
+    async def read(
+        self, stream: StreamName, start: Offset, limit: int, wait_s: float = 0.0
+    ) -> LogPage:
+        """Read up to `limit` records from `start`, waiting up to `wait_s` for the first.
+
+        Raises `LogUnavailableError`.
+        """
+        wait_ms = int(wait_s * 1000)
+        path = f"/v1/streams/{stream}/records?start={start}&limit={limit}&wait_ms={wait_ms}"
+        try:
+            reply = await self._client.request("GET", path, timeout_s=wait_s + READ_TIMEOUT_S)
+        except (NotSentError, BrokenError) as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        if reply.status != _OK:
+            raise LogUnavailableError(f"the log answered {reply.status}")
+        try:
+            return _page.decode(reply.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise LogUnavailableError(f"the log's answer doesn't parse: {exc}") from exc
+
+
+def _check_appended(reply: HttpReply) -> None:
+    """Tell an append that was refused from one that may have taken effect."""
+    if reply.status == _OK:
+        return
+    reason = f"the log answered {reply.status}"
+    if reply.status == _UNAVAILABLE or 400 <= reply.status < 500:
+        raise LogUnavailableError(reason)
+    raise LogUncertainError(reason)
