Give a node its metrics, and settings the retention of the log

Cause: the parts of a daemon count into one registry, and checkpoints depend on how long the log keeps records, which only the operators know. Change (shared files): `Node.metrics` and `Settings.log_keep_s` (default 3600 s), both additive. `Metrics` has one method for each metric, so that names and labels stand in one place. Conclusion: other parts can count by `node.metrics`, once a request or stream, not once a token.

--- a/core/minttide/config/settings.py
+++ b/core/minttide/config/settings.py
@@ -37,7 +37,8 @@
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The settings file of `minttided`. Addresses are "<IP number>:<port>".
 
-    `resume_secret` signs resume tokens and is the same on every host of a site.
+    `resume_secret` signs resume tokens and is the same on every host of a site. `log_keep_s` is how
+    long the platform log keeps records; checkpoints are written well before they expire.
     """
 
     host: HostId
@@ -54,3 +55,4 @@
     log_format: LogFormat = LogFormat.KEY_VALUE
     bounds: Bounds = Bounds()
     shutdown_limit_s: float = 120.0
+    log_keep_s: float = 3600.0
--- /dev/null
+++ b/daemon/minttided/metrics.py
@@ -0,0 +1,137 @@
+"""Metrics of one daemon. Each has a method, so that its name and labels stand in one place."""
+
+from collections.abc import Iterable
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from minttide.gossip import Status
+from minttide.ids import ServiceName, StreamName
+from minttide.outcome import Ran
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.73, 1.0, 2.0, 5.0, 10.0, float("inf"))
+BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.044, 0.07, 0.1, 0.3, 1.0, float("inf"))
+RECOVERY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, float("inf"))
+
+
+class Metrics:
+    """The collectors of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._requests = self._counter(
+            "minttide_requests_total", "Requests that ended, by service and whether they ran."
+        )
+        self._tokens = self._counter("minttide_tokens_total", "Tokens delivered, by service.")
+        self._recoveries = self._counter(
+            "minttide_recoveries_total", "Streams moved to another chain, by service and way."
+        )
+        self._decisions = self._counter(
+            "minttide_decisions_total", "Routing and placement decisions, by kind."
+        )
+        self._dropped = self._counter(
+            "minttide_replies_dropped_total", "Replies of engines that no request awaited."
+        )
+        self._first_token = self._histogram(
+            "minttide_first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_S
+        )
+        self._between_tokens = self._histogram(
+            "minttide_between_tokens_seconds",
+            "Mean time between the tokens of one stream.",
+            BETWEEN_TOKENS_BUCKETS_S,
+        )
+        self._recovery = self._histogram(
+            "minttide_recovery_seconds",
+            "Time from a failed step to the next token.",
+            RECOVERY_BUCKETS_S,
+        )
+        self._hosts = self._gauge("minttide_hosts", "Entry hosts as believed, by status.")
+        self._applied = self._gauge("minttide_applied_offset", "Applied offset, by stream.")
+        self._log_out = self._gauge(
+            "minttide_log_out_seconds", "For how long a stream could not be read, by stream."
+        )
+        self._known = self._gauge("minttide_config_known", "1 once the configuration is known.")
+        self._leaving = self._gauge("minttide_leaving", "1 while this host is leaving.")
+        self._open = self._gauge("minttide_open_requests", "Requests in progress.")
+        self._plan = self._gauge("minttide_plan_offset", "Fencing number of the plan in force.")
+        self._reserved = self._gauge(
+            "minttide_power_reserved_watts", "Power that engines may draw under orders given."
+        )
+        self._cap = self._gauge("minttide_power_cap_watts", "The cap on power of the site.")
+
+    # Events.
+
+    def count_request(self, service: ServiceName, ran: Ran) -> None:
+        """Count a request that has ended."""
+        self._requests.inc({"service": service, "ran": ran.value})
+
+    def count_tokens(self, service: ServiceName, tokens: int) -> None:
+        """Count delivered tokens; once a stream, not once a token."""
+        self._tokens.add({"service": service}, tokens)
+
+    def count_recovery(self, service: ServiceName, way: str) -> None:
+        """Count a stream that goes on with another chain."""
+        self._recoveries.inc({"service": service, "way": way})
+
+    def count_decision(self, kind: str) -> None:
+        """Count a routing or placement decision."""
+        self._decisions.inc({"kind": kind})
+
+    def count_dropped_reply(self) -> None:
+        """Count a late, doubled or crossed reply."""
+        self._dropped.inc({})
+
+    def observe_first_token(self, service: ServiceName, seconds: float) -> None:
+        """Record the time to the first token of one stream."""
+        self._first_token.observe({"service": service}, seconds)
+
+    def observe_between_tokens(self, service: ServiceName, seconds: float) -> None:
+        """Record the mean time between the tokens of one stream."""
+        self._between_tokens.observe({"service": service}, seconds)
+
+    def observe_recovery(self, service: ServiceName, seconds: float) -> None:
+        """Record the time from a failed step to the next token of the stream."""
+        self._recovery.observe({"service": service}, seconds)
+
+    # State, set just before it is read.
+
+    def set_hosts(self, statuses: Iterable[Status]) -> None:
+        """Set the number of hosts by status."""
+        counts = dict.fromkeys(Status, 0)
+        for status in statuses:
+            counts[status] += 1
+        for status, count in counts.items():
+            self._hosts.set({"status": status.value}, count)
+
+    def set_stream(self, stream: StreamName, applied: int, out_s: float) -> None:
+        """Set how far a stream was folded and for how long it can't be read."""
+        self._applied.set({"stream": stream}, applied)
+        self._log_out.set({"stream": stream}, out_s)
+
+    def set_host(self, known: bool, leaving: bool, open_requests: int) -> None:
+        """Set the state of this host."""
+        self._known.set({}, int(known))
+        self._leaving.set({}, int(leaving))
+        self._open.set({}, open_requests)
+
+    def set_placement(self, plan_offset: int, reserved_watts: int, cap_watts: int) -> None:
+        """Set the plan in force and the power that it may draw."""
+        self._plan.set({}, plan_offset)
+        self._reserved.set({}, reserved_watts)
+        self._cap.set({}, cap_watts)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        content, _ = render(self._registry, ["text/plain"])
+        return content
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(name, doc, registry=self._registry, buckets=buckets)
--- a/daemon/minttided/node.py
+++ b/daemon/minttided/node.py
@@ -27,6 +27,7 @@
 )
 from minttide.records import Assignment
 from minttide.steps import EngineState, LoadReport
+from minttided.metrics import Metrics
 
 
 class Members(Protocol):
@@ -116,4 +117,5 @@
     placement: Placement | None = None
     keyed: KeyedCalls | None = None
     dispatcher: Dispatcher | None = None
+    metrics: Metrics = field(default_factory=Metrics)
     config_changed: asyncio.Event = field(default_factory=asyncio.Event)
