Write log lines as pairs or JSON, and run followed streams with their checkpoints

Cause: the on-call person reads one line an event; a stream that a host follows needs a writer of checkpoints beside its reader. Change: `logs` formats through python-json-logger, key=value pairs or JSON with the same fields. `followed` pairs each follower with a checkpoint writer; its rank is that of the stream's owners, and hosts past the tenth rank only write from 0.6 of the retention on, spread out. `forwarder` passes keyed calls to their owner. Conclusion: the parts for the daemon's assembly are there.

--- a/daemon/minttided/checkpointer.py
+++ b/daemon/minttided/checkpointer.py
@@ -30,11 +30,17 @@
 AGE_FRACTION = 0.25
 """Part of the log's retention after which the first host in rank writes a checkpoint."""
 
-RANK_FRACTION = 0.05
+RANK_FRACTION = 0.025
 """Part of the retention by which each further rank waits longer."""
 
-MAX_RANK = 5
+FIRST_RANKS = 10
+LATE_FRACTION = 0.6
+"""Part of the retention after which hosts of all later ranks begin to write, one by one."""
+
+LATE_SPREAD = 0.2
+LATE_RANKS = 2_000
 CHECKS_PER_AGE = 8
+MIN_CHECK_S = 1.0
 MARK = b'"type":"checkpoint"'
 
 
@@ -97,14 +103,19 @@
     @property
     def due_age_s(self) -> float:
         """Return the age in seconds at which this host writes the next checkpoint."""
-        rank = min(self._rank(), MAX_RANK)
-        return self._keep_s * (AGE_FRACTION + RANK_FRACTION * rank)
+        rank = self._rank()
+        if rank < FIRST_RANKS:
+            return self._keep_s * (AGE_FRACTION + RANK_FRACTION * rank)
+        late = min(1.0, rank / LATE_RANKS)
+        return self._keep_s * (LATE_FRACTION + LATE_SPREAD * late)
 
     async def run(self, ready: Ready = lambda: None) -> None:
         """Check the age now and then, and write when it is due, until cancelled."""
         ready()
+        period_s = self._keep_s * AGE_FRACTION / CHECKS_PER_AGE
         while True:
-            await asyncio.sleep(self._keep_s * AGE_FRACTION / CHECKS_PER_AGE)
+            left_s = self.due_age_s - self._age.age_s(self._wall_ms())
+            await asyncio.sleep(min(max(left_s, MIN_CHECK_S), period_s))
             if self._is_due():
                 await self.write()
 
--- /dev/null
+++ b/daemon/minttided/followed.py
@@ -0,0 +1,119 @@
+"""Streams that this host follows, each with a writer of checkpoints beside it."""
+
+import random
+from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
+from typing import Any
+
+from minttide.agree.fold import Fold
+from minttide.ids import HostId, StreamName
+from minttide.interfaces import LogRecord
+from minttide.rendezvous import rank_hosts
+from minttided.checkpointer import CheckpointAge, Checkpointer
+from minttided.follower import Follower, OnVerdicts, PeerSnapshot
+from minttided.node import Node
+from minttided.supervisor import Child, Ready, Supervised, Supervisor
+
+STREAM_INTENSITY = 1_000
+"""Restarts a minute; a reader of a stream is never given up, but must not spin."""
+
+
+class FollowedStreams:
+    """The followers that are open on this host, by stream."""
+
+    def __init__(self, node: Node, rng: random.Random):
+        self._node = node
+        self._rng = rng
+        self.open: dict[StreamName, Follower[Any]] = {}
+
+    def follow(self, stream: StreamName, fold: Fold, on_verdicts: OnVerdicts) -> "FollowedStream":
+        """Return a context manager that follows `stream` while it is open."""
+        return FollowedStream(self, self.make(stream, fold, on_verdicts))
+
+    def make(
+        self,
+        stream: StreamName,
+        fold: Fold,
+        on_verdicts: OnVerdicts,
+        on_record: Callable[[LogRecord], None] = lambda record: None,
+        on_restored: Callable[[], None] | None = None,
+        peer_snapshot: PeerSnapshot | None = None,
+    ) -> "StreamParts":
+        """Return a follower with its checkpoint writer, neither running yet."""
+        age = CheckpointAge(self._node.wall_ms())
+
+        def observe(record: LogRecord) -> None:
+            age.observe(record)
+            on_record(record)
+
+        follower = Follower(
+            self._node.log,
+            stream,
+            fold,
+            on_verdicts,
+            on_record=observe,
+            on_restored=on_restored,
+            peer_snapshot=peer_snapshot,
+            rng=random.Random(self._rng.random()),
+        )
+        writer = Checkpointer(
+            follower,
+            age,
+            self._node.cfg.host,
+            self._node.incarnation,
+            lambda: self._rank(stream),
+            self._node.cfg.log_keep_s,
+            self._node.wall_ms,
+        )
+        return StreamParts(follower, writer)
+
+    def _rank(self, stream: StreamName) -> int:
+        """Return this host's rank for `stream`; the hosts that follow a shard come first."""
+        members = self._node.members
+        live: set[HostId] = {m.host for m in members.hosts() if not m.suspect} if members else set()
+        host = self._node.cfg.host
+        return rank_hosts(stream, live | {host}).index(host)
+
+
+class StreamParts:
+    """A follower and its checkpoint writer, to be run by a supervisor."""
+
+    def __init__(self, follower: Follower[Any], writer: Checkpointer):
+        self.follower = follower
+        self.writer = writer
+
+    def children(self) -> Sequence[Child]:
+        """Return both as children of a supervisor."""
+        stream = self.follower.stream
+        return [
+            Child(f"{stream} reader", self.follower.run),
+            Child(f"{stream} checkpoints", self.writer.run),
+        ]
+
+    async def run(self, ready: Ready) -> None:
+        """Run both until cancelled."""
+        name = f"stream {self.follower.stream}"
+        await Supervisor(name, self.children(), STREAM_INTENSITY).run(ready)
+
+
+class FollowedStream:
+    """Follows one stream while the context is open, which gives the follower."""
+
+    def __init__(self, streams: FollowedStreams, parts: StreamParts):
+        self._streams = streams
+        self._parts = parts
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Follower[Any]:
+        follower = self._parts.follower
+        supervisor = Supervisor(
+            f"stream {follower.stream}", self._parts.children(), STREAM_INTENSITY
+        )
+        self._stack.callback(follower.close)
+        await self._stack.enter_async_context(Supervised(supervisor))
+        self._streams.open[follower.stream] = follower
+        return follower
+
+    async def __aexit__(self, *_: object) -> None:
+        self._streams.open.pop(self._parts.follower.stream, None)
+        await self._stack.aclose()
--- a/daemon/minttided/follower.py
+++ b/daemon/minttided/follower.py
@@ -89,7 +89,7 @@
 
     async def __aexit__(self, *exc: object) -> None:
         await self._supervised.__aexit__(*exc)
-        self._fail_waiters()
+        self.close()
 
     async def run(self, ready: Ready = lambda: None) -> None:
         """Follow the stream until cancelled."""
@@ -298,7 +298,8 @@
             if not fut.done():
                 fut.set_result(None)
 
-    def _fail_waiters(self) -> None:
+    def close(self) -> None:
+        """Fail whoever still waits for a record, with `LogUnavailableError`."""
         for _, _, fut in self._waiters:
             if not fut.done():
                 fut.set_exception(LogUnavailableError("the follower was closed"))
--- /dev/null
+++ b/daemon/minttided/forwarder.py
@@ -0,0 +1,62 @@
+"""Passes keyed calls to the host that owns their key, and runs those passed to this one."""
+
+import asyncio
+
+from minttide.ids import AccountId, HostId, IdempotencyKey, ServiceName
+from minttide.interfaces import UpstreamCall, UpstreamReply
+from minttide.outcome import Problem, ProblemType, RequestError
+from minttided.keyed import ForwardError, KeyedCallRunner
+from minttided.node import Node
+from minttided.peer_link import KeyedCall, PeerError, PeerLink
+from minttided.problems import problem
+
+RETRY_AFTER_S = 1.0
+
+
+class PeerForwarder:
+    """Implements `Forwarder` over the link to peers."""
+
+    def __init__(self, node: Node, link: PeerLink):
+        self._node = node
+        self._link = link
+
+    async def forward(
+        self,
+        host: HostId,
+        account: AccountId,
+        service: ServiceName,
+        key: IdempotencyKey,
+        call: UpstreamCall,
+        deadline: float,
+    ) -> UpstreamReply:
+        """Have `host` run the call. `deadline` is in loop time, seconds.
+
+        Raises `RequestError` with the owner's problem, or `ForwardError`.
+        """
+        members = self._node.members.hosts() if self._node.members else ()
+        owner = next((m for m in members if m.host == host), None)
+        if owner is None:
+            raise ForwardError(f"{host} is not known")
+        remaining_s = deadline - asyncio.get_running_loop().time()
+        try:
+            outcome = await self._link.call(
+                owner.peer, KeyedCall(account, service, key, call, remaining_s)
+            )
+        except PeerError as exc:
+            raise ForwardError(str(exc)) from exc
+        if isinstance(outcome, Problem):
+            raise RequestError(outcome)
+        return outcome
+
+
+async def run_forwarded(runner: KeyedCallRunner | None, call: KeyedCall) -> UpstreamReply | Problem:
+    """Run a keyed call that a peer has passed on, and return how it ended."""
+    if runner is None:
+        return problem(
+            ProblemType.CONFIG_UNKNOWN, "this host is not ready", retry_after_s=RETRY_AFTER_S
+        )
+    deadline = asyncio.get_running_loop().time() + call.remaining_s
+    try:
+        return await runner.run_as_owner(call.account, call.service, call.key, call.call, deadline)
+    except RequestError as exc:
+        return exc.problem
--- /dev/null
+++ b/daemon/minttided/logs.py
@@ -0,0 +1,93 @@
+"""Log lines: one event a line, as key=value pairs or as JSON with the same fields."""
+
+import json
+import logging
+import re
+import sys
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+from pythonjsonlogger.core import BaseJsonFormatter
+
+from minttide.config.settings import LogFormat, LogLevel
+from minttide.ids import HostId
+
+_FIELDS = ("levelname", "name", "message")
+_NAMES = {"levelname": "level", "name": "logger", "message": "event"}
+_ORDER = ("time", "level", "host", "logger", "event")
+_PLAIN = re.compile(r"[^\s\"=\\\x00-\x1f\x7f]+")
+
+_LEVELS = {
+    LogLevel.DEBUG: logging.DEBUG,
+    LogLevel.INFO: logging.INFO,
+    LogLevel.WARNING: logging.WARNING,
+    LogLevel.ERROR: logging.ERROR,
+}
+
+
+class EventFormatter(BaseJsonFormatter):
+    """Turns a log record into its fields: time, level, host, logger, event, and the extra ones."""
+
+    def __init__(self, host: HostId):
+        super().__init__(_FIELDS, rename_fields=_NAMES, static_fields={"host": host})
+
+    def add_fields(
+        self, log_data: dict[str, Any], record: logging.LogRecord, message_dict: dict[str, Any]
+    ) -> None:
+        """Collect the fields of one record, the common ones first."""
+        found: dict[str, Any] = {}
+        super().add_fields(found, record, message_dict)
+        found["time"] = _timestamp(record.created)
+        found["level"] = record.levelname.lower()
+        log_data.update((key, found.pop(key)) for key in _ORDER if key in found)
+        log_data.update(found)
+
+
+class JsonFormatter(EventFormatter):
+    """Writes the fields as one JSON object."""
+
+    def serialize_log_record(self, log_data: dict[str, Any]) -> str:
+        """Return the line."""
+        return json.dumps(log_data, default=str)
+
+
+class KeyValueFormatter(EventFormatter):
+    """Writes the fields as key=value pairs; values are quoted where they need it."""
+
+    def serialize_log_record(self, log_data: dict[str, Any]) -> str:
+        """Return the line."""
+        return " ".join(f"{key}={_quote(value)}" for key, value in log_data.items())
+
+
+_FORMATTERS: dict[LogFormat, type[EventFormatter]] = {
+    LogFormat.KEY_VALUE: KeyValueFormatter,
+    LogFormat.JSON: JsonFormatter,
+}
+
+
+def configure_logging(
+    host: HostId, level: LogLevel, log_format: LogFormat, stream: TextIO | None = None
+) -> logging.Handler:
+    """Let all loggers write to `stream`, standard error by default; return the handler."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_FORMATTERS[log_format](host))
+    root = logging.getLogger()
+    root.setLevel(_LEVELS[level])
+    root.addHandler(handler)
+    # The HTTP/2 library logs every frame at the debug level.
+    logging.getLogger("hpack").setLevel(logging.WARNING)
+    return handler
+
+
+def _timestamp(created: float) -> str:
+    moment = datetime.fromtimestamp(created, tz=UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def _quote(value: Any) -> str:
+    if isinstance(value, float):
+        value = round(value, 6)
+    if isinstance(value, list | tuple | set | frozenset):
+        value = ",".join(str(item) for item in value)
+    text = str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
