Publish from the command line over the log's HTTP adapter

Change: the command uses it; a service that is named by a file and withdrawn at once is a finding. Conclusion: publishing works from files to the log.

--- a/cli/minttide_cli/commands/publish.py
+++ b/cli/minttide_cli/commands/publish.py
@@ -10,6 +10,7 @@
 
 from minttide.agree.config import ConfigFold
 from minttide.config.checks import Files, check_service_files
+from minttide.findings import Findings
 from minttide.ids import Address, HostId, Offset, ServiceName
 from minttide_cli.files import collect_files
 from minttide_cli.operators import OperatorsError, read_applied
@@ -115,12 +116,20 @@
         """Check the files together with the other services that stay in force."""
         kept = {name: file for name, file in fold.files.items() if name not in self._withdrawn}
         result = check_service_files(self._texts, kept)
-        if result.is_ok():
+        findings = self._find_contradictions(result.ok) if result.is_ok() else result.error
+        if not findings:
             return result.ok
         self.status = Exit.FINDINGS
-        show_findings(result.error, self._as_json)
+        show_findings(findings, self._as_json)
         return None
 
+    def _find_contradictions(self, files: Files) -> Findings:
+        findings = Findings()
+        for name, file in files.items():
+            if file.service in self._withdrawn:
+                findings.add(name, "$.service", "is to be withdrawn, but a file names it")
+        return findings
+
     def _show_unpublished(self) -> None:
         if self._as_json:
             show_json({"published": False, "differences": self._differences})
--- a/cli/minttide_cli/platform_log.py
+++ b/cli/minttide_cli/platform_log.py
@@ -5,12 +5,11 @@
 
 from minttide.ids import Address
 from minttide.interfaces import PlatformLog
+from minttided.log_http import LogHttp
 
 
 @asynccontextmanager
 async def open_log(address: Address) -> AsyncGenerator[PlatformLog, None]:
     """Open the platform log at `address`."""
-    from minttided.log_http import LogHttp
-
     async with LogHttp(address) as platform_log:
         yield platform_log
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import shutil
+import threading
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -11,6 +13,9 @@
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide_cli.caller import Caller, CallerError, DraftRequest, UnreachableError
 from minttide_cli.main import main
+from minttide_fakes.faults import AppendFault
+from minttide_fakes.log_server import LogServer
+from minttide_fakes.memory import MemoryLog
 from minttide_fakes.routes import RoutedServer, answer
 from minttided.http_messages import StreamResponse
 from minttided.problems import problem_response
@@ -59,6 +64,79 @@
     assert {f["file"] for f in json.loads(result.stdout)} == {"b/drafts.json", "b/x.json"}
 
 
+@contextmanager
+def served(make):
+    """Serve a stand-in on a loop of its own, since a command runs one itself."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+
+    def on_loop(coro):
+        return asyncio.run_coroutine_threadsafe(coro, loop).result(10)
+
+    async def build():
+        return await make().__aenter__()
+
+    server = on_loop(build())
+    try:
+        yield server
+    finally:
+        on_loop(server.__aexit__(None, None, None))
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+class StubOperators(RoutedServer):
+    """A daemon's address for operators, which knows of two hosts."""
+
+    def __init__(self, applied):
+        self.applied = applied
+        super().__init__({("GET", "/v1/status"): self.status}, "127.0.0.1:0")
+
+    async def status(self, req):
+        members = [{"host": f"h{i}", "applied": a} for i, a in enumerate(self.applied)]
+        return answer({"members": members})
+
+
+def test_publish_shows_publishes_waits_and_tells_what_it_lost_to(tmp_path):
+    shutil.copytree(EXAMPLES / "bureau", tmp_path / "b")
+    booking = tmp_path / "b" / "booking.json"
+    with (
+        served(lambda: LogServer(MemoryLog())) as log,
+        served(lambda: StubOperators([9, 0])) as ops,
+    ):
+        publish = ("publish", tmp_path / "b", "--log", log.address)
+        outputs = [invoke(*publish, "--dry-run"), invoke(*publish), invoke(*publish)]
+        booking.write_text(booking.read_text().replace("4000", "4500", 1))
+        log._log.faults.order(AppendFault.ANSWER_LOST)
+        lagging = ("--operators", ops.address, "--wait", 0.1)
+        outputs.append(invoke(*publish, *lagging))
+        ops.applied[1] = 1_000
+        outputs.append(invoke(*publish, "--withdraw", "drafts"))
+        (tmp_path / "b" / "drafts.json").unlink()
+        outputs.append(invoke(*publish, "--withdraw", "drafts", *lagging))
+        booking.write_text(booking.read_text().replace("ub-1", "ub-9"))
+        outputs.append(invoke(*publish))
+        count = len(log._log.records("config"))
+    texts = [o.output for o in outputs]
+    assert [o.exit_code for o in outputs] == [0, 0, 0, 4, 2, 0, 2], texts
+    says = [
+        "add drafts",
+        "published as",
+        "nothing differs",
+        "not yet in force on: h1 (at 0)",
+        "drafts.json: $.service: is to be withdrawn",
+        "in force on every live host",
+        "booking.json: $.upstreams[0].zone",
+    ]
+    assert all(s in o.output for s, o in zip(says, outputs, strict=True)), [
+        o.output for o in outputs
+    ]
+    assert "$.calls[0].timeout_ms: 4000 -> 4500" in outputs[3].output
+    assert count == 3
+
+
 TOKENS = [ord(c) for c in "a whole answer"]
 
 
