--- /dev/null
+++ b/daemon/minttided/accounts.py
@@ -0,0 +1,50 @@
+"""Client accounts, told apart by the bearer token of a request."""
+
+import hashlib
+import hmac
+
+from minttide.config.service import Account, ModelService, PlainService, Site
+from minttide.outcome import ProblemType
+from minttided.http_messages import HttpRequest
+from minttided.node import Node
+from minttided.problems import refusal
+
+_SCHEME = "bearer "
+CONFIG_RETRY_S = 2.0
+
+
+class Accounts:
+    """The accounts of the configuration in force."""
+
+    def __init__(self, node: Node):
+        self._node = node
+
+    def site(self) -> Site:
+        """Return the site file in force; raises `RequestError` while there is none."""
+        site = self._node.config.site if self._node.config_known else None
+        if site is None:
+            detail = "this host doesn't know the configuration yet"
+            raise refusal(ProblemType.CONFIG_UNKNOWN, detail, CONFIG_RETRY_S)
+        return site
+
+    def authenticate(self, req: HttpRequest) -> Account:
+        """Return the account whose token a request carries; raises `RequestError`."""
+        header = req.header("authorization") or ""
+        if header[: len(_SCHEME)].lower() != _SCHEME:
+            raise refusal(ProblemType.UNAUTHENTICATED, "no bearer token was given")
+        token = header[len(_SCHEME) :].strip()
+        digest = hashlib.sha256(token.encode("latin-1", "replace")).hexdigest()
+        found = None
+        # Every account is compared in constant time, so that timing tells nothing of a token.
+        for account in self.site().accounts:
+            if hmac.compare_digest(account.token_sha256.lower(), digest):
+                found = account
+        if found is None:
+            raise refusal(ProblemType.UNAUTHENTICATED, "the bearer token is not known")
+        return found
+
+
+def check_allowed(account: Account, file: ModelService | PlainService) -> None:
+    """Raise `RequestError` unless `account` may use the service of `file`."""
+    if file.accounts and account.name not in file.accounts:
+        raise refusal(ProblemType.FORBIDDEN, f"account {account.name} may not use this service")
--- /dev/null
+++ b/daemon/minttided/admission.py
@@ -0,0 +1,176 @@
+"""Lets requests in by the limits and shares of their client accounts, or refuses them early."""
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from minttide.config.service import Account
+from minttide.ids import AccountId, RequestId, ServiceName
+from minttide.outcome import ProblemType, RequestError
+from minttide.policy.limits import FairQueue, RateLimit, Ticket, host_share
+from minttided.node import Node
+from minttided.problems import refusal
+
+EXPIRY_CHECK_S = 0.05
+RETRY_AFTER_S = 1.0
+SHARE_SLACK = 2.0
+"""An account may use this multiple of this host's even part of its limits, as its requests are
+never spread quite evenly; over all hosts it may thus pass a limit by the same factor at most."""
+
+
+class Slot:
+    """A place among the open streams; release it when the stream has ended."""
+
+    def __init__(self, admission: "Admission", service: ServiceName, ticket: Ticket):
+        self._admission: Admission | None = admission
+        self._service = service
+        self._ticket = ticket
+
+    def release(self, used_tokens: int = 0) -> None:
+        """Give the place back. `used_tokens` corrects what the account is charged."""
+        if self._admission is not None:
+            self._admission.leave(self._service, self._ticket, used_tokens)
+            self._admission = None
+
+
+class Admission:
+    """The open and waiting requests of this host. `has_room` says whether engines can take more."""
+
+    def __init__(self, node: Node, has_room: Callable[[ServiceName], bool]):
+        self._node = node
+        self._has_room = has_room
+        self._rates: dict[AccountId, RateLimit] = {}
+        self._queues: dict[ServiceName, FairQueue] = {}
+        self._waiting: dict[RequestId, asyncio.Future[None]] = {}
+        self._open: Counter[AccountId] = Counter()
+        self._checker: asyncio.Task[None] | None = None
+
+    @property
+    def open_streams(self) -> int:
+        """Return the number of open streams."""
+        return self._open.total()
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait for a place."""
+        return len(self._waiting)
+
+    async def __aenter__(self) -> Self:
+        self._checker = asyncio.get_running_loop().create_task(self._check_regularly())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._checker is not None:
+            self._checker.cancel()
+            await asyncio.gather(self._checker, return_exceptions=True)
+
+    # Limits of accounts.
+
+    def _share(self) -> float:
+        """Return this host's part of an account's limits."""
+        members = self._node.members
+        hosts = len([m for m in members.hosts() if not m.leaving]) if members else 1
+        return min(1.0, SHARE_SLACK * host_share(0.0, None, hosts))
+
+    def check_rate(self, account: Account) -> None:
+        """Count a request of `account`; raises `RequestError` when its rate is used up."""
+        now = asyncio.get_running_loop().time()
+        limit = self._rates.setdefault(account.name, RateLimit(now))
+        refused = limit.try_take(account.requests_per_s * self._share(), now)
+        if refused is not None:
+            raise RequestError(refused)
+
+    def _check_streams(self, account: Account) -> None:
+        most = max(1, math.ceil(account.max_streams * self._share()))
+        if self._open[account.name] >= most:
+            detail = f"account {account.name} has {most} streams open here"
+            raise refusal(ProblemType.OVER_LIMIT, detail, RETRY_AFTER_S)
+
+    # Waiting for a place.
+
+    async def enter(
+        self, service: ServiceName, account: Account, ticket: Ticket, work_s: float
+    ) -> Slot:
+        """Wait for a place and return it. `work_s` is the expected time to the first token.
+
+        Raises `RequestError`, at once when the deadline can't be met; nothing has run then.
+        """
+        self._check_streams(account)
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = FairQueue(self._node.cfg.bounds.max_queue)
+        loop = asyncio.get_running_loop()
+        refused = queue.offer(ticket, account.weight, loop.time(), work_s)
+        if refused is not None:
+            raise RequestError(refused)
+        fut: asyncio.Future[None] = loop.create_future()
+        self._waiting[ticket.request] = fut
+        self._pump(service, queue)
+        try:
+            await fut
+        except asyncio.CancelledError:
+            self._give_back(service, queue, ticket, fut)
+            raise
+        finally:
+            self._waiting.pop(ticket.request, None)
+        return Slot(self, service, ticket)
+
+    def _give_back(
+        self,
+        service: ServiceName,
+        queue: FairQueue,
+        ticket: Ticket,
+        fut: "asyncio.Future[None]",
+    ) -> None:
+        """Undo the entry of a request whose caller went while it waited."""
+        granted = fut.done() and not fut.cancelled() and fut.exception() is None
+        if granted:
+            self.leave(service, ticket, 0)
+        else:
+            queue.remove(ticket.request, ticket.account)
+
+    def leave(self, service: ServiceName, ticket: Ticket, used_tokens: int) -> None:
+        """Free the place of a request that has ended, and let the next one in."""
+        self._open[ticket.account] -= 1
+        queue = self._queues[service]
+        queue.correct(ticket.account, ticket.cost, float(used_tokens))
+        self._pump(service, queue)
+
+    def _pump(self, service: ServiceName, queue: FairQueue) -> None:
+        loop = asyncio.get_running_loop()
+        self._expire(queue, loop.time())
+        while len(queue) and self._may_start(service):
+            ticket = queue.take(loop.time())
+            if ticket is None:
+                return
+            fut = self._waiting.get(ticket.request)
+            if fut is not None and not fut.done():
+                self._open[ticket.account] += 1
+                fut.set_result(None)
+
+    def _may_start(self, service: ServiceName) -> bool:
+        return self.open_streams < self._node.cfg.bounds.max_streams and self._has_room(service)
+
+    def _expire(self, queue: FairQueue, now: float) -> None:
+        for ticket in queue.drop_expired(now):
+            fut = self._waiting.get(ticket.request)
+            if fut is not None and not fut.done():
+                detail = "the deadline passed while the request waited"
+                fut.set_exception(refusal(ProblemType.DEADLINE, detail, RETRY_AFTER_S))
+
+    async def _check_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            for service, queue in self._queues.items():
+                if len(queue):
+                    self._pump(service, queue)
+                else:
+                    queue.forget_idle()
--- /dev/null
+++ b/daemon/minttided/callers.py
@@ -0,0 +1,160 @@
+"""The callers' listener: where to connect, drafts and plain calls."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Self
+from urllib.parse import unquote
+
+from minttide.config.service import Account
+from minttide.ids import Address, IdempotencyKey, ServiceName
+from minttide.interfaces import UpstreamCall, UpstreamReply
+from minttide.outcome import ProblemType
+from minttided.accounts import Accounts, check_allowed
+from minttided.calls import Calls
+from minttided.discovery import Discovery
+from minttided.drafts import Drafts
+from minttided.engine_watch import EngineWatch
+from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.http_server import HttpServer
+from minttided.node import Node
+from minttided.problems import refusal
+from minttided.where import Where
+
+log = logging.getLogger(__name__)
+
+MAX_KEY_CHARS = 200
+KEY_HEADER = "idempotency-key"
+PASSED_HEADERS = {"accept", "accept-language", "content-type", KEY_HEADER}
+SERVICES = "/v1/services/"
+BYTES_PER_KB = 1024
+
+Answer = HttpResponse | StreamResponse
+
+
+class CallerServer:
+    """Serves callers while the context is open."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._accounts = Accounts(node)
+        self._where = Where(node, self._accounts)
+        self._discovery = Discovery(node)
+        self._calls = Calls(node, self._discovery)
+        self._stack = AsyncExitStack()
+        self._server = HttpServer(self._handle, node.cfg.callers, node.cfg.bounds)
+        node.dispatcher = self._calls
+
+    async def __aenter__(self) -> Self:
+        async with AsyncExitStack() as stack:
+            self.watch = await stack.enter_async_context(EngineWatch(self._node))
+            self.drafts = await stack.enter_async_context(Drafts(self._node, self.watch))
+            await stack.enter_async_context(self._discovery)
+            await stack.enter_async_context(self._server)
+            self._stack = stack.pop_all()
+        self._where.own = self._server.address
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    @property
+    def address(self) -> Address:
+        """Return the address that is listened on."""
+        return self._server.address
+
+    @property
+    def open_requests(self) -> int:
+        """Return the requests in progress, calls whose caller has gone among them."""
+        return self._server.open_requests + self._calls.open_calls
+
+    @property
+    def load(self) -> float:
+        """Return the open streams over their bound, 0 to 1."""
+        return min(1.0, self.drafts.admission.open_streams / self._node.cfg.bounds.max_streams)
+
+    def announce_close(self) -> None:
+        """Close connections after their next answer, while new ones are still accepted."""
+        self._server.announce_close()
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; requests in progress go on."""
+        self._server.stop_accepting()
+
+    # Routes.
+
+    async def _handle(self, req: HttpRequest) -> Answer:
+        if req.path == "/v1/where":
+            _require_method(req, "GET")
+            return await self._where.handle(req)
+        if req.path.startswith(SERVICES):
+            return await self._handle_service(req)
+        raise refusal(ProblemType.NOT_FOUND, "there is nothing under this path")
+
+    async def _handle_service(self, req: HttpRequest) -> Answer:
+        account = self._accounts.authenticate(req)
+        name, _, rest = req.path[len(SERVICES) :].partition("/")
+        service = ServiceName(unquote(name))
+        action, _, _ = rest.partition("/")
+        actions: dict[str, Callable[[], Awaitable[Answer]]] = {
+            "draft": lambda: self._draft(req, account, service),
+            "call": lambda: self._call(req, account, service, rest[len("call") :]),
+        }
+        handler = actions.get(action)
+        if handler is None:
+            raise refusal(ProblemType.NOT_FOUND, "a service has the paths draft and call/...")
+        return await handler()
+
+    async def _draft(self, req: HttpRequest, account: Account, service: ServiceName) -> Answer:
+        _require_method(req, "POST")
+        file = self._node.config.model(service)
+        if file is None:
+            raise refusal(ProblemType.NOT_FOUND, f"there is no model service {service!r}")
+        return await self.drafts.handle(req, account, file)
+
+    async def _call(
+        self, req: HttpRequest, account: Account, service: ServiceName, path: str
+    ) -> Answer:
+        file = self._node.config.plain(service)
+        if file is None:
+            raise refusal(ProblemType.NOT_FOUND, f"there is no plain service {service!r}")
+        check_allowed(account, file)
+        self.drafts.admission.check_rate(account)
+        if len(req.body) > file.max_body_kb * BYTES_PER_KB:
+            detail = f"the body is longer than {file.max_body_kb} KiB"
+            raise refusal(ProblemType.TOO_LARGE, detail)
+        key = _idempotency_key(req)
+        reply = await self._calls.run(account, file, _upstream_call(req, path), key)
+        return _pass_on(reply)
+
+
+def _require_method(req: HttpRequest, method: str) -> None:
+    if req.method != method:
+        raise refusal(ProblemType.BAD_REQUEST, f"use {method} here")
+
+
+def _idempotency_key(req: HttpRequest) -> IdempotencyKey | None:
+    key = req.header(KEY_HEADER)
+    if key is None:
+        return None
+    if not key or len(key) > MAX_KEY_CHARS or not key.isascii() or not key.isprintable():
+        detail = f"an idempotency key has 1 to {MAX_KEY_CHARS} printable ASCII characters"
+        raise refusal(ProblemType.BAD_REQUEST, detail)
+    return IdempotencyKey(key)
+
+
+def _upstream_call(req: HttpRequest, path: str) -> UpstreamCall:
+    target = f"{path or '/'}?{req.query}" if req.query else path or "/"
+    headers = [(n, v) for n, v in req.headers if n in PASSED_HEADERS]
+    return UpstreamCall(req.method, target, headers, req.body)
+
+
+def _pass_on(reply: UpstreamReply) -> HttpResponse:
+    content_type = reply.content_type or "application/octet-stream"
+    return HttpResponse(reply.status, reply.body, content_type, [("minttide-ran", "done")])
--- /dev/null
+++ b/daemon/minttided/calls.py
@@ -0,0 +1,264 @@
+"""Plain calls: passed to one upstream, repeated only where they are idempotent."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine
+from itertools import count
+from typing import Any
+
+from minttide.config.service import Account, Call, PlainService, Upstream
+from minttide.ids import AccountId, IdempotencyKey, RequestId, ServiceName, UpstreamId
+from minttide.interfaces import (
+    UpstreamBrokenError,
+    UpstreamCall,
+    UpstreamRefusedError,
+    UpstreamReply,
+)
+from minttide.outcome import ProblemType, Ran, RequestError
+from minttide.policy.circuit import Circuit
+from minttide.policy.retries import RetryBudget
+from minttide.policy.upstreams import UpstreamDecision, choose_upstream
+from minttided.discovery import Discovery
+from minttided.node import Node
+from minttided.problems import problem, refusal
+
+log = logging.getLogger(__name__)
+
+MAX_TRIES = 3
+NO_UPSTREAM_RETRY_S = 1.0
+UNAVAILABLE = {502, 503, 504}
+"""Answers of an upstream after which an idempotent call may be tried at another."""
+
+
+def find_call(file: PlainService, method: str, path: str) -> Call | None:
+    """Return the kind of call that a request is: same method, longest matching prefix."""
+    matches = [c for c in file.calls if c.method == method and _is_prefix(c.path, path)]
+    return max(matches, key=lambda c: len(c.path), default=None)
+
+
+def _is_prefix(prefix: str, path: str) -> bool:
+    """Return whether `prefix` matches whole segments of `path`."""
+    bare = prefix.rstrip("/")
+    return path in (bare, prefix) or path.startswith(bare + "/")
+
+
+class Calls:
+    """The plain calls of this host. It is the `Dispatcher` of keyed ones."""
+
+    def __init__(self, node: Node, discovery: Discovery):
+        self._node = node
+        self._rng = random.Random(f"calls/{node.cfg.host}/{node.incarnation}")
+        self._circuits: dict[UpstreamId, Circuit] = {}
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._discovery = discovery
+        self._numbers = count(1)
+        self._detached: set[asyncio.Task[UpstreamReply]] = set()
+
+    @property
+    def open_calls(self) -> int:
+        """Return the number of calls that go on though their caller may be gone."""
+        return len(self._detached)
+
+    async def run(
+        self, account: Account, file: PlainService, call: UpstreamCall, key: IdempotencyKey | None
+    ) -> UpstreamReply:
+        """Run one call for `account`; raises `RequestError`."""
+        path = call.path.partition("?")[0]
+        spec = find_call(file, call.method, path)
+        if spec is None:
+            detail = f"the service has no call {call.method} {path}"
+            raise refusal(ProblemType.NOT_FOUND, detail)
+        limit_ms = min(spec.timeout_ms, file.deadline_ms)
+        deadline = asyncio.get_running_loop().time() + limit_ms / 1000.0
+        if key is not None and not spec.idempotent:
+            return await self._run_keyed(account.name, file.service, key, call, deadline)
+        if spec.idempotent:
+            return await self._run_idempotent(file.service, call, deadline)
+        request = self._new_id()
+        return await self._detach(self.dispatch(request, file.service, call, deadline))
+
+    async def _run_keyed(
+        self,
+        account: AccountId,
+        service: ServiceName,
+        key: IdempotencyKey,
+        call: UpstreamCall,
+        deadline: float,
+    ) -> UpstreamReply:
+        keyed = self._node.keyed
+        if keyed is None:
+            detail = "this host can't take calls with an idempotency key yet"
+            raise refusal(ProblemType.LOG_UNAVAILABLE, detail, NO_UPSTREAM_RETRY_S)
+        return await self._detach(keyed.run(account, service, key, call, deadline))
+
+    async def _detach(self, work: Coroutine[Any, Any, UpstreamReply]) -> UpstreamReply:
+        """Await work that goes on when the caller leaves, since it may not be broken off."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._detached.add(task)
+        task.add_done_callback(self._forget_detached)
+        return await asyncio.shield(task)
+
+    def _forget_detached(self, task: "asyncio.Task[UpstreamReply]") -> None:
+        self._detached.discard(task)
+        if not task.cancelled():
+            task.exception()  # its caller may be gone
+
+    def _new_id(self) -> RequestId:
+        return RequestId(
+            f"{self._node.cfg.host}/{self._node.incarnation}/call-{next(self._numbers)}"
+        )
+
+    # One call to one upstream.
+
+    async def dispatch(
+        self, request: RequestId, service: ServiceName, call: UpstreamCall, deadline: float
+    ) -> UpstreamReply:
+        """Send a call to one upstream, once, on a fresh connection; see `Dispatcher`.
+
+        Another upstream is tried only while no byte of the call has left.
+        """
+        tried: set[UpstreamId] = set()
+        while True:
+            upstream = self._choose(request, service, deadline, tried)
+            try:
+                return await self._send(upstream, call, True, deadline)
+            except UpstreamRefusedError as exc:
+                tried.add(upstream.id)
+                extra = {"request": request, "upstream": upstream.id, "reason": str(exc)}
+                log.warning("upstream refused a call", extra=extra)
+            except UpstreamBrokenError as exc:
+                extra = {"request": request, "upstream": upstream.id, "reason": str(exc)}
+                log.warning("outcome of a call unknown", extra=extra)
+                detail = f"the connection broke off after the call may have left: {exc}"
+                unknown = problem(ProblemType.OUTCOME_UNKNOWN, detail, Ran.UNKNOWN)
+                raise RequestError(unknown) from exc
+
+    def _choose(
+        self, request: RequestId, service: ServiceName, deadline: float, tried: set[UpstreamId]
+    ) -> Upstream:
+        """Choose an upstream; raises `RequestError`, as not run, when there is none."""
+        now = asyncio.get_running_loop().time()
+        if now >= deadline:
+            raise refusal(ProblemType.DEADLINE, "the deadline passed before the call was sent")
+        file = self._node.config.plain(service)
+        if file is None:
+            raise refusal(ProblemType.NOT_FOUND, f"there is no plain service {service}")
+        upstreams = self._discovery.upstreams(file)
+        decision = choose_upstream(
+            upstreams,
+            self._circuits,
+            self._leaving(upstreams),
+            self._node.cfg.zone,
+            now,
+            self._rng,
+            tried,
+        )
+        _log_choice(request, service, decision)
+        if decision.upstream is None:
+            detail = f"no upstream can take the call: {decision.reason}"
+            retry_s = decision.retry_after_s or NO_UPSTREAM_RETRY_S
+            raise refusal(ProblemType.NO_UPSTREAM, detail, retry_s)
+        return decision.upstream
+
+    def _leaving(self, upstreams: list[Upstream]) -> set[UpstreamId]:
+        members = self._node.members
+        return {u.id for u in upstreams if members and members.upstream_leaving(u.id)}
+
+    async def _send(
+        self, upstream: Upstream, call: UpstreamCall, fresh: bool, deadline: float
+    ) -> UpstreamReply:
+        """Send a call to one upstream and tell its circuit how it went."""
+        loop = asyncio.get_running_loop()
+        circuit = self._circuits.get(upstream.id)
+        if circuit is None:
+            circuit = self._circuits[upstream.id] = Circuit(self._rng)
+        client = self._node.clients.upstream(upstream.address)
+        circuit.begin(loop.time())
+        try:
+            reply = await client.call(call, fresh, deadline - loop.time())
+        except (UpstreamRefusedError, UpstreamBrokenError):
+            circuit.end(loop.time(), False)
+            raise
+        except asyncio.CancelledError:
+            circuit.abandon()
+            raise
+        circuit.end(loop.time(), reply.status not in UNAVAILABLE)
+        return reply
+
+    # Idempotent calls.
+
+    async def _run_idempotent(
+        self, service: ServiceName, call: UpstreamCall, deadline: float
+    ) -> UpstreamReply:
+        """Run an idempotent call, tried at other upstreams within the retry budget."""
+        loop = asyncio.get_running_loop()
+        request = self._new_id()
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(loop.time())
+        budget.note_first_try()
+        tried: set[UpstreamId] = set()
+        last = _Try()
+        while True:
+            try:
+                upstream = self._choose(request, service, deadline, tried)
+            except RequestError as exc:
+                return last.end(exc)
+            tried.add(upstream.id)
+            last = await self._try_once(upstream, call, deadline, last)
+            if last.final or len(tried) >= MAX_TRIES or not budget.try_spend(loop.time()):
+                return last.end(None)
+
+    async def _try_once(
+        self, upstream: Upstream, call: UpstreamCall, deadline: float, before: "_Try"
+    ) -> "_Try":
+        try:
+            reply = await self._send(upstream, call, False, deadline)
+        except UpstreamRefusedError as exc:
+            return _Try(detail=str(exc), may_have_run=before.may_have_run)
+        except UpstreamBrokenError as exc:
+            return _Try(detail=str(exc), may_have_run=True)
+        return _Try(reply, may_have_run=True)
+
+
+class _Try:
+    """How one try of an idempotent call ended."""
+
+    def __init__(
+        self,
+        reply: UpstreamReply | None = None,
+        detail: str = "",
+        may_have_run: bool = False,
+    ):
+        self._reply = reply
+        self._detail = detail
+        self.may_have_run = may_have_run
+
+    @property
+    def final(self) -> bool:
+        """Return whether another try would be of no use."""
+        return self._reply is not None and self._reply.status not in UNAVAILABLE
+
+    def end(self, refused: RequestError | None) -> UpstreamReply:
+        """Return the answer, or raise what the caller is told when there is none."""
+        if self._reply is not None:
+            return self._reply
+        if refused is not None and not self.may_have_run:
+            raise refused
+        ran = Ran.UNKNOWN if self.may_have_run else Ran.NOT_RUN
+        detail = f"no upstream answered: {self._detail}"
+        raise RequestError(
+            problem(ProblemType.UPSTREAM_FAILED, detail, ran, NO_UPSTREAM_RETRY_S)
+        ) from refused
+
+
+def _log_choice(request: RequestId, service: ServiceName, decision: UpstreamDecision) -> None:
+    extra = {
+        "request": request,
+        "service": service,
+        "chosen": decision.upstream.id if decision.upstream else "none",
+        "candidates": ",".join(decision.candidates),
+        "reason": decision.reason,
+    }
+    log.info("upstream chosen", extra=extra)
--- /dev/null
+++ b/daemon/minttided/drafts.py
@@ -0,0 +1,259 @@
+"""Drafts: admitted, sent through a chain of engines, and streamed or returned whole."""
+
+import asyncio
+import logging
+import random
+from itertools import count
+from types import TracebackType
+from typing import Self
+
+import msgspec
+
+from minttide.config.service import Account, ModelService
+from minttide.ids import RequestId, ServiceName
+from minttide.outcome import ProblemType, RequestError
+from minttide.policy.attempt import Attempt
+from minttide.policy.chains import Chain, ChainDecision, choose_chain, has_room
+from minttide.policy.limits import Ticket
+from minttide.prefix import prefix_digests
+from minttided.accounts import check_allowed
+from minttided.admission import Admission, Slot
+from minttided.draft_request import DraftRequest, parse_draft
+from minttided.draft_run import DraftRun
+from minttided.engine_watch import EngineWatch
+from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.node import Node
+from minttided.problems import refusal
+from minttided.recoveries import Recoveries
+from minttided.sse import Opened, end_event, open_event, problem_event, token_event
+from minttided.tokens import TextDecoder, decode_text
+
+log = logging.getLogger(__name__)
+
+NO_CHAIN_RETRY_S = 1.0
+CHOICE_STANDS_S = 0.01
+"""A request that waited longer than this for a place chooses its chain anew."""
+
+SSE_HEADERS = [("cache-control", "no-store")]
+
+
+class WholeDraft(msgspec.Struct):
+    """The answer of a draft that wasn't asked for as a stream."""
+
+    text: str
+    tokens: list[int]
+    version: str
+    resume: str
+    ran: str = "done"
+
+
+class Drafts:
+    """The drafts that run on this host."""
+
+    def __init__(self, node: Node, watch: EngineWatch):
+        self.admission = Admission(node, self._has_room)
+        self._node = node
+        self._watch = watch
+        self._recoveries = Recoveries(watch)
+        self._rng = random.Random(f"{node.cfg.host}/{node.incarnation}")
+        self._numbers = count(1)
+        self._secret = node.cfg.resume_secret
+
+    async def __aenter__(self) -> Self:
+        await self.admission.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._recoveries.__aexit__(kind, exc, trace)
+        await self.admission.__aexit__(kind, exc, trace)
+
+    async def handle(
+        self, req: HttpRequest, account: Account, file: ModelService
+    ) -> HttpResponse | StreamResponse:
+        """Answer one draft request; raises `RequestError` when it is refused."""
+        check_allowed(account, file)
+        self.admission.check_rate(account)
+        draft = parse_draft(req.body, file, account, self._secret)
+        run, slot, resume = await self._start(draft)
+        if draft.stream:
+            return StreamResponse(DraftStream(run, slot, draft, resume), headers=SSE_HEADERS)
+        return await _answer_whole(run, slot, draft, resume)
+
+    async def _start(self, draft: DraftRequest) -> tuple[DraftRun, Slot, Opened]:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        deadline = began + draft.deadline_s
+        request = self._new_id()
+        chain = self._choose(draft, request)
+        slot = await self._enter(draft, request, chain, deadline)
+        try:
+            if loop.time() - began > CHOICE_STANDS_S:
+                chain = self._choose(draft, request)
+            run = self._make_run(draft, request)
+        except RequestError:
+            slot.release()
+            raise
+        run.set_deadline(deadline)
+        if run.running:
+            run.start(chain)
+        resume = draft.sign_resume(chain.version, self._node.cfg.host, self._secret)
+        return run, slot, Opened(resume, chain.version)
+
+    async def _enter(
+        self, draft: DraftRequest, request: RequestId, chain: Chain, deadline: float
+    ) -> Slot:
+        """Wait for a place; raises `RequestError` at once when the deadline can't be met."""
+        tokens = draft.max_tokens - len(draft.delivered)
+        account = draft.account
+        ticket = Ticket(request, account.name, float(tokens), deadline, account.priority)
+        work_s = self._expected_s(chain, len(draft.prompt) + len(draft.delivered))
+        return await self.admission.enter(draft.service, account, ticket, work_s)
+
+    def _make_run(self, draft: DraftRequest, request: RequestId) -> DraftRun:
+        priority = draft.account.priority
+        attempt = Attempt(
+            request, draft.prompt, draft.max_tokens, draft.delivered, draft.adapter, priority
+        )
+        return DraftRun(attempt, priority, self._watch, self._recoveries)
+
+    def _new_id(self) -> RequestId:
+        return RequestId(f"{self._node.cfg.host}/{self._node.incarnation}/{next(self._numbers)}")
+
+    # Choice of a chain.
+
+    def _choose(self, draft: DraftRequest, request: RequestId) -> Chain:
+        """Choose the chain of a new request; raises `RequestError` when there is none."""
+        usable = self._usable(draft)
+        estimator = self._watch.topology.estimator
+        if not usable or estimator is None:
+            raise self._no_chain(draft)
+        tokens = draft.prompt + draft.delivered
+        names = prefix_digests(draft.service, usable[0].version, draft.adapter, tokens)
+        decision = choose_chain(
+            usable,
+            estimator,
+            self._watch.news(names),
+            len(tokens),
+            draft.max_tokens - len(draft.delivered),
+            self._rng,
+        )
+        _log_choice(draft, request, decision)
+        if decision.chain is None:
+            raise self._no_chain(draft)
+        return decision.chain
+
+    def _usable(self, draft: DraftRequest) -> list[Chain]:
+        """Return the chains that could take a new request, those of the wanted version first."""
+        avoid = self._watch.avoid()
+        for everywhere in (False, True):
+            chains = self._watch.chains(draft.service, everywhere)
+            usable = [c for c in chains if avoid.isdisjoint(c.engines)]
+            wanted = draft.version or draft.file.version
+            exact = [c for c in usable if c.version == wanted]
+            # While a version is brought in, new drafts go on with the one that is still loaded.
+            if exact or (usable and draft.version is None):
+                return exact or usable
+        return []
+
+    def _no_chain(self, draft: DraftRequest) -> RequestError:
+        chains = self._watch.chains(draft.service, everywhere=True)
+        gone = chains and all(c.version != draft.version for c in chains)
+        if draft.version is not None and gone:
+            detail = f"version {draft.version} is no longer served; start the draft again"
+            return refusal(ProblemType.NO_CHAIN, detail)
+        detail = "no chain of engines can take the request now"
+        return refusal(ProblemType.NO_CHAIN, detail, NO_CHAIN_RETRY_S)
+
+    def _expected_s(self, chain: Chain, tokens: int) -> float:
+        estimator = self._watch.topology.estimator
+        assert estimator is not None
+        return estimator.estimate(chain, tokens, self._watch.news()).first_token_ms / 1000.0
+
+    def _has_room(self, service: ServiceName) -> bool:
+        """Return whether a chain can take another stream within the time between tokens."""
+        topology = self._watch.topology
+        estimator = topology.estimator
+        if estimator is None:
+            return False
+        news = self._watch.news()
+        avoid = self._watch.avoid()
+        followers = topology.followers(service)
+        return any(
+            avoid.isdisjoint(c.engines) and has_room(c, estimator, news, followers)
+            for c in self._watch.chains(service)
+        )
+
+
+def _log_choice(draft: DraftRequest, request: RequestId, decision: ChainDecision) -> None:
+    candidates = [f"{e.chain}:{e.first_token_ms:.0f}ms" for e in decision.candidates]
+    extra = {
+        "request": request,
+        "account": draft.account.name,
+        "service": draft.service,
+        "chosen": decision.chain.id if decision.chain else "none",
+        "candidates": ",".join(candidates),
+        "reason": decision.reason,
+    }
+    log.info("chain chosen", extra=extra)
+
+
+def _end_run(run: DraftRun, slot: Slot, draft: DraftRequest) -> None:
+    run.close()
+    slot.release(len(run.attempt.delivered) - len(draft.delivered))
+
+
+async def _answer_whole(
+    run: DraftRun, slot: Slot, draft: DraftRequest, opened: Opened
+) -> HttpResponse:
+    """Wait for the whole answer; raises `RequestError` when the draft is given up."""
+    try:
+        while await run.next_tokens():
+            pass
+    finally:
+        _end_run(run, slot, draft)
+    tokens = run.attempt.delivered
+    whole = WholeDraft(decode_text(tokens), tokens, opened.version, opened.resume)
+    return HttpResponse(200, msgspec.json.encode(whole))
+
+
+class DraftStream:
+    """The events of one draft. Closing it cancels the draft if it still runs."""
+
+    def __init__(self, run: DraftRun, slot: Slot, draft: DraftRequest, opened: Opened):
+        self._run = run
+        self._slot = slot
+        self._draft = draft
+        self._opened: Opened | None = opened
+        self._sent = len(draft.delivered)
+        self._text = TextDecoder(draft.delivered)
+        self._ended = False
+
+    async def next_chunk(self) -> bytes:
+        """Return the next events, empty after the last one."""
+        if self._opened is not None:
+            opened, self._opened = self._opened, None
+            return open_event(opened)
+        if self._ended:
+            return b""
+        try:
+            tokens = await self._run.next_tokens()
+        except RequestError as exc:
+            self._ended = True
+            return problem_event(exc.problem)
+        if not tokens:
+            self._ended = True
+            return end_event(self._sent)
+        return b"".join([self._encode(token) for token in tokens])
+
+    def _encode(self, token: int) -> bytes:
+        self._sent += 1
+        return token_event(self._sent, token, self._text.add(token))
+
+    def close(self) -> None:
+        """Cancel the draft if it still runs, and free its place."""
+        _end_run(self._run, self._slot, self._draft)
--- /dev/null
+++ b/daemon/minttided/engine_watch.py
@@ -0,0 +1,280 @@
+"""Follows the engines that this daemon uses: health, load, cached prefixes, work in flight."""
+
+import asyncio
+import logging
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import cycle
+
+import msgspec
+
+from minttide.ids import RequestId, ServiceName, UpstreamId
+from minttide.interfaces import EngineClient, EngineError
+from minttide.policy.chains import Chain, ChainNews
+from minttide.policy.suspicion import Suspicion
+from minttide.steps import EngineState, LoadReport, Step, StepError
+from minttided.cache_view import CacheView
+from minttided.node import Node
+from minttided.steps_batcher import EngineLane, StepOwner
+from minttided.topology import Topology, build_topology, topology_key
+
+log = logging.getLogger(__name__)
+
+READS_PER_S = 4.0
+"""Engines that are read each second, however many there are."""
+
+REFRESH_S = 1.0
+PROBE_S = 0.25
+"""Time between two looks at engines that are suspected."""
+
+PROBES_AT_ONCE = 8
+FIRST_HOLD_S = 0.25
+LONGEST_HOLD_S = 30.0
+"""Bounds of how long a suspicion stands before the engine's state alone may lift it."""
+
+HOLD_MEMORY_S = 60.0
+"""An engine that is suspected again within this time is held for twice as long."""
+
+UNFIT_ERRORS = {StepError.WRONG_LAYERS, StepError.NO_MEMORY, StepError.LEAVING}
+"""Errors after which an engine gets no new request until its state was read."""
+
+
+@dataclass
+class _Hold:
+    """A suspicion that stands until `until_s` in loop time."""
+
+    until_s: float
+    length_s: float
+
+
+class EngineWatch:
+    """What this daemon knows of engines. It judges them by their answers to its own steps."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._suspicion = Suspicion()
+        self._unfit: dict[UpstreamId, str] = {}
+        self._holds: dict[UpstreamId, _Hold] = {}
+        self._rng = random.Random(node.cfg.host)
+        self._reports: dict[UpstreamId, LoadReport] = {}
+        self._caches = CacheView()
+        self._lanes: dict[UpstreamId, EngineLane] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._topology = build_topology(node, topology_key(node))
+        self.owners: dict[RequestId, StepOwner] = {}
+        self.streams: Counter[UpstreamId] = Counter()
+        self.prefill: Counter[UpstreamId] = Counter()
+        self.changed = asyncio.Event()
+
+    async def __aenter__(self) -> "EngineWatch":
+        loop = asyncio.get_running_loop()
+        jobs = (self._refresh_regularly(), self._read_engines(), self._probe_doubtful())
+        self._tasks = [loop.create_task(job) for job in jobs]
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(lane.close() for lane in self._lanes.values()))
+
+    # Topology.
+
+    @property
+    def topology(self) -> Topology:
+        """Return the topology of the configuration and plan that are in force now."""
+        key = self._topology.key
+        node = self._node
+        plan = node.placement.offset if node.placement is not None else key.plan
+        if (node.config.applied, plan) != (key.config, key.plan):
+            self.refresh()
+        return self._topology
+
+    def refresh(self) -> None:
+        """Work the topology out again if anything that it depends on has changed."""
+        key = topology_key(self._node)
+        if key == self._topology.key:
+            return
+        before = self._topology.assignments
+        self._topology = build_topology(self._node, key)
+        for engine in set(before) | set(self._topology.assignments):
+            if _layers(before.get(engine)) != _layers(self._topology.assignments.get(engine)):
+                self._suspicion.forget(engine)
+                self._unfit.pop(engine, None)
+        self._caches.keep_only(set(self._topology.followed))
+        self._holds = {e: h for e, h in self._holds.items() if e in self._topology.engines}
+        self._drop_idle_lanes()
+        self.notify()
+
+    def chains(self, service: ServiceName, everywhere: bool = False) -> Sequence[Chain]:
+        """Return the chains of a service that this daemon follows, or all of the domain."""
+        topology = self.topology
+        return (topology.all_chains if everywhere else topology.chains).get(service, ())
+
+    def avoid(self) -> frozenset[UpstreamId]:
+        """Return the engines that get no new request: suspected, unfit or leaving."""
+        members = self._node.members
+        leaving = [e for e in self._topology.followed if members and members.upstream_leaving(e)]
+        return self._suspicion.suspected.union(self._unfit, leaving)
+
+    def news(self, prefixes: Sequence[str] = ()) -> ChainNews:
+        """Return what is known now, for a request whose prompt has these prefix digests."""
+        return ChainNews(
+            now_ms=asyncio.get_running_loop().time() * 1000.0,
+            own_streams=self.streams,
+            own_prefill=self.prefill,
+            reports=self._reports,
+            cached=self._caches.cached(self._topology.followed, prefixes),
+            step_factor=self._suspicion.step_factors(),
+        )
+
+    def notify(self) -> None:
+        """Wake those who wait for a chain that can be used."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    # Lanes.
+
+    def lane(self, engine: UpstreamId) -> EngineLane:
+        """Return the lane to an engine; raises `EngineError` for an unknown one."""
+        lane = self._lanes.get(engine)
+        if lane is None:
+            lane = EngineLane(engine, self._client(engine), self.owners, self)
+            self._lanes[engine] = lane
+        return lane
+
+    def _client(self, engine: UpstreamId) -> EngineClient:
+        address = self._topology.address(engine)
+        if address is None:
+            raise EngineError(f"engine {engine} isn't in the service files")
+        return self._node.clients.engine(engine, address)
+
+    def client(self, engine: UpstreamId) -> EngineClient:
+        """Return the client of an engine; raises `EngineError` for an unknown one."""
+        return self._client(engine)
+
+    def _drop_idle_lanes(self) -> None:
+        idle = [
+            engine
+            for engine, lane in self._lanes.items()
+            if engine not in self._topology.engines and not lane.busy
+        ]
+        for engine in idle:
+            del self._lanes[engine]
+
+    # Health, as told by answers to steps.
+
+    def patience_s(self, engine: UpstreamId, steps: Sequence[Step]) -> float:
+        """Return how long a batch may take before its engine is suspected, in seconds."""
+        return self._suspicion.patience_ms(engine, self._expected_ms(engine, steps)) / 1000.0
+
+    def observe(self, engine: UpstreamId, steps: Sequence[Step], seen_s: float) -> None:
+        """Note that a batch was answered after `seen_s` seconds."""
+        was_suspected = engine in self._suspicion.suspected
+        self._suspicion.observe(engine, self._expected_ms(engine, steps), seen_s * 1000.0)
+        if was_suspected:
+            log.info("suspicion lifted", extra={"engine": engine, "reason": "it answered"})
+            self.notify()
+
+    def _expected_ms(self, engine: UpstreamId, steps: Sequence[Step]) -> float:
+        prefill = sum(step.position for step in steps if step.prefill)
+        return self._topology.batch_ms(engine, len(steps), prefill)
+
+    def suspect(self, engine: UpstreamId, reason: str) -> None:
+        """Note that an answer of an engine is missing."""
+        if engine not in self._suspicion.suspected:
+            log.warning("engine suspected", extra={"engine": engine, "reason": reason})
+            self._suspicion.suspect(engine)
+            self._hold(engine)
+            if self._node.placement is not None:
+                self._node.placement.suspect(engine)
+
+    def _hold(self, engine: UpstreamId) -> None:
+        now = asyncio.get_running_loop().time()
+        last = self._holds.get(engine)
+        length_s = FIRST_HOLD_S
+        if last is not None and now < last.until_s + HOLD_MEMORY_S:
+            length_s = min(LONGEST_HOLD_S, 2 * last.length_s)
+        self._holds[engine] = _Hold(now + length_s, length_s)
+
+    def note_error(self, engine: UpstreamId, error: StepError) -> None:
+        """Note that an engine refused a step."""
+        if error not in UNFIT_ERRORS:
+            return
+        self._unfit[engine] = error.value
+        log.warning("engine unfit", extra={"engine": engine, "reason": error.value})
+        if error is StepError.LEAVING and self._node.members is not None:
+            self._node.members.announce_upstream_leaving(engine)
+
+    # Regular work.
+
+    async def _refresh_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            self.refresh()
+
+    async def _read_engines(self) -> None:
+        """Read load and cache events of the followed engines in turn, at a constant rate."""
+        while True:
+            followed = self._topology
+            if not followed.followed:
+                await asyncio.sleep(REFRESH_S)
+                continue
+            for engine in cycle(followed.followed):
+                await asyncio.sleep(1.0 / READS_PER_S)
+                if self._topology is not followed:
+                    break
+                await self._read_engine(engine)
+
+    async def _read_engine(self, engine: UpstreamId) -> None:
+        if engine in self._suspicion.suspected:
+            return
+        try:
+            client = self._client(engine)
+            report = await client.report()
+            events = await client.cache_events(self._caches.sequence(engine))
+        except EngineError as exc:
+            self.suspect(engine, str(exc))
+            return
+        # The engine's clock may be wrong, so the report counts from when it was read.
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        self._reports[engine] = msgspec.structs.replace(report, at_ms=now_ms)
+        self._caches.apply(engine, events)
+
+    async def _probe_doubtful(self) -> None:
+        while True:
+            await asyncio.sleep(PROBE_S)
+            now = asyncio.get_running_loop().time()
+            held = {e for e, hold in self._holds.items() if now < hold.until_s}
+            doubtful = sorted(self._suspicion.suspected.union(self._unfit) - held)
+            picked = self._rng.sample(doubtful, min(PROBES_AT_ONCE, len(doubtful)))
+            await asyncio.gather(*(self._probe(engine) for engine in picked))
+
+    async def _probe(self, engine: UpstreamId) -> None:
+        try:
+            state = await self._client(engine).read_state()
+        except EngineError:
+            return
+        if not self._fits(engine, state):
+            return
+        log.info("suspicion lifted", extra={"engine": engine, "reason": "its state is as planned"})
+        self._suspicion.forget(engine)
+        self._unfit.pop(engine, None)
+        self._caches.forget(engine)
+        self.notify()
+
+    def _fits(self, engine: UpstreamId, state: EngineState) -> bool:
+        """Return whether an engine holds what the plan wants and takes new requests."""
+        if state.leaving and self._node.members is not None:
+            self._node.members.announce_upstream_leaving(engine)
+        wanted = self._topology.assignments.get(engine)
+        held = (state.service, state.version, state.first, state.last)
+        return not state.loading and not state.leaving and held == _layers(wanted)
+
+
+def _layers(assignment: object) -> tuple[object, ...]:
+    """Return what an assignment lets its engine hold."""
+    names = ("service", "version", "first", "last")
+    return tuple(getattr(assignment, name, None) for name in names)
--- a/daemon/minttided/http_messages.py
+++ b/daemon/minttided/http_messages.py
@@ -1,7 +1,8 @@
 """HTTP requests and responses as the daemon's handlers see them."""
 
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 from urllib.parse import parse_qsl
 
 from minttide.ids import Address
@@ -38,11 +39,21 @@
     headers: Headers = field(default_factory=list)
 
 
+class ChunkSource(Protocol):
+    """The pieces of a streamed body."""
+
+    async def next_chunk(self) -> bytes:
+        """Return the next piece, empty after the last one."""
+
+    def close(self) -> None:
+        """Free what the body holds, whether it was sent whole or not."""
+
+
 @dataclass(frozen=True)
 class StreamResponse:
     """A response whose body is sent piece by piece; `chunks` is closed when the caller goes."""
 
-    chunks: AsyncGenerator[bytes, None]
+    chunks: ChunkSource
     status: int = 200
     content_type: str = "text/event-stream"
     headers: Headers = field(default_factory=list)
--- a/daemon/minttided/http_server.py
+++ b/daemon/minttided/http_server.py
@@ -326,12 +326,12 @@
         try:
             headers = [("transfer-encoding", "chunked"), *resp.headers]
             self._write(self._head(resp.status, resp.content_type, headers, False))
-            async for chunk in resp.chunks:
+            while chunk := await resp.chunks.next_chunk():
                 self._write(h11.Data(data=chunk))
                 if self._writable is not None:
                     await self._drain()
         finally:
-            await resp.chunks.aclose()
+            resp.chunks.close()
         self._write(h11.EndOfMessage())
         await self._drain()
 
--- /dev/null
+++ b/daemon/minttided/steps_batcher.py
@@ -0,0 +1,265 @@
+"""Steps to engines: those of many requests go together in one message to each engine.
+
+While batches are in flight to an engine, further steps wait and leave together in the next one.
+"""
+
+import asyncio
+import heapq
+import logging
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from minttide.ids import RequestId, UpstreamId
+from minttide.interfaces import EngineClient, EngineError
+from minttide.steps import Step, StepBatch, StepReplies, StepReply
+
+log = logging.getLogger(__name__)
+
+MAX_IN_FLIGHT = 2
+"""Batches that an engine is sent before it has answered the first of them."""
+
+MAX_OVERDUE = 2
+"""Batches without an answer in time whose late replies are still read."""
+
+MAX_BATCH_STEPS = 256
+MAX_QUEUED_STEPS = 4_096
+MAX_PENDING_CANCELS = 4_096
+CANCEL_DELAY_S = 0.01
+"""Time that cancellations wait for others to go with them."""
+
+CANCEL_RETRY_S = 0.5
+CANCEL_KEEP_S = 60.0
+"""How long a cancellation is tried at an engine that can't be reached."""
+
+
+class StepOwner(Protocol):
+    """The request that a step belongs to."""
+
+    def awaits(self, step: Step) -> bool:
+        """Return whether the reply to `step` is still wanted."""
+
+    def take_reply(self, engine: UpstreamId, reply: StepReply) -> None:
+        """Take a reply, which may be late or not its own."""
+
+    def miss_step(self, engine: UpstreamId, step: Step, reason: str) -> None:
+        """Note that no reply to `step` will come, or none in time."""
+
+
+class EngineHealth(Protocol):
+    """Judges engines by their answers."""
+
+    def patience_s(self, engine: UpstreamId, steps: Sequence[Step]) -> float:
+        """Return how long a batch may take before its engine is suspected, in seconds."""
+
+    def observe(self, engine: UpstreamId, steps: Sequence[Step], seen_s: float) -> None:
+        """Note that a batch was answered after `seen_s` seconds."""
+
+    def suspect(self, engine: UpstreamId, reason: str) -> None:
+        """Note that an answer is missing."""
+
+
+@dataclass(eq=False)
+class _Batch:
+    steps: dict[tuple[RequestId, int, int, int], Step]
+    task: asyncio.Task[None] | None = None
+    cancel_after: set[RequestId] = field(default_factory=set)
+
+
+class EngineLane:
+    """The steps and cancellations on their way to one engine."""
+
+    def __init__(
+        self,
+        engine: UpstreamId,
+        client: EngineClient,
+        owners: Mapping[RequestId, StepOwner],
+        health: EngineHealth,
+    ):
+        self.engine = engine
+        self._client = client
+        self._owners = owners
+        self._health = health
+        self._loop = asyncio.get_running_loop()
+        self._queue: list[tuple[int, int, Step]] = []
+        self._sequence = 0
+        self._in_flight: set[_Batch] = set()
+        self._overdue: list[_Batch] = []
+        self._flush_soon = False
+        self._cancels: dict[RequestId, float] = {}
+        self._canceller: asyncio.Task[None] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Return whether anything waits for the engine or its answer."""
+        return bool(self._queue or self._in_flight or self._overdue or self._cancels)
+
+    # Steps.
+
+    def submit(self, step: Step) -> None:
+        """Queue a step; its owner hears of a reply or of a miss."""
+        self._forget_cancel(step.request)
+        if len(self._queue) >= MAX_QUEUED_STEPS:
+            self._loop.call_soon(self._miss, step, "too many steps wait for the engine")
+            return
+        self._sequence += 1
+        heapq.heappush(self._queue, (-step.priority, self._sequence, step))
+        if not self._flush_soon and len(self._in_flight) < MAX_IN_FLIGHT:
+            self._flush_soon = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_soon = False
+        while self._queue and len(self._in_flight) < MAX_IN_FLIGHT:
+            batch = self._next_batch()
+            if batch.steps:
+                self._in_flight.add(batch)
+                batch.task = self._loop.create_task(self._run(batch))
+
+    def _next_batch(self) -> _Batch:
+        steps: dict[tuple[RequestId, int, int, int], Step] = {}
+        while self._queue and len(steps) < MAX_BATCH_STEPS:
+            step = heapq.heappop(self._queue)[2]
+            owner = self._owners.get(step.request)
+            if owner is not None and owner.awaits(step):
+                steps[step.request, step.attempt, step.position, step.stage] = step
+        return _Batch(steps)
+
+    async def _run(self, batch: _Batch) -> None:
+        steps = list(batch.steps.values())
+        work = self._work_ahead()
+        started = self._loop.time()
+        patience_s = self._health.patience_s(self.engine, work)
+        timer = self._loop.call_later(patience_s, self._miss_overdue, batch, patience_s)
+        try:
+            replies = await self._client.run_steps(StepBatch(steps))
+        except EngineError as exc:
+            self._suspect(batch, str(exc))
+        else:
+            self._health.observe(self.engine, work, self._loop.time() - started)
+            self._hand_out(batch, replies)
+        finally:
+            timer.cancel()
+            self._end(batch)
+
+    def _work_ahead(self) -> list[Step]:
+        """Return all steps that the engine has to run until it can answer the newest batch."""
+        return [step for b in (*self._in_flight, *self._overdue) for step in b.steps.values()]
+
+    def _hand_out(self, batch: _Batch, replies: StepReplies) -> None:
+        for reply in replies.replies:
+            step_name = (reply.request, reply.attempt, reply.position, reply.stage)
+            batch.steps.pop(step_name, None)
+            owner = self._owners.get(reply.request)
+            if owner is not None:
+                owner.take_reply(self.engine, reply)
+            else:
+                log_dropped(self.engine, reply, "the request has ended")
+        self._miss_all(batch.steps.values(), "the engine's answer lacks the step")
+
+    def _end(self, batch: _Batch) -> None:
+        self._in_flight.discard(batch)
+        if batch in self._overdue:
+            self._overdue.remove(batch)
+        for request in batch.cancel_after:
+            self._add_cancel(request)
+        self._flush()
+
+    # Missing answers.
+
+    def _miss_overdue(self, batch: _Batch, patience_s: float) -> None:
+        self._in_flight.discard(batch)
+        self._overdue.append(batch)
+        if len(self._overdue) > MAX_OVERDUE and (task := self._overdue[0].task):
+            task.cancel()
+        self._suspect(batch, f"no answer within {patience_s * 1000:.0f} ms")
+        self._flush()
+
+    def _suspect(self, batch: _Batch, reason: str) -> None:
+        self._health.suspect(self.engine, reason)
+        queued = [entry[2] for entry in self._queue]
+        self._queue.clear()
+        self._miss_all([*batch.steps.values(), *queued], reason)
+
+    def _miss_all(self, steps: Iterable[Step], reason: str) -> None:
+        for step in list(steps):
+            self._miss(step, reason)
+
+    def _miss(self, step: Step, reason: str) -> None:
+        owner = self._owners.get(step.request)
+        if owner is not None and owner.awaits(step):
+            owner.miss_step(self.engine, step, reason)
+
+    # Cancellations.
+
+    def cancel(self, request: RequestId) -> None:
+        """Let the engine drop all that it keeps for a request, also of steps still on their way."""
+        for batch in (*self._in_flight, *self._overdue):
+            if any(name[0] == request for name in batch.steps):
+                batch.cancel_after.add(request)
+        self._add_cancel(request)
+
+    def _add_cancel(self, request: RequestId) -> None:
+        if len(self._cancels) >= MAX_PENDING_CANCELS:
+            dropped = next(iter(self._cancels))
+            del self._cancels[dropped]
+            log.warning("cancellation given up", extra={"engine": self.engine, "request": dropped})
+        self._cancels[request] = self._loop.time() + CANCEL_KEEP_S
+        if self._canceller is None:
+            self._canceller = self._loop.create_task(self._send_cancels())
+
+    def _forget_cancel(self, request: RequestId) -> None:
+        self._cancels.pop(request, None)
+        for batch in self._in_flight:
+            batch.cancel_after.discard(request)
+
+    async def _send_cancels(self) -> None:
+        delay_s = CANCEL_DELAY_S
+        while self._cancels:
+            await asyncio.sleep(delay_s)
+            delay_s = CANCEL_DELAY_S if await self._try_cancels() else CANCEL_RETRY_S
+        self._canceller = None
+
+    async def _try_cancels(self) -> bool:
+        sent = dict(self._cancels)
+        if not sent:
+            return True
+        try:
+            await self._client.cancel(list(sent))
+        except EngineError as exc:
+            self._drop_old_cancels(str(exc))
+            return False
+        for request, keep_until in sent.items():
+            if self._cancels.get(request) == keep_until:
+                del self._cancels[request]
+        return True
+
+    def _drop_old_cancels(self, reason: str) -> None:
+        now = self._loop.time()
+        old = [r for r, keep_until in self._cancels.items() if keep_until <= now]
+        for request in old:
+            del self._cancels[request]
+        if old:
+            extra = {"engine": self.engine, "requests": len(old), "reason": reason}
+            log.warning("cancellations given up", extra=extra)
+
+    async def close(self) -> None:
+        """End everything that is on its way."""
+        tasks = [b.task for b in (*self._in_flight, *self._overdue) if b.task]
+        tasks += [self._canceller] if self._canceller else []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def log_dropped(engine: UpstreamId, reply: StepReply, reason: str) -> None:
+    """Log a reply that nothing waits for."""
+    extra = {
+        "engine": engine,
+        "request": reply.request,
+        "attempt": reply.attempt,
+        "position": reply.position,
+        "stage": reply.stage,
+        "reason": reason,
+    }
+    log.info("reply dropped", extra=extra)
--- /dev/null
+++ b/daemon/minttided/topology.py
@@ -0,0 +1,123 @@
+"""The chains that this daemon uses, worked out from the configuration, the plan and the hosts."""
+
+from dataclasses import dataclass, field
+
+from minttide.config.service import Engine, ModelService, Site
+from minttide.ids import Address, HostId, Offset, ServiceName, UpstreamId, ZoneId
+from minttide.policy.chains import Chain, ChainEstimator, chains_of, level_at
+from minttide.policy.speed import (
+    EngineShape,
+    decode_layer_us,
+    prefill_layer_us,
+    shape_engines,
+)
+from minttide.policy.subset import subset_for
+from minttide.records import Assignment
+from minttided.node import Node
+
+NO_ENGINE_MS = 50.0
+"""Expected time of a batch on an engine that isn't in the service files."""
+
+
+@dataclass(frozen=True)
+class TopologyKey:
+    """What a topology was worked out from; another key means that it is out of date."""
+
+    config: Offset
+    plan: Offset
+    hosts: tuple[tuple[HostId, ZoneId], ...]
+
+
+@dataclass
+class Topology:
+    """Chains by service, with what is known of their engines from the service files."""
+
+    key: TopologyKey
+    estimator: ChainEstimator | None = None
+    chains: dict[ServiceName, list[Chain]] = field(default_factory=dict)
+    all_chains: dict[ServiceName, list[Chain]] = field(default_factory=dict)
+    assignments: dict[UpstreamId, Assignment] = field(default_factory=dict)
+    engines: dict[UpstreamId, Engine] = field(default_factory=dict)
+    followed: tuple[UpstreamId, ...] = ()
+    _rates: dict[UpstreamId, tuple[float, float, float]] = field(default_factory=dict)
+
+    def address(self, engine: UpstreamId) -> Address | None:
+        """Return the address of an engine of the service files."""
+        found = self.engines.get(engine)
+        return found.address if found else None
+
+    def batch_ms(self, engine: UpstreamId, decode_steps: int, prefill_tokens: int) -> float:
+        """Return the rated time of a batch on an engine as planned, in milliseconds."""
+        rates = self._rates.get(engine)
+        if rates is None:
+            return NO_ENGINE_MS
+        base_us, stream_us, prefill_us = rates
+        return (base_us + decode_steps * stream_us + prefill_tokens * prefill_us) / 1000.0
+
+    def followers(self, service: ServiceName) -> int:
+        """Return how many hosts are expected to use each chain of a service, at least 1."""
+        everywhere = len(self.all_chains.get(service, ()))
+        here = len(self.chains.get(service, ()))
+        return max(1, round(len(self.key.hosts) * here / everywhere)) if everywhere else 1
+
+    def rate(self, site: Site, services: list[ModelService], home: ZoneId) -> None:
+        """Work out the rated times of all planned engines."""
+        shapes: dict[UpstreamId, EngineShape] = {}
+        for service in services:
+            shapes.update((s.engine, s) for s in shape_engines(site, service.engines))
+        models = {s.service: s.model for s in services}
+        for engine, assignment in self.assignments.items():
+            shape, model = shapes.get(engine), models.get(assignment.service)
+            if shape is None or model is None or self.estimator is None:
+                continue
+            level = level_at(shape, assignment.watts)
+            layers = assignment.last - assignment.first
+            idle_us = decode_layer_us(shape, level, model, 0)
+            stream_us = decode_layer_us(shape, level, model, 1) - idle_us
+            link_us = 2 * self.estimator.links.between(home, shape.zone).one_way_us
+            prefill_us = prefill_layer_us(shape, level, model)
+            self._rates[engine] = (
+                layers * idle_us + link_us,
+                layers * stream_us,
+                layers * prefill_us,
+            )
+
+
+def topology_key(node: Node) -> TopologyKey:
+    """Return the key of the topology that holds now."""
+    hosts: tuple[tuple[HostId, ZoneId], ...] = ()
+    if node.members is not None:
+        hosts = tuple(sorted((m.host, m.zone) for m in node.members.hosts() if not m.leaving))
+    plan = node.placement.offset if node.placement is not None else Offset(-1)
+    return TopologyKey(node.config.applied, plan, hosts)
+
+
+def build_topology(node: Node, key: TopologyKey) -> Topology:
+    """Work the topology out anew; it is empty until there is a configuration and a plan."""
+    topology = Topology(key)
+    site = node.config.site
+    if site is None or node.placement is None:
+        return topology
+    services = [f for f in node.config.files.values() if isinstance(f, ModelService)]
+    topology.engines = {e.id: e for s in services for e in s.engines}
+    topology.assignments = {a.engine: a for a in node.placement.assignments()}
+    topology.estimator = ChainEstimator(site, services, node.cfg.zone)
+    zones = {e.id: e.zone for e in topology.engines.values()}
+    layers = {s.service: s.model.layers for s in services}
+    for chain in chains_of(topology.assignments.values(), zones, layers):
+        if all(engine in topology.engines for engine in chain.engines):
+            topology.all_chains.setdefault(chain.service, []).append(chain)
+    _choose_followed(topology, node, key)
+    topology.rate(site, services, node.cfg.zone)
+    return topology
+
+
+def _choose_followed(topology: Topology, node: Node, key: TopologyKey) -> None:
+    """Keep the deterministic subset of chains that this host uses, service by service."""
+    hosts = {**dict(key.hosts), node.cfg.host: node.cfg.zone}
+    followed: dict[UpstreamId, None] = {}
+    for service, chains in topology.all_chains.items():
+        topology.chains[service] = subset_for(node.cfg.host, hosts, chains)
+        for chain in topology.chains[service]:
+            followed.update(dict.fromkeys(chain.engines))
+    topology.followed = tuple(followed)
--- /dev/null
+++ b/test/drafting.py
@@ -0,0 +1,227 @@
+"""A small site with chains of stand-in engines, and the data plane of one host before it."""
+
+import hashlib
+import json
+from contextlib import AsyncExitStack
+
+import msgspec
+
+from minttide.config.service import (
+    AcceleratorKind,
+    Account,
+    Call,
+    Engine,
+    Link,
+    Model,
+    ModelService,
+    PlainService,
+    PowerLevel,
+    Site,
+    Upstream,
+    Zone,
+)
+from minttide.config.settings import Bounds, Settings
+from minttide.ids import (
+    AccountId,
+    AdapterName,
+    Address,
+    HostId,
+    Incarnation,
+    ModelVersion,
+    Offset,
+    PublishId,
+    ServiceName,
+    UpstreamId,
+    ZoneId,
+)
+from minttide.records import Assignment, Envelope, Publish, ServiceChange, encode
+from minttide_fakes.memory import MemoryLog
+from minttide_fakes.model import generate
+from minttide_fakes.site import FakeSite
+from minttided.drafts import Drafts
+from minttided.engine_watch import EngineWatch
+from minttided.http_messages import HttpRequest, StreamResponse
+from minttided.node import Node
+
+LAYERS = 6
+VERSION = ModelVersion("v1")
+DRAFTS = ServiceName("drafts")
+BOOKING = ServiceName("booking")
+ZONES = [ZoneId("a"), ZoneId("b")]
+KIND = AcceleratorKind("gpu", 80_000, 200.0, 20.0, 10.0, [PowerLevel(300, 1.0)])
+SECRET = "a secret of the tests"
+
+
+def account(name: str, **limits) -> Account:
+    """Return an account whose bearer token is its name with "-token" after it."""
+    digest = hashlib.sha256(f"{name}-token".encode()).hexdigest()
+    return Account(AccountId(name), digest, **limits)
+
+
+def site_file(accounts: list[Account]) -> Site:
+    return Site(
+        ServiceName("site"),
+        100_000,
+        [Zone(z) for z in ZONES],
+        [Link(ZONES[0], ZONES[1], 0.3, 10_000.0)],
+        [KIND],
+        accounts,
+    )
+
+
+def drafts_file(chains: int, stages: int) -> ModelService:
+    engines = [
+        Engine(engine_id(c, s), Address(f"127.0.0.1:{5000 + 10 * c + s}"), ZONES[c % 2], "gpu")
+        for c in range(chains)
+        for s in range(stages)
+    ]
+    model = Model(LAYERS, 1000.0, 16.0, 16.0)
+    return ModelService(
+        DRAFTS, model, VERSION, engines, adapters=[AdapterName("formal")], deadline_ms=20_000
+    )
+
+
+def booking_file() -> PlainService:
+    upstreams = [
+        Upstream(UpstreamId(f"b{i}"), Address(f"127.0.0.1:{6000 + i}"), ZONES[i % 2])
+        for i in range(3)
+    ]
+    calls = [
+        Call("GET", "/dates", idempotent=True),
+        Call("POST", "/bookings"),
+        Call("POST", "/bookings/quotes", idempotent=True, timeout_ms=1_000),
+    ]
+    return PlainService(BOOKING, calls, upstreams)
+
+
+def engine_id(chain: int, stage: int) -> UpstreamId:
+    return UpstreamId(f"e{chain}-{stage}")
+
+
+class FixedPlacement:
+    """A plan that stands still unless a test changes `plan` and `offset`."""
+
+    def __init__(self, plan: list[Assignment]):
+        self.plan = plan
+        self.offset = Offset(0)
+        self.suspected: list[UpstreamId] = []
+
+    def assignments(self):
+        return self.plan
+
+    def state(self, engine):
+        return None
+
+    def report(self, engine):
+        return None
+
+    def suspect(self, engine):
+        self.suspected.append(engine)
+
+
+class Bench:
+    """One host with its engines. Use as an async context manager."""
+
+    def __init__(self, chains=3, stages=3, accounts=(), host="h1", site=None, bounds=None):
+        accounts = [account("bureau"), account("zaloga"), *accounts]
+        self.files = [site_file(accounts), drafts_file(chains, stages), booking_file()]
+        self.site = site or FakeSite(self.files)
+        self.clients = self.site.clients()
+        cfg = Settings(
+            HostId(host),
+            ZONES[0],
+            *[Address("127.0.0.1:0")] * 4,
+            SECRET,
+            bounds=bounds or Bounds(),
+        )
+        self.node = Node(cfg, Incarnation(1), MemoryLog(), self.clients)
+        self._publish()
+        size = LAYERS // stages
+        self.placement = FixedPlacement(
+            [
+                Assignment(engine_id(c, s), DRAFTS, VERSION, s * size, (s + 1) * size, 300, f"c{c}")
+                for c in range(chains)
+                for s in range(stages)
+            ]
+        )
+        self.node.placement = self.placement
+        if site is None:
+            for a in self.placement.plan:
+                self.engine(a.engine).hold(a.service, VERSION, a.first, a.last, a.watts)
+
+    def _publish(self):
+        changes = [ServiceChange(f.service, Offset(-1), f) for f in self.files]
+        body = Publish(PublishId("p1"), "tests", changes)
+        record = Envelope(1, HostId("operator"), Incarnation(1), 1, body)
+        self.node.config.apply(Offset(0), encode(record))
+        self.node.config_known = True
+
+    def engine(self, engine):
+        return self.site.engines[UpstreamId(engine)]
+
+    @property
+    def engines(self):
+        return self.site.engines.values()
+
+    async def __aenter__(self):
+        async with AsyncExitStack() as stack:
+            self.watch = await stack.enter_async_context(EngineWatch(self.node))
+            self.drafts = await stack.enter_async_context(Drafts(self.node, self.watch))
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    async def open(self, name="bureau", **body) -> "Reader":
+        """Post a draft request as the account `name`; raises `RequestError` when refused."""
+        site, drafts = self.files[0], self.files[1]
+        who = next(a for a in site.accounts if a.name == name)
+        req = HttpRequest("POST", "/v1/services/drafts/draft", "", [], json.dumps(body).encode())
+        resp = await self.drafts.handle(req, who, drafts)
+        assert isinstance(resp, StreamResponse)
+        return Reader(resp.chunks)
+
+
+class Reader:
+    """Reads the events of a draft."""
+
+    def __init__(self, chunks):
+        self.chunks = chunks
+        self.ids: list[int] = []
+        self.tokens: list[int] = []
+        self.resume = ""
+        self.end: dict | None = None
+        self.problem: dict | None = None
+
+    async def read(self, tokens: int | None = None) -> "Reader":
+        """Read until `tokens` tokens have come, or to the end."""
+        while tokens is None or len(self.tokens) < tokens:
+            chunk = await self.chunks.next_chunk()
+            if not chunk:
+                break
+            for event in chunk.decode().strip().split("\n\n"):
+                self._take(dict(line.split(": ", 1) for line in event.split("\n")))
+        return self
+
+    def _take(self, event: dict[str, str]) -> None:
+        data = msgspec.json.decode(event["data"])
+        if "id" in event:
+            self.ids.append(int(event["id"]))
+        match event["event"]:
+            case "open":
+                self.resume = data["resume"]
+            case "token":
+                self.tokens.append(data["token"])
+            case "end":
+                self.end = data
+            case "problem":
+                self.problem = data
+
+    def close(self):
+        self.chunks.close()
+
+
+def expected(prompt: str, count: int, adapter: str | None = None) -> list[int]:
+    """Return the only right answer: each layer once and in order for each token."""
+    return generate(DRAFTS, VERSION, adapter, list(prompt.encode()), count, LAYERS)
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -15,6 +15,23 @@
 ANYWHERE = Address("127.0.0.1:0")
 
 
+class Chunks:
+    """Three pieces and then a long wait."""
+
+    def __init__(self, closed: asyncio.Event):
+        self._pieces = iter([b"0", b"1", b"2"])
+        self._closed = closed
+
+    async def next_chunk(self) -> bytes:
+        piece = next(self._pieces, b"")
+        if not piece:
+            await asyncio.sleep(60)
+        return piece
+
+    def close(self) -> None:
+        self._closed.set()
+
+
 class Handlers:
     def __init__(self):
         self.started = asyncio.Event()
@@ -31,19 +48,11 @@
                 self.cancelled.set()
                 raise
         if req.path == "/stream":
-            return StreamResponse(self._chunks())
+            return StreamResponse(Chunks(self.cancelled))
         if req.path == "/fail":
             raise ValueError("broken")
         return HttpResponse(200, req.method.encode() + b" " + req.body, "text/plain")
 
-    async def _chunks(self):
-        try:
-            for i in range(3):
-                yield b"%d" % i
-            await asyncio.sleep(60)
-        finally:
-            self.cancelled.set()
-
 
 async def exchange(address: Address, sent: bytes) -> bytes:
     """Send raw bytes, end the sending side and return all that comes back."""
