Assemble the daemon as a tree of supervisors, with a planned stop

Change: `App` opens the adapters and runs platform log, control, callers, operators, then peers (a host joins once it can serve). `Drain`: out of all answers at once, accepting for `answer_keep_s` plus 3 s, then every request finished; SIGTERM starts it, a second signal ends the process. Operators' listener: metrics, status, drain, healthz. `SitePlanner` hands the placement policy to the controller. A host's real addresses now raise its version: before, a port given by the system could be hidden by an older entry with port 0 (seen in a trial: /v1/where named 127.0.0.1:0).

--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -91,8 +91,12 @@
 
     def move(self, callers: Address, peer: Address) -> None:
         """Put the addresses that this host listens on into its own entry."""
+        if (callers, peer) == (self._me.callers, self._me.peer):
+            return
         self._by_address.pop(self._me.peer, None)
-        self._put(msgspec.structs.replace(self._me, callers=callers, peer=peer), 0.0)
+        version = self._me.version + 1
+        moved = msgspec.structs.replace(self._me, callers=callers, peer=peer, version=version)
+        self._put(moved, 0.0)
 
     def beat(self, applied: Offset, load: float) -> None:
         """Note this host's own configuration offset and load."""
--- /dev/null
+++ b/daemon/minttided/app.py
@@ -0,0 +1,296 @@
+"""One daemon, assembled as a tree of supervisors; usable in-process, several in one loop."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
+
+from minttide.agree.fold import Decision, Verdict
+from minttide.agree.placement import PlacementFold
+from minttide.config.settings import Settings
+from minttide.ids import CONFIG_STREAM, Address, Incarnation, Offset
+from minttide.interfaces import Clients, HostList, PlatformLog
+from minttide.records import Publish
+from minttided.callers import CallerServer
+from minttided.controller import Controller
+from minttided.followed import FollowedStreams
+from minttided.forwarder import PeerForwarder
+from minttided.host_list_http import HostListHttp
+from minttided.keyed import KeyedCallRunner
+from minttided.lease_holder import LeaseHolder
+from minttided.log_http import LogHttp
+from minttided.membership_loop import Membership
+from minttided.metrics import Metrics
+from minttided.node import Node, read_wall_ms
+from minttided.operators import OperatorServer
+from minttided.peer_handler import PeerHandler
+from minttided.peer_link import PeerNet
+from minttided.peers import GrpcNet
+from minttided.placement_view import PlacementView
+from minttided.relay import Relay
+from minttided.shutdown import Drain
+from minttided.site_planner import SitePlanner
+from minttided.status import HostStatus, read_status
+from minttided.supervisor import Child, Ready, Restart, Supervised, Supervisor
+from minttided.upstream_http import HttpClients
+
+log = logging.getLogger(__name__)
+
+
+class App:
+    """One daemon, running while the context is open.
+
+    What is not given is reached by the addresses in `cfg`. With `listen` false there are no
+    listeners for callers and operators. `seed` fixes all random choices of the control parts.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        *,
+        clients: Clients | None = None,
+        log: PlatformLog | None = None,
+        host_list: HostList | None = None,
+        net: PeerNet | None = None,
+        wall_ms: Callable[[], int] = read_wall_ms,
+        listen: bool = True,
+        seed: int | None = None,
+    ):
+        self.cfg = cfg
+        self._clients = clients
+        self._log = log
+        self._host_list = host_list
+        self._net = net or GrpcNet()
+        self._wall_ms = wall_ms
+        self._listen = listen
+        self._rng = random.Random(time.time_ns() if seed is None else seed)
+        self._stack = AsyncExitStack()
+        self.callers: CallerServer | None = None
+        self.operators: OperatorServer | None = None
+        self._keyed: KeyedCallRunner | None = None
+        self._view: PlacementView | None = None
+
+    # Ownership.
+
+    async def __aenter__(self) -> "App":
+        async with AsyncExitStack() as stack:
+            await self._assemble(stack)
+            stack.push_async_callback(self.drain.aclose)
+            await stack.enter_async_context(self._supervised)
+            self._stack = stack.pop_all()
+        log.info("up", extra={"callers": self.callers_address, "zone": self.cfg.zone})
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    async def wait(self) -> None:
+        """Wait until a planned stop is done. Raises the error of a daemon that has failed."""
+        drained = asyncio.create_task(self.drain.done.wait())
+        failed = asyncio.create_task(self._supervised.wait())
+        try:
+            done, _ = await asyncio.wait({drained, failed}, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            drained.cancel()
+            failed.cancel()
+
+    # What operators see and do.
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the daemon's metrics."""
+        return self.node.metrics
+
+    @property
+    def callers_address(self) -> Address:
+        """Return the address that callers reach."""
+        return self.callers.address if self.callers else self.cfg.callers
+
+    @property
+    def operators_address(self) -> Address:
+        """Return the address that operators reach."""
+        return self.operators.address if self.operators else self.cfg.operators
+
+    @property
+    def open_requests(self) -> int:
+        """Return the requests in progress."""
+        return self.callers.open_requests if self.callers else 0
+
+    def status(self) -> HostStatus:
+        """Return the status now."""
+        addresses = (self.callers_address, self.operators_address)
+        fold: PlacementFold | None = self._view.fold if self._view else None
+        return read_status(self.node, self.streams.open, fold, addresses, self.open_requests)
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+        self.drain.start()
+
+    # Assembly.
+
+    async def _assemble(self, stack: AsyncExitStack) -> None:
+        link = await stack.enter_async_context(self._net.link(self.cfg.peer))
+        self.node = Node(
+            self.cfg,
+            Incarnation(self._wall_ms()),
+            await self._open_log(stack),
+            await self._open_clients(stack),
+            await self._open_host_list(stack),
+            self._wall_ms,
+        )
+        self.relay = Relay(link, lambda: self.membership.table.up(), self._make_rng())
+        self.membership = Membership(
+            self.cfg,
+            self.node.incarnation,
+            link,
+            self.node.host_list,
+            self._read_vitals,
+            self.relay.hear,
+            self.start_drain,
+            self._make_rng(),
+            self._wall_ms,
+        )
+        self.node.members = self.membership
+        self.streams = FollowedStreams(self.node, self._make_rng())
+        self._config = self.streams.make(
+            CONFIG_STREAM,
+            self.node.config,
+            self._note_config,
+            self.relay.tail.add,
+            self._note_restored,
+            self.relay.fetch_snapshot,
+        )
+        self.streams.open[CONFIG_STREAM] = self._config.follower
+        self.relay.attach(self._config.follower)
+        self._peers = PeerHandler(self.membership, self.relay, lambda: self._keyed)
+        self._forwarder = PeerForwarder(self.node, link)
+        self.drain = Drain(self.node, self.membership.leave, lambda: self.callers)
+        self._supervised = Supervised(self._make_tree())
+
+    async def _open_log(self, stack: AsyncExitStack) -> PlatformLog:
+        if self._log is not None:
+            return self._log
+        return await stack.enter_async_context(LogHttp(self.cfg.log_service))
+
+    async def _open_clients(self, stack: AsyncExitStack) -> Clients:
+        if self._clients is not None:
+            return self._clients
+        return await stack.enter_async_context(HttpClients())
+
+    async def _open_host_list(self, stack: AsyncExitStack) -> HostList | None:
+        if self._host_list is not None or self.cfg.host_list is None:
+            return self._host_list
+        return await stack.enter_async_context(HostListHttp(self.cfg.host_list))
+
+    def _make_rng(self) -> random.Random:
+        return random.Random(self._rng.random())
+
+    def _make_tree(self) -> Supervisor:
+        platform_log = [
+            Child("config stream", self._config.run),
+            Child("config known", self._watch_known, Restart.TRANSIENT),
+            Child("host list", self.membership.run_listing),
+        ]
+        peers = [
+            Child("peer listener", self._run_peer_listener),
+            Child("probes", self.membership.run),
+            Child("relay", self.relay.run),
+        ]
+        control = [
+            Child("placement", self._run_placement),
+            Child("keyed calls", self._run_keyed),
+        ]
+        listeners = [
+            Child("callers", self._run_callers),
+            Child("operators", self._run_operators),
+        ]
+        # A host joins the others last, when it can serve the callers that are sent to it.
+        return Supervisor(
+            "root",
+            [
+                Child("platform log", Supervisor("platform log", platform_log).run),
+                Child("control", Supervisor("control", control).run),
+                *(listeners if self._listen else []),
+                Child("membership and peers", Supervisor("membership and peers", peers).run),
+            ],
+        )
+
+    # Children.
+
+    async def _watch_known(self, ready: Ready) -> None:
+        ready()
+        await self._config.follower.wait_known()
+        self.node.config_known = True
+
+    async def _run_peer_listener(self, ready: Ready) -> None:
+        async with self._net.listen(self.cfg.peer, self._peers) as listener:
+            self.membership.set_addresses(self.callers_address, listener.address)
+            await _stay(ready)
+
+    async def _run_placement(self, ready: Ready) -> None:
+        async with AsyncExitStack() as stack:
+            view = PlacementView(self.node, self.streams.follow)
+            await stack.enter_async_context(view)
+            lease = await stack.enter_async_context(LeaseHolder(self.node, view))
+            controller = Controller(self.node, view, lease, SitePlanner())
+            await stack.enter_async_context(controller)
+            self._view = self.node.placement = view
+            await _stay(ready)
+
+    async def _run_keyed(self, ready: Ready) -> None:
+        runner = KeyedCallRunner(self.node, self.streams.follow, self._forwarder)
+        async with runner:
+            self._keyed = self.node.keyed = runner
+            await _stay(ready)
+
+    async def _run_callers(self, ready: Ready) -> None:
+        async with CallerServer(self.node) as server:
+            self.callers = server
+            self.membership.set_addresses(server.address, self.membership.table.me.peer)
+            await _stay(ready)
+
+    async def _run_operators(self, ready: Ready) -> None:
+        async with OperatorServer(self, self.cfg.operators) as server:
+            self.operators = server
+            await _stay(ready)
+
+    # Configuration.
+
+    def _read_vitals(self) -> tuple[Offset, float]:
+        load = self.callers.load if self.callers else 0.0
+        return self.node.config.applied, load
+
+    def _note_config(self, verdicts: Sequence[Verdict]) -> None:
+        for verdict in verdicts:
+            if isinstance(verdict.body, Publish):
+                _log_publish(verdict, verdict.body)
+        self._note_restored()
+
+    def _note_restored(self) -> None:
+        self.node.config_changed.set()
+        self.node.config_changed = asyncio.Event()
+        self.membership.hurry()
+
+
+async def _stay(ready: Ready) -> None:
+    """Report that a child is up, and wait until it is cancelled."""
+    ready()
+    await asyncio.Event().wait()
+
+
+def _log_publish(verdict: Verdict, publish: Publish) -> None:
+    log.info(
+        "configuration in force" if verdict.decision is Decision.ACCEPTED else "publish rejected",
+        extra={
+            "offset": verdict.offset,
+            "publish": publish.publish_id,
+            "author": publish.author,
+            "services": [change.service for change in publish.changes],
+            "decision": verdict.decision.value,
+            "reason": verdict.detail,
+        },
+    )
--- a/daemon/minttided/main.py
+++ b/daemon/minttided/main.py
@@ -1,5 +1,72 @@
 """The entry point of `minttided`."""
 
+import asyncio
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
 
-def main() -> None:
-    """Run the daemon."""
+import click
+
+from minttide.config.settings import Settings
+from minttide.config.settings_checks import check_settings
+from minttided.app import App
+from minttided.logs import configure_logging
+from minttided.supervisor import TooManyRestartsError
+
+log = logging.getLogger(__name__)
+
+EXIT_FAILED = 1
+EXIT_FINDINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+@click.command(epilog="Example: minttided --settings /etc/minttide/settings.json")
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The settings file of this host.",
+)
+def main(path: Path) -> None:
+    """Run the daemon of one entry host until SIGTERM or SIGINT.
+
+    The first signal starts a planned stop, which cuts off no request; a second one ends at once.
+    """
+    cfg = _read_settings(path)
+    configure_logging(cfg.host, cfg.log_level, cfg.log_format)
+    try:
+        asyncio.run(run_daemon(cfg))
+    except (TooManyRestartsError, OSError) as exc:
+        log.error("daemon failed", extra={"reason": str(exc)})
+        sys.exit(EXIT_FAILED)
+
+
+def _read_settings(path: Path) -> Settings:
+    result = check_settings(str(path), path.read_bytes())
+    if result.is_ok():
+        return result.ok
+    for finding in result.error:
+        click.echo(str(finding), err=True)
+    sys.exit(EXIT_FINDINGS)
+
+
+async def run_daemon(cfg: Settings) -> None:
+    """Run a daemon until a planned stop is done."""
+    async with App(cfg) as app:
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, _stop, app)
+        await app.wait()
+    log.info("stopped")
+
+
+def _stop(app: App) -> None:
+    """Start a planned stop, or end the process at once if one is under way."""
+    if app.drain.started:
+        log.warning("second signal; ending at once")
+        logging.shutdown()
+        os._exit(EXIT_FAILED)
+    app.start_drain()
--- a/daemon/minttided/membership_loop.py
+++ b/daemon/minttided/membership_loop.py
@@ -48,6 +48,7 @@
         host_list: HostList | None,
         read_vitals: ReadVitals,
         on_peer_offset: OnPeerOffset = lambda address, offset: None,
+        on_superseded: Callable[[], None] = lambda: None,
         rng: random.Random | None = None,
         wall_ms: Callable[[], int] = lambda: int(time.time() * 1000),
     ):
@@ -59,6 +60,7 @@
         self._host_list = host_list
         self._read_vitals = read_vitals
         self._on_peer_offset = on_peer_offset
+        self._on_superseded = on_superseded
         self._wall_ms = wall_ms
         self._listed: Sequence[ListedHost] = []
         self._listed_leaving: set[UpstreamId] = set()
@@ -237,7 +239,11 @@
         self.table.beat(*self._read_vitals())
 
     def _merge(self, gossip: Gossip) -> None:
+        was_superseded = self.table.superseded
         changed = self.table.merge(gossip, _now())
+        if self.table.superseded and not was_superseded:
+            log.error("another process has taken this host's id", extra={"id": self._cfg.host})
+            self._on_superseded()
         for member in changed:
             _log_change(member)
         if any(m.leaving or m.status is not Status.ALIVE for m in changed):
--- /dev/null
+++ b/daemon/minttided/operators.py
@@ -0,0 +1,90 @@
+"""The operators' listener: metrics, status, health, and the start of a planned stop."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+
+from minttide.config.settings import Bounds
+from minttide.gossip import Status
+from minttide.ids import Address
+from minttide.outcome import ProblemType
+from minttided.http_messages import HttpRequest, HttpResponse
+from minttided.http_server import HttpServer
+from minttided.metrics import CONTENT_TYPE, Metrics
+from minttided.problems import refusal
+from minttided.status import HostStatus
+
+OPERATORS_BOUNDS = Bounds(max_connections=64, max_body_bytes=4_096)
+
+
+class Operated(Protocol):
+    """What operators can see and do of a daemon."""
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the daemon's metrics."""
+
+    def status(self) -> HostStatus:
+        """Return the status now."""
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+
+
+class OperatorServer:
+    """Serves operators while the context is open."""
+
+    def __init__(self, daemon: Operated, address: Address):
+        self._daemon = daemon
+        self._server = HttpServer(self._handle, address, OPERATORS_BOUNDS)
+        self._routes: dict[tuple[str, str], Callable[[], Awaitable[HttpResponse]]] = {
+            ("GET", "/metrics"): self._metrics,
+            ("GET", "/v1/status"): self._status,
+            ("POST", "/v1/drain"): self._drain,
+            ("GET", "/healthz"): self._health,
+        }
+
+    async def __aenter__(self) -> "OperatorServer":
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._server.__aexit__(None, None, None)
+
+    @property
+    def address(self) -> Address:
+        """Return the address that is listened on."""
+        return self._server.address
+
+    async def _handle(self, req: HttpRequest) -> HttpResponse:
+        handler = self._routes.get((req.method, req.path))
+        if handler is None:
+            raise refusal(ProblemType.NOT_FOUND, f"nothing answers {req.method} here")
+        return await handler()
+
+    async def _metrics(self) -> HttpResponse:
+        set_gauges(self._daemon.metrics, self._daemon.status())
+        return HttpResponse(200, self._daemon.metrics.render(), CONTENT_TYPE)
+
+    async def _status(self) -> HttpResponse:
+        return HttpResponse(200, msgspec.json.encode(self._daemon.status()))
+
+    async def _drain(self) -> HttpResponse:
+        self._daemon.start_drain()
+        return HttpResponse(202, b"{}")
+
+    async def _health(self) -> HttpResponse:
+        status = self._daemon.status()
+        ready = status.config_known and not status.leaving
+        return HttpResponse(200 if ready else 503, msgspec.json.encode({"ready": ready}))
+
+
+def set_gauges(metrics: Metrics, status: HostStatus) -> None:
+    """Set all gauges from a status."""
+    metrics.set_hosts(Status.SUSPECT if m.suspect else Status.ALIVE for m in status.members)
+    for stream in status.streams:
+        metrics.set_stream(stream.stream, stream.applied, stream.log_out_s)
+    metrics.set_host(status.config_known, status.leaving, status.open_requests)
+    placement = status.placement
+    metrics.set_placement(placement.plan_offset, placement.reserved_watts, placement.cap_watts)
--- /dev/null
+++ b/daemon/minttided/peer_handler.py
@@ -0,0 +1,38 @@
+"""Answers peers: probes, pulls of configuration records, and keyed calls passed on."""
+
+from collections.abc import Callable
+
+from minttide.ids import Offset
+from minttide.interfaces import UpstreamReply
+from minttide.outcome import Problem
+from minttided.forwarder import run_forwarded
+from minttided.keyed import KeyedCallRunner
+from minttided.membership_loop import Membership
+from minttided.peer_link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.relay import Relay
+
+
+class PeerHandler:
+    """Implements `PeerService` by the parts of one daemon."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        relay: Relay,
+        find_runner: Callable[[], KeyedCallRunner | None],
+    ):
+        self._membership = membership
+        self._relay = relay
+        self._find_runner = find_runner
+
+    async def on_probe(self, probe: Probe) -> ProbeAnswer:
+        """Take in a peer's news and answer with one's own."""
+        return await self._membership.on_probe(probe)
+
+    async def on_pull(self, start: Offset) -> Pulled:
+        """Return configuration records from `start` on."""
+        return await self._relay.on_pull(start)
+
+    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+        """Run a keyed call on this host."""
+        return await run_forwarded(self._find_runner(), call)
--- a/daemon/minttided/peer_link.py
+++ b/daemon/minttided/peer_link.py
@@ -1,5 +1,6 @@
 """What peers ask of each other, as typed messages, whatever carries them."""
 
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 import msgspec
@@ -71,3 +72,21 @@
 
     async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
+
+
+class PeerListener(Protocol):
+    """Where peers are answered."""
+
+    address: Address
+
+
+class PeerNet(Protocol):
+    """Opens links to peers and listens for them."""
+
+    def link(self, source: Address) -> AbstractAsyncContextManager[PeerLink]:
+        """Return the link that the host at `source` reaches its peers by."""
+
+    def listen(
+        self, address: Address, service: PeerService
+    ) -> AbstractAsyncContextManager[PeerListener]:
+        """Answer peers at `address` by `service` while the context is open."""
--- a/daemon/minttided/peers.py
+++ b/daemon/minttided/peers.py
@@ -17,6 +17,7 @@
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
 from minttided import peer_codec as codec
+from minttided.http_messages import join_address, split_address
 from minttided.peer_link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
 from minttided.proto import peer_pb2 as pb
 from minttided.proto.peer_grpc import PeerBase, PeerStub
@@ -43,12 +44,6 @@
 )
 
 
-def split_address(address: Address) -> tuple[str, int]:
-    """Split "<IP number>:<port>" into its parts. Raises `ValueError`."""
-    ip, _, port = address.rpartition(":")
-    return ip.strip("[]"), int(port)
-
-
 class GrpcPeers:
     """Implements `PeerLink`. A context manager; the least recently used channels are closed."""
 
@@ -168,7 +163,7 @@
         self._server = Server([_Handlers(self._service)], config=_CONFIG)
         sock = _listen(ip, port)
         await self._server.start(sock=sock)
-        self.address = Address(f"{ip}:{sock.getsockname()[1]}")
+        self.address = join_address(ip, sock.getsockname()[1])
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -186,3 +181,15 @@
         sock.close()
         raise
     return sock
+
+
+class GrpcNet:
+    """Implements `PeerNet` over gRPC."""
+
+    def link(self, source: Address) -> GrpcPeers:
+        """Return a link with channels of its own."""
+        return GrpcPeers()
+
+    def listen(self, address: Address, service: PeerService) -> PeerServer:
+        """Answer peers at `address` by `service` while the context is open."""
+        return PeerServer(address, service)
--- /dev/null
+++ b/daemon/minttided/shutdown.py
@@ -0,0 +1,99 @@
+"""A planned stop: out of all answers at once, then finish every request, then stop."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from minttided.node import Node
+
+log = logging.getLogger(__name__)
+
+SPREAD_S = 3.0
+"""How long other hosts may still name this one after it has announced that it is leaving."""
+
+DEFAULT_KEEP_S = 10.0
+"""How long callers keep an answer while no site file is in force."""
+
+CHECK_S = 0.05
+
+
+class Listener(Protocol):
+    """The callers' listener, as far as a planned stop needs it."""
+
+    @property
+    def open_requests(self) -> int:
+        """Return the requests in progress."""
+
+    def announce_close(self) -> None:
+        """Close connections after their next answer, while new ones are still accepted."""
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; requests in progress go on."""
+
+
+class Drain:
+    """The planned stop of one daemon. `done` is set once no request is left."""
+
+    def __init__(
+        self,
+        node: Node,
+        leave: Callable[[], Awaitable[None]],
+        find_listener: Callable[[], Listener | None],
+    ):
+        self.done = asyncio.Event()
+        self._node = node
+        self._leave = leave
+        self._find_listener = find_listener
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def started(self) -> bool:
+        """Return whether the stop has begun."""
+        return self._task is not None
+
+    def start(self) -> None:
+        """Begin to stop; a second time changes nothing."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+
+    async def aclose(self) -> None:
+        """End at once, whatever is still in progress."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+
+    async def _run(self) -> None:
+        try:
+            await self._finish()
+        except Exception as exc:
+            log.error("planned stop failed", extra={"reason": repr(exc)}, exc_info=exc)
+        finally:
+            self.done.set()
+
+    async def _finish(self) -> None:
+        site = self._node.config.site
+        keep_s = site.answer_keep_s if site else DEFAULT_KEEP_S
+        log.info("leaving", extra={"accepting_s": keep_s + SPREAD_S})
+        listener = self._find_listener()
+        if listener is not None:
+            listener.announce_close()
+        await self._leave()
+        await asyncio.sleep(keep_s + SPREAD_S)
+        if listener is not None:
+            listener.stop_accepting()
+            await self._wait_finished(listener)
+
+    async def _wait_finished(self, listener: Listener) -> None:
+        try:
+            async with asyncio.timeout(self._node.cfg.shutdown_limit_s):
+                await _wait_idle(listener)
+        except TimeoutError:
+            log.warning("requests cut off", extra={"left": listener.open_requests})
+        else:
+            log.info("requests finished")
+
+
+async def _wait_idle(listener: Listener) -> None:
+    while listener.open_requests:  # noqa: ASYNC110 - a look now and then is enough here.
+        await asyncio.sleep(CHECK_S)
--- /dev/null
+++ b/daemon/minttided/status.py
@@ -0,0 +1,163 @@
+"""The status that operators see of one daemon."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from minttide.agree.placement import PlacementFold
+from minttide.ids import (
+    CONFIG_STREAM,
+    NO_OFFSET,
+    Address,
+    HostId,
+    Incarnation,
+    ModelVersion,
+    Offset,
+    ServiceName,
+    StreamName,
+    UpstreamId,
+    ZoneId,
+)
+from minttide.interfaces import MemberView
+from minttide.records import Assignment
+from minttided.follower import Follower
+from minttided.node import Node
+
+
+class StreamStatus(msgspec.Struct, frozen=True):
+    """How far one followed stream is folded. `log_out_s` is for how long it can't be read."""
+
+    stream: StreamName
+    applied: Offset
+    read: Offset  # read from the log itself, as against relayed by a peer
+    known: bool
+    stopped_at: Offset | None
+    log_out_s: float
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """One engine of a chain and the layers that it is to hold."""
+
+    engine: UpstreamId
+    first: int
+    last: int
+    watts: int
+
+
+class ChainStatus(msgspec.Struct, frozen=True):
+    """One planned chain of engines."""
+
+    chain: str
+    service: ServiceName
+    version: ModelVersion
+    stages: list[Stage]
+
+
+class PlacementStatus(msgspec.Struct, frozen=True):
+    """The plan in force and the power that may be drawn under it."""
+
+    plan_offset: Offset
+    lease_holder: HostId | None
+    term: Offset
+    reserved_watts: int
+    cap_watts: int
+    chains: list[ChainStatus]
+
+
+class HostStatus(msgspec.Struct, frozen=True):
+    """What `GET /v1/status` answers."""
+
+    host: HostId
+    zone: ZoneId
+    incarnation: Incarnation
+    callers: Address
+    operators: Address
+    leaving: bool
+    config_known: bool
+    applied: Offset
+    open_requests: int
+    streams: list[StreamStatus]
+    members: list[MemberView]
+    upstreams_leaving: list[UpstreamId]
+    services: dict[ServiceName, Offset]  # the offset of each one's last change
+    placement: PlacementStatus
+
+
+def read_streams(followers: Iterable[Follower[Any]]) -> list[StreamStatus]:
+    """Return the state of each followed stream."""
+    now = asyncio.get_running_loop().time()
+    return [
+        StreamStatus(
+            f.stream,
+            f.applied,
+            f.log_offset,
+            f.known,
+            f.fold.stopped_at,
+            round(now - f.outage_since, 3) if f.outage_since is not None else 0.0,
+        )
+        for f in followers
+    ]
+
+
+def read_placement(fold: PlacementFold | None, cap_watts: int) -> PlacementStatus:
+    """Return the state of the placement domain."""
+    if fold is None:
+        return PlacementStatus(NO_OFFSET, None, NO_OFFSET, 0, cap_watts, [])
+    lease = fold.lease
+    assignments = fold.plan.assignments if fold.plan else []
+    reserved = sum(fold.reserved.values())
+    return PlacementStatus(
+        fold.plan_offset, lease.holder, lease.term, reserved, cap_watts, _chains(assignments)
+    )
+
+
+def _chains(assignments: Iterable[Assignment]) -> list[ChainStatus]:
+    found: dict[str, ChainStatus] = {}
+    for a in assignments:
+        if not a.chain or a.first == a.last:
+            continue
+        chain = ChainStatus(a.chain, a.service, ModelVersion(a.version), [])
+        stage = Stage(a.engine, a.first, a.last, a.watts)
+        found.setdefault(a.chain, chain).stages.append(stage)
+    for chain in found.values():
+        chain.stages.sort(key=lambda stage: stage.first)
+    return list(found.values())
+
+
+def read_status(
+    node: Node,
+    followers: Mapping[StreamName, Follower[Any]],
+    fold: PlacementFold | None,
+    addresses: tuple[Address, Address],
+    open_requests: int,
+) -> HostStatus:
+    """Return the status of a daemon; `addresses` are those for callers and for operators."""
+    members = node.members
+    leaving = sorted(_upstreams(node)) if members else []
+    site = node.config.site
+    return HostStatus(
+        node.cfg.host,
+        node.cfg.zone,
+        node.incarnation,
+        *addresses,
+        members.leaving if members else False,
+        node.config_known,
+        followers[CONFIG_STREAM].applied if CONFIG_STREAM in followers else NO_OFFSET,
+        open_requests,
+        read_streams(followers.values()),
+        list(members.hosts()) if members else [],
+        leaving,
+        {name: entry.changed for name, entry in node.config.entries.items() if entry.file},
+        read_placement(fold, site.power_cap_watts if site else 0),
+    )
+
+
+def _upstreams(node: Node) -> Iterable[UpstreamId]:
+    """Yield the upstreams named in service files that are known to be leaving."""
+    assert node.members is not None
+    for file in node.config.files.values():
+        for upstream in (*getattr(file, "engines", ()), *getattr(file, "upstreams", ())):
+            if node.members.upstream_leaving(upstream.id):
+                yield upstream.id
--- a/fakes/minttide_fakes/peer_net.py
+++ b/fakes/minttide_fakes/peer_net.py
@@ -42,6 +42,10 @@
         """Return the link that the host at `source` reaches its peers by."""
         return MemoryLink(self, source)
 
+    def listen(self, address: Address, service: PeerService) -> "MemoryListener":
+        """Answer at `address` by `service` while the context is open."""
+        return MemoryListener(self, address, service)
+
     async def reach(self, source: Address, target: Address, timeout_s: float) -> PeerService:
         """Return the service at `target`, after the delay. Raises `PeerError`."""
         self.messages += 1
@@ -63,6 +67,12 @@
         self._net = net
         self._source = source
 
+    async def __aenter__(self) -> "MemoryLink":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        return None
+
     async def probe(self, address: Address, probe: Probe, timeout_s: float) -> ProbeAnswer:
         """Exchange news with a peer."""
         service = await self._net.reach(self._source, address, timeout_s)
@@ -81,3 +91,19 @@
         """Have a peer run a keyed call."""
         service = await self._net.reach(self._source, address, call.remaining_s)
         return await service.on_call(call)
+
+
+class MemoryListener:
+    """Lets a service answer at an address while the context is open."""
+
+    def __init__(self, net: MemoryNet, address: Address, service: PeerService) -> None:
+        self.address = address
+        self._net = net
+        self._service = service
+
+    async def __aenter__(self) -> "MemoryListener":
+        self._net.put(self.address, self._service)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._net.remove(self.address)
