--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts.py
@@ -233,13 +233,16 @@
         self._text = TextDecoder(draft.delivered)
         self._ended = False
 
-    async def next_chunk(self) -> bytes:
-        """Return the next events, empty after the last one."""
+    def __aiter__(self) -> Self:
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next events, those that came together in one piece."""
         if self._opened is not None:
             opened, self._opened = self._opened, None
             return open_event(opened)
         if self._ended:
-            return b""
+            raise StopAsyncIteration
         try:
             tokens = await self._run.next_tokens()
         except RequestError as exc:
@@ -254,6 +257,6 @@
         self._sent += 1
         return token_event(self._sent, token, self._text.add(token))
 
-    def close(self) -> None:
+    async def aclose(self) -> None:
         """Cancel the draft if it still runs, and free its place."""
         _end_run(self._run, self._slot, self._draft)
--- a/daemon/minttided/http_messages.py
+++ b/daemon/minttided/http_messages.py
@@ -1,6 +1,6 @@
 """HTTP requests and responses as the daemon's handlers see them."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 from urllib.parse import parse_qsl
@@ -40,12 +40,12 @@
 
 
 class ChunkSource(Protocol):
-    """The pieces of a streamed body."""
+    """The pieces of a streamed body; an async generator is one."""
 
-    async def next_chunk(self) -> bytes:
-        """Return the next piece, empty after the last one."""
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the pieces in order, none of them empty."""
 
-    def close(self) -> None:
+    async def aclose(self) -> None:
         """Free what the body holds, whether it was sent whole or not."""
 
 
--- a/daemon/minttided/http_server.py
+++ b/daemon/minttided/http_server.py
@@ -326,12 +326,12 @@
         try:
             headers = [("transfer-encoding", "chunked"), *resp.headers]
             self._write(self._head(resp.status, resp.content_type, headers, False))
-            while chunk := await resp.chunks.next_chunk():
+            async for chunk in resp.chunks:
                 self._write(h11.Data(data=chunk))
                 if self._writable is not None:
                     await self._drain()
         finally:
-            resp.chunks.close()
+            await resp.chunks.aclose()
         self._write(h11.EndOfMessage())
         await self._drain()
 
--- a/fakes/minttide_fakes/routes.py
+++ b/fakes/minttide_fakes/routes.py
@@ -1,6 +1,6 @@
 """What the stand-ins' HTTP servers share: a table of routes, JSON answers, broken exchanges."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
 from types import TracebackType
 from typing import Any, Self
 
@@ -64,14 +64,9 @@
 
 def break_off() -> StreamResponse:
     """Break the exchange off without a whole answer."""
-    return StreamResponse(_Broken())
+    return StreamResponse(_broken())
 
 
-class _Broken:
-    """A body that ends in the middle of the exchange."""
-
-    async def next_chunk(self) -> bytes:
-        raise ConnectionResetError("the stand-in breaks the exchange off")
-
-    def close(self) -> None:
-        pass
+async def _broken() -> AsyncGenerator[bytes, None]:
+    raise ConnectionResetError("the stand-in breaks the exchange off")
+    yield b""
--- a/test/drafting.py
+++ b/test/drafting.py
@@ -197,7 +197,7 @@
     async def read(self, tokens: int | None = None) -> "Reader":
         """Read until `tokens` tokens have come, or to the end."""
         while tokens is None or len(self.tokens) < tokens:
-            chunk = await self.chunks.next_chunk()
+            chunk = await anext(self.chunks, b"")
             if not chunk:
                 break
             for event in chunk.decode().strip().split("\n\n"):
@@ -218,8 +218,8 @@
             case "problem":
                 self.problem = data
 
-    def close(self):
-        self.chunks.close()
+    async def close(self):
+        await self.chunks.aclose()
 
 
 def expected(prompt: str, count: int, adapter: str | None = None) -> list[int]:
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -22,13 +22,16 @@
         self._pieces = iter([b"0", b"1", b"2"])
         self._closed = closed
 
-    async def next_chunk(self) -> bytes:
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self) -> bytes:
         piece = next(self._pieces, b"")
         if not piece:
             await asyncio.sleep(60)
         return piece
 
-    def close(self) -> None:
+    async def aclose(self) -> None:
         self._closed.set()
 
 
