--- a/cli/minttide_cli/commands/demo.py
+++ b/cli/minttide_cli/commands/demo.py
@@ -6,9 +6,12 @@
 
 import click
 
+from minttide.config.settings import LogFormat, LogLevel
 from minttide.findings import CheckError
+from minttide.ids import HostId
 from minttide_cli.demo.runner import run_demo
 from minttide_cli.options import Exit, fail
+from minttided.logs import configure_logging
 
 
 @click.command(epilog="Example: minttide demo --keep")
@@ -26,14 +29,18 @@
 
     Ends by itself, with exit status 0 only if every answer was whole and each booking ran once.
     """
-    level = logging.INFO if verbose else logging.CRITICAL
-    logging.basicConfig(level=level, format="%(name)s %(message)s")
+    if verbose:
+        configure_logging(HostId("demo"), LogLevel.INFO, LogFormat.KEY_VALUE)
+    else:
+        logging.disable(logging.CRITICAL)
     try:
         failures = asyncio.run(run_demo(examples, click.echo, keep))
     except CheckError as exc:
         raise fail(str(exc), Exit.FINDINGS) from exc
     except KeyboardInterrupt:
         return
+    finally:
+        logging.disable(logging.NOTSET)
     if failures:
         raise fail(f"{len(failures)} promises did not come true: {'; '.join(failures)}")
     click.echo("Every answer was whole, and each booking ran once.")
