Part the demo and the stand-in engine into small modules

Change: demo/site, scenes, waiting and runner; fakes/holding (layers, fencing, power, loads) apart from engine (steps, batches, faults). A cancel that overtakes a first attempt's step now refuses it.

--- a/cli/minttide_cli/demo/runner.py
+++ b/cli/minttide_cli/demo/runner.py
@@ -1,296 +1,47 @@
 """Runs the demo from start to end, scene by scene."""
 
 import asyncio
-import time
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
 from pathlib import Path
 
-from minttide.config.service import ModelService, PlainService
-from minttide.ids import Address, ServiceName
-from minttide_cli.caller import Caller
-from minttide_cli.demo.answers import Asked, ask_many, describe
-from minttide_cli.demo.daemons import RunningDaemon
-from minttide_cli.demo.deployment import make_demo_files
+from minttide_cli.demo.scenes import Scenes
+from minttide_cli.demo.site import ACCOUNTS, DemoSite, token_of
 from minttide_cli.demo.story import Echo, Story
-from minttide_cli.operators import ask_daemon, read_applied
-from minttide_cli.platform_log import open_log
-from minttide_fakes.engine import FakeEngine
-from minttide_fakes.served import ServedSite
-from minttided.publisher import Publisher, Settled, find_differences, wait_in_force
-
-IN_FORCE_LIMIT_S = 3.0
-PLACED_LIMIT_S = 8.0
-SETTLE_LIMIT_S = 3.0
-DRAIN_LIMIT_S = 8.0
-POLL_S = 0.02
-ACCOUNTS = {"drafts": "portal", "commentary": "grocery-north"}
-PROMPTS = {"first": "Which program suits a winter wedding in Darkhan?"}
-STREAMS = 12
-SEEN_BEFORE_DEATH = 8
-MID_STREAM_S = 0.4
-KEY = "0199-demo-wedding-of-bat-and-saraa"
-
-
-class Demo:
-    """The running demo: the stand-ins, the daemons and callers at each of them."""
-
-    def __init__(self, examples: Path, echo: Echo) -> None:
-        self.story = Story(echo)
-        self._files = make_demo_files(examples)
-        self._stack = AsyncExitStack()
-        self.daemons: list[RunningDaemon] = []
-
-    async def __aenter__(self) -> "Demo":
-        await self._stack.__aenter__()
-        self.served = await self._stack.enter_async_context(ServedSite(self._files))
-        self.site = self.served.fakes.site
-        self.models = list(self.served.fakes.models.values())
-        for index, zone in enumerate(self.site.zones, start=1):
-            known = [daemon.peer_address for daemon in self.daemons]
-            daemon = RunningDaemon(f"entry-{index}", zone.name, self.log_address, known)
-            self.daemons.append(await self._stack.enter_async_context(daemon))
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        await self._stack.aclose()
-
-    # Addresses.
-
-    @property
-    def log_address(self) -> Address:
-        """Return the address of the stand-in log."""
-        return self.served.log_server.address
-
-    @property
-    def entries(self) -> list[Address]:
-        """Return the daemons' addresses for callers."""
-        return [daemon.app.callers_address for daemon in self.daemons]
-
-    @property
-    def operators(self) -> list[Address]:
-        """Return the daemons' addresses for operators."""
-        return [daemon.app.operators_address for daemon in self.daemons if not daemon.ended]
-
-    def _live_entries(self) -> list[Address]:
-        return [daemon.app.callers_address for daemon in self.daemons if not daemon.ended]
-
-    def callers(self) -> list[tuple[Caller, ModelService]]:
-        """Return a new caller in each zone for each model service."""
-        return [
-            (Caller(self._live_entries(), token_of(ACCOUNTS[model.service]), zone.name), model)
-            for zone in self.site.zones
-            for model in self.models
-        ]
-
-    # Scenes.
-
-    async def publish(self) -> None:
-        """Publish the services of both deployments and wait until they are in force."""
-        names = ", ".join(sorted(file.service for file in self.served.files))
-        self.story.tell(f"Publishing the service files of both deployments: {names}")
-        async with (
-            open_log(self.log_address) as platform_log,
-            Publisher(platform_log, "demo", lambda: time.time_ns() // 1_000_000) as publisher,
-        ):
-            differences = find_differences(publisher.fold, self.served.files)
-            publication = await publisher.publish(differences)
-        started = asyncio.get_running_loop().time()
-        lagging = await wait_in_force(
-            lambda: read_applied(self.operators), publication.offset, IN_FORCE_LIMIT_S
-        )
-        took_s = asyncio.get_running_loop().time() - started
-        accepted = publication.settled is Settled.ACCEPTED
-        self.story.check(
-            accepted and not lagging,
-            f"in force on all {len(self.daemons)} daemons within {IN_FORCE_LIMIT_S:g} s",
-            f"offset {publication.offset}, {took_s:.2f} s; lagging: {sorted(lagging) or 'none'}",
-        )
-
-    async def place(self) -> None:
-        """Wait until engines hold whole chains for every model service."""
-        holds = await self._wait(PLACED_LIMIT_S, self._is_placed)
-        watts, cap = self.served.fakes.watts, self.site.power_cap_watts
-        self.story.check(
-            holds, "every model is placed over engines of several kinds", f"{watts} of {cap} W"
-        )
-
-    def _is_placed(self) -> bool:
-        status = self.daemons[0].app.status()
-        served = {chain.service for chain in status.placement.chains}
-        holding = all(not e.is_loading for e in self.served.fakes.engines.values())
-        return holding and served >= {model.service for model in self.models}
-
-    async def stream(self) -> None:
-        """Stream drafts of both services at the same time."""
-        self.story.tell(f"{STREAMS} drafts at once, through all three daemons")
-        answers = await ask_many(self.callers(), PROMPTS["first"], STREAMS)
-        self._check_answers(answers, "every answer is the model's own, whole and in order")
-
-    async def lose_stage(self) -> None:
-        """Kill an engine in the middle of streams."""
-        asking = asyncio.create_task(ask_many(self.callers(), "Who plays in Khovd?", STREAMS))
-        victim = await self._find_victim()
-        if victim is not None:
-            lost = victim.stage.streams
-            victim.die()
-            self.story.tell(f"engine {victim.engine.id} died while it carried {lost} streams")
-        self.story.check(victim is not None, "an engine was killed in mid-stream")
-        self._check_answers(await asking, "all of them went on elsewhere, without gap or repeat")
-
-    async def _find_victim(self) -> FakeEngine | None:
-        """Return the engine with most streams once it has seen some tokens of each."""
-        engines = self.served.fakes.engines.values()
-        before = {engine.engine.id: engine.steps_run for engine in engines}
-
-        def find() -> FakeEngine | None:
-            busiest = max(engines, key=lambda engine: engine.stage.streams)
-            steps = busiest.steps_run - before[busiest.engine.id]
-            streams = busiest.stage.streams
-            return busiest if streams and steps >= SEEN_BEFORE_DEATH * streams else None
-
-        await self._wait(SETTLE_LIMIT_S, lambda: find() is not None)
-        return find()
-
-    async def book_twice(self) -> None:
-        """Send one keyed booking twice, at the same time, through two daemons."""
-        token = token_of("portal")
-        body = b'{"ensemble":"Altai","date":"2026-12-19"}'
-        callers = [Caller([entry], token) for entry in self.entries[:2]]
-        for caller, entry in zip(callers, self.entries, strict=False):
-            caller.use_only(entry)
-        booking = self._plain("booking")
-        replies = await asyncio.gather(
-            *(c.call(booking, "POST", "/bookings", body, KEY) for c in callers),
-            return_exceptions=True,
-        )
-        ran = self.served.fakes.ledgers[booking][KEY]
-        seen = [
-            str(reply) if isinstance(reply, BaseException) else str(reply.status)
-            for reply in replies
-        ]
-        self.story.check(ran == 1, "a booking sent twice under one key ran once", f"ran {ran}")
-        same = len({getattr(reply, "body", reply) for reply in replies}) == 1
-        self.story.check(same, "both callers got the same answer", ", ".join(seen))
-
-    def _plain(self, name: str) -> ServiceName:
-        files = self.served.fakes.plain.values()
-        return next(f.service for f in files if isinstance(f, PlainService) and f.service == name)
-
-    async def stop_one(self) -> None:
-        """Stop one daemon under load."""
-        leaving = self.daemons[1]
-        entry = leaving.app.callers_address
-        asking = asyncio.create_task(ask_many(self.callers(), "What does a band cost?", STREAMS))
-        await self._wait(SETTLE_LIMIT_S, lambda: leaving.app.open_requests > 0)
-        self.story.tell(
-            f"planned stop of {leaving.cfg.host} with {leaving.app.open_requests} requests open"
-        )
-        await ask_daemon(leaving.app.operators_address, "POST", "/v1/drain")
-        others = [e for e in self.entries if e != entry]
-        out = await self._wait_async(SETTLE_LIMIT_S, lambda: self._is_out(others, entry))
-        self.story.check(out, "the other daemons send no caller there any more")
-        self._check_answers(await asking, "no request was cut off", one_connection=True)
-        ended = await leaving.wait_ended(DRAIN_LIMIT_S)
-        self.story.check(ended, f"{leaving.cfg.host} ended by itself")
-
-    async def _is_out(self, asked: list[Address], entry: Address) -> bool:
-        answers = [await Caller([address], "").where() for address in asked]
-        return all(entry not in answer.addresses for answer in answers)
-
-    async def lose_daemon(self) -> None:
-        """Let one daemon die under load, without notice."""
-        lost = self.daemons[2]
-        asking = asyncio.create_task(ask_many(self.callers(), "Is a deposit due?", STREAMS))
-        await self._wait(SETTLE_LIMIT_S, lambda: lost.app.open_requests > 0)
-        await asyncio.sleep(MID_STREAM_S)
-        self.story.tell(f"{lost.cfg.host} dies with {lost.app.open_requests} requests open")
-        await lost.die()
-        answers = await asking
-        resumed = sum(a.draft is not None and a.draft.connections > 1 for a in answers)
-        self._check_answers(answers, "their callers took them up on another daemon")
-        self.story.check(resumed > 0, "drafts were resumed", f"{resumed} of {len(answers)}")
-
-    async def check_engines(self) -> None:
-        """Check that engines are left as they were found."""
-        fakes = self.served.fakes
-        await self._wait(SETTLE_LIMIT_S, lambda: fakes.left_behind == 0)
-        self.story.check(fakes.left_behind == 0, "engines keep nothing of ended requests")
-
-    async def look_back(self) -> None:
-        """Check what must hold over all scenes."""
-        fakes = self.served.fakes
-        if fakes.left_behind:
-            self.story.tell(
-                f"engines still keep {fakes.left_behind} caches and outputs of the dead daemon;"
-                " they are for the engines to evict"
-            )
-        peak, cap = fakes.peak_watts, self.site.power_cap_watts
-        self.story.check(peak <= cap, "power stayed under the cap", f"peak {peak} of {cap} W")
-
-    # Helpers.
-
-    def _check_answers(
-        self, answers: list[Asked], promise: str, one_connection: bool = False
-    ) -> None:
-        whole = all(answer.whole for answer in answers)
-        if one_connection:
-            whole = whole and all(a.draft is not None and a.draft.connections == 1 for a in answers)
-        self.story.check(whole, promise, describe(answers))
-
-    async def _wait(self, limit_s: float, holds: Callable[[], bool]) -> bool:
-        async def check() -> bool:
-            return holds()
-
-        return await self._wait_async(limit_s, check)
-
-    async def _wait_async(self, limit_s: float, holds: Callable[[], Awaitable[bool]]) -> bool:
-        deadline = asyncio.get_running_loop().time() + limit_s
-        while not await holds():
-            if asyncio.get_running_loop().time() >= deadline:
-                return False
-            await asyncio.sleep(POLL_S)
-        return True
-
-
-def token_of(account: str) -> str:
-    """Return the bearer token of an account of the example files."""
-    return f"example-{account}"
 
 
 async def run_demo(examples: Path, echo: Echo, keep: bool) -> list[str]:
     """Run all scenes and return the promises that didn't come true.
 
-    With `keep`, leaves everything up afterwards until cancelled. Raises `CheckError`.
+    With `keep`, publishes and places only, and leaves everything up until cancelled. Raises
+    `CheckError`.
     """
-    async with Demo(examples, echo) as demo:
-        engines = len(demo.served.fakes.engines)
-        zones = ", ".join(daemon.cfg.zone for daemon in demo.daemons)
-        demo.story.tell(f"{len(demo.daemons)} daemons are up in {zones}, with {engines} engines")
-        await demo.publish()
-        await demo.place()
+    story = Story(echo)
+    async with DemoSite(examples) as site:
+        zones = ", ".join(daemon.cfg.zone for daemon in site.daemons)
+        engines = len(site.fakes.engines)
+        story.tell(f"{len(site.daemons)} daemons are up in {zones}, with {engines} engines")
+        scenes = Scenes(site, story)
+        await scenes.publish()
+        await scenes.place()
         if keep:
-            await _keep(demo, echo)
-        for scene in (
-            demo.stream,
-            demo.lose_stage,
-            demo.book_twice,
-            demo.stop_one,
-            demo.check_engines,
-            demo.lose_daemon,
-        ):
-            await scene()
-        await demo.look_back()
-        return demo.story.failures
-
-
-async def _keep(demo: Demo, echo: Echo) -> None:
-    entry, model = demo.entries[0], demo.models[0]
+            await _keep(site, echo)
+        await scenes.stream()
+        await scenes.lose_stage()
+        await scenes.book_twice()
+        await scenes.stop_one()
+        await scenes.check_engines()
+        await scenes.lose_daemon()
+        await scenes.look_back()
+    return story.failures
+
+
+async def _keep(site: DemoSite, echo: Echo) -> None:
+    """Print how to reach the site, and wait."""
+    entry, model = site.entries[0], site.models[0]
     token = token_of(ACCOUNTS[model.service])
     echo("")
-    echo(f"export MINTTIDE_LOG={demo.log_address}")
-    echo(f'export MINTTIDE_OPERATORS="{" ".join(demo.operators)}"')
-    echo(f'export MINTTIDE_ENTRY="{" ".join(demo.entries)}"')
+    echo(f"export MINTTIDE_LOG={site.log_address}")
+    echo(f'export MINTTIDE_OPERATORS="{" ".join(site.operators)}"')
+    echo(f'export MINTTIDE_ENTRY="{" ".join(site.entries)}"')
     echo(f"export MINTTIDE_TOKEN={token}")
     echo("")
     echo(f"curl -N -H 'Authorization: Bearer {token}' \\")
--- a/fakes/minttide_fakes/engine.py
+++ b/fakes/minttide_fakes/engine.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
-from minttide.config.service import AcceleratorKind, Engine, Model, PowerLevel
-from minttide.ids import NO_OFFSET, ModelVersion, Offset, RequestId, ServiceName
-from minttide.interfaces import EngineError, StaleFencingError
+from minttide.config.service import AcceleratorKind, Engine, Model
+from minttide.ids import ModelVersion, RequestId, ServiceName
+from minttide.interfaces import EngineError
 from minttide.steps import (
     CacheEvent,
     EngineState,
@@ -19,6 +19,7 @@
     StepReplies,
     StepReply,
 )
+from minttide_fakes.holding import Holding
 from minttide_fakes.kv import Fabric
 from minttide_fakes.prefixes import PrefixCache
 from minttide_fakes.stage import Stage
@@ -27,6 +28,11 @@
 MAX_BATCH = 256
 """Steps that an engine runs together at most."""
 
+FIRST_ATTEMPT = 1
+"""The attempt that a cancelled request is taken to be at when none of its steps has come yet."""
+
+US_PER_S = 1e6
+
 REPORT_LAG_S = 0.5
 """How old a load report is when it shows."""
 
@@ -67,29 +73,15 @@
         self.slow_factor = 1.0
         self.report_lag_s = REPORT_LAG_S
         self.steps_run = 0
-        self.orders: list[Order] = []
-        self.peak_watts = 0
-        self.on_watts: Callable[[], None] = lambda: None
-        self._models = models
+        self.holding = Holding(engine, kind, models, weights, self.stage)
         self._fabric = fabric
-        self._weights = weights
         self._queue: list[_Waiting] = []
         self._running: list[_Waiting] = []
         self._worker: asyncio.Task[None] | None = None
-        self._loading: asyncio.Task[None] | None = None
         self._held: list[StepReply] = []
         self._reports: deque[LoadReport] = deque(maxlen=64)
         self._dead = False
         self._die_after: int | None = None
-        self._leaving = False
-        self._fencing = NO_OFFSET
-        self._service = ServiceName("")
-        self._version = ModelVersion("")
-        self._first = self._last = 0
-        self._watts = 0
-        count = engine.accelerators
-        self._levels = [PowerLevel(p.watts * count, p.speed * count) for p in kind.power]
-        self._set_watts(self._boot_watts())
 
     # Faults and looks inside, for tests.
 
@@ -101,12 +93,22 @@
     @property
     def watts(self) -> int:
         """Return the power level that the engine is set to now."""
-        return self._watts
+        return self.holding.watts
+
+    @property
+    def peak_watts(self) -> int:
+        """Return the highest power level that the engine was ever set to."""
+        return self.holding.peak_watts
+
+    @property
+    def orders(self) -> list[Order]:
+        """Return the orders that the engine has taken."""
+        return self.holding.orders
 
     @property
     def is_loading(self) -> bool:
         """Return whether layers are being loaded."""
-        return self._loading is not None and not self._loading.done()
+        return self.holding.is_loading
 
     @property
     def left_behind(self) -> int:
@@ -126,34 +128,27 @@
         self._die_after = None
         self.stage.clear()
         self._fabric.forget_engine(self.engine.id)
-        for task in (self._worker, self._loading):
-            if task is not None and not task.done():
-                task.cancel()
+        self.holding.stop()
+        if self._worker is not None:
+            self._worker.cancel()
         self._fail_waiting()
 
     def restart(self) -> None:
         """Come back as a new process that holds nothing and has seen no fencing number."""
         self._dead = False
-        self._leaving = False
         self.stage.restart()
-        self._fencing = NO_OFFSET
-        self._service, self._version = ServiceName(""), ModelVersion("")
-        self._first = self._last = 0
-        self._set_watts(self._boot_watts())
+        self.holding.boot()
 
     def leave(self) -> None:
         """Take no new request from now on."""
-        self._leaving = True
+        self.holding.leaving = True
         self.stage.leaving = True
 
     def hold(
         self, service: ServiceName, version: ModelVersion, first: int, last: int, watts: int
     ) -> None:
         """Hold these layers at once, without an order or a load time."""
-        self._service, self._version = service, version
-        self._first, self._last = first, last
-        self.stage.hold(service, version, first, last)
-        self._set_watts(watts)
+        self.holding.hold(service, version, first, last, watts)
 
     # The engine's interface.
 
@@ -197,19 +192,11 @@
                 waiting.done.set_result(reply)
 
     def _batch_s(self, steps: Sequence[Step]) -> float:
-        model = self._models.get(self._service)
-        layers = (self._last - self._first) * (model.width if model else 1.0)
         prefill = sum(self.stage.new_tokens(step) for step in steps if step.prefill)
         layer_us = self.kind.decode_us + len(steps) * self.kind.decode_stream_us
         layer_us += prefill * self.kind.prefill_us
-        return layers * layer_us * self.slow_factor / self._speed() / 1e6
-
-    def _speed(self) -> float:
-        allowed = [level.speed for level in self._levels if level.watts <= self._watts]
-        return max(allowed, default=self._levels[0].speed)
-
-    def _boot_watts(self) -> int:
-        return (self._levels[0] if self.engine.checks_fencing else self._levels[-1]).watts
+        layers = self.holding.width_layers
+        return layers * layer_us * self.slow_factor / self.holding.speed / US_PER_S
 
     async def _deliver(self, replies: list[StepReply]) -> list[StepReply]:
         held, self._held = self._held, []
@@ -232,7 +219,7 @@
         self._check_alive()
         gone = set(requests)
         self._fabric.drop_exports(self.engine.id, gone)
-        attempts = dict.fromkeys(gone, 0)
+        attempts = dict.fromkeys(gone, FIRST_ATTEMPT)
         for waiting in self._queue + self._running:
             if waiting.step.request in gone:
                 attempts[waiting.step.request] = waiting.step.attempt
@@ -247,57 +234,12 @@
     async def read_state(self) -> EngineState:
         """Read what the engine holds now."""
         self._check_alive()
-        return EngineState(
-            self.engine.id,
-            self._fencing,
-            self._service,
-            self._version,
-            self._first,
-            self._last,
-            self._watts,
-            self.is_loading,
-            self._leaving,
-        )
+        return self.holding.state
 
     async def order(self, order: Order) -> EngineState:
         """Take an order: set the power at once and load other layers in the background."""
         self._check_alive()
-        if self.engine.checks_fencing and order.fencing < self._fencing:
-            raise StaleFencingError(f"{self.engine.id} has taken {self._fencing}")
-        self._fencing = Offset(max(self._fencing, order.fencing))
-        self.orders.append(order)
-        self._set_watts(order.watts)
-        wanted = (order.service, order.version, order.first, order.last)
-        if wanted != (self._service, self._version, self._first, self._last):
-            self._load(order)
-        return await self.read_state()
-
-    def _load(self, order: Order) -> None:
-        if self._loading is not None:
-            self._loading.cancel()
-        megabytes = self._missing_mb(order)
-        self._service, self._version = order.service, order.version
-        self._first, self._last = order.first, order.last
-        self.stage.hold(ServiceName(""), ModelVersion(""), 0, 0)
-        self._loading = asyncio.create_task(self._finish_load(order, megabytes))
-
-    def _missing_mb(self, order: Order) -> float:
-        model = self._models.get(order.service)
-        held: set[int] = set()
-        if (order.service, order.version) == (self._service, self._version):
-            held = set(range(self._first, self._last))
-        missing = set(range(order.first, order.last)) - held
-        return len(missing) * (model.mb_per_layer if model else 0.0)
-
-    async def _finish_load(self, order: Order, megabytes: float) -> None:
-        if self._weights is not None:
-            await self._weights.load(megabytes)
-        self.stage.hold(order.service, order.version, order.first, order.last)
-
-    def _set_watts(self, watts: int) -> None:
-        self._watts = watts
-        self.peak_watts = max(self.peak_watts, watts)
-        self.on_watts()
+        return self.holding.take(order)
 
     async def report(self) -> LoadReport:
         """Return the newest load report that is older than the lag."""
@@ -314,19 +256,10 @@
             self.stage.streams,
             len(self._queue),
             self._batch_s([]) * 1000,
-            self._kv_free_mb(),
+            self.holding.kv_free_mb,
         )
         self._reports.append(report)
 
-    def _kv_free_mb(self) -> float:
-        model = self._models.get(self._service)
-        if model is None:
-            return float(self.kind.memory_mb * self.engine.accelerators)
-        layers = self._last - self._first
-        used = layers * model.mb_per_layer
-        used += self.stage.kv_tokens * layers * model.kv_kb_per_token_layer / 1024
-        return max(0.0, self.kind.memory_mb * self.engine.accelerators - used)
-
     async def cache_events(self, after: int) -> Sequence[CacheEvent]:
         """Return the cache events above `after` that show by now."""
         self._check_alive()
--- a/fakes/minttide_fakes/site.py
+++ b/fakes/minttide_fakes/site.py
@@ -46,7 +46,7 @@
             for engine in file.engines:
                 kind = kinds[engine.accelerator]
                 fake = FakeEngine(engine, kind, shapes, self.fabric, self.weights)
-                fake.on_watts = self._note_watts
+                fake.holding.on_watts = self._note_watts
                 self.engines[engine.id] = fake
         self._note_watts()
 
