Provoke races, outages and crashes of keyed calls and of the decider

Cause: keyed.py and controller.py had only been tried on a scratch copy. Change: test_keyed.py runs twenty scenes over two hosts, one log and a ledger of what ran: races, claims whose answer is lost, that land later or twice, outages at each point, a first host that pauses, dies, is replaced or is cut from the log. test_controller.py runs fifteen scenes over two deciders and four engines, one of which ignores fencing, with a power meter.

--- /dev/null
+++ b/test/test_controller.py
@@ -0,0 +1,352 @@
+"""The decider of a domain: one holder at a time, fencing, repair, and power under the cap."""
+
+import asyncio
+from collections import Counter
+from contextlib import AsyncExitStack
+
+import msgspec
+import pytest
+
+from minttide.agree.config import ConfigFold
+from minttide.config.service import (
+    SITE_NAME,
+    AcceleratorKind,
+    Engine,
+    Model,
+    ModelService,
+    PowerLevel,
+    Site,
+)
+from minttide.config.settings import Settings
+from minttide.ids import (
+    Address,
+    HostId,
+    Incarnation,
+    ModelVersion,
+    Offset,
+    PublishId,
+    ServiceName,
+    UpstreamId,
+    ZoneId,
+    placement_stream,
+)
+from minttide.interfaces import EngineError
+from minttide.records import FORMAT, Assignment, Envelope, Publish, ServiceChange, encode
+from minttide_fakes.engine import FakeEngine
+from minttide_fakes.faults import AppendFault
+from minttide_fakes.kv import Fabric
+from minttide_fakes.memory import MemoryLog
+from minttide_fakes.virtual import run_virtual
+from minttided.controller import Controller
+from minttided.follower import Follower
+from minttided.lease_holder import CHECK_S, LEASE_MS, STAGGER_S, LeaseHolder
+from minttided.node import Node
+from minttided.placement_view import PlacementView
+from minttided.planning import ChangeStep, StepWait, Wanted
+
+CAP = 900
+MODEL = ServiceName("draft")
+STREAM = placement_stream("site")
+KIND = AcceleratorKind("k", 1000, 1.0, 1.0, 1.0, [PowerLevel(w, w / 300) for w in (100, 200, 300)])
+CHECKING = ("e0", "e1", "e2")
+IGNORING = "u0"
+ENGINES = [
+    Engine(UpstreamId(e), Address(e), ZoneId("z"), "k", checks_fencing=e != IGNORING)
+    for e in (*CHECKING, IGNORING)
+]
+TAKEOVER_S = LEASE_MS / 1000 * 1.02 + 0.5 + CHECK_S + STAGGER_S + 1.0
+
+
+def files(cap=CAP, version="1"):
+    shape = Model(8, 1.0, 1.0, 1.0)
+    return [
+        Site(SITE_NAME, cap, [], [], [KIND], []),
+        ModelService(MODEL, shape, ModelVersion(version), ENGINES),
+    ]
+
+
+def row(engine, watts, version="1", first=0):
+    return Assignment(UpstreamId(engine), MODEL, version, first, first + 2, watts, "c")
+
+
+class TablePlanner:
+    """Wants the levels of a table by model version; lowers before it raises."""
+
+    levels = {"1": (300, 200, 100), "2": (100, 200, 300), "3": (100, 100, 100)}
+
+    def plan(self, site, services, states, previous, lost):
+        version = services[0].version
+        rows = zip((*CHECKING, IGNORING), (*self.levels[version], 300), strict=True)
+        rows = [row(e, w, version, 2 * i) for i, (e, w) in enumerate(rows)]
+        return Wanted(tuple(rows), "table")
+
+    def steps(self, previous, wanted, cap_watts):
+        now = {a.engine: a.watts for a in previous}
+        lowered = [
+            msgspec.structs.replace(a, watts=min(a.watts, now.get(a.engine, a.watts)))
+            for a in wanted
+        ]
+        return [
+            ChangeStep(tuple(lowered), StepWait.CONFIRMED, "lower"),
+            ChangeStep(tuple(wanted), StepWait.LOADED, "wanted"),
+        ]
+
+
+class MeteredEngine(FakeEngine):
+    """Notes the power of all engines whenever one of them changes it."""
+
+    meter = None
+
+    def _set_watts(self, watts):
+        super()._set_watts(watts)
+        if self.meter is not None:
+            self.meter()
+
+
+class OrderFaults:
+    """The clients of one host; `late_s` keeps each order back while its sender gives it up."""
+
+    def __init__(self, domain):
+        self.domain = domain
+        self.late_s = None
+        self.lost = Counter()
+        self.answers_lost = 0
+        self.tasks = set()
+
+    def engine(self, engine, address):
+        return EngineWithFaults(self, self.domain.engines[engine])
+
+
+class EngineWithFaults:
+    """One engine as a host reaches it."""
+
+    def __init__(self, faults, engine):
+        self.faults = faults
+        self.engine = engine
+        self.read_state = engine.read_state
+        self.report = engine.report
+
+    async def order(self, order):
+        faults = self.faults
+        if faults.late_s is not None:
+            task = asyncio.create_task(self._deliver_late(order, faults.late_s))
+            faults.tasks.add(task)
+            raise EngineError("no answer")
+        if faults.lost[order.service]:
+            faults.lost[order.service] -= 1
+            raise EngineError("lost")
+        state = await self.engine.order(order)
+        if faults.answers_lost:
+            faults.answers_lost -= 1
+            raise EngineError("answer lost")
+        return state
+
+    async def _deliver_late(self, order, late_s):
+        await asyncio.sleep(late_s)
+        await self.engine.order(order)
+
+
+class Decider:
+    """One host's part in the placement of the domain."""
+
+    def __init__(self, domain, name):
+        cfg = Settings(
+            HostId(name), ZoneId("z"), Address(""), Address(""), Address(""), Address(""), ""
+        )
+        self.log = domain.log.view(cfg.host)
+        self.clients = OrderFaults(domain)
+        self.node = Node(cfg, Incarnation(1), self.log, self.clients, config=domain.config)
+        self.view = PlacementView(self.node, self._follow)
+        self.lease = LeaseHolder(self.node, self.view)
+        self.controller = Controller(self.node, self.view, self.lease, TablePlanner())
+
+    def _follow(self, stream, fold, on_verdicts):
+        return Follower(self.log, stream, fold, on_verdicts)
+
+    async def __aenter__(self):
+        self._stack = AsyncExitStack()
+        for part in (self.view, self.lease, self.controller):
+            await self._stack.enter_async_context(part)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def crash(self):
+        self.log.cut = True
+        self.clients.late_s = 1e5
+        for task in (self.controller._task, self.lease._task):
+            task.cancel()
+
+
+class Domain:
+    """Two hosts that may decide, four engines and a power meter. A context manager."""
+
+    def __init__(self):
+        self.log = MemoryLog()
+        self.config = ConfigFold()
+        self.engines = {e.id: MeteredEngine(e, KIND, {}, Fabric()) for e in ENGINES}
+        self.peak_watts = 0
+        for engine in self.engines.values():
+            engine.meter = self.meter
+        self.publish(files())
+
+    def meter(self):
+        self.peak_watts = max(self.peak_watts, sum(e.watts for e in self.engines.values()))
+
+    def publish(self, changed):
+        offset = Offset(self.config.applied + 1)
+        changes = [ServiceChange(f.service, self.config.changed(f.service), f) for f in changed]
+        body = Publish(PublishId(str(offset)), "ann", changes)
+        record = encode(Envelope(FORMAT, HostId("cli"), Incarnation(1), 0, body))
+        assert self.config.apply(offset, record)[0].decision.value == "accepted"
+
+    async def __aenter__(self):
+        self.deciders = {n: Decider(self, n) for n in ("a", "b")}
+        self._stack = AsyncExitStack()
+        for decider in self.deciders.values():
+            await self._stack.enter_async_context(decider)
+        await asyncio.sleep(15)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def holder(self):
+        holding = [d for d in self.deciders.values() if d.lease.holds()]
+        assert len(holding) <= 1
+        return holding[0] if holding else None
+
+    def other(self, decider):
+        return next(d for d in self.deciders.values() if d is not decider)
+
+    def held(self):
+        """Return the version and watts that each engine was set to."""
+        return {e.engine.id: (e._version, e.watts) for e in self.engines.values()}
+
+    def holds_version(self, version):
+        levels = (*TablePlanner.levels[version], 300)
+        names = (*CHECKING, IGNORING)
+        return self.held() == {e: (version, w) for e, w in zip(names, levels, strict=True)}
+
+
+async def no_fault(domain):
+    domain.publish(files(version="2"))
+
+
+async def holder_crashes(domain):
+    domain.publish(files(version="2"))
+    domain.holder().crash()
+
+
+async def holder_is_cut_from_the_log(domain):
+    domain.holder().log.cut = True
+    domain.publish(files(version="2"))
+
+
+async def log_out_during_takeover(domain):
+    domain.holder().crash()
+    domain.publish(files(version="2"))
+    domain.log.down = True
+    await asyncio.sleep(20)
+    domain.log.down = False
+
+
+async def late_orders_of_a_lapsed_holder(domain):
+    old = domain.holder()
+    old.clients.late_s = 30.0
+    domain.publish(files(version="2"))
+    await asyncio.sleep(1)
+    old.log.cut = True
+    await asyncio.sleep(2)
+    domain.publish(files(version="1"))
+
+
+async def orders_lost(domain):
+    domain.holder().clients.lost[MODEL] = 5
+    domain.publish(files(version="2"))
+
+
+async def answers_of_orders_lost(domain):
+    domain.holder().clients.answers_lost = 5
+    domain.publish(files(version="2"))
+
+
+def append_fault(fault):
+    async def scene(domain):
+        domain.holder().log.faults.order(fault, STREAM, times=3)
+        domain.publish(files(version="2"))
+
+    return scene
+
+
+async def engine_restarts(domain):
+    domain.publish(files(version="2"))
+    await asyncio.sleep(10)
+    domain.engines[UpstreamId("e2")].restart()
+
+
+async def holder_leaves(domain):
+    holder = domain.holder()
+    domain.publish(files(version="2"))
+    await holder.__aexit__()
+
+
+async def cap_is_lowered(domain):
+    domain.publish(files(cap=600, version="2"))
+    await asyncio.sleep(20)
+    domain.publish(files(cap=600, version="3"))
+
+
+@pytest.mark.parametrize(
+    ("scene", "version"),
+    [
+        (no_fault, "2"),
+        (holder_crashes, "2"),
+        (holder_is_cut_from_the_log, "2"),
+        (log_out_during_takeover, "2"),
+        (late_orders_of_a_lapsed_holder, "1"),
+        (orders_lost, "2"),
+        (answers_of_orders_lost, "2"),
+        (engine_restarts, "2"),
+        (holder_leaves, "2"),
+        (cap_is_lowered, "3"),
+        *[(append_fault(fault), "2") for fault in AppendFault],
+    ],
+)
+def test_engines_reach_the_plan_and_power_stays_under_the_cap(scene, version):
+    async def run():
+        async with Domain() as domain:
+            assert domain.holds_version("1")
+            await scene(domain)
+            await asyncio.sleep(60)
+            assert domain.holds_version(version), domain.held()
+            assert domain.peak_watts <= CAP
+
+    run_virtual(run())
+
+
+def test_another_host_decides_soon_after_the_holder_is_lost():
+    async def run():
+        async with Domain() as domain:
+            survivor = domain.other(domain.holder())
+            domain.holder().crash()
+            lost_at = asyncio.get_running_loop().time()
+            while not survivor.lease.holds():
+                await survivor.view.wait_change(0.05)
+            return asyncio.get_running_loop().time() - lost_at
+
+    assert run_virtual(run()) <= TAKEOVER_S
+
+
+@pytest.mark.parametrize("levels", [(300, 300, 300)])
+def test_a_plan_over_the_cap_is_not_carried_out(levels, monkeypatch):
+    monkeypatch.setitem(TablePlanner.levels, "2", levels)
+
+    async def run():
+        async with Domain() as domain:
+            domain.publish(files(version="2"))
+            await asyncio.sleep(30)
+            return domain.peak_watts
+
+    assert run_virtual(run()) <= CAP
--- /dev/null
+++ b/test/test_keyed.py
@@ -0,0 +1,214 @@
+"""Keyed calls through the daemon's code: at most once, and outcomes that are never blurred."""
+
+import asyncio
+import uuid
+
+import pytest
+from key_site import BOOKING, REJECTING, KeySite
+
+from minttide.ids import key_stream
+from minttide.outcome import ProblemType, Ran
+from minttide.records import FORMAT
+from minttide_fakes.faults import AppendFault
+from minttide_fakes.memory import MemoryLog
+from minttide_fakes.virtual import run_virtual
+
+DONE = (Ran.DONE, 200)
+UNKNOWN = (Ran.UNKNOWN, ProblemType.OUTCOME_UNKNOWN)
+LOG_OUT = (Ran.NOT_RUN, ProblemType.LOG_UNAVAILABLE)
+NAME = (BOOKING, "/book")
+
+
+def play(scene, **site_args):
+    """Run `scene(site)` on a virtual clock and return its result with how often the call ran."""
+
+    async def run():
+        async with KeySite(**site_args) as site:
+            told = await scene(site)
+            await asyncio.sleep(70)
+            return told, site.ledger.ran[NAME]
+
+    return run_virtual(run())
+
+
+async def at(delay_s, coro):
+    await asyncio.sleep(delay_s)
+    return await coro
+
+
+def fault_then_retry(fault, times=1):
+    async def scene(site):
+        site.hosts_by_name["a"].log.faults.order(fault, times=times)
+        first = await site.hosts_by_name["a"].run()
+        await asyncio.sleep(1)
+        return [first, await site.hosts_by_name["b"].run()]
+
+    return scene
+
+
+async def same_key_twice(site):
+    a = site.hosts_by_name["a"]
+    return [await a.run(), await a.run()]
+
+
+async def raced_by_two_hosts(site):
+    hosts = site.hosts_by_name.values()
+    return list(await asyncio.gather(*(h.run() for h in hosts), *(h.run() for h in hosts)))
+
+
+async def answer_lost_at_the_upstream(site):
+    site.ledger.script = [Ran.UNKNOWN]
+    return [await h.run() for h in site.hosts_by_name.values()]
+
+
+async def refused_by_the_upstream(site):
+    site.ledger.script = [Ran.NOT_RUN]
+    first = await site.hosts_by_name["a"].run()
+    await asyncio.sleep(0.1)
+    return [first[0], await site.hosts_by_name["b"].run()]
+
+
+async def first_host_pauses_before_sending(site):
+    site.hosts_by_name["a"].dispatcher.pause_s = 3.0
+    first = asyncio.create_task(site.hosts_by_name["a"].run(limit_s=8.0))
+    second = await at(1, site.hosts_by_name["b"].run())
+    return [await first, second]
+
+
+async def first_host_dies_before_sending(site):
+    a = site.hosts_by_name["a"]
+    a.dispatcher.pause_s = 3.0
+    first = asyncio.create_task(a.run())
+    await asyncio.sleep(1)
+    a.kill()
+    first.cancel()
+    return [await site.hosts_by_name["b"].run()]
+
+
+async def first_host_is_replaced_before_sending(site):
+    a = site.hosts_by_name["a"]
+    a.dispatcher.pause_s = 3.0
+    first = asyncio.create_task(a.run())
+    await asyncio.sleep(1)
+    fresh = await site.replace("a")
+    first.cancel()
+    return [await fresh.run(), await site.hosts_by_name["b"].run()]
+
+
+async def first_host_is_cut_from_the_log_in_the_call(site):
+    a = site.hosts_by_name["a"]
+    site.ledger.takes_s = 1.0
+    first = asyncio.create_task(a.run())
+    await asyncio.sleep(0.5)
+    a.log.cut = True
+    second = await site.hosts_by_name["b"].run()
+    told = [await first, second]
+    a.log.cut = False
+    await asyncio.sleep(2)
+    return [*told, await site.hosts_by_name["b"].run()]
+
+
+async def log_out_at_the_claim(site):
+    await site.hosts_by_name["a"].run(key="other", path="/other")
+    site.log.down = True
+    first = await site.hosts_by_name["a"].run()
+    site.log.down = False
+    await asyncio.sleep(5)
+    return [first, await site.hosts_by_name["b"].run()]
+
+
+async def log_out_before_it_was_ever_read(site):
+    site.log.down = True
+    return [await site.hosts_by_name["a"].run()]
+
+
+async def claim_too_slow_for_the_deadline(site):
+    await site.hosts_by_name["a"].run(key="other", path="/other")
+    site.log.delay_s = 3.0
+    first = await site.hosts_by_name["a"].run(limit_s=1.0)
+    site.log.delay_s = 0.0
+    await asyncio.sleep(5)
+    return [first, await site.hosts_by_name["b"].run()]
+
+
+async def newer_format_in_the_stream(site):
+    site.log.put(key_stream(0), b'{"format":%d}' % (FORMAT + 1))
+    return [await site.hosts_by_name["a"].run()]
+
+
+async def key_used_for_another_call(site):
+    a = site.hosts_by_name["a"]
+    return [await a.run(), await a.run(path="/else")]
+
+
+async def key_too_old(site):
+    made_ms = 1_600_000_000_000
+    key = uuid.UUID(int=made_ms << 80 | 7 << 76 | 2 << 62)
+    return [await site.hosts_by_name["a"].run(key=str(key))]
+
+
+LANDS_LATE_TOLD = [LOG_OUT, DONE]
+MISMATCH = (Ran.NOT_RUN, ProblemType.KEY_MISMATCH)
+TOO_OLD = (Ran.UNKNOWN, ProblemType.KEY_TOO_OLD)
+DEADLINE = (Ran.NOT_RUN, ProblemType.DEADLINE)
+
+
+@pytest.mark.parametrize(
+    ("scene", "told", "ran"),
+    [
+        (same_key_twice, [DONE, DONE], 1),
+        (raced_by_two_hosts, [DONE] * 4, 1),
+        (answer_lost_at_the_upstream, [(Ran.UNKNOWN, ProblemType.UPSTREAM_FAILED), UNKNOWN], 1),
+        (refused_by_the_upstream, [Ran.NOT_RUN, DONE], 1),
+        (first_host_pauses_before_sending, [DONE, UNKNOWN], 1),
+        (first_host_dies_before_sending, [UNKNOWN], 0),
+        (first_host_is_replaced_before_sending, [UNKNOWN, UNKNOWN], 0),
+        (first_host_is_cut_from_the_log_in_the_call, [DONE, UNKNOWN, DONE], 1),
+        (log_out_at_the_claim, [LOG_OUT, DONE], 1),
+        (log_out_before_it_was_ever_read, [LOG_OUT], 0),
+        (claim_too_slow_for_the_deadline, [DEADLINE, DONE], 1),
+        (newer_format_in_the_stream, [LOG_OUT], 0),
+        (key_used_for_another_call, [DONE, MISMATCH], 1),
+        (key_too_old, [TOO_OLD], 0),
+        (fault_then_retry(AppendFault.REFUSED), [LOG_OUT, DONE], 1),
+        (fault_then_retry(AppendFault.ANSWER_LOST), [DONE, DONE], 1),
+        (fault_then_retry(AppendFault.ANSWER_LOST, times=3), [LOG_OUT, DONE], 1),
+        (fault_then_retry(AppendFault.REQUEST_LOST, times=3), [LOG_OUT, DONE], 1),
+        (fault_then_retry(AppendFault.LANDS_LATER, times=3), [LOG_OUT, DONE], 1),
+        (fault_then_retry(AppendFault.REPEATED), [DONE, DONE], 1),
+    ],
+)
+def test_runs_at_most_once_and_tells_the_truth(scene, told, ran):
+    assert play(scene) == (told, ran)
+
+
+def test_a_service_that_rejects_duplicates_goes_on_while_the_log_is_out():
+    async def scene(site):
+        site.log.down = True
+        told = [await h.run(service=REJECTING) for h in site.hosts_by_name.values()]
+        return told, site.ledger.ran[(REJECTING, "/book")]
+
+    assert play(scene)[0] == ([DONE, DONE], 1)
+
+
+def test_a_call_goes_through_one_owner_while_it_answers():
+    async def scene(site):
+        site.forwarding = True
+        told = [await h.run() for h in site.hosts_by_name.values()]
+        return told, [len(h.runner.shards) for h in site.hosts_by_name.values()]
+
+    told, opened = play(scene, names=("a", "b", "c", "d"))[0]
+    assert told == [DONE] * 4
+    assert sorted(opened) == [0, 0, 1, 1]
+
+
+@pytest.mark.parametrize(("requests", "appends_per_s"), [(300, 100.0)])
+def test_waiting_claims_share_appends(requests, appends_per_s):
+    async def scene(site):
+        a = site.hosts_by_name["a"]
+        told = await asyncio.gather(*(a.run(key=f"k{i}", path=f"/{i}") for i in range(requests)))
+        return told.count(DONE), a.runner.shards[0].appends
+
+    done, appends = play(scene, log=MemoryLog(appends_per_s=appends_per_s))[0]
+    assert done == requests
+    assert appends < requests / 10
