--- a/test/drafting.py
+++ b/test/drafting.py
@@ -1,5 +1,6 @@
 """A small site with chains of stand-in engines, and the data plane of one host before it."""
 
+import asyncio
 import hashlib
 import json
 from contextlib import AsyncExitStack
@@ -193,17 +194,26 @@
         self.resume = ""
         self.end: dict | None = None
         self.problem: dict | None = None
+        self.longest_gap_s = 0.0
+        self._last_s: float | None = None
 
     async def read(self, tokens: int | None = None) -> "Reader":
         """Read until `tokens` tokens have come, or to the end."""
         while tokens is None or len(self.tokens) < tokens:
             chunk = await anext(self.chunks, b"")
+            self._note_gap()
             if not chunk:
                 break
             for event in chunk.decode().strip().split("\n\n"):
                 self._take(dict(line.split(": ", 1) for line in event.split("\n")))
         return self
 
+    def _note_gap(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._last_s is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_s)
+        self._last_s = now
+
     def _take(self, event: dict[str, str]) -> None:
         data = msgspec.json.decode(event["data"])
         if "id" in event:
--- /dev/null
+++ b/test/test_steps_batcher.py
@@ -0,0 +1,160 @@
+"""Lanes batch the steps of many requests, and clean up what may still arrive at an engine."""
+
+import asyncio
+
+import pytest
+
+from minttide.ids import ModelVersion, RequestId, ServiceName, UpstreamId
+from minttide.interfaces import EngineError
+from minttide.steps import Step, StepReplies, StepReply
+from minttide_fakes.virtual import run_virtual
+from minttided import steps_batcher
+from minttided.steps_batcher import EngineLane
+
+ENGINE = UpstreamId("e")
+
+
+def step(name: str, priority: int = 0) -> Step:
+    model = (ServiceName("s"), ModelVersion("v"))
+    return Step(RequestId(name), 1, 1, 0, *model, 0, 1, True, True, priority=priority)
+
+
+class Engine:
+    """Answers each batch after a time, or when a test says so."""
+
+    def __init__(self, answer_s: float = 1.0):
+        self.batches: list[list[str]] = []
+        self.cancelled: list[list[str]] = []
+        self.fail_cancels = 0
+        self._answer_s = answer_s
+
+    async def run_steps(self, batch):
+        self.batches.append([s.request for s in batch.steps])
+        await asyncio.sleep(self._answer_s)
+        return StepReplies([StepReply(s.request, 1, 1, 0, token=1) for s in batch.steps])
+
+    async def cancel(self, requests):
+        if self.fail_cancels:
+            self.fail_cancels -= 1
+            raise EngineError("cut")
+        self.cancelled.append(sorted(requests))
+
+
+class Owner:
+    """Wants every reply and notes what came."""
+
+    def __init__(self):
+        self.replies, self.misses = [], []
+
+    def awaits(self, step):
+        return True
+
+    def take_reply(self, engine, reply):
+        self.replies.append(reply.request)
+
+    def miss_step(self, engine, step, reason):
+        self.misses.append(step.request)
+
+
+class Health:
+    def __init__(self, patience_s=100.0):
+        self.suspected = []
+        self._patience_s = patience_s
+
+    def patience_s(self, engine, steps):
+        return self._patience_s
+
+    def observe(self, engine, steps, seen_s):
+        pass
+
+    def suspect(self, engine, reason):
+        self.suspected.append(engine)
+
+
+def run_lane(job, engine=None, patience_s=100.0):
+    async def run():
+        client, owner, health = engine or Engine(), Owner(), Health(patience_s)
+        owners = {RequestId(c): owner for c in "abcdefgh"}
+        lane = EngineLane(ENGINE, client, owners, health)
+        result = await job(lane, client, owner, health)
+        await lane.close()
+        return result
+
+    return run_virtual(run())
+
+
+def test_steps_wait_for_batches_in_flight_and_leave_together_by_priority(monkeypatch):
+    async def job(lane, engine, owner, health):
+        for name in "ab":
+            lane.submit(step(name))
+            await asyncio.sleep(0.1)
+        for name, priority in zip("cdef", (0, 0, 2, 1), strict=True):
+            lane.submit(step(name, priority))
+        await asyncio.sleep(10)
+        return engine.batches, sorted(owner.replies)
+
+    assert run_lane(job) == ([["a"], ["b"], ["e", "f", "c", "d"]], list("abcdef"))
+    monkeypatch.setattr(steps_batcher, "MAX_BATCH_STEPS", 3)
+    batches, replies = run_lane(job)
+    assert (batches[2:], replies) == ([["e", "f", "c"], ["d"]], list("abcdef"))
+
+
+def test_too_many_waiting_steps_are_missed_not_kept(monkeypatch):
+    monkeypatch.setattr(steps_batcher, "MAX_QUEUED_STEPS", 2)
+
+    async def job(lane, engine, owner, health):
+        for name in "abc":
+            lane.submit(step(name))
+        await asyncio.sleep(10)
+        return owner.misses, sorted(owner.replies)
+
+    assert run_lane(job) == (["c"], ["a", "b"])
+
+
+def test_an_overdue_batch_is_missed_once_and_blocks_no_later_one():
+    async def job(lane, engine, owner, health):
+        for name in "abc":
+            lane.submit(step(name))
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(10)
+        lane.submit(step("d"))
+        await asyncio.sleep(1)
+        return engine.batches[-1], owner.misses, health.suspected
+
+    last, misses, suspected = run_lane(job, Engine(answer_s=60.0), patience_s=0.5)
+    assert (last, sorted(misses)) == (["d"], ["a", "b", "c", "d"])
+    assert set(suspected) == {ENGINE}
+
+
+@pytest.mark.parametrize(
+    ("submitted", "failures", "sent"),
+    [
+        ("", 0, [["a", "b"]]),  # cancellations go together
+        ("a", 0, [["a", "b"], ["a"]]),  # and again once a step on its way was answered
+        ("", 3, [["a", "b"]]),  # and until the engine can be reached
+    ],
+)
+def test_cancellations_reach_the_engine_after_every_step(submitted, failures, sent):
+    async def job(lane, engine, owner, health):
+        engine.fail_cancels = failures
+        for name in submitted:
+            lane.submit(step(name))
+        await asyncio.sleep(0.1)
+        lane.cancel(RequestId("a"))
+        lane.cancel(RequestId("b"))
+        await asyncio.sleep(20)
+        return engine.cancelled
+
+    assert run_lane(job) == sent
+
+
+def test_a_new_attempt_on_the_engine_calls_a_waiting_cancellation_off():
+    async def job(lane, engine, owner, health):
+        engine.fail_cancels = 1
+        lane.cancel(RequestId("a"))
+        await asyncio.sleep(0.1)
+        lane.submit(step("a"))
+        await asyncio.sleep(20)
+        return engine.cancelled
+
+    assert run_lane(job) == []
