Take the platform's log away in the demo

Cause: the log has outages, and a newcomer should see what goes on and what waits. Change: a scene in which the log is out: a keyed booking is refused as not run, a keyed posting to a ledger that rejects duplicates runs once, drafts go on, and the booking runs once afterwards.

--- a/cli/minttide_cli/demo/runner.py
+++ b/cli/minttide_cli/demo/runner.py
@@ -27,6 +27,7 @@
         await scenes.stream()
         await scenes.lose_stage()
         await scenes.book_twice()
+        await scenes.lose_log()
         await scenes.stop_one()
         await scenes.check_engines()
         await scenes.lose_daemon()
--- a/cli/minttide_cli/demo/scenes.py
+++ b/cli/minttide_cli/demo/scenes.py
@@ -7,7 +7,8 @@
 from minttide.config.service import PlainService
 from minttide.findings import CheckError
 from minttide.ids import Address, ServiceName
-from minttide_cli.caller import Caller
+from minttide.outcome import Ran
+from minttide_cli.caller import Caller, CallerError
 from minttide_cli.demo.answers import Asked, ask_many, describe
 from minttide_cli.demo.site import DemoSite, token_of
 from minttide_cli.demo.story import Story
@@ -15,6 +16,7 @@
 from minttide_cli.operators import ask_daemon, read_applied
 from minttide_cli.platform_log import open_log
 from minttide_fakes.engine import FakeEngine
+from minttided.http_client import HttpReply
 from minttided.publisher import Publisher, Settled, find_differences, wait_in_force
 
 IN_FORCE_LIMIT_S = 3.0
@@ -25,6 +27,8 @@
 SEEN_BEFORE_DEATH = 8
 MID_STREAM_S = 0.4
 KEY = "0199-demo-wedding-of-bat-and-saraa"
+OUTAGE_KEY = "0199-demo-during-the-outage"
+OK = 200
 
 
 class Scenes:
@@ -129,6 +133,45 @@
         same = len({getattr(reply, "body", reply) for reply in replies}) == 1
         self.story.check(same, "both callers got the same answer", ", ".join(seen))
 
+    async def lose_log(self) -> None:
+        """Take the platform's log away for a while."""
+        self.story.tell("the platform's log is out")
+        self.site.served.log.down = True
+        caller = Caller(self.site.entries, token_of("portal"))
+        auditor = Caller(self.site.entries, token_of("grocery-north"))
+        booking, ledger = self._plain("booking"), self._plain("ledger")
+        refused = await self._book(caller, booking)
+        told = isinstance(refused, CallerError) and refused.problem.ran is Ran.NOT_RUN
+        self.story.check(
+            told and not self.site.fakes.ledgers[booking][OUTAGE_KEY],
+            "a keyed booking was refused as not run, and was not run",
+            str(refused),
+        )
+        posted = await auditor.call(ledger, "POST", "/postings", b"{}", OUTAGE_KEY)
+        ran = self.site.fakes.ledgers[ledger][OUTAGE_KEY]
+        self.story.check(
+            posted.status == OK and ran == 1,
+            "a posting ran once, since the ledger itself rejects duplicates",
+        )
+        answers = await ask_many(self.site.make_callers(), "Who sings in Dornod?", STREAMS // 2)
+        self._check_answers(answers, "drafts were streamed all the while")
+        self.site.served.log.down = False
+        back = await wait_until_async(SETTLE_LIMIT_S, lambda: self._is_booked(caller, booking))
+        ran = self.site.fakes.ledgers[booking][OUTAGE_KEY]
+        self.story.check(
+            back and ran == 1, "once the log was back, the same booking ran once", f"ran {ran}"
+        )
+
+    async def _book(self, caller: Caller, booking: ServiceName) -> HttpReply | CallerError:
+        try:
+            return await caller.call(booking, "POST", "/bookings", b"{}", OUTAGE_KEY)
+        except CallerError as exc:
+            return exc
+
+    async def _is_booked(self, caller: Caller, booking: ServiceName) -> bool:
+        reply = await self._book(caller, booking)
+        return isinstance(reply, HttpReply) and reply.status == OK
+
     def _plain(self, name: str) -> ServiceName:
         files = self.site.fakes.plain.values()
         return next(f.service for f in files if isinstance(f, PlainService) and f.service == name)
