Let service files say only what the daemon can do

Cause: a model service's 'discover' was accepted, but the host list doesn't tell what accelerators an engine has, so nothing could place it; for plain services the check forbade what discovery does, to add to the listed upstreams and to mark those that leave. Change: 'discover' is gone from model services and engines are required; for plain services both may stand (core/minttide/config/service.py: one key removed). Conclusion: a file that could never be served is a finding now.

--- a/core/minttide/config/service.py
+++ b/core/minttide/config/service.py
@@ -119,7 +119,6 @@
 ):
     """A service that streams drafts or commentary from a model split over engines.
 
-    `engines` or `discover` (the group's name in the platform's host list) says where they are.
     Times are in milliseconds.
     """
 
@@ -127,7 +126,6 @@
     model: Model
     version: ModelVersion
     engines: list[Engine] = []
-    discover: str | None = None
     adapters: list[AdapterName] = []
     accounts: list[AccountId] = []  # empty: all accounts
     max_tokens: int = 1024
@@ -160,8 +158,10 @@
 ):
     """A service whose calls the system passes to one of its upstreams.
 
-    `rejects_duplicates` says that the upstreams themselves reject a second call with the same
-    idempotency key, so that keyed calls may go on while the platform log is out.
+    `discover` names a group of the platform's host list, which adds upstreams to those listed here
+    and says which are leaving. `rejects_duplicates` says that the upstreams themselves reject a
+    second call with the same idempotency key, so that keyed calls may go on while the platform log
+    is out.
     """
 
     service: ServiceName
--- a/core/minttide/config/service_rules.py
+++ b/core/minttide/config/service_rules.py
@@ -36,7 +36,8 @@
     check_name(place.key("version"), file.version)
     if file.first_token_ms > file.deadline_ms:
         place.key("first_token_ms").add("must not be above deadline_ms")
-    _check_found(place, "engines", bool(file.engines), file.discover)
+    if not file.engines:
+        place.key("engines").add("at least one engine is needed")
     for index, engine in enumerate(file.engines):
         check_ranges(place.key("engines").item(index), engine, {"accelerators": (1, 64)})
     _check_names(place, "adapters", list(file.adapters))
@@ -47,7 +48,10 @@
     """Check all that can be said of a plain service's file by itself."""
     _check_service_name(place, file.service)
     check_ranges(place, file, PLAIN_RANGES)
-    _check_found(place, "upstreams", bool(file.upstreams), file.discover)
+    if not file.upstreams and file.discover is None:
+        place.add("either 'upstreams' or 'discover' must say where the service is")
+    if file.discover is not None:
+        check_name(place.key("discover"), file.discover)
     _check_names(place, "accounts", list(file.accounts))
     calls = place.key("calls")
     if not file.calls:
@@ -73,15 +77,6 @@
         place.key("service").add(f"{SITE_NAME!r} is the name of the site file")
 
 
-def _check_found(place: Place, key: str, listed: bool, discover: str | None) -> None:
-    if not listed and discover is None:
-        place.add(f"either {key!r} or 'discover' must say where the service is")
-    if listed and discover is not None:
-        place.key("discover").add(f"{key!r} and 'discover' exclude each other")
-    if discover is not None:
-        check_name(place.key("discover"), discover)
-
-
 def _check_names(place: Place, key: str, names: list[str]) -> None:
     places = [(place.key(key).item(i), name) for i, name in enumerate(names)]
     for at, name in places:
