--- a/core/minttide/policy/limits.py
+++ b/core/minttide/policy/limits.py
@@ -29,15 +29,29 @@
 
 
 class Ticket(msgspec.Struct, frozen=True):
-    """A request that waits for capacity. `cost` is its expected tokens; times are in seconds."""
+    """A request that waits for capacity. `cost` is its expected tokens; times are in seconds.
+
+    `latest_s` is the latest start that still meets what the request asks for.
+    """
 
     request: RequestId
     account: AccountId
     cost: float
-    deadline_s: float
+    latest_s: float
     priority: int = 0
 
 
+def latest_start_s(
+    now_s: float, deadline_s: float, first_token_s: float, prefill_s: float, answer_s: float
+) -> float:
+    """Return the latest start of a request that comes at `now_s`, in seconds.
+
+    A start after it would miss the request's deadline, with `answer_s` for the whole answer, or the
+    service's time to the first token, with `prefill_s` for the prompt.
+    """
+    return min(deadline_s - answer_s, now_s + first_token_s - prefill_s)
+
+
 class _Line:
     """The waiting requests of one account and how much it was served."""
 
@@ -75,16 +89,11 @@
         )
         return ahead / max(self._rate, LEAST_RATE)
 
-    def offer(
-        self, ticket: Ticket, weight: float, now_s: float, work_s: float = 0.0
-    ) -> Problem | None:
-        """Queue a request, or return why it is refused; a refused request was not run.
-
-        `work_s` is the expected time from the start to the first token.
-        """
+    def offer(self, ticket: Ticket, weight: float, now_s: float) -> Problem | None:
+        """Queue a request, or return why it is refused; a refused request was not run."""
         wait_s = self.expected_wait_s(ticket.account, weight)
-        if now_s + wait_s + work_s > ticket.deadline_s:
-            return _refuse(ProblemType.DEADLINE, "the deadline can't be met", wait_s)
+        if now_s + wait_s > ticket.latest_s:
+            return _refuse(ProblemType.DEADLINE, "it can't be started in time", wait_s)
         if self._count >= self._most and not self._has_room_by_share(ticket.account, weight):
             return _refuse(ProblemType.OVERLOADED, "too many requests are waiting", wait_s)
         line = self._line(ticket.account, weight)
@@ -155,10 +164,7 @@
     def drop_expired(self, now_s: float) -> list[Ticket]:
         """Take out and return the requests whose deadline has passed; none of them was run."""
         expired = [
-            (line, t)
-            for line in self._lines.values()
-            for t in line.tickets
-            if t.deadline_s <= now_s
+            (line, t) for line in self._lines.values() for t in line.tickets if t.latest_s <= now_s
         ]
         for line, ticket in expired:
             self._discard(line, ticket)
--- a/core/minttide/policy/placement.py
+++ b/core/minttide/policy/placement.py
@@ -62,7 +62,8 @@
 
     Engines that are lost, or that say in `states` that they are leaving, get no new layers. They
     keep the power of `previous`, since they may still draw it. Chains of `previous` are kept
-    unless a fresh plan earns back what it has to load.
+    unless a fresh plan earns back what it has to load. While engines are lost, only the others
+    without a chain are placed anew, so that a failure never takes whole chains out of service.
     """
     ordered = sorted(services, key=lambda s: s.service)
     owners = _share_engines(site, ordered)
@@ -73,11 +74,14 @@
         if _is_lost(s, states, lost_zones, lost_engines)
     }
     planner = _Planner(site, ordered, owners, lost, previous)
-    fresh = planner.plan({}, "fresh plan")
     intact = keep_intact(previous, ordered, lost)
     if not intact:
-        return fresh
+        return planner.plan({}, "fresh plan")
     kept = planner.plan(intact, "chains in place kept")
+    served = {a.service for a in previous if a.chain}
+    if lost and served <= {c.service for c in kept.chains}:
+        return kept
+    fresh = planner.plan({}, "fresh plan")
     rate = site.weight_store.mb_per_s if site.weight_store else None
     return adopt(kept, fresh, rate)
 
--- a/core/minttide/policy/recovery.py
+++ b/core/minttide/policy/recovery.py
@@ -1,6 +1,7 @@
 """Resuming streams after a stage was lost: by imported KV cache or a new prefill, and paced."""
 
 import heapq
+import random
 from collections.abc import Collection, Mapping, Sequence
 from enum import Enum
 
@@ -117,11 +118,13 @@
 class RecoveryPacer:
     """Lets stalled streams start no faster than chains can prefill them. Times are milliseconds.
 
-    Order: priority, then the older stall, then the shorter prefill. A stream that fails again
+    `peers` daemons use the same chains and are taken to do as this one does. Order: priority, then the older stall, then the shorter prefill. A stream that fails again
     while it is resumed keeps the time of its first stall.
     """
 
-    def __init__(self, backlog_ms: float = BACKLOG_MS):
+    def __init__(self, rng: random.Random, peers: int = 1, backlog_ms: float = BACKLOG_MS):
+        self._rng = rng
+        self._peers = peers
         self._backlog_ms = backlog_ms
         self._waiting: list[tuple[int, float, int, RequestId]] = []
         self._stalled: dict[RequestId, Stalled] = {}
@@ -159,12 +162,8 @@
         if not self._waiting or not prefill_ms_per_token:
             return None
         stalled = self._stalled[self._waiting[0][3]]
-        ends = {
-            chain: self._busy_ms.get(chain, 0.0) + per_token * stalled.tokens
-            for chain, per_token in prefill_ms_per_token.items()
-        }
-        chain = min(ends, key=lambda c: (ends[c], c))
-        if self._busy_ms.get(chain, 0.0) > self._backlog_ms:
+        chain = self._pick(stalled.tokens, prefill_ms_per_token)
+        if self._waiting_ms(chain) > self._backlog_ms:
             return None
         heapq.heappop(self._waiting)
         del self._stalled[stalled.request]
@@ -173,6 +172,16 @@
         self._started[stalled.request] = (chain, work_ms)
         return Start(stalled, chain)
 
+    def _waiting_ms(self, chain: ChainId) -> float:
+        """Return the work believed to wait on a chain, if all peers send it as much."""
+        return self._peers * self._busy_ms.get(chain, 0.0)
+
+    def _pick(self, tokens: int, speeds: Mapping[ChainId, float]) -> ChainId:
+        """Pick the chain that would be done first, among a random half, so that peers differ."""
+        names = sorted(speeds)
+        sample = self._rng.sample(names, -(-len(names) // 2)) if self._peers > 1 else names
+        return min(sample, key=lambda c: (self._waiting_ms(c) + speeds[c] * tokens, c))
+
     def _release(self, request: RequestId) -> None:
         chain, work_ms = self._started.pop(request, (None, 0.0))
         if chain is not None and chain in self._busy_ms:
--- a/core/minttide/policy/split.py
+++ b/core/minttide/policy/split.py
@@ -13,6 +13,9 @@
 STAGE_PENALTY = 0.005
 """Share of a chain's output written off for each stage, since any stage's death stops it."""
 
+QUEUEING = 0.5
+"""Extra periods that a batch waits for each further stage, since step times vary."""
+
 SLOW_SHARE = 0.001
 """Weight of the output of a chain that misses the time between tokens."""
 
@@ -23,7 +26,8 @@
     """Layers for each engine of a chain, and what the chain then does.
 
     `period_us` is the time of the slowest stage for one batch, `round_us` the time between two
-    tokens of one stream, `streams` how many the chain holds at its rated load.
+    tokens of one stream and `lateness` the same as a share of the time allowed, `streams` how many
+    the chain holds at its rated load.
     """
 
     layers: tuple[int, ...]
@@ -32,12 +36,12 @@
     round_us: float
     tokens_per_s: float
     streams: int
-    on_time: bool
+    lateness: float
 
     @property
     def score(self) -> float:
         """Return the output that placement maximises, in tokens a second."""
-        share = 1.0 if self.on_time else SLOW_SHARE
+        share = 1.0 if self.lateness <= 1.0 else SLOW_SHARE / self.lateness
         return self.tokens_per_s * share * (1.0 - STAGE_PENALTY * len(self.layers))
 
 
@@ -112,6 +116,15 @@
     return best
 
 
+def batch_limit(streams: int, stages: int) -> int:
+    """Return how many steps of one chain may go to a stage in one message.
+
+    Batches that meet at a slow stage would merge and never part again, until a single batch passes
+    from stage to stage and all others wait. The bound keeps a batch for every stage and one more.
+    """
+    return max(1, -(-streams // (stages + 1)))
+
+
 def _best_score(
     shapes: Shapes, engines: Sequence[EngineShape], levels: Sequence[Level], batch: int
 ) -> float:
@@ -122,9 +135,11 @@
     )
     period_us = shapes.model.layers / rate
     batches = len(engines) + 1
-    round_us = batches * period_us
-    share = 1.0 if round_us <= shapes.budget_us else SLOW_SHARE
-    return share * batch * MICROSECONDS / period_us * (1.0 - STAGE_PENALTY * len(engines))
+    waits = batches + QUEUEING * (len(engines) - 1)
+    round_us = waits * period_us
+    lateness = round_us / shapes.budget_us
+    share = 1.0 if lateness <= 1.0 else SLOW_SHARE / lateness
+    return share * batches * batch * MICROSECONDS / round_us * (1.0 - STAGE_PENALTY * len(engines))
 
 
 def _rate_batch(
@@ -151,7 +166,8 @@
     stage_us = [n * t for n, t in zip(layers, layer_us, strict=True)]
     period_us = max(stage_us)
     alone_us = sum(stage_us) + link_us(shapes, engines, links, batch)
-    round_us = max(alone_us, batches * period_us)
+    waits = batches + QUEUEING * (len(engines) - 1)
+    round_us = max(alone_us, waits * period_us)
     streams = batches * batch
     return Split(
         tuple(layers),
@@ -160,5 +176,5 @@
         round_us,
         streams * MICROSECONDS / round_us,
         streams,
-        round_us <= shapes.budget_us,
+        round_us / shapes.budget_us,
     )
--- /dev/null
+++ b/measure/failures.py
@@ -0,0 +1,160 @@
+"""Daemons of the model that meet failures: they suspect engines and resume streams elsewhere."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from measure.model import SimEngine, Stream, Work
+from measure.router import Router, World
+from minttide.ids import ChainId, RequestId, UpstreamId
+from minttide.policy.chains import Chain, estimate_streams
+from minttide.policy.recovery import RecoveryPacer, Stalled
+from minttide.policy.split import batch_limit
+
+FIXED_TIMEOUT_MS = 1_000.0
+RECONNECT_MS = 250.0
+"""Time until a caller whose entry host is gone has asked another one."""
+
+
+class Detect(Enum):
+    """How a missing reply is noticed."""
+
+    ADAPTIVE = "step times seen"
+    FIXED = "fixed 1 s"
+
+
+class Resuming(Enum):
+    """How streams go on."""
+
+    PACED = "paced, least work"
+    AT_ONCE = "all at once, random"
+
+
+@dataclass
+class Failures:
+    """Watches the engines of a world and hands what it sees to the daemons' policies."""
+
+    world: World
+    detect: Detect
+    resuming: Resuming
+    seen: int = 0
+    false_alarms: int = 0
+    found_ms: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._pacers = {
+            r.host: RecoveryPacer(r.rng, len(self.world.routers)) for r in self.world.routers
+        }
+        self._stages: dict[UpstreamId, tuple[Chain, int]] = {}
+        for chain in self.world.chains.values():
+            for stage, engine in enumerate(chain.engines):
+                self._stages[engine.id] = (chain.chain, stage)
+                engine.on_seen = self._watcher(engine)
+                engine.on_lost = self._loser(engine)
+        for router in self.world.routers:
+            router.on_resumed = self._resumed
+
+    def _watcher(self, engine: SimEngine):  # noqa: ANN202
+        def watch(work: Work, seen_ms: float) -> None:
+            stream = work[0]
+            router = stream.router
+            expected = self._expected_ms(router, engine, stream)
+            self.seen += 1
+            self.false_alarms += seen_ms > self._patience_ms(router, engine.id, expected)
+            router.suspicion.observe(engine.id, expected, seen_ms)
+
+        return watch
+
+    def _loser(self, engine: SimEngine):  # noqa: ANN202
+        def lose(work: Iterable[Work]) -> None:
+            for stream, attempt in work:
+                if stream.attempt == attempt and engine.id not in stream.router.suspects:
+                    expected = self._expected_ms(stream.router, engine, stream)
+                    wait = self._patience_ms(stream.router, engine.id, expected)
+                    self.world.sim.after(wait, self._overdue, stream.router, engine.id)
+
+        return lose
+
+    def _expected_ms(self, router: Router, engine: SimEngine, stream: Stream) -> float:
+        chain, stage = self._stages[engine.id]
+        streams = estimate_streams(engine.id, router.news())
+        batch = batch_limit(int(streams), len(chain.stages))
+        return router.estimator.stage_ms(chain, stage, batch, stream.prefill)
+
+    def _patience_ms(self, router: Router, engine: UpstreamId, expected_ms: float) -> float:
+        if self.detect is Detect.FIXED:
+            return FIXED_TIMEOUT_MS
+        return router.suspicion.patience_ms(engine, expected_ms)
+
+    def _overdue(self, router: Router, engine: UpstreamId) -> None:
+        if engine in router.suspects:
+            return
+        router.suspects.add(engine)
+        self.found_ms.append(self.world.sim.now)
+        hit = [s for s in router.streams if s.chain and engine in s.chain.chain.engines]
+        for stream in sorted(hit, key=lambda s: s.name):
+            router.leave(stream)
+            stream.attempt += 1
+            self._stall(router, stream)
+        self._pump(router)
+
+    def _stall(self, router: Router, stream: Stream) -> None:
+        if self.resuming is Resuming.AT_ONCE:
+            usable = router.usable()
+            if usable:
+                router.begin(stream, router.rng.choice(usable))
+            return
+        now = self.world.sim.now
+        self._pacers[router.host].add(Stalled(RequestId(stream.name), stream.context, 0, now))
+        router.stalled[stream.name] = stream
+
+    def _pump(self, router: Router) -> None:
+        pacer = self._pacers[router.host]
+        speeds: dict[ChainId, float] = {
+            c.id: router.estimator.prefill_ms_per_token(c) for c in router.usable()
+        }
+        chains = {c.id: c for c in router.usable()}
+        while (start := pacer.next(speeds)) is not None:
+            stream = router.stalled[start.stalled.request]
+            router.begin(stream, chains[start.chain])
+
+    def _resumed(self, router: Router, stream: Stream) -> None:
+        if router.stalled.pop(stream.name, None) is not None:
+            self._pacers[router.host].finish(RequestId(stream.name))
+            self._pump(router)
+
+    def kill_engines(self, engines: Iterable[SimEngine]) -> list[Stream]:
+        """Kill engines without a sign and return the streams that ran on their chains."""
+        killed = list(engines)
+        hit = [
+            s
+            for c in self.world.chains.values()
+            if any(e in killed for e in c.engines)
+            for s in [*c.active, *c.pending]
+        ]
+        for engine in killed:
+            engine.kill()
+        return sorted(hit, key=lambda s: s.name)
+
+    def kill_hosts(self, routers: Iterable[Router]) -> list[Stream]:
+        """Take daemons away; their callers come back to others with a resume token."""
+        gone = list(routers)
+        living = [r for r in self.world.routers if r not in gone]
+        moved = []
+        for router in gone:
+            router.gone = True
+            for stream in sorted(router.streams, key=lambda s: s.name):
+                router.leave(stream)
+                stream.attempt += 1
+                taker = living[len(moved) % len(living)]
+                moved.append(stream)
+                self.world.sim.after(RECONNECT_MS, self._take_over, taker, stream)
+            router.streams.clear()
+        self.world.routers[:] = living
+        return moved
+
+    def _take_over(self, router: Router, stream: Stream) -> None:
+        stream.router = router
+        router.streams.add(stream)
+        self._stall(router, stream)
+        self._pump(router)
--- a/test/test_policy_chains.py
+++ b/test/test_policy_chains.py
@@ -177,7 +177,7 @@
 
 
 def test_recovery_is_ordered_and_paced():
-    pacer = RecoveryPacer(backlog_ms=50.0)
+    pacer = RecoveryPacer(random.Random(1), backlog_ms=50.0)
     for s in (stalled(1, since_ms=5.0), stalled(2, 50), stalled(3), stalled(4, 1, 9, 9.0)):
         pacer.add(s)
     speeds = {ChainId("c1"): 0.4}
@@ -189,7 +189,7 @@
 
 
 def test_stream_that_fails_again_keeps_its_place_and_leaves_no_backlog():
-    pacer = RecoveryPacer(backlog_ms=10.0)
+    pacer = RecoveryPacer(random.Random(1), backlog_ms=10.0)
     pacer.add(stalled(1, since_ms=0.0))
     assert pacer.next({ChainId("c1"): 1.0}).chain == "c1"
     pacer.add(stalled(2, since_ms=3.0))
--- a/test/test_policy_limits.py
+++ b/test/test_policy_limits.py
@@ -12,13 +12,20 @@
 from minttide.outcome import ProblemType, Ran
 from minttide.policy.circuit import TRIALS_TO_CLOSE, Circuit, CircuitState
 from minttide.policy.entry import answer_where
-from minttide.policy.limits import FairQueue, RateLimit, Ticket, host_share, sum_demand
+from minttide.policy.limits import (
+    FairQueue,
+    RateLimit,
+    Ticket,
+    host_share,
+    latest_start_s,
+    sum_demand,
+)
 from minttide.policy.retries import RetryBudget
 from minttide.policy.upstreams import choose_upstream
 
 
-def ticket(number, account="a", cost=100.0, deadline_s=1e9, priority=0):
-    return Ticket(RequestId(f"r{number}"), AccountId(account), cost, deadline_s, priority)
+def ticket(number, account="a", cost=100.0, latest_s=1e9, priority=0):
+    return Ticket(RequestId(f"r{number}"), AccountId(account), cost, latest_s, priority)
 
 
 @pytest.mark.parametrize(
@@ -61,14 +68,14 @@
 
 
 @pytest.mark.parametrize(
-    ("deadline_s", "most", "problem"),
+    ("latest_s", "most", "problem"),
     [(4.0, 100, ProblemType.DEADLINE), (100.0, 10, ProblemType.OVERLOADED), (100.0, 100, None)],
 )
-def test_request_that_can_not_be_met_is_refused_as_not_run(deadline_s, most, problem):
+def test_request_that_can_not_be_met_is_refused_as_not_run(latest_s, most, problem):
     queue = FairQueue(most, tokens_per_s=200.0)
     for i in range(10):
         queue.offer(ticket(i), 1.0, 0.0)
-    refused = queue.offer(ticket(99, deadline_s=deadline_s), 1.0, 0.0)
+    refused = queue.offer(ticket(99, latest_s=latest_s), 1.0, 0.0)
     if problem is None:
         assert refused is None
         return
@@ -76,6 +83,13 @@
     assert refused.retry_after_s == pytest.approx(5.0)
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "first_token_s", "latest_s"), [(60.0, 0.75, 10.5), (20.0, 0.75, 8.0)]
+)
+def test_latest_start(deadline_s, first_token_s, latest_s):
+    assert latest_start_s(10.0, deadline_s, first_token_s, 0.25, 12.0) == latest_s
+
+
 def test_full_queue_still_has_room_for_a_small_account():
     queue = FairQueue(10, 1e9)
     for i in range(10):
@@ -88,7 +102,7 @@
 def test_expired_and_removed_requests_are_never_run():
     queue = FairQueue(10, 1e9)
     for i in range(3):
-        queue.offer(ticket(i, deadline_s=1.0 + i), 1.0, 0.0)
+        queue.offer(ticket(i, latest_s=1.0 + i), 1.0, 0.0)
     assert [t.request for t in queue.drop_expired(1.5)] == ["r0"]
     assert queue.remove(RequestId("r1"), AccountId("a"))
     assert not queue.remove(RequestId("r1"), AccountId("a"))
