Estimate prefill beside decode steps, and plan within nine tenths of 44 ms

Cause: at load 1 the choice by estimate sent requests to chains whose prefill queue it could not see (first token p95 966 ms, 865 ms), and plans held chains that could never keep 44 ms. Change: the estimate counts decode steps between chunks of a prompt, batches as they are bounded, and the prefill that peers are likely to send; chains that miss the time between tokens are left out while others serve; plans keep a tenth of the time for variation; resumed prefills run first.

--- a/core/minttide/policy/attempt.py
+++ b/core/minttide/policy/attempt.py
@@ -13,6 +13,9 @@
 from minttide.policy.chains import Chain
 from minttide.steps import Step, StepError, StepReply
 
+RESUMED_PRIORITY = 1
+"""Added to the priority of a prefill that resumes a stream: its caller is already reading."""
+
 
 class AttemptState(Enum):
     """Where a request stands."""
@@ -159,6 +162,10 @@
         self.stage = 0
         return Outcome(Taken.TOKEN, self._step("", None), reply.token)
 
+    def _step_priority(self) -> int:
+        resumes = self.state is AttemptState.PREFILL and bool(self.delivered)
+        return self._priority + (RESUMED_PRIORITY if resumes else 0)
+
     def _kv_handle(self) -> str | None:
         if self.state is AttemptState.PREFILL and self.stage < len(self._kv_handles):
             return self._kv_handles[self.stage]
@@ -187,6 +194,6 @@
             handle=handle,
             source=source,
             adapter=self._adapter,
-            priority=self._priority,
+            priority=self._step_priority(),
             kv_handle=self._kv_handle(),
         )
--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -11,13 +11,14 @@
 from minttide.policy.links import Links
 from minttide.policy.speed import (
     EngineShape,
+    chunked_layer_us,
     decode_layer_us,
     level_at,
     prefill_layer_us,
     shape_engines,
     shape_service,
 )
-from minttide.policy.split import Split, rate_chain
+from minttide.policy.split import Split, batch_limit, rate_chain, waiting_periods
 from minttide.records import Assignment
 from minttide.steps import LoadReport
 
@@ -25,7 +26,9 @@
 """Chains that are compared for one request."""
 
 ROOM_SHARE = 0.95
-"""Share of the rated streams up to which reported room is used, as reports come late."""
+"""Share of the rated streams that is used, as reports of others' streams come late."""
+
+US_PER_MS = 1000.0
 
 REPORT_STALE_MS = 5_000
 """A load report older than this says nothing."""
@@ -110,7 +113,7 @@
     reports: Mapping[UpstreamId, LoadReport] = {}
     cached: Mapping[UpstreamId, int] = {}
     step_factor: Mapping[UpstreamId, float] = {}
-    others: float = 1.0  # streams that other daemons add for each own stream, without a report
+    peers: float = 1.0  # daemons that use the same chains, taken to do as this one does
 
 
 class Estimate(msgspec.Struct, frozen=True):
@@ -175,14 +178,13 @@
         """Return the time of the slowest stage for one prompt token, in milliseconds."""
         model = self._models[chain.service]
         shapes = ((self._shapes.get(s.engine), s) for s in chain.stages)
-        return max(
-            (
-                (s.last - s.first) * prefill_layer_us(e, level_at(e, s.watts), model) / 1000.0
-                if e
-                else float("inf")
-            )
+        batch = batch_limit(self.rated_streams(chain), len(chain.stages))
+        times = [
+            (s.last - s.first) * chunked_layer_us(e, level_at(e, s.watts), model, batch)
             for e, s in shapes
-        )
+            if e is not None
+        ]
+        return max(times) / US_PER_MS if len(times) == len(chain.stages) else float("inf")
 
     def stage_ms(self, chain: Chain, stage: int, streams: float, prompt_tokens: int = 0) -> float:
         """Return the expected time of one step of one stage, in milliseconds."""
@@ -192,7 +194,7 @@
         level = level_at(shape, part.watts)
         layer_us = decode_layer_us(shape, level, model, streams)
         layer_us += prompt_tokens * prefill_layer_us(shape, level, model)
-        return (part.last - part.first) * layer_us / 1000.0
+        return (part.last - part.first) * layer_us / US_PER_MS
 
     def kv_transfer_ms(
         self, service: ServiceName, source: UpstreamId, stage: Stage, tokens: int
@@ -202,34 +204,36 @@
         origin = shape.zone if shape else stage.zone
         model = self._models[service]
         kilobytes = model.kv_kb_per_token_layer * (stage.last - stage.first) * tokens
-        return self._links.between(origin, stage.zone).transfer_us(kilobytes) / 1000.0
+        return self._links.between(origin, stage.zone).transfer_us(kilobytes) / US_PER_MS
 
     def estimate(self, chain: Chain, prompt_tokens: int, news: ChainNews) -> Estimate:
         """Return the expected first-token and between-tokens time of `chain`."""
-        prefill_us = decode_us = queue_us = 0.0
         model = self._models[chain.service]
-        new_tokens = prompt_tokens - min((news.cached.get(e, 0) for e in chain.engines), default=0)
-        new_tokens = max(1, new_tokens)
+        cached = min((news.cached.get(e, 0) for e in chain.engines), default=0)
+        new_tokens = max(1, prompt_tokens - cached)
+        prefill_us = steps_us = queue_us = slowest_us = 0.0
         previous = self._home
         for stage in chain.stages:
             shape = self._shapes.get(stage.engine)
             if shape is None:
                 return Estimate(chain.id, float("inf"), float("inf"))
             level = level_at(shape, stage.watts)
-            layers = stage.last - stage.first
-            factor = news.step_factor.get(stage.engine, 1.0)
-            streams = estimate_streams(stage.engine, news)
-            step_us = layers * factor * decode_layer_us(shape, level, model, streams + 1)
-            token_us = layers * factor * prefill_layer_us(shape, level, model)
+            layers = (stage.last - stage.first) * news.step_factor.get(stage.engine, 1.0)
+            streams = int(estimate_streams(stage.engine, news)) + 1
+            batch = batch_limit(streams, len(chain.stages))
+            step_us = layers * decode_layer_us(shape, level, model, batch)
+            token_us = layers * chunked_layer_us(shape, level, model, batch)
+            waiting = news.own_prefill.get(stage.engine, 0) * news.peers
+            queue_us = max(queue_us, token_us * waiting)
             prefill_us += token_us * new_tokens
-            queue_us = max(queue_us, token_us * news.own_prefill.get(stage.engine, 0))
-            decode_us += step_us
+            slowest_us = max(slowest_us, step_us)
             link = self._links.between(previous, stage.zone)
-            decode_us += link.transfer_us(model.activation_kb)
+            steps_us += step_us + link.transfer_us(model.activation_kb)
             prefill_us += link.transfer_us(model.activation_kb * new_tokens)
             previous = stage.zone
-        first_ms = (queue_us + prefill_us + decode_us) / 1000.0
-        return Estimate(chain.id, first_ms, decode_us / 1000.0)
+        round_us = max(steps_us, waiting_periods(len(chain.stages)) * slowest_us)
+        first_us = queue_us + prefill_us + steps_us
+        return Estimate(chain.id, first_us / US_PER_MS, round_us / US_PER_MS)
 
 
 def estimate_streams(engine: UpstreamId, news: ChainNews) -> float:
@@ -237,7 +241,7 @@
     own = news.own_streams.get(engine, 0)
     report = news.reports.get(engine)
     if report is None or news.now_ms - report.at_ms > REPORT_STALE_MS:
-        return own * (1.0 + news.others)
+        return own * news.peers
     return float(max(own, report.streams))
 
 
@@ -247,12 +251,12 @@
     It may while its own streams are below its even part of the rated streams, and beyond that
     while fewer than the rated streams are believed to be there.
     """
-    rated = estimator.rated_streams(chain)
+    rated = ROOM_SHARE * estimator.rated_streams(chain)
     head = chain.engines[0]
     if news.own_streams.get(head, 0) < rated / max(1, followers):
         return True
     busiest = max(estimate_streams(e, news) for e in chain.engines)
-    return busiest + 1 <= rated * ROOM_SHARE
+    return busiest + 1 <= rated
 
 
 def choose_chain(
--- a/core/minttide/policy/placement.py
+++ b/core/minttide/policy/placement.py
@@ -213,7 +213,9 @@
         used = {e.engine for p in plans for e in p.engines}
         free = [e for e in engines if e.engine not in used]
         groups = self._group(free, rater)
-        return plans + [ChainPlan.new(service, group, split) for group, split in groups]
+        plans += [ChainPlan.new(service, group, split) for group, split in groups]
+        on_time = [p for p in plans if p.split.on_time]
+        return on_time or plans
 
     def _group(self, free: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
         zones: dict[ZoneId, list[EngineShape]] = defaultdict(list)
--- a/core/minttide/policy/recovery.py
+++ b/core/minttide/policy/recovery.py
@@ -118,8 +118,9 @@
 class RecoveryPacer:
     """Lets stalled streams start no faster than chains can prefill them. Times are milliseconds.
 
-    `peers` daemons use the same chains and are taken to do as this one does. Order: priority, then the older stall, then the shorter prefill. A stream that fails again
-    while it is resumed keeps the time of its first stall.
+    `peers` daemons use the same chains and are taken to do as this one does. Order: priority, then
+    the older stall, then the shorter prefill. A stream that fails again while it is resumed keeps
+    the time of its first stall.
     """
 
     def __init__(self, rng: random.Random, peers: int = 1, backlog_ms: float = BACKLOG_MS):
--- a/core/minttide/policy/speed.py
+++ b/core/minttide/policy/speed.py
@@ -13,6 +13,12 @@
 CONTEXT_SHARE = 0.25
 """Typical context as a share of the longest prompt plus the longest answer."""
 
+BUDGET_SHARE = 0.9
+"""Share of the time between tokens that chains are planned for; the rest is for variation."""
+
+PREFILL_CHUNK_TOKENS = 64
+"""Prompt tokens that an engine is taken to run in one step, beside the decode steps."""
+
 MB_PER_KB = 1 / 1024
 
 
@@ -56,7 +62,9 @@
 def shape_service(service: ModelService) -> Shapes:
     """Derive the planning figures of a service."""
     longest = service.max_prompt_tokens + service.max_tokens
-    return Shapes(service.model, CONTEXT_SHARE * longest, service.between_tokens_ms * 1000.0)
+    return Shapes(
+        service.model, CONTEXT_SHARE * longest, BUDGET_SHARE * service.between_tokens_ms * 1000.0
+    )
 
 
 def shape_engine(site: Site, engine: Engine) -> EngineShape | None:
@@ -98,6 +106,15 @@
     return model.width * shape.kind.prefill_us / level.speed
 
 
+def chunked_layer_us(shape: EngineShape, level: Level, model: Model, streams: float) -> float:
+    """Return one layer's time for a prompt token while `streams` requests decode beside it.
+
+    Each chunk of a prompt shares its step with the decode steps that wait.
+    """
+    step_us = decode_layer_us(shape, level, model, streams)
+    return prefill_layer_us(shape, level, model) + step_us / PREFILL_CHUNK_TOKENS
+
+
 def busy_layer_us(shape: EngineShape, level: Level, model: Model, streams: float) -> float:
     """Return one layer's time for a decode step and the prefill work that comes with it."""
     prompt = PROMPT_TOKENS_PER_TOKEN * streams
--- a/core/minttide/policy/split.py
+++ b/core/minttide/policy/split.py
@@ -38,10 +38,15 @@
     streams: int
     lateness: float
 
+    @property
+    def on_time(self) -> bool:
+        """Return whether the chain keeps the time between tokens at its rated load."""
+        return self.lateness <= 1.0
+
     @property
     def score(self) -> float:
         """Return the output that placement maximises, in tokens a second."""
-        share = 1.0 if self.lateness <= 1.0 else SLOW_SHARE / self.lateness
+        share = 1.0 if self.on_time else SLOW_SHARE / self.lateness
         return self.tokens_per_s * share * (1.0 - STAGE_PENALTY * len(self.layers))
 
 
@@ -116,6 +121,11 @@
     return best
 
 
+def waiting_periods(stages: int) -> float:
+    """Return the time between two tokens of a stream as a multiple of the slowest stage's time."""
+    return stages + 1 + QUEUEING * (stages - 1)
+
+
 def batch_limit(streams: int, stages: int) -> int:
     """Return how many steps of one chain may go to a stage in one message.
 
@@ -135,8 +145,7 @@
     )
     period_us = shapes.model.layers / rate
     batches = len(engines) + 1
-    waits = batches + QUEUEING * (len(engines) - 1)
-    round_us = waits * period_us
+    round_us = waiting_periods(len(engines)) * period_us
     lateness = round_us / shapes.budget_us
     share = 1.0 if lateness <= 1.0 else SLOW_SHARE / lateness
     return share * batches * batch * MICROSECONDS / round_us * (1.0 - STAGE_PENALTY * len(engines))
@@ -166,8 +175,7 @@
     stage_us = [n * t for n, t in zip(layers, layer_us, strict=True)]
     period_us = max(stage_us)
     alone_us = sum(stage_us) + link_us(shapes, engines, links, batch)
-    waits = batches + QUEUEING * (len(engines) - 1)
-    round_us = max(alone_us, waits * period_us)
+    round_us = max(alone_us, waiting_periods(len(engines)) * period_us)
     streams = batches * batch
     return Split(
         tuple(layers),
--- a/measure/model.py
+++ b/measure/model.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -84,6 +84,12 @@
 Work = tuple[Stream, int]
 
 
+def _is_new(work: Work) -> bool:
+    """Return false for a stream that is resumed, which engines run first by its priority."""
+    stream = work[0]
+    return not (stream.left and stream.tokens)
+
+
 class SimEngine:
     """One engine that holds one stage."""
 
@@ -108,7 +114,7 @@
         self._stream_ms = layers * (decode_layer_us(shape, level, model, 1) - fixed) / 1000.0
         self._prompt_ms = layers * prefill_layer_us(shape, level, model) / 1000.0
 
-    def submit(self, work: Iterable[Work]) -> None:
+    def submit(self, work: Sequence[Work]) -> None:
         """Queue work and start a step where none is under way."""
         if self.dead:
             self.on_lost(list(work))
@@ -117,6 +123,8 @@
         for item in work:
             item[0].sent = now
             self.waiting.append(item)
+        if any(stream.left and stream.tokens for stream, _ in work):
+            self.waiting.sort(key=_is_new)
         if not self._busy:
             self._begin()
 
--- a/measure/router.py
+++ b/measure/router.py
@@ -26,7 +26,7 @@
 EXPECTED_ANSWER = 200
 PROMPT_MEAN = 200
 LONGEST = 512
-EXPECTED_PREFILL_S = 0.2
+EXPECTED_PREFILL_S = 0.35
 MOST_WAITING = 400
 
 Pick = Callable[["Router", Sequence[Chain], ChainNews, int], Chain]
@@ -141,7 +141,7 @@
             own_streams=self.own,
             own_prefill=self._prefill,
             reports=self.world.reports,
-            others=8.0,
+            peers=float(len(self.world.routers)),
         )
 
     def on_request(self, stream: Stream) -> None:
