Let recovering streams wait on chains for up to a second of prefill

Cause: with 250 ms of prefill allowed to wait on a chain, chains ran dry between starts. Change: BACKLOG_MS 250 to 1,000; the recovery table shows the least time in which the remaining chains could prefill all hit streams.

--- a/core/minttide/policy/recovery.py
+++ b/core/minttide/policy/recovery.py
@@ -13,7 +13,7 @@
 IMPORT_SETUP_MS = 5.0
 """Time of an export or import before the first byte moves."""
 
-BACKLOG_MS = 250.0
+BACKLOG_MS = 1_000.0
 """Prefill work that may wait on one chain; the rest waits in the router, in order."""
 
 
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -1,9 +1,11 @@
 """Time from a stage's death to the next token of each stream that ran through it."""
 
+from collections.abc import Sequence
 from multiprocessing import Pool
 
 from measure.failures import Detect, Failures, Resuming
-from measure.router import Callers, build_world, pick_ours, rated_requests_per_s
+from measure.model import Stream
+from measure.router import Callers, World, build_world, pick_ours, rated_requests_per_s
 from measure.table import Table, percentile
 from measure.throughput import ACCOUNTS, LOADS, SITES, WORKERS, prepare
 
@@ -26,6 +28,7 @@
     "p95 ms",
     "p99 ms",
     "not resumed",
+    "prefill of all ms",
     "suspected p95 ms",
     "false alarms per million steps",
 ]
@@ -48,6 +51,7 @@
     if death == "second 150 ms later":
         world.sim.run(DEATH_MS + 150.0)
         hit = list({s.name: s for s in [*hit, *failures.kill_engines(targets[1:])]}.values())
+    bound_ms = prefill_bound_ms(world, hit)
     world.sim.run(END_MS)
     times, lost = [], 0
     for stream in hit:
@@ -60,11 +64,23 @@
         *(name, load_name, death, way, len(hit)),
         *(percentile(times, share) for share in (0.5, 0.95, 0.99)),
         lost,
+        bound_ms,
         percentile(failures.found_ms, 0.95) - DEATH_MS,
         1e6 * failures.false_alarms / max(1, failures.seen),
     ]
 
 
+def prefill_bound_ms(world: World, hit: Sequence[Stream]) -> float:
+    """Return the least time in which the remaining chains could prefill all hit streams.
+
+    In milliseconds, if they did nothing else and shared the work perfectly.
+    """
+    estimator = world.routers[0].estimator
+    chains = [c.chain for c in world.chains.values() if not c.dead]
+    per_ms = sum(1.0 / estimator.prefill_ms_per_token(c) for c in chains)
+    return sum(s.context for s in hit) / per_ms
+
+
 def after_gap(tokens: list[float]) -> float:
     """Return the longest pause of a stream that ended after the death, in milliseconds."""
     points = [max(DEATH_MS, t) for t in tokens]
