Refuse drafts that can't start in time, and pace recoveries by the number of hosts

Change: a draft's latest start comes from its deadline and from its service's time to the first token; resumed drafts and prompts too long for that time are held to the deadline alone. A recovery pacer takes the hosts that are up as its peers.

--- a/daemon/minttided/admission.py
+++ b/daemon/minttided/admission.py
@@ -96,19 +96,17 @@
 
     # Waiting for a place.
 
-    async def enter(
-        self, service: ServiceName, account: Account, ticket: Ticket, work_s: float
-    ) -> Slot:
-        """Wait for a place and return it. `work_s` is the expected time to the first token.
+    async def enter(self, service: ServiceName, account: Account, ticket: Ticket) -> Slot:
+        """Wait for a place and return it.
 
-        Raises `RequestError`, at once when the deadline can't be met; nothing has run then.
+        Raises `RequestError`, at once when it can't start in time; nothing has run then.
         """
         self._check_streams(account)
         queue = self._queues.get(service)
         if queue is None:
             queue = self._queues[service] = FairQueue(self._node.cfg.bounds.max_queue)
         loop = asyncio.get_running_loop()
-        refused = queue.offer(ticket, account.weight, loop.time(), work_s)
+        refused = queue.offer(ticket, account.weight, loop.time())
         if refused is not None:
             raise RequestError(refused)
         fut: asyncio.Future[None] = loop.create_future()
--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts.py
@@ -14,7 +14,7 @@
 from minttide.outcome import ProblemType, RequestError
 from minttide.policy.attempt import Attempt
 from minttide.policy.chains import Chain, ChainDecision, choose_chain, has_room
-from minttide.policy.limits import Ticket
+from minttide.policy.limits import Ticket, latest_start_s
 from minttide.prefix import prefix_digests
 from minttided.accounts import check_allowed
 from minttided.admission import Admission, Slot
@@ -110,9 +110,22 @@
         """Wait for a place; raises `RequestError` at once when the deadline can't be met."""
         tokens = draft.max_tokens - len(draft.delivered)
         account = draft.account
-        ticket = Ticket(request, account.name, float(tokens), deadline, account.priority)
         work_s = self._expected_s(chain, len(draft.prompt) + len(draft.delivered))
-        return await self.admission.enter(draft.service, account, ticket, work_s)
+        latest_s = self._latest_start_s(draft, work_s, deadline)
+        ticket = Ticket(request, account.name, float(tokens), latest_s, account.priority)
+        return await self.admission.enter(draft.service, account, ticket)
+
+    def _latest_start_s(self, draft: DraftRequest, work_s: float, deadline: float) -> float:
+        """Return the latest start, in loop time, with `work_s` until the first token.
+
+        A resumed draft has its first token, and a prompt that takes longer than the service allows
+        for it would never be in time, so that only the deadline counts for these.
+        """
+        first_token_s = draft.file.first_token_ms / 1000
+        if draft.delivered or work_s >= first_token_s:
+            return deadline - work_s
+        now_s = asyncio.get_running_loop().time()
+        return latest_start_s(now_s, deadline, first_token_s, work_s, work_s)
 
     def _make_run(self, draft: DraftRequest, request: RequestId) -> DraftRun:
         priority = draft.account.priority
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -80,6 +80,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(lane.close() for lane in self._lanes.values()))
 
+    @property
+    def rng(self) -> random.Random:
+        """Return this daemon's own source of random choices."""
+        return self._rng
+
+    def count_hosts(self) -> int:
+        """Return how many entry hosts are up, which may use the same chains as this one."""
+        members = self._node.members
+        return max(1, len(members.hosts())) if members is not None else 1
+
     # Topology.
 
     @property
--- a/daemon/minttided/recoveries.py
+++ b/daemon/minttided/recoveries.py
@@ -115,10 +115,12 @@
         attempt = run.attempt
         chain = attempt.chain
         assert chain is not None
-        pacer = self._pacers.setdefault((chain.service, chain.version), RecoveryPacer())
+        group = (chain.service, chain.version)
+        if group not in self._pacers:
+            self._pacers[group] = RecoveryPacer(self._watch.rng, self._watch.count_hosts())
         now_ms = asyncio.get_running_loop().time() * 1000.0
         self._runs[attempt.request] = run
-        pacer.add(Stalled(attempt.request, attempt.position, run.priority, now_ms))
+        self._pacers[group].add(Stalled(attempt.request, attempt.position, run.priority, now_ms))
         self._pump_soon(0.0)
 
     def _pump_soon(self, delay_s: float) -> None:
