Look for a checkpoint from the end of the log

Cause: a joining host read every kept record to find the newest checkpoint, so that joining cost as much as the log's whole retention: 3,201 records kept were 3,201 records read. Ruled out: a pointer record to the newest checkpoint; it would have to be found as well. Change: the search reads backwards in pages of 64 records and stops at the first complete checkpoint. What a join reads now depends on how often checkpoints are written, not on retention.

--- a/daemon/minttided/bootstrap.py
+++ b/daemon/minttided/bootstrap.py
@@ -7,7 +7,7 @@
 from minttide.agree.checkpoint import Checkpoint, CheckpointFinder
 from minttide.agree.fold import Fold
 from minttide.ids import Offset, StreamName
-from minttide.interfaces import PlatformLog
+from minttide.interfaces import LogPage, PlatformLog
 from minttide.records import BadRecordError
 
 SCAN_RECORDS = 64
@@ -29,20 +29,46 @@
 ) -> Checkpoint | None:
     """Return the newest complete checkpoint whose following records are all kept.
 
-    Reads every record from `first` on once. Raises `LogUnavailableError` or `TimeoutError`.
+    Reads backwards from the end of the stream and stops at the first complete one, so that what a
+    joining host reads doesn't grow with the log's retention. Raises `LogUnavailableError` or
+    `TimeoutError`.
     """
     finder = CheckpointFinder()
-    start = first
-    oldest = first
+    page = await _read_page(platform_log, stream, first, 1)
+    high = page.end
+    while high > page.first:
+        low = max(page.first, Offset(high - SCAN_RECORDS))
+        page = await _feed_range(platform_log, stream, low, high, finder)
+        found = finder.find_newest(page.first)
+        if found is not None:
+            return found
+        high = low
+    return None
+
+
+async def _feed_range(
+    platform_log: PlatformLog,
+    stream: StreamName,
+    low: Offset,
+    high: Offset,
+    finder: CheckpointFinder,
+) -> LogPage:
+    """Feed the records from `low` to `high - 1` and return the last page read."""
     while True:
-        async with asyncio.timeout(SCAN_TIMEOUT_S):
-            page = await platform_log.read(stream, start, SCAN_RECORDS)
-        oldest = page.first
+        page = await _read_page(platform_log, stream, low)
         for record in page.records:
-            finder.feed(record.payload)
-            start = Offset(record.offset + 1)
-        if not page.records or start >= page.end:
-            return finder.find_newest(oldest)
+            if record.offset < high:
+                finder.feed(record.payload)
+            low = Offset(record.offset + 1)
+        if not page.records or low >= high:
+            return page
+
+
+async def _read_page(
+    platform_log: PlatformLog, stream: StreamName, start: Offset, limit: int = SCAN_RECORDS
+) -> LogPage:
+    async with asyncio.timeout(SCAN_TIMEOUT_S):
+        return await platform_log.read(stream, start, limit)
 
 
 def restore_forward(fold: Fold, checkpoint: Checkpoint) -> bool:
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -14,6 +14,7 @@
 from minttide_fakes.faults import AppendFault
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
+from minttided.bootstrap import SCAN_RECORDS, find_checkpoint
 from minttided.checkpointer import CheckpointAge, Checkpointer
 from minttided.follower import Follower
 
@@ -253,6 +254,28 @@
 # Checkpoints.
 
 
+class CountingLog:
+    """Passes reads on and counts the records that they return."""
+
+    def __init__(self, log):
+        self._log, self.records = log, 0
+
+    async def read(self, *args):
+        page = await self._log.read(*args)
+        self.records += len(page.records)
+        return page
+
+
+@pytest.mark.parametrize("records", [200, 800, 3200])
+def test_a_host_reads_no_more_for_a_checkpoint_when_the_log_keeps_more(records):
+    log = CountingLog(log_with(records))
+    put_checkpoint(log._log, folded(6))
+    log._log.put(CONFIG_STREAM, publish(records))
+    found = run_virtual(find_checkpoint(log, CONFIG_STREAM, Offset(1)))
+    assert found.covers == 5
+    assert log.records <= 1 + SCAN_RECORDS
+
+
 @pytest.mark.parametrize(
     ("ranks", "faults", "limit"),
     [
