Measure the slope of the table of entry hosts, and refuse records that a fold rejects

Cause: the builder of plans passed its fields by position; after a field was added its records were malformed, and the slopes of planned engines measured their rejection. Change: the builder names the plan that it follows, filling a fold fails on any rejected record, and the table of entry hosts is a subject of its own.

--- a/measure/slopes_folds.py
+++ b/measure/slopes_folds.py
@@ -1,9 +1,12 @@
-"""Builds folds of a given size, so that their memory, time and bytes can be measured."""
+"""Builds the state of a daemon at a given size, so that what it takes can be measured."""
 
+import random
 from collections.abc import Iterator
 
+import msgspec
+
 from minttide.agree.config import ConfigFold
-from minttide.agree.fold import Fold
+from minttide.agree.fold import Decision, Fold, Verdict
 from minttide.agree.keys import KeyFold
 from minttide.agree.placement import PlacementFold
 from minttide.config.service import (
@@ -18,6 +21,7 @@
     Site,
     Upstream,
 )
+from minttide.gossip import Gossip, Member, Vitals
 from minttide.ids import (
     NO_OFFSET,
     AccountId,
@@ -33,6 +37,7 @@
     UpstreamId,
     ZoneId,
 )
+from minttide.membership import MemberTable
 from minttide.records import (
     FORMAT,
     Answer,
@@ -63,7 +68,9 @@
     """Fold all payloads and return the sum of their sizes in bytes."""
     total = 0
     for offset, payload in enumerate(payloads, start=fold.applied + 1):
-        fold.apply(Offset(offset), payload)
+        verdicts = fold.apply(Offset(offset), payload)
+        if any(v.decision is not Decision.ACCEPTED for v in verdicts):
+            raise RuntimeError(f"record {offset} was not accepted: {verdicts[0]}")
         total += len(payload)
     return total
 
@@ -150,7 +157,7 @@
         )
         for i in range(engines)
     ]
-    return record(Plan(Offset(term), assignments, 400 * engines))
+    return record(Plan(Offset(term), NO_OFFSET, assignments, 400 * engines))
 
 
 def planned_engines(count: int) -> tuple[Fold, Iterator[bytes]]:
@@ -158,11 +165,53 @@
     return PlacementFold(), iter([record(LeaseTake(NO_OFFSET, 10_000)), plan_record(count)])
 
 
+def members(count: int) -> tuple[Fold, Iterator[bytes]]:
+    """Give a table of entry hosts that hears of `count` hosts and their vitals."""
+    return MemberFold(), (msgspec.json.encode(_gossip(i)) for i in range(count))
+
+
+class MemberFold:
+    """Lets a table of entry hosts be filled like a fold."""
+
+    applied = NO_OFFSET
+    stopped_at = None
+
+    def __init__(self) -> None:
+        self._table = MemberTable(_gossip(0).sender, random.Random(0))
+        self._decoder = msgspec.json.Decoder(Gossip)
+
+    def apply(self, offset: Offset, payload: bytes) -> list[Verdict]:
+        """Take in what one host tells of itself."""
+        self._table.merge(self._decoder.decode(payload), 0.0)
+        return []
+
+    def snapshot(self) -> bytes:
+        """Return nothing; a table is never kept."""
+        return b""
+
+    def restore(self, data: bytes) -> None:
+        """Do nothing; a table is never kept."""
+
+
+def _gossip(index: int) -> Gossip:
+    host, incarnation = HostId(f"entry-{index}"), Incarnation(1764800000000 + index)
+    address = f"10.0.{index // 250}.{index % 250}"
+    member = Member(
+        host,
+        incarnation,
+        ZoneId(f"zone-{index % 36}"),
+        Address(f"{address}:7000"),
+        Address(f"{address}:7001"),
+    )
+    return Gossip(member, vitals=[Vitals(host, incarnation, index, Offset(index), 0.5)])
+
+
 SUBJECTS = {
     "plain services": plain_services,
     "engines in files": engines_in_files,
     "client accounts": client_accounts,
     "keys": keys,
     "planned engines": planned_engines,
+    "entry hosts": members,
 }
 """What can be measured, by name; each gives an empty fold and the records to fill it with."""
