Compare a reply with the awaited one field by field first

Cause: the profile of measure/router_cpu.py showed `Attempt.take` as the largest part of the router's own time: every reply built a table of five comparisons, though it is nearly always the awaited one. Change: policy/attempt.py (shared; owned by the policy part) compares field by field and builds the table of reasons only for a reply that is dropped; the position is kept instead of added up.

--- a/core/minttide/policy/attempt.py
+++ b/core/minttide/policy/attempt.py
@@ -45,7 +45,7 @@
     reason: str = ""
 
 
-_ACCEPTS = {AttemptState.PREFILL, AttemptState.DECODE}
+_ACCEPTS = (AttemptState.PREFILL, AttemptState.DECODE)
 _CLOSED = {AttemptState.DONE, AttemptState.CANCELLED}
 
 
@@ -70,6 +70,7 @@
         self.number = 0
         self.stage = 0
         self.delivered: list[int] = list(delivered or [])
+        self.position = len(prompt) + len(self.delivered)  # tokens before the awaited one
         self.chain: Chain | None = None
         self.touched: set[UpstreamId] = set()
         self._prompt = prompt
@@ -78,11 +79,6 @@
         self._priority = priority
         self._kv_handles: tuple[str | None, ...] = ()
 
-    @property
-    def position(self) -> int:
-        """Return the number of tokens before the awaited one."""
-        return len(self._prompt) + len(self.delivered)
-
     @property
     def awaited_engine(self) -> UpstreamId | None:
         """Return the engine whose reply is awaited, if any."""
@@ -135,6 +131,8 @@
         return frozenset(self.touched)
 
     def _mismatch(self, engine: UpstreamId, reply: StepReply) -> str:
+        if self._is_awaited(engine, reply):
+            return ""
         if self.state not in _ACCEPTS:
             return f"nothing is awaited while {self.state.value}"
         awaited = (
@@ -147,11 +145,21 @@
         wrong = [f"{name} {got} is not {want}" for name, got, want in awaited if got != want]
         return ", ".join(wrong)
 
+    def _is_awaited(self, engine: UpstreamId, reply: StepReply) -> bool:
+        return (
+            reply.position == self.position
+            and reply.stage == self.stage
+            and reply.attempt == self.number
+            and reply.request == self.request
+            and engine == self.awaited_engine
+        )
+
     def _deliver(self, reply: StepReply) -> Outcome:
         if reply.token is None:
             self.state = AttemptState.FAILED
             return Outcome(Taken.FAILED, error=StepError.WRONG_POSITION)
         self.delivered.append(reply.token)
+        self.position += 1
         if len(self.delivered) >= self._max_tokens:
             self.state = AttemptState.DONE
             return Outcome(Taken.LAST_TOKEN, token=reply.token)
