Keep the events of ASCII tokens ready made

Change: the events of tokens that are whole ASCII characters are encoded once; only the first step of an attempt looks for cancellations to call off.

--- a/daemon/minttided/sse.py
+++ b/daemon/minttided/sse.py
@@ -28,6 +28,12 @@
 
 
 _encoder = msgspec.json.Encoder()
+ASCII_CODES = 128
+# The events of most tokens are whole ASCII characters, whose data never changes.
+_ASCII_EVENTS = [
+    b"\nevent: token\ndata: %b\n\n" % _encoder.encode(Token(code, chr(code)))
+    for code in range(ASCII_CODES)
+]
 
 
 def open_event(opened: Opened) -> bytes:
@@ -37,6 +43,8 @@
 
 def token_event(number: int, token: int, text: str) -> bytes:
     """Return the event of one token; `number` is its place in the answer, from 1."""
+    if token < ASCII_CODES and len(text) == 1:
+        return b"id: %d%b" % (number, _ASCII_EVENTS[token])
     data = _encoder.encode(Token(token, text))
     return b"id: %d\nevent: token\ndata: %b\n\n" % (number, data)
 
--- a/daemon/minttided/steps_batcher.py
+++ b/daemon/minttided/steps_batcher.py
@@ -116,7 +116,8 @@
 
     def submit(self, step: Step) -> None:
         """Queue a step; its owner hears of a reply or of a miss."""
-        self._forget_cancel(step.request)
+        if step.prefill:
+            self._forget_cancel(step.request)
         if len(self._queue) >= MAX_QUEUED_STEPS:
             self._loop.call_soon(self._miss, step, "too many steps wait for the engine")
             return
