--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -92,17 +92,6 @@
         ]
 
 
-class MeteredEngine(FakeEngine):
-    """Notes the power of all engines whenever one of them changes it."""
-
-    meter = None
-
-    def _set_watts(self, watts):
-        super()._set_watts(watts)
-        if self.meter is not None:
-            self.meter()
-
-
 class OrderFaults:
     """The clients of one host; `late_s` keeps each order back while its sender gives it up."""
 
@@ -185,10 +174,10 @@
     def __init__(self):
         self.log = MemoryLog()
         self.config = ConfigFold()
-        self.engines = {e.id: MeteredEngine(e, KIND, {}, Fabric()) for e in ENGINES}
+        self.engines = {e.id: FakeEngine(e, KIND, {}, Fabric()) for e in ENGINES}
         self.peak_watts = 0
         for engine in self.engines.values():
-            engine.meter = self.meter
+            engine.holding.on_watts = self.meter
         self.publish(files())
 
     def meter(self):
@@ -222,7 +211,7 @@
 
     def held(self):
         """Return the version and watts that each engine was set to."""
-        return {e.engine.id: (e._version, e.watts) for e in self.engines.values()}
+        return {e.engine.id: (e.holding.state.version, e.watts) for e in self.engines.values()}
 
     def holds_version(self, version):
         levels = (*TablePlanner.levels[version], 300)
