--- a/daemon/minttided/admission.py
+++ b/daemon/minttided/admission.py
@@ -37,11 +37,20 @@
 
 
 class Admission:
-    """The open and waiting requests of this host. `has_room` says whether engines can take more."""
+    """The open and waiting requests of this host.
 
-    def __init__(self, node: Node, has_room: Callable[[ServiceName], bool]):
+    `has_room` says whether engines can take more, `rated_tokens_per_s` how much they should give.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        has_room: Callable[[ServiceName], bool],
+        rated_tokens_per_s: Callable[[ServiceName], float],
+    ):
         self._node = node
         self._has_room = has_room
+        self._rated_tokens_per_s = rated_tokens_per_s
         self._rates: dict[AccountId, RateLimit] = {}
         self._queues: dict[ServiceName, FairQueue] = {}
         self._waiting: dict[RequestId, asyncio.Future[None]] = {}
@@ -104,7 +113,9 @@
         self._check_streams(account)
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = FairQueue(self._node.cfg.bounds.max_queue)
+            most = self._node.cfg.bounds.max_queue
+            queue = FairQueue(most, self._rated_tokens_per_s(service))
+            self._queues[service] = queue
         loop = asyncio.get_running_loop()
         refused = queue.offer(ticket, account.weight, loop.time())
         if refused is not None:
--- a/daemon/minttided/draft_run.py
+++ b/daemon/minttided/draft_run.py
@@ -9,7 +9,7 @@
 from minttide.ids import UpstreamId
 from minttide.interfaces import EngineError
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
-from minttide.policy.attempt import Attempt, Outcome, Taken
+from minttide.policy.attempt import Attempt, AttemptState, Outcome, Taken
 from minttide.policy.chains import Chain
 from minttide.steps import Step, StepError, StepReply
 from minttided.engine_watch import EngineWatch
@@ -52,7 +52,9 @@
         self.failures_in_row = 0
         self._watch = watch
         self._failures = failures
-        self._state = RunState.RUNNING
+        # A draft that is resumed after its last token has nothing left to run.
+        done = attempt.state is AttemptState.DONE
+        self._state = RunState.ENDED if done else RunState.RUNNING
         self._counted: Chain | None = None
         self._counted_prefill = 0
         self._released: set[UpstreamId] = set()
@@ -80,8 +82,8 @@
 
     def set_deadline(self, deadline: float) -> None:
         """Give the draft up at `deadline`, in loop time, seconds."""
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(deadline, self._expire)
+        if self.running:
+            self._timer = asyncio.get_running_loop().call_at(deadline, self._expire)
 
     # Attempts.
 
--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts.py
@@ -30,6 +30,7 @@
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000.0
 NO_CHAIN_RETRY_S = 1.0
 CHOICE_STANDS_S = 0.01
 """A request that waited longer than this for a place chooses its chain anew."""
@@ -51,7 +52,7 @@
     """The drafts that run on this host."""
 
     def __init__(self, node: Node, watch: EngineWatch):
-        self.admission = Admission(node, self._has_room)
+        self.admission = Admission(node, self._has_room, self._rated_tokens_per_s)
         self._node = node
         self._watch = watch
         self._recoveries = Recoveries(watch)
@@ -108,24 +109,29 @@
         self, draft: DraftRequest, request: RequestId, chain: Chain, deadline: float
     ) -> Slot:
         """Wait for a place; raises `RequestError` at once when the deadline can't be met."""
-        tokens = draft.max_tokens - len(draft.delivered)
         account = draft.account
-        work_s = self._expected_s(chain, len(draft.prompt) + len(draft.delivered))
-        latest_s = self._latest_start_s(draft, work_s, deadline)
-        ticket = Ticket(request, account.name, float(tokens), latest_s, account.priority)
+        cost = float(draft.max_tokens - len(draft.delivered))
+        latest_s = self._latest_start_s(draft, chain, deadline)
+        ticket = Ticket(request, account.name, cost, latest_s, account.priority)
         return await self.admission.enter(draft.service, account, ticket)
 
-    def _latest_start_s(self, draft: DraftRequest, work_s: float, deadline: float) -> float:
-        """Return the latest start, in loop time, with `work_s` until the first token.
+    def _latest_start_s(self, draft: DraftRequest, chain: Chain, deadline: float) -> float:
+        """Return the latest start, in loop time, that still meets what the request asks for.
 
         A resumed draft has its first token, and a prompt that takes longer than the service allows
         for it would never be in time, so that only the deadline counts for these.
         """
-        first_token_s = draft.file.first_token_ms / 1000
+        estimator = self._watch.topology.estimator
+        assert estimator is not None
+        tokens = len(draft.prompt) + len(draft.delivered)
+        estimate = estimator.estimate(chain, tokens, self._watch.news(draft.service))
+        work_s = estimate.first_token_ms / MS_PER_S
+        answer_s = estimate.cost_ms(draft.max_tokens - len(draft.delivered)) / MS_PER_S
+        first_token_s = draft.file.first_token_ms / MS_PER_S
         if draft.delivered or work_s >= first_token_s:
-            return deadline - work_s
+            return deadline - answer_s
         now_s = asyncio.get_running_loop().time()
-        return latest_start_s(now_s, deadline, first_token_s, work_s, work_s)
+        return latest_start_s(now_s, deadline, first_token_s, work_s, answer_s)
 
     def _make_run(self, draft: DraftRequest, request: RequestId) -> DraftRun:
         priority = draft.account.priority
@@ -150,7 +156,7 @@
         decision = choose_chain(
             usable,
             estimator,
-            self._watch.news(names),
+            self._watch.news(draft.service, names),
             len(tokens),
             draft.max_tokens - len(draft.delivered),
             self._rng,
@@ -182,10 +188,15 @@
         detail = "no chain of engines can take the request now"
         return refusal(ProblemType.NO_CHAIN, detail, NO_CHAIN_RETRY_S)
 
-    def _expected_s(self, chain: Chain, tokens: int) -> float:
-        estimator = self._watch.topology.estimator
-        assert estimator is not None
-        return estimator.estimate(chain, tokens, self._watch.news()).first_token_ms / 1000.0
+    def _rated_tokens_per_s(self, service: ServiceName) -> float:
+        """Return this host's part of what the chains of a service give at their rated load."""
+        topology = self._watch.topology
+        file = self._node.config.model(service)
+        if topology.estimator is None or file is None:
+            return 0.0
+        streams = sum(topology.estimator.rated_streams(c) for c in self._watch.chains(service))
+        per_stream = MS_PER_S / file.between_tokens_ms
+        return streams * per_stream / topology.followers(service)
 
     def _has_room(self, service: ServiceName) -> bool:
         """Return whether a chain can take another stream within the time between tokens."""
@@ -193,7 +204,7 @@
         estimator = topology.estimator
         if estimator is None:
             return False
-        news = self._watch.news()
+        news = self._watch.news(service)
         avoid = self._watch.avoid()
         followers = topology.followers(service)
         return any(
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -85,11 +85,6 @@
         """Return this daemon's own source of random choices."""
         return self._rng
 
-    def count_hosts(self) -> int:
-        """Return how many entry hosts are up, which may use the same chains as this one."""
-        members = self._node.members
-        return max(1, len(members.hosts())) if members is not None else 1
-
     # Topology.
 
     @property
@@ -129,7 +124,7 @@
         leaving = [e for e in self._topology.followed if members and members.upstream_leaving(e)]
         return self._suspicion.suspected.union(self._unfit, leaving)
 
-    def news(self, prefixes: Sequence[str] = ()) -> ChainNews:
+    def news(self, service: ServiceName, prefixes: Sequence[str] = ()) -> ChainNews:
         """Return what is known now, for a request whose prompt has these prefix digests."""
         return ChainNews(
             now_ms=asyncio.get_running_loop().time() * 1000.0,
@@ -138,6 +133,7 @@
             reports=self._reports,
             cached=self._caches.cached(self._topology.followed, prefixes),
             step_factor=self._suspicion.step_factors(),
+            peers=float(self._topology.followers(service)),
         )
 
     def notify(self) -> None:
--- a/daemon/minttided/recoveries.py
+++ b/daemon/minttided/recoveries.py
@@ -117,7 +117,8 @@
         assert chain is not None
         group = (chain.service, chain.version)
         if group not in self._pacers:
-            self._pacers[group] = RecoveryPacer(self._watch.rng, self._watch.count_hosts())
+            peers = self._watch.topology.followers(chain.service)
+            self._pacers[group] = RecoveryPacer(self._watch.rng, peers)
         now_ms = asyncio.get_running_loop().time() * 1000.0
         self._runs[attempt.request] = run
         self._pacers[group].add(Stalled(attempt.request, attempt.position, run.priority, now_ms))
@@ -197,7 +198,7 @@
         topology = self._watch.topology
         if len(exports) == len(chain.stages) and topology.estimator is not None:
             usable = self._usable((chain.service, chain.version))
-            news = self._watch.news()
+            news = self._watch.news(chain.service)
             resume = choose_resume(
                 usable, topology.estimator, news, run.attempt.position, chain.version, exports
             )
--- a/test/drafting.py
+++ b/test/drafting.py
@@ -198,8 +198,8 @@
         self._last_s: float | None = None
 
     async def read(self, tokens: int | None = None) -> "Reader":
-        """Read until `tokens` tokens have come, or to the end."""
-        while tokens is None or len(self.tokens) < tokens:
+        """Read the first event and until `tokens` tokens have come, or to the end."""
+        while not self.resume or tokens is None or len(self.tokens) < tokens:
             chunk = await anext(self.chunks, b"")
             self._note_gap()
             if not chunk:
