Count drafts, calls and recoveries in the metrics, and part two long modules

Change: drafts, calls, decisions, dropped replies, first-token, between-tokens and recovery times are counted, a draft once when it ends; http_connection.py holds one connection of the server, cancellations.py what an engine has yet to drop. Conclusion: no behaviour changed but the counts.

--- a/daemon/minttided/callers.py
+++ b/daemon/minttided/callers.py
@@ -1,16 +1,16 @@
 """The callers' listener: where to connect, drafts and plain calls."""
 
 import logging
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AsyncExitStack, contextmanager
 from types import TracebackType
 from typing import Self
 from urllib.parse import unquote
 
-from minttide.config.service import Account
+from minttide.config.service import Account, PlainService
 from minttide.ids import Address, IdempotencyKey, ServiceName
 from minttide.interfaces import UpstreamCall, UpstreamReply
-from minttide.outcome import ProblemType
+from minttide.outcome import ProblemType, Ran, RequestError
 from minttided.accounts import Accounts, check_allowed
 from minttided.calls import Calls
 from minttided.discovery import Discovery
@@ -116,7 +116,9 @@
         file = self._node.config.model(service)
         if file is None:
             raise refusal(ProblemType.NOT_FOUND, f"there is no model service {service!r}")
-        return await self.drafts.handle(req, account, file)
+        # A draft that has begun counts itself when it ends.
+        with self._counting_problems(service, (Ran.NOT_RUN,)):
+            return await self.drafts.handle(req, account, file)
 
     async def _call(
         self, req: HttpRequest, account: Account, service: ServiceName, path: str
@@ -124,21 +126,37 @@
         file = self._node.config.plain(service)
         if file is None:
             raise refusal(ProblemType.NOT_FOUND, f"there is no plain service {service!r}")
-        check_allowed(account, file)
-        self.drafts.admission.check_rate(account)
-        if len(req.body) > file.max_body_kb * BYTES_PER_KB:
-            detail = f"the body is longer than {file.max_body_kb} KiB"
-            raise refusal(ProblemType.TOO_LARGE, detail)
-        key = _idempotency_key(req)
-        reply = await self._calls.run(account, file, _upstream_call(req, path), key)
+        with self._counting_problems(service, tuple(Ran)):
+            check_allowed(account, file)
+            self.drafts.admission.check_rate(account)
+            _check_body(req, file)
+            call = _upstream_call(req, path)
+            reply = await self._calls.run(account, file, call, _idempotency_key(req))
+        self._node.metrics.count_request(service, Ran.DONE)
         return _pass_on(reply)
 
+    @contextmanager
+    def _counting_problems(self, service: ServiceName, counted: tuple[Ran, ...]) -> Iterator[None]:
+        """Count a request that ends with a problem of one of these outcomes."""
+        try:
+            yield
+        except RequestError as exc:
+            if exc.problem.ran in counted:
+                self._node.metrics.count_request(service, exc.problem.ran)
+            raise
+
 
 def _require_method(req: HttpRequest, method: str) -> None:
     if req.method != method:
         raise refusal(ProblemType.BAD_REQUEST, f"use {method} here")
 
 
+def _check_body(req: HttpRequest, file: PlainService) -> None:
+    if len(req.body) > file.max_body_kb * BYTES_PER_KB:
+        detail = f"the body is longer than {file.max_body_kb} KiB"
+        raise refusal(ProblemType.TOO_LARGE, detail)
+
+
 def _idempotency_key(req: HttpRequest) -> IdempotencyKey | None:
     key = req.header(KEY_HEADER)
     if key is None:
--- a/daemon/minttided/calls.py
+++ b/daemon/minttided/calls.py
@@ -155,6 +155,7 @@
             tried,
         )
         _log_choice(request, service, decision)
+        self._node.metrics.count_decision("upstream")
         if decision.upstream is None:
             detail = f"no upstream can take the call: {decision.reason}"
             retry_s = decision.retry_after_s or NO_UPSTREAM_RETRY_S
--- a/daemon/minttided/draft_run.py
+++ b/daemon/minttided/draft_run.py
@@ -58,6 +58,11 @@
         self._counted: Chain | None = None
         self._counted_prefill = 0
         self._released: set[UpstreamId] = set()
+        self._began_s = asyncio.get_running_loop().time()
+        self._first_s: float | None = None
+        self._last_s = self._began_s
+        self._stalled_s: float | None = None
+        self._resumed_at = len(attempt.delivered)
         self._read = len(attempt.delivered)
         self._wake: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -145,6 +150,7 @@
         self._fail(engine, reason)
 
     def _drop(self, engine: UpstreamId, reply: StepReply, outcome: Outcome) -> None:
+        self._watch.metrics.count_dropped_reply()
         log_dropped(engine, reply, outcome.reason)
 
     def _send_next(self, engine: UpstreamId, reply: StepReply, outcome: Outcome) -> None:
@@ -171,8 +177,21 @@
             self._discount_prefill()
             self._failures.forget(self)
             self._release_old_engines()
+            self._note_first_token()
         self.failures_in_row = 0
 
+    def _note_first_token(self) -> None:
+        """Take note of the first token of an attempt in the metrics."""
+        assert self.attempt.chain is not None
+        service = self.attempt.chain.service
+        now = asyncio.get_running_loop().time()
+        if self._first_s is None:
+            self._first_s = now
+            self._watch.metrics.observe_first_token(service, now - self._began_s)
+        if self._stalled_s is not None:
+            self._watch.metrics.observe_recovery(service, now - self._stalled_s)
+            self._stalled_s = None
+
     def _release_old_engines(self) -> None:
         """Free what earlier attempts left on engines that this attempt doesn't use."""
         assert self.attempt.chain is not None
@@ -191,6 +210,8 @@
 
     def _fail(self, engine: UpstreamId, reason: str) -> None:
         self._discount()
+        if self._stalled_s is None:
+            self._stalled_s = asyncio.get_running_loop().time()
         self.failures_in_row += 1
         if self.failures_in_row > MAX_FAILURES:
             self.give_up(ProblemType.UPSTREAM_FAILED, f"the model's engines failed: {reason}")
@@ -213,6 +234,7 @@
 
     def _end(self) -> None:
         self._state = RunState.ENDED
+        self._last_s = asyncio.get_running_loop().time()
         if self._timer is not None:
             self._timer.cancel()
         self._discount()
@@ -227,9 +249,25 @@
         if self._state is RunState.RUNNING:
             log.info("draft cancelled", extra={"request": self.attempt.request})
             self._end()
+        if self._state is RunState.ENDED:
+            self._count_end()
         self._state = RunState.CLOSED
         self._watch.owners.pop(self.attempt.request, None)
 
+    def _count_end(self) -> None:
+        """Count the draft in the metrics, once."""
+        metrics = self._watch.metrics
+        tokens = len(self.attempt.delivered) - self._resumed_at
+        if self.attempt.chain is None:
+            return
+        service = self.attempt.chain.service
+        done = self.attempt.state is AttemptState.DONE
+        metrics.count_request(service, Ran.DONE if done else Ran.UNKNOWN)
+        metrics.count_tokens(service, tokens)
+        if self._first_s is not None and tokens > 1:
+            between_s = (self._last_s - self._first_s) / (tokens - 1)
+            metrics.observe_between_tokens(service, between_s)
+
     # Reading.
 
     def _wake_reader(self) -> None:
--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts.py
@@ -162,6 +162,7 @@
             self._rng,
         )
         _log_choice(draft, request, decision)
+        self._watch.metrics.count_decision("chain")
         if decision.chain is None:
             raise self._no_chain(draft)
         return decision.chain
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -16,6 +16,7 @@
 from minttide.policy.suspicion import Suspicion
 from minttide.steps import EngineState, LoadReport, Step, StepError
 from minttided.cache_view import CacheView
+from minttided.metrics import Metrics
 from minttided.node import Node
 from minttided.steps_batcher import EngineLane, StepOwner
 from minttided.topology import Topology, build_topology, topology_key
@@ -85,6 +86,11 @@
         """Return this daemon's own source of random choices."""
         return self._rng
 
+    @property
+    def metrics(self) -> Metrics:
+        """Return the daemon's metrics."""
+        return self._node.metrics
+
     # Topology.
 
     @property
--- /dev/null
+++ b/daemon/minttided/http_connection.py
@@ -0,0 +1,304 @@
+"""One connection of the HTTP server: reads requests with h11, runs the handler, sends answers."""
+
+import asyncio
+import logging
+from typing import Protocol
+
+import h11
+
+from minttide.config.settings import Bounds
+from minttide.outcome import Problem, ProblemType, Ran, RequestError
+from minttided.http_messages import Handler, Headers, HttpRequest, HttpResponse, StreamResponse
+from minttided.problems import problem, problem_response
+
+log = logging.getLogger(__name__)
+
+IDLE_TIMEOUT_S = 60.0
+BODY_TIMEOUT_S = 30.0
+WRITE_STALL_S = 30.0
+CLOSE_GRACE_S = 1.0
+RETRY_AFTER_S = 1.0
+
+
+class ConnectionOwner(Protocol):
+    """The server that a connection belongs to."""
+
+    handler: Handler
+    bounds: Bounds
+    open_requests: int
+    closing: bool
+
+    def add(self, conn: "Connection") -> bool:
+        """Take in a new connection; return whether it is within the bound."""
+
+    def remove(self, conn: "Connection") -> None:
+        """Forget a closed connection."""
+
+
+class _RefusedError(Exception):
+    """The request can't be read any further; answer `problem` and close."""
+
+    def __init__(self, problem: Problem):
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class Connection(asyncio.Protocol):
+    """One connection from a caller, served by one task."""
+
+    task: asyncio.Task[None]
+
+    def __init__(self, server: ConnectionOwner):
+        self._server = server
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.bounds.max_header_bytes
+        )
+        self._busy = False  # a handler runs
+        self._started = False  # bytes of a request have come
+        self._held = 0  # bytes that came while a handler ran
+        self._discarding = False  # whatever still comes is dropped
+        self._ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._more: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        within = self._server.add(self)
+        self.task = asyncio.get_running_loop().create_task(self._serve(within))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel whatever still runs for the caller."""
+        self._server.remove(self)
+        self._end()
+        self.task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of a request; while a handler runs, only a bounded number."""
+        if self._discarding:
+            return
+        self._conn.receive_data(data)
+        self._started = True
+        if self._busy:
+            self._held += len(data)
+            if self._held > self._server.bounds.max_header_bytes:
+                self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end of what the caller sends; return whether to keep the connection."""
+        self._conn.receive_data(b"")
+        self._end()
+        self._wake()
+        # An answer can still be sent to a half-sent request, but a running handler has lost its
+        # caller.
+        return not self._busy
+
+    def pause_writing(self) -> None:
+        """Hold answers back until the caller has taken more."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let answers go on."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def _end(self) -> None:
+        if not self._ended.done():
+            self._ended.set_result(None)
+
+    def _wake(self) -> None:
+        if self._more is not None and not self._more.done():
+            self._more.set_result(None)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if not self._busy and not self._started:
+            self._transport.close()
+
+    # Serving.
+
+    async def _serve(self, within: bool) -> None:
+        try:
+            if not within:
+                await self._refuse_connection()
+                return
+            while await self._serve_one():
+                self._conn.start_next_cycle()
+        except (ConnectionError, TimeoutError, h11.ProtocolError) as exc:
+            log.info("connection broken off", extra={"reason": str(exc) or type(exc).__name__})
+            self._transport.abort()
+        finally:
+            self._transport.close()
+
+    async def _refuse_connection(self) -> None:
+        detail = "too many connections to this host"
+        refused = problem(ProblemType.OVERLOADED, detail, retry_after_s=RETRY_AFTER_S)
+        await self._refuse(refused)
+
+    async def _refuse(self, refused: Problem) -> None:
+        """Answer a request that was not read whole, and let the answer arrive before closing."""
+        await self._send_whole(problem_response(refused), close=True)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        # Closing with unread bytes would reset the connection and could destroy the answer.
+        self._discarding = True
+        await asyncio.wait([self._ended], timeout=CLOSE_GRACE_S)
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; return whether the connection can take another."""
+        try:
+            req = await self._read_request()
+        except _RefusedError as exc:
+            await self._refuse(exc.problem)
+            return False
+        if req is None:
+            return False
+        self._busy = True
+        self._server.open_requests += 1
+        try:
+            await self._answer(req)
+        finally:
+            self._server.open_requests -= 1
+            self._busy = False
+        self._started = bool(self._conn.trailing_data[0])
+        self._held = 0
+        self._transport.resume_reading()
+        return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+
+    # Reading.
+
+    async def _read_request(self) -> HttpRequest | None:
+        """Read one whole request; return none when the connection ends between requests."""
+        try:
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                await self._wait_first_byte()
+            async with asyncio.timeout(self._server.bounds.header_timeout_s):
+                head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return None
+            self._check_size(head)
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await self._read_body()
+        except TimeoutError:
+            if not self._started:
+                return None
+            detail = "the request was not sent whole in time"
+            raise _RefusedError(problem(ProblemType.BAD_REQUEST, detail, status=408)) from None
+        except h11.RemoteProtocolError as exc:
+            refused = problem(ProblemType.BAD_REQUEST, str(exc), status=exc.error_status_hint)
+            raise _RefusedError(refused) from exc
+        return _make_request(head, body)
+
+    def _check_size(self, head: h11.Request) -> None:
+        # h11 bounds only a header that is still incomplete.
+        limit = self._server.bounds.max_header_bytes
+        size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if size > limit:
+            detail = f"the header is longer than {limit} bytes"
+            raise _RefusedError(problem(ProblemType.TOO_LARGE, detail, status=431))
+
+    async def _wait_first_byte(self) -> None:
+        while not self._started and not self._conn.trailing_data[1]:
+            await self._wait_data()
+
+    async def _wait_data(self) -> None:
+        self._more = asyncio.get_running_loop().create_future()
+        try:
+            await self._more
+        finally:
+            self._more = None
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._conn.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._conn.they_are_waiting_for_100_continue:
+                self._write(h11.InformationalResponse(status_code=100, headers=[]))
+            await self._wait_data()
+
+    async def _read_body(self) -> bytes:
+        limit = self._server.bounds.max_body_bytes
+        pieces: list[bytes] = []
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            size += len(event.data)
+            if size > limit:
+                detail = f"the body is longer than {limit} bytes"
+                raise _RefusedError(problem(ProblemType.TOO_LARGE, detail))
+            pieces.append(bytes(event.data))
+        return b"".join(pieces)
+
+    # Answering.
+
+    async def _answer(self, req: HttpRequest) -> None:
+        resp = await self._run_handler(req)
+        if isinstance(resp, StreamResponse):
+            await self._send_stream(resp)
+        else:
+            await self._send_whole(resp, without_body=req.method == "HEAD")
+
+    async def _run_handler(self, req: HttpRequest) -> HttpResponse | StreamResponse:
+        try:
+            return await self._server.handler(req)
+        except RequestError as exc:
+            return problem_response(exc.problem)
+        except Exception:
+            log.exception("handler failed", extra={"method": req.method, "path": req.path})
+            return problem_response(problem(ProblemType.INTERNAL, "internal error", Ran.UNKNOWN))
+
+    async def _send_whole(
+        self, resp: HttpResponse, close: bool = False, without_body: bool = False
+    ) -> None:
+        headers = [("content-length", str(len(resp.body))), *resp.headers]
+        self._write(self._head(resp.status, resp.content_type, headers, close))
+        if resp.body and not without_body:
+            self._write(h11.Data(data=resp.body))
+        self._write(h11.EndOfMessage())
+        await self._drain()
+
+    async def _send_stream(self, resp: StreamResponse) -> None:
+        try:
+            headers = [("transfer-encoding", "chunked"), *resp.headers]
+            self._write(self._head(resp.status, resp.content_type, headers, False))
+            async for chunk in resp.chunks:
+                self._write(h11.Data(data=chunk))
+                if self._writable is not None:
+                    await self._drain()
+        finally:
+            await resp.chunks.aclose()
+        self._write(h11.EndOfMessage())
+        await self._drain()
+
+    def _head(self, status: int, content_type: str, headers: Headers, close: bool) -> h11.Response:
+        named = [("content-type", content_type), *headers]
+        if close or self._server.closing:
+            named.append(("connection", "close"))
+        return h11.Response(status_code=status, headers=named)
+
+    def _write(self, event: h11.Event) -> None:
+        data = self._conn.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def _drain(self) -> None:
+        """Wait until the caller has taken enough of the answer."""
+        if self._writable is not None:
+            async with asyncio.timeout(WRITE_STALL_S):
+                await self._writable
+
+
+def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    try:
+        target = head.target.decode("ascii")
+    except UnicodeDecodeError:
+        detail = "the request target is not ASCII"
+        raise _RefusedError(problem(ProblemType.BAD_REQUEST, detail)) from None
+    path, _, query = target.partition("?")
+    headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
+    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- a/daemon/minttided/recoveries.py
+++ b/daemon/minttided/recoveries.py
@@ -107,6 +107,9 @@
             "attempt": run.attempt.number + 1,
         }
         log.info("chain chosen to resume", extra=extra)
+        way = ResumeWay.IMPORT if handles else ResumeWay.PREFILL
+        self._watch.metrics.count_recovery(chain.service, way.value)
+        self._watch.metrics.count_decision("resume")
         run.start(chain, handles)
 
     # New prefills.
--- a/daemon/minttided/steps_batcher.py
+++ b/daemon/minttided/steps_batcher.py
@@ -13,6 +13,7 @@
 from minttide.ids import RequestId, UpstreamId
 from minttide.interfaces import EngineClient, EngineError
 from minttide.steps import Step, StepBatch, StepReplies, StepReply
+from minttided.cancellations import Cancellations
 
 log = logging.getLogger(__name__)
 
@@ -30,13 +31,6 @@
 
 MAX_BATCH_STEPS = 256
 MAX_QUEUED_STEPS = 4_096
-MAX_PENDING_CANCELS = 4_096
-CANCEL_DELAY_S = 0.01
-"""Time that cancellations wait for others to go with them."""
-
-CANCEL_RETRY_S = 0.5
-CANCEL_KEEP_S = 60.0
-"""How long a cancellation is tried at an engine that can't be reached."""
 
 
 class StepOwner(Protocol):
@@ -104,13 +98,12 @@
         self._overdue: list[_Batch] = []
         self._flush_soon = False
         self._last_answer_s = 0.0
-        self._cancels: dict[RequestId, float] = {}
-        self._canceller: asyncio.Task[None] | None = None
+        self._cancels = Cancellations(engine, client)
 
     @property
     def busy(self) -> bool:
         """Return whether anything waits for the engine or its answer."""
-        return bool(self._queue or self._in_flight or self._overdue or self._cancels)
+        return bool(self._queue or self._in_flight or self._overdue or self._cancels.waiting)
 
     # Steps.
 
@@ -184,7 +177,7 @@
         if batch in self._overdue:
             self._overdue.remove(batch)
         for request in batch.cancel_after:
-            self._add_cancel(request)
+            self._cancels.add(request)
         self._flush()
 
     # Missing answers.
@@ -236,59 +229,20 @@
         for batch in (*self._in_flight, *self._overdue):
             if any(name[0] == request for name in batch.steps):
                 batch.cancel_after.add(request)
-        self._add_cancel(request)
-
-    def _add_cancel(self, request: RequestId) -> None:
-        if len(self._cancels) >= MAX_PENDING_CANCELS:
-            dropped = next(iter(self._cancels))
-            del self._cancels[dropped]
-            log.warning("cancellation given up", extra={"engine": self.engine, "request": dropped})
-        self._cancels[request] = self._loop.time() + CANCEL_KEEP_S
-        if self._canceller is None:
-            self._canceller = self._loop.create_task(self._send_cancels())
+        self._cancels.add(request)
 
     def _forget_cancel(self, request: RequestId) -> None:
-        self._cancels.pop(request, None)
+        self._cancels.forget(request)
         for batch in self._in_flight:
             batch.cancel_after.discard(request)
 
-    async def _send_cancels(self) -> None:
-        delay_s = CANCEL_DELAY_S
-        while self._cancels:
-            await asyncio.sleep(delay_s)
-            delay_s = CANCEL_DELAY_S if await self._try_cancels() else CANCEL_RETRY_S
-        self._canceller = None
-
-    async def _try_cancels(self) -> bool:
-        sent = dict(self._cancels)
-        if not sent:
-            return True
-        try:
-            await self._client.cancel(list(sent))
-        except EngineError as exc:
-            self._drop_old_cancels(str(exc))
-            return False
-        for request, keep_until in sent.items():
-            if self._cancels.get(request) == keep_until:
-                del self._cancels[request]
-        return True
-
-    def _drop_old_cancels(self, reason: str) -> None:
-        now = self._loop.time()
-        old = [r for r, keep_until in self._cancels.items() if keep_until <= now]
-        for request in old:
-            del self._cancels[request]
-        if old:
-            extra = {"engine": self.engine, "requests": len(old), "reason": reason}
-            log.warning("cancellations given up", extra=extra)
-
     async def close(self) -> None:
         """End everything that is on its way."""
         tasks = [b.task for b in (*self._in_flight, *self._overdue) if b.task]
-        tasks += [self._canceller] if self._canceller else []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._cancels.close()
 
 
 def log_dropped(engine: UpstreamId, reply: StepReply, reason: str) -> None:
--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -247,3 +247,24 @@
     followed = run_virtual(run())
     assert len(set.union(*followed)) == 40
     assert all(len(f) < 40 for f in followed)
+
+
+def test_drafts_are_counted_once_each():
+    async def run():
+        async with Bench(chains=2) as bench:
+            reader = await bench.open(prompt=PROMPT, max_tokens=TOKENS)
+            await reader.read(3)
+            run = next(iter(bench.watch.owners.values()))
+            bench.engine(run.attempt.chain.engines[0]).die()
+            await reader.read()
+            await reader.close()
+            await reader.close()
+            return bench.node.metrics.render()
+
+    text = run_virtual(run())
+    text = text if isinstance(text, str) else text.decode()
+    assert 'minttide_requests_total{ran="done",service="drafts"} 1' in text
+    assert f'minttide_tokens_total{{service="drafts"}} {TOKENS}' in text
+    assert 'minttide_recoveries_total{service="drafts",way="prefill"} 1' in text
+    assert 'minttide_first_token_seconds_count{service="drafts"} 1' in text
+    assert 'minttide_recovery_seconds_count{service="drafts"} 1' in text
