--- a/daemon/minttided/http_connection.py
+++ b/daemon/minttided/http_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -20,6 +21,9 @@
 RETRY_AFTER_S = 1.0
 
 
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
 class ConnectionOwner(Protocol):
     """The server that a connection belongs to."""
 
@@ -279,7 +283,8 @@
         named = [("content-type", content_type), *headers]
         if close or self._server.closing:
             named.append(("connection", "close"))
-        return h11.Response(status_code=status, headers=named)
+        reason = _REASONS.get(status, "")
+        return h11.Response(status_code=status, headers=named, reason=reason)
 
     def _write(self, event: h11.Event) -> None:
         data = self._conn.send(event)
