--- /dev/null
+++ b/test/test_engine_http.py
@@ -0,0 +1,85 @@
+"""What an engine's answers over HTTP become when they aren't as they should be."""
+
+import asyncio
+
+import pytest
+
+from minttide.config.settings import Bounds
+from minttide.ids import Address, ModelVersion, Offset, RequestId, ServiceName
+from minttide.interfaces import EngineError, StaleFencingError
+from minttide.steps import Order, Step, StepBatch
+from minttided.engine_http import EngineHttp
+from minttided.http_client import HttpClient
+from minttided.http_messages import HttpResponse
+from minttided.http_server import HttpServer
+
+ORDER = Order(Offset(3), ServiceName("s"), ModelVersion("v"), 0, 2, 300)
+STEP = Step(RequestId("r"), 1, 1, 0, ServiceName("s"), ModelVersion("v"), 0, 2, True, True, [1])
+ASKS = {
+    "run_steps": lambda engine: engine.run_steps(StepBatch([STEP])),
+    "cancel": lambda engine: engine.cancel([RequestId("r")]),
+    "read_state": lambda engine: engine.read_state(),
+    "order": lambda engine: engine.order(ORDER),
+    "report": lambda engine: engine.report(),
+    "cache_events": lambda engine: engine.cache_events(7),
+    "export_kv": lambda engine: engine.export_kv(RequestId("r")),
+}
+PARSED = set(ASKS) - {"cancel"}  # a cancellation's answer holds nothing
+ANSWERS = {
+    "an error status": HttpResponse(500, b"{}"),
+    "no JSON": HttpResponse(200, b"{"),
+    "bad UTF-8": HttpResponse(200, b'{"handle": "\xff"}'),
+    "another type": HttpResponse(200, b'"text"'),
+    "a stale number": HttpResponse(409, b'{"error": "4 was taken"}'),
+}
+
+
+def ask(name, answer):
+    """Ask a server that gives `answer` to everything; return what it was sent, or the error."""
+    seen = []
+
+    async def handle(req):
+        seen.append((req.method, req.path, req.query))
+        return answer
+
+    async def run():
+        async with HttpServer(handle, Address("127.0.0.1:0"), Bounds()) as server:
+            client = HttpClient(server.address)
+            try:
+                await ASKS[name](EngineHttp(client))
+            except (EngineError, StaleFencingError) as exc:
+                return type(exc), seen
+            finally:
+                client.close()
+        return None, seen
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+@pytest.mark.parametrize("name", ASKS)
+def test_a_wrong_answer_is_an_engine_error(name, answer):
+    raised, _ = ask(name, ANSWERS[answer])
+    if (name, answer) == ("order", "a stale number"):
+        assert raised is StaleFencingError
+    elif name in PARSED or ANSWERS[answer].status != 200:
+        assert raised is EngineError
+    else:
+        assert raised is None
+
+
+def test_an_engine_that_is_not_there_is_an_engine_error():
+    async def run():
+        async with HttpServer(None, Address("127.0.0.1:0"), Bounds()) as server:
+            address = server.address
+        with pytest.raises(EngineError):
+            await EngineHttp(HttpClient(address)).read_state()
+
+    asyncio.run(run())
+
+
+def test_cache_events_are_asked_for_after_the_last_one_seen():
+    assert ask("cache_events", HttpResponse(200, b"[]")) == (
+        None,
+        [("GET", "/v1/cache-events", "after=7")],
+    )
