Measure the whole path on real sockets under a seeded mix of faults

Cause: failures were provoked one by one and in virtual time; the whole path on sockets had only the demo's few. Change: python -m measure soak [--seed N] runs three daemons, 24 engines, six plain processes and callers for 40 s while replies are lost, doubled, late or crossed, engines die and are slow, the log goes out or loses answers, upstreams break off, daemons die or are stopped and are replaced under the same host id. It counts every promise against its target. Demo site can replace a daemon.

--- a/cli/minttide_cli/demo/site.py
+++ b/cli/minttide_cli/demo/site.py
@@ -47,6 +47,10 @@
     ) -> None:
         await self._stack.aclose()
 
+    async def put_daemon(self, index: int, daemon: RunningDaemon) -> None:
+        """Start a daemon in the place of one that has ended."""
+        self.daemons[index] = await self._stack.enter_async_context(daemon)
+
     @property
     def log_address(self) -> Address:
         """Return the address of the stand-in log."""
--- a/fakes/minttide_fakes/engine.py
+++ b/fakes/minttide_fakes/engine.py
@@ -135,6 +135,8 @@
 
     def restart(self) -> None:
         """Come back as a new process that holds nothing and has seen no fencing number."""
+        if not self._dead:
+            self.die()
         self._dead = False
         self.stage.restart()
         self.holding.boot()
--- /dev/null
+++ b/measure/soak.py
@@ -0,0 +1,243 @@
+"""A seeded mix of faults against the whole path on real sockets, with every promise counted.
+
+Three daemons, 24 engines and six plain processes run in one loop. Callers stream drafts and send
+keyed bookings, some of them several times at once through several daemons, while engines die, lose,
+delay, double or cross replies, upstreams break connections off, the log goes out or loses answers,
+and daemons die or are stopped and are replaced under the same host id.
+"""
+
+import asyncio
+import logging
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from measure.table import Table, percentile, verdict
+from minttide.ids import Address
+from minttide_cli.caller import Caller, CallerError, UnreachableError
+from minttide_cli.demo.answers import ask
+from minttide_cli.demo.daemons import RunningDaemon
+from minttide_cli.demo.scenes import Scenes
+from minttide_cli.demo.site import DemoSite, token_of
+from minttide_cli.demo.story import Story
+from minttide_fakes.engine import ReplyFault
+from minttide_fakes.faults import AppendFault
+from minttide_fakes.plain import CallFault
+from minttided.http_client import BrokenError
+
+EXAMPLES = Path("examples")
+RUN_S = 40.0
+SETTLE_S = 3.0
+DRAFTERS = 10
+BOOKERS = 3
+FAULTS_PER_S = 2.0
+DAEMONS = 3
+MAX_DEAD_ENGINES = 2
+SLOW_FACTOR = 20.0
+DRAIN_LIMIT_S = 15.0
+BOOKING = "booking"
+FIRST_TOKEN_TARGET_S = 0.73
+
+
+class Soak:
+    """One run: its site, its random choices and what it counted."""
+
+    def __init__(self, site: DemoSite, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        self._replacing = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.counts: Counter[str] = Counter()
+        self.errors: Counter[str] = Counter()
+        self.first_s: list[float] = []
+        self.gaps_s: list[float] = []
+        self._faults: dict[str, tuple[int, Callable[[], None]]] = {
+            "replies": (6, self._spoil_replies),
+            "engine dies": (1, self._kill_engine),
+            "engine is slow": (1, self._slow_engine),
+            "log is out": (1, self._lose_log),
+            "append goes wrong": (1, self._spoil_append),
+            "upstream breaks off": (2, self._spoil_call),
+            "daemon dies": (1, lambda: self._replace_daemon(planned=False)),
+            "daemon is stopped": (1, lambda: self._replace_daemon(planned=True)),
+        }
+
+    async def run(self, seconds: float) -> None:
+        """Run callers and faults, then let everything settle."""
+        jobs = [asyncio.create_task(self._draft(n)) for n in range(DRAFTERS)]
+        jobs += [asyncio.create_task(self._book(n)) for n in range(BOOKERS)]
+        jobs.append(asyncio.create_task(self._disturb()))
+        done, _ = await asyncio.wait(jobs, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        for job in done:
+            job.result()
+        self._site.served.log.down = False
+        await asyncio.sleep(SETTLE_S)
+        await asyncio.gather(*self._tasks)
+
+    # Callers.
+
+    async def _draft(self, number: int) -> None:
+        while True:
+            caller, file = self._rng.choice(self._site.make_callers())
+            asked = await ask(caller, file, f"draft {number}-{self._rng.random()}")
+            self.counts["drafts"] += 1
+            if asked.whole and asked.draft is not None:
+                self.counts["whole"] += 1
+                self.first_s.append(asked.draft.first_token_s)
+                self.gaps_s.append(asked.draft.longest_gap_s)
+            elif asked.draft is not None:
+                self.counts["wrong"] += 1
+            else:
+                self.errors[asked.error] += 1
+
+    async def _book(self, number: int) -> None:
+        while True:
+            self.counts["keys"] += 1
+            key = f"key-{number}-{self.counts['keys']}"
+            calls = [self._call(key) for _ in range(self._rng.randint(1, 3))]
+            told = list(await asyncio.gather(*calls))
+            for _ in range(self._rng.randint(0, 2)):
+                await asyncio.sleep(self._rng.random())
+                told.append(await self._call(key))
+            self._judge(key, told)
+
+    async def _call(self, key: str) -> str:
+        """Send one booking through one daemon and return what its caller is told."""
+        entry = self._rng.choice(self._site.entries)
+        caller = Caller([entry], token_of("portal"))
+        caller.use_only(Address(entry))
+        try:
+            reply = await caller.call(BOOKING, "POST", "/bookings", b"{}", key)
+        except CallerError as exc:
+            return exc.problem.ran.value
+        except UnreachableError:
+            return "not run"
+        except BrokenError:
+            return "unknown"
+        return "done" if reply.status == 200 else f"upstream said {reply.status}"
+
+    def _judge(self, key: str, told: list[str]) -> None:
+        ran = self._site.fakes.ledgers[BOOKING][key]
+        self.counts["calls"] += len(told)
+        for outcome in set(told):
+            self.counts[f"told {outcome}"] += told.count(outcome)
+        self.counts["ran more than once"] += ran > 1
+        self.counts["all told not run, but ran"] += ran > 0 and set(told) == {"not run"}
+        self.counts["told done, but did not run"] += ran == 0 and "done" in told
+
+    # Faults.
+
+    async def _disturb(self) -> None:
+        names = list(self._faults)
+        weights = [weight for weight, _ in self._faults.values()]
+        while True:
+            await asyncio.sleep(self._rng.expovariate(FAULTS_PER_S))
+            name = self._rng.choices(names, weights)[0]
+            self.counts[f"fault: {name}"] += 1
+            self._faults[name][1]()
+
+    def _later(self, delay_s: float, act: Callable[..., None], *args: Any) -> None:
+        asyncio.get_running_loop().call_later(delay_s, act, *args)
+
+    def _spoil_replies(self) -> None:
+        engine = self._rng.choice(list(self._site.fakes.engines.values()))
+        engine.order_fault(self._rng.choice(list(ReplyFault)))
+
+    def _kill_engine(self) -> None:
+        engines = list(self._site.fakes.engines.values())
+        engine = self._rng.choice(engines)
+        if not engine.dead and sum(e.dead for e in engines) < MAX_DEAD_ENGINES:
+            engine.die(after_steps=self._rng.randrange(5))
+            self._later(self._rng.uniform(1, 6), engine.restart)
+
+    def _slow_engine(self) -> None:
+        engine = self._rng.choice(list(self._site.fakes.engines.values()))
+        engine.slow_factor = SLOW_FACTOR
+        self._later(2.0, setattr, engine, "slow_factor", 1.0)
+
+    def _lose_log(self) -> None:
+        self._site.served.log.down = True
+        self._later(self._rng.uniform(0.2, 2), setattr, self._site.served.log, "down", False)
+
+    def _spoil_append(self) -> None:
+        self._site.served.log.faults.order(self._rng.choice(list(AppendFault)))
+
+    def _spoil_call(self) -> None:
+        upstream = self._rng.choice(list(self._site.fakes.upstreams.values()))
+        upstream.order_fault(self._rng.choice(list(CallFault)))
+
+    def _replace_daemon(self, planned: bool) -> None:
+        if not self._replacing and len(self._site.running) == DAEMONS:
+            self._replacing = True
+            self._spawn(self._replace(self._rng.randrange(DAEMONS), planned))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.add(asyncio.create_task(work))
+
+    async def _replace(self, index: int, planned: bool) -> None:
+        old = self._site.daemons[index]
+        if planned:
+            old.app.start_drain()
+            self.counts["planned stops that did not end"] += not await old.wait_ended(DRAIN_LIMIT_S)
+        await old.die()
+        await asyncio.sleep(self._rng.uniform(0, 1.5))
+        known = [daemon.peer_address for daemon in self._site.running]
+        new = RunningDaemon(old.cfg.host, old.cfg.zone, self._site.log_address, known)
+        await self._site.put_daemon(index, new)
+        self._replacing = False
+
+
+def run(seed: int, seconds: float = RUN_S) -> Table:
+    """Run the soak on the wall clock and return what was counted."""
+    logging.disable(logging.CRITICAL)
+    try:
+        soak, watts, left = asyncio.run(_run(seed, seconds))
+    finally:
+        logging.disable(logging.NOTSET)
+    table = Table(
+        "soak",
+        f"Whole path on real sockets under a mix of faults for {seconds:g} s",
+        f"python -m measure soak --seed {seed}",
+        seed,
+        ("what", "seen", "target", "verdict"),
+    )
+    counts = soak.counts
+    _add(table, "drafts that were not whole", counts["drafts"] - counts["whole"], 0)
+    _add(table, "drafts with a wrong token", counts["wrong"], 0)
+    _add(table, "bookings that ran more than once", counts["ran more than once"], 0)
+    for name in ("all told not run, but ran", "told done, but did not run"):
+        _add(table, f"bookings, {name}", counts[name], 0)
+    _add(table, "planned stops that did not end", counts["planned stops that did not end"], 0)
+    _add(table, "peak power over the cap, W", max(0, watts), 0)
+    _add(table, "caches and outputs left on live engines", left, None)
+    _add(table, "first token, 95 in 100, s", percentile(soak.first_s, 0.95), FIRST_TOKEN_TARGET_S)
+    _add(table, "longest pause in a draft, 95 in 100, s", percentile(soak.gaps_s, 0.95), None)
+    _add(table, "longest pause in a draft, worst, s", max(soak.gaps_s, default=0.0), None)
+    table.note(", ".join(f"{name}: {count}" for name, count in sorted(counts.items()) if count))
+    for error, count in soak.errors.items():
+        table.note(f"{count} drafts ended with: {error}")
+    return table
+
+
+def _add(table: Table, what: str, seen: float, target: float | None) -> None:
+    table.add(what, seen, "" if target is None else target, _judge(seen, target))
+
+
+def _judge(seen: float, target: float | None) -> str:
+    return "" if target is None else verdict(seen, target)
+
+
+async def _run(seed: int, seconds: float) -> tuple[Soak, int, int]:
+    async with DemoSite(EXAMPLES) as site:
+        scenes = Scenes(site, Story(lambda text: None))
+        await scenes.publish()
+        await scenes.place()
+        soak = Soak(site, seed)
+        await soak.run(seconds)
+        over = site.fakes.peak_watts - site.file.power_cap_watts
+        return soak, over, site.fakes.left_behind
