Keep capacity for accounts below their share, and refuse what would start late

Cause: with every stream in use, accounts that asked for less than their due waited for a stream to end and were refused; daemons borrowed room that others needed; and after a loss new requests were taken in whose first token came seconds late. Change: FairQueue keeps RESERVED_SHARE of a daemon's streams for accounts below their share; has_room tells a daemon's own part from what it borrows; a request whose first token is expected late is refused as not run; the estimate takes peers' waiting prefill from an average (LevelAverage). measure: shares, zone_loss, placement with an integer program beside.

--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -25,8 +25,12 @@
 SAMPLED_CHAINS = 3
 """Chains that are compared for one request."""
 
-ROOM_SHARE = 0.95
-"""Share of the rated streams that is used, as reports of others' streams come late."""
+ROOM_SHARE = 1.15
+"""Streams that daemons use together, over the rated ones, each its even part. Chains are rated
+below the time between tokens that is allowed, and some daemons always use less than their part."""
+
+BORROWED_SHARE = 1.05
+"""Streams on a chain, over the rated ones, up to which a daemon goes beyond its part."""
 
 US_PER_MS = 1000.0
 
@@ -102,6 +106,7 @@
     """What a daemon knows of the engines when it chooses. Times are in milliseconds.
 
     `own_streams` and `own_prefill` (prompt tokens waiting) are this daemon's own work and exact.
+    `usual_prefill` is the average of the latter, taken to be that of each of `peers` daemons.
     `reports` come late. `cached` is the tokens of the prompt's prefix believed cached on an engine;
     an engine whose cache events had a gap is absent. `step_factor` is the step time seen over the
     rated one, above 1 where an engine or its link is slow.
@@ -109,7 +114,8 @@
 
     now_ms: float
     own_streams: Mapping[UpstreamId, int] = {}
-    own_prefill: Mapping[UpstreamId, int] = {}
+    own_prefill: Mapping[UpstreamId, float] = {}
+    usual_prefill: Mapping[UpstreamId, float] = {}
     reports: Mapping[UpstreamId, LoadReport] = {}
     cached: Mapping[UpstreamId, int] = {}
     step_factor: Mapping[UpstreamId, float] = {}
@@ -135,6 +141,11 @@
     candidates: tuple[Estimate, ...]
     reason: str
 
+    @property
+    def estimate(self) -> Estimate | None:
+        """Return the estimate of the chosen chain."""
+        return next((e for e in self.candidates if self.chain and e.chain == self.chain.id), None)
+
 
 class ChainEstimator:
     """Estimates chains of one site's services from rated speeds and what is known of load."""
@@ -223,7 +234,8 @@
             batch = batch_limit(streams, len(chain.stages))
             step_us = layers * decode_layer_us(shape, level, model, batch)
             token_us = layers * chunked_layer_us(shape, level, model, batch)
-            waiting = news.own_prefill.get(stage.engine, 0) * news.peers
+            waiting = news.own_prefill.get(stage.engine, 0.0)
+            waiting += (news.peers - 1.0) * news.usual_prefill.get(stage.engine, 0.0)
             queue_us = max(queue_us, token_us * waiting)
             prefill_us += token_us * new_tokens
             slowest_us = max(slowest_us, step_us)
@@ -251,12 +263,12 @@
     It may while its own streams are below its even part of the rated streams, and beyond that
     while fewer than the rated streams are believed to be there.
     """
-    rated = ROOM_SHARE * estimator.rated_streams(chain)
+    rated = estimator.rated_streams(chain)
     head = chain.engines[0]
-    if news.own_streams.get(head, 0) < rated / max(1, followers):
+    if news.own_streams.get(head, 0) < ROOM_SHARE * rated / max(1, followers):
         return True
     busiest = max(estimate_streams(e, news) for e in chain.engines)
-    return busiest + 1 <= rated
+    return busiest + 1 <= BORROWED_SHARE * rated
 
 
 def choose_chain(
--- a/core/minttide/policy/limits.py
+++ b/core/minttide/policy/limits.py
@@ -22,6 +22,9 @@
 BURST_S = 2.0
 """Requests of an account that may come at once, in seconds of its rate."""
 
+RESERVED_SHARE = 0.15
+"""Share of the capacity that only accounts below their share may take."""
+
 LEAST_RETRY_S = 0.5
 MOST_RETRY_S = 60.0
 HTTP_TOO_MANY = 429
@@ -58,6 +61,7 @@
     def __init__(self, tag: float, weight: float):
         self.tag = tag
         self.weight = weight
+        self.running = 0
         self.tickets: deque[Ticket] = deque()
         self.waiting_cost = 0.0
 
@@ -123,9 +127,16 @@
             line.tag = max(line.tag, self._virtual)
         return line
 
-    def take(self, now_s: float) -> Ticket | None:
-        """Return the next request to run, or none. Call `drop_expired` before."""
+    def take(self, now_s: float, running: int = 0, capacity: int = 0) -> Ticket | None:
+        """Return the next request to run, or none. Call `drop_expired` before.
+
+        `running` of the daemon's `capacity` streams are in use. Where little is left, accounts that
+        use their share already get nothing, so that others needn't wait for a stream to end. No
+        capacity stands for one without bound.
+        """
         waiting = [(line.tag, a) for a, line in self._lines.items() if line.tickets]
+        if capacity and running >= (1.0 - RESERVED_SHARE) * capacity:
+            waiting = [(tag, a) for tag, a in waiting if self._is_below_share(a, capacity)]
         if not waiting:
             return None
         least = min(waiting)[0]
@@ -134,12 +145,25 @@
         line = self._lines[account]
         ticket = line.tickets.popleft()
         line.waiting_cost -= ticket.cost
+        line.running += 1
         self._count -= 1
         self._virtual = max(self._virtual, least)
         line.tag += ticket.cost / line.weight
         self._observe(ticket.cost, now_s)
         return ticket
 
+    def _is_below_share(self, account: AccountId, capacity: int) -> bool:
+        active = [line for line in self._lines.values() if line.tickets or line.running]
+        line = self._lines[account]
+        share = capacity * line.weight / sum(other.weight for other in active)
+        return line.running < share
+
+    def finish(self, account: AccountId) -> None:
+        """Note that a request that `take` returned has ended."""
+        line = self._lines.get(account)
+        if line is not None:
+            line.running = max(0, line.running - 1)
+
     def _observe(self, cost: float, now_s: float) -> None:
         if self._served_s is not None and now_s > self._served_s:
             seen = cost / (now_s - self._served_s)
@@ -178,7 +202,9 @@
     def forget_idle(self) -> None:
         """Drop accounts that wait for nothing and are not ahead of their share."""
         idle = [
-            a for a, line in self._lines.items() if not line.tickets and line.tag <= self._virtual
+            a
+            for a, line in self._lines.items()
+            if not line.tickets and not line.running and line.tag <= self._virtual
         ]
         for account in idle:
             del self._lines[account]
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -4,8 +4,11 @@
 import importlib
 
 MEASUREMENTS = [
+    "placement",
     "throughput",
     "recovery",
+    "shares",
+    "zone_loss",
 ]
 
 
--- a/measure/model.py
+++ b/measure/model.py
@@ -62,6 +62,7 @@
     deadline: float
     router: Any = None
     attempt: int = 0
+    accepted: bool = False
     chain: "SimChain | None" = None
     stage: int = 0
     prefill: int = 0  # tokens that this attempt runs before its first token
--- /dev/null
+++ b/measure/placement.py
@@ -0,0 +1,67 @@
+"""Placement by dynamic programming, by an integer program and by equal parts, side by side."""
+
+import resource
+import time
+from collections.abc import Callable
+
+from measure.baselines import equal_split
+from measure.sites import bureau, planned_zone, zaloga
+from measure.solver import solve
+from measure.table import Table
+from minttide.config.service import ModelService, Site
+from minttide.policy.chains import ChainEstimator, chains_of
+from minttide.policy.placement import plan_site
+
+SITES: dict[str, Callable[[int], tuple[Site, list[ModelService]]]] = {
+    "Bureau, 40 engines": bureau,
+    "Zaloga, 40 engines": zaloga,
+    "one zone, 300 engines": planned_zone,
+}
+
+
+def rate_equal_split(site: Site, service: ModelService) -> float:
+    """Return the score of an equal split, counting chains that keep the time between tokens."""
+    zones = {e.id: e.zone for e in service.engines}
+    chains = chains_of(equal_split(site, service), zones)
+    estimator = ChainEstimator(site, [service], site.zones[0].name)
+    ratings = [estimator.rating(c) for c in chains]
+    return sum(r.score for r in ratings if r is not None and r.on_time)
+
+
+def run(seed: int) -> Table:
+    """Compare the planners' rated output, time and memory."""
+    table = Table(
+        "placement",
+        "Rated output of on-time chains at the power cap, and the time to plan",
+        "python -m measure placement",
+        seed,
+        ["site", "planner", "score", "bound", "seconds", "columns", "peak memory MB", "remark"],
+    )
+    for name, build in SITES.items():
+        site, services = build(seed)
+        began = time.perf_counter()
+        plan = plan_site(site, services, {})
+        took = time.perf_counter() - began
+        score = sum(c.split.score for c in plan.chains)
+        table.add(name, "dynamic programming", score, "", took, "", _peak_mb(), plan.reason)
+        began = time.perf_counter()
+        dead = {plan.chains[0].engines[0].engine}
+        after = plan_site(site, services, {}, plan.assignments, lost_engines=dead)
+        took = time.perf_counter() - began
+        score = sum(c.split.score for c in after.chains)
+        table.add(name, "the same, one engine lost", score, "", took, "", _peak_mb(), after.reason)
+        began = time.perf_counter()
+        output, bound, columns, message = solve(site, services[0])
+        took = time.perf_counter() - began
+        table.add(name, "integer program", output, bound, took, columns, _peak_mb(), message)
+        table.add(
+            name, "equal parts", rate_equal_split(site, services[0]), "", "", "", _peak_mb(), ""
+        )
+    table.note("score: tokens/s less 0.5 % for each stage of a chain")
+    table.note("integer program: chains of at most 5 engines in one zone; stops at a gap of 0.5 %")
+    table.note("peak memory: the highest resident size of the process so far")
+    return table
+
+
+def _peak_mb() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
--- a/measure/router.py
+++ b/measure/router.py
@@ -7,7 +7,9 @@
 from measure.model import Sim, SimChain, Stream, build_chains
 from minttide.config.service import ModelService, Site
 from minttide.ids import AccountId, ChainId, HostId, RequestId, UpstreamId, ZoneId
+from minttide.policy.averages import LevelAverage
 from minttide.policy.chains import (
+    ROOM_SHARE,
     Chain,
     ChainEstimator,
     ChainNews,
@@ -109,6 +111,8 @@
     ):
         self.world = world
         self.host = host
+        self.zone = zone
+        self.shared_line = False  # one queue for all accounts, as a baseline
         self.rng = random.Random(seed)
         self.turn = seed
         self.estimator = ChainEstimator(world.site, [world.service], zone)
@@ -120,7 +124,7 @@
         self.stalled: dict[str, Stream] = {}
         self.gone = False
         self.on_resumed: Callable[[Router, Stream], None] = lambda _router, _stream: None
-        self._prefill: dict[UpstreamId, int] = {}
+        self._prefill: dict[UpstreamId, LevelAverage] = {}
         self._followers = followers
         self._pick = pick
         self._limited = limited
@@ -136,10 +140,16 @@
 
     def news(self) -> ChainNews:
         """Return what this daemon knows now."""
+        now = self.world.sim.now
+        own = {e: p.level for e, p in self._prefill.items()}
+        usual = {e: p.average(now) for e, p in self._prefill.items()}
+        if self.stalled:
+            usual = {e: max(own[e], usual[e]) for e in own}
         return ChainNews(
-            self.world.sim.now,
+            now,
             own_streams=self.own,
-            own_prefill=self._prefill,
+            own_prefill=own,
+            usual_prefill=usual,
             reports=self.world.reports,
             peers=float(len(self.world.routers)),
         )
@@ -152,7 +162,7 @@
             return
         ticket = Ticket(
             RequestId(stream.name),
-            AccountId(stream.account),
+            self._account(stream),
             float(EXPECTED_ANSWER),
             self._latest_s(stream),
         )
@@ -189,10 +199,31 @@
             ]
             if not open_to:
                 return
-            ticket = self.queue.take(now_s)
-            assert ticket is not None
+            ticket = self.queue.take(now_s, len(self.streams), self._capacity())
+            if ticket is None:
+                return
             stream = self._waiting.pop(ticket.request)
-            self.begin(stream, self._choose(open_to, stream))
+            chain = self._choose(open_to, stream)
+            if self._is_late(stream, chain):
+                self.queue.finish(ticket.account)
+                self.world.refused += 1
+            else:
+                self.begin(stream, chain)
+
+    def _capacity(self) -> int:
+        rated = (self.estimator.rated_streams(c) / self._followers[c.id] for c in self.usable())
+        return int(ROOM_SHARE * sum(rated))
+
+    def _is_late(self, stream: Stream, chain: Chain) -> bool:
+        """Return whether the first token is expected after its time."""
+        if not self._prompt_starts:
+            return False
+        estimate = self.estimator.estimate(chain, stream.prompt, self.news())
+        waited = self.world.sim.now - stream.arrived
+        return waited + estimate.first_token_ms > self.world.service.first_token_ms
+
+    def _account(self, stream: Stream) -> AccountId:
+        return AccountId("all" if self.shared_line else stream.account)
 
     def _choose(self, chains: Sequence[Chain], stream: Stream) -> Chain:
         return self._pick(self, chains, self.news(), stream.prompt)
@@ -200,9 +231,11 @@
     def begin(self, stream: Stream, chain: Chain) -> None:
         """Start an attempt of a stream on a chain, by a prefill of its whole context."""
         self.streams.add(stream)
+        stream.accepted = True
         for engine in chain.engines:
             self.own[engine] = self.own.get(engine, 0) + 1
-            self._prefill[engine] = self._prefill.get(engine, 0) + stream.context
+            waits = self._prefill.setdefault(engine, LevelAverage(self.world.sim.now))
+            waits.add(stream.context, self.world.sim.now)
         target = self.world.chains[chain.id]
         target.start(stream, stream.context)
         stream.waits = stream.context
@@ -221,7 +254,7 @@
     def _settle_prefill(self, stream: Stream) -> None:
         if stream.waits and stream.chain is not None:
             for engine in stream.chain.chain.engines:
-                self._prefill[engine] -= stream.waits
+                self._prefill[engine].add(-stream.waits, self.world.sim.now)
             stream.waits = 0
 
     def on_token(self, stream: Stream) -> None:
@@ -232,6 +265,7 @@
         if stream.finished:
             self.leave(stream)
             self.streams.discard(stream)
+            self.queue.finish(self._account(stream))
             self.world.finished.append(stream)
             self.pump()
 
