--- a/test/test_policy_placement.py
+++ b/test/test_policy_placement.py
@@ -6,7 +6,7 @@
 import pytest
 
 from measure.sites import bureau, zaloga
-from minttide.ids import Offset, UpstreamId, ZoneId
+from minttide.ids import NO_OFFSET, Offset, UpstreamId, ZoneId
 from minttide.policy.changes import Wait
 from minttide.policy.placement import order_changes, plan_site
 from minttide.policy.split import split_layers
@@ -148,7 +148,7 @@
     steps = order_changes(old, new, 120)
     assert [s.watts for s in steps] == [60, 120, 120]
     assert steps[0].wait is Wait.CONFIRMED
-    assert Plan(Offset(0), list(steps[-1].assignments), 120).assignments == new
+    assert Plan(Offset(0), NO_OFFSET, list(steps[-1].assignments), 120).assignments == new
 
 
 def test_cap_below_the_lowest_levels_is_reported():
