--- /dev/null
+++ b/measure/plan_size.py
@@ -0,0 +1,29 @@
+"""The size to design for, as given, and what follows from it by division alone."""
+
+DAEMONS = 1_600
+ENGINES = 10_000
+ZONES = 36
+ACCOUNTS = 320
+MODELS = 9
+REQUESTS_PER_S = 40_000
+TOKENS_PER_S = 14_000_000
+BETWEEN_TOKENS_S = 0.044
+CHANGES_A_DAY = 7_200
+FAILURES_A_DAY = 230
+REPLACEMENTS_A_DAY = 4_100
+IN_FORCE_S = 18.0
+BUDGET_CPU = 0.032  # of one core
+BUDGET_BYTES = 32 * 1024 * 1024
+BUDGET_TRAFFIC = 26 * 1024  # bytes a second
+LOG_APPENDS_PER_S = 300  # the low end of "several hundred"
+
+DAY_S = 86_400
+ENGINES_TODAY = 40
+PLAIN_ENGINES_TODAY = 3
+
+ENGINES_A_ZONE = ENGINES / ZONES
+DAEMONS_A_ZONE = DAEMONS / ZONES
+CHANGE_PERIOD_S = DAY_S / CHANGES_A_DAY
+JOINS_A_DAY = FAILURES_A_DAY + REPLACEMENTS_A_DAY
+PLAIN_SERVICES = ENGINES * PLAIN_ENGINES_TODAY / ENGINES_TODAY / 3
+"""Plain services with three upstreams each, in today's proportion to engines."""
