--- a/daemon/minttided/followed.py
+++ b/daemon/minttided/followed.py
@@ -115,5 +115,7 @@
         return follower
 
     async def __aexit__(self, *_: object) -> None:
-        self._streams.open.pop(self._parts.follower.stream, None)
+        follower = self._parts.follower
+        if self._streams.open.get(follower.stream) is follower:
+            del self._streams.open[follower.stream]
         await self._stack.aclose()
