Test the import of KV caches where all stages can export them

Cause: the third way to resume had not been run by a test. Change: test_drafts.py has a hanging stage with a long and a short context and a dead one. Conclusion: no mend was needed.

--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -268,3 +268,32 @@
     assert 'minttide_recoveries_total{service="drafts",way="prefill"} 1' in text
     assert 'minttide_first_token_seconds_count{service="drafts"} 1' in text
     assert 'minttide_recovery_seconds_count{service="drafts"} 1' in text
+
+
+@pytest.mark.parametrize(
+    ("prompt_tokens", "hangs", "way"),
+    [(2000, True, "import"), (100, True, "prefill"), (2000, False, "prefill")],
+)
+def test_kv_caches_are_imported_where_all_are_there_and_that_is_sooner(prompt_tokens, hangs, way):
+    prompt = "commentary " * (prompt_tokens // 11)
+
+    async def run():
+        async with Bench(chains=2) as bench:
+            reader = await bench.open(prompt=prompt, max_tokens=20)
+            await reader.read(5)
+            run = next(iter(bench.watch.owners.values()))
+            engine = bench.engine(run.attempt.chain.engines[1])
+            if hangs:
+                engine.slow_factor = 1e4
+            else:
+                engine.die()
+            await reader.read()
+            await reader.close()
+            engine.slow_factor = 1.0
+            await asyncio.sleep(100)
+            return reader, bench.node.metrics.render().decode(), bench.site.left_behind
+
+    reader, counted, left = run_virtual(run())
+    assert reader.tokens == expected(prompt, 20)
+    assert f'minttide_recoveries_total{{service="drafts",way="{way}"}} 1' in counted
+    assert left == 0
