Let a draft look on while engines are still loading their layers

Cause: after a plan that moves many layers, a draft tried chain after chain, and ten refusals in a row gave it up though another chain was loaded. Change: a refusal by an engine that doesn't hold its layers, leaves or lacks memory takes the engine out of the choice and doesn't count towards giving up; an engine whose last known state isn't as planned gets no work from the start; leaving engines are avoided on every chain of the plan. The time that a suspicion stands is a module of its own (holds.py). Figures: test_drafts.py with 15 of 16 chains not loaded fails without the change and passes with it; 437 tests of drafts, failures and callers pass.

--- a/daemon/minttided/draft_run.py
+++ b/daemon/minttided/draft_run.py
@@ -12,7 +12,7 @@
 from minttide.policy.attempt import Attempt, AttemptState, Outcome, Taken
 from minttide.policy.chains import Chain
 from minttide.steps import Step, StepError, StepReply
-from minttided.engine_watch import EngineWatch
+from minttided.engine_watch import UNFIT_ERRORS, EngineWatch
 from minttided.problems import problem
 from minttided.steps_batcher import log_dropped
 
@@ -170,6 +170,9 @@
     def _refused(self, engine: UpstreamId, reply: StepReply, outcome: Outcome) -> None:
         error = outcome.error or StepError.WRONG_POSITION
         self._watch.note_error(engine, error)
+        if error in UNFIT_ERRORS:
+            # The engine gets no other step of this draft, so that the draft can't go on like this.
+            self.failures_in_row -= 1
         self._fail(engine, error.value)
 
     def _note_progress(self) -> None:
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -5,7 +5,6 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
 from itertools import cycle
 
 import msgspec
@@ -16,6 +15,7 @@
 from minttide.policy.suspicion import Suspicion
 from minttide.steps import EngineState, LoadReport, Step, StepError
 from minttided.cache_view import CacheView
+from minttided.holds import Holds
 from minttided.metrics import Metrics
 from minttided.node import Node
 from minttided.steps_batcher import EngineLane, StepOwner
@@ -30,26 +30,11 @@
 PROBE_S = 0.25
 """Time between two looks at engines that are suspected."""
 
-PROBES_AT_ONCE = 8
-FIRST_HOLD_S = 0.25
-LONGEST_HOLD_S = 30.0
-"""Bounds of how long a suspicion stands before the engine's state alone may lift it."""
-
-HOLD_MEMORY_S = 60.0
-"""An engine that is suspected again within this time is held for twice as long."""
-
+PROBES_AT_ONCE = 16
 UNFIT_ERRORS = {StepError.WRONG_LAYERS, StepError.NO_MEMORY, StepError.LEAVING}
 """Errors after which an engine gets no new request until its state was read."""
 
 
-@dataclass
-class _Hold:
-    """A suspicion that stands until `until_s` in loop time."""
-
-    until_s: float
-    length_s: float
-
-
 class EngineWatch:
     """What this daemon knows of engines. It judges them by their answers to its own steps."""
 
@@ -57,7 +42,7 @@
         self._node = node
         self._suspicion = Suspicion()
         self._unfit: dict[UpstreamId, str] = {}
-        self._holds: dict[UpstreamId, _Hold] = {}
+        self._holds = Holds()
         self._rng = random.Random(node.cfg.host)
         self._reports: dict[UpstreamId, LoadReport] = {}
         self._caches = CacheView()
@@ -113,12 +98,20 @@
         for engine in set(before) | set(self._topology.assignments):
             if _layers(before.get(engine)) != _layers(self._topology.assignments.get(engine)):
                 self._suspicion.forget(engine)
-                self._unfit.pop(engine, None)
+                self._judge_state(engine)
         self._caches.keep_only(set(self._topology.followed))
-        self._holds = {e: h for e, h in self._holds.items() if e in self._topology.engines}
+        self._holds.keep_only(self._topology.engines)
         self._drop_idle_lanes()
         self.notify()
 
+    def _judge_state(self, engine: UpstreamId) -> None:
+        """Hold an engine that has new layers to load unfit until it was seen to hold them."""
+        self._unfit.pop(engine, None)
+        placement = self._node.placement
+        state = placement.state(engine) if placement is not None else None
+        if state is not None and not self._fits(engine, state):
+            self._unfit[engine] = "its last state isn't as planned"
+
     def chains(self, service: ServiceName, everywhere: bool = False) -> Sequence[Chain]:
         """Return the chains of a service that this daemon follows, or all of the domain."""
         topology = self.topology
@@ -127,7 +120,8 @@
     def avoid(self) -> frozenset[UpstreamId]:
         """Return the engines that get no new request: suspected, unfit or leaving."""
         members = self._node.members
-        leaving = [e for e in self._topology.followed if members and members.upstream_leaving(e)]
+        planned = self._topology.assignments
+        leaving = [e for e in planned if members and members.upstream_leaving(e)]
         return self._suspicion.suspected.union(self._unfit, leaving)
 
     def news(self, service: ServiceName, prefixes: Sequence[str] = ()) -> ChainNews:
@@ -199,18 +193,10 @@
         if engine not in self._suspicion.suspected:
             log.warning("engine suspected", extra={"engine": engine, "reason": reason})
             self._suspicion.suspect(engine)
-            self._hold(engine)
+            self._holds.hold(engine)
             if self._node.placement is not None:
                 self._node.placement.suspect(engine)
 
-    def _hold(self, engine: UpstreamId) -> None:
-        now = asyncio.get_running_loop().time()
-        last = self._holds.get(engine)
-        length_s = FIRST_HOLD_S
-        if last is not None and now < last.until_s + HOLD_MEMORY_S:
-            length_s = min(LONGEST_HOLD_S, 2 * last.length_s)
-        self._holds[engine] = _Hold(now + length_s, length_s)
-
     def note_error(self, engine: UpstreamId, error: StepError) -> None:
         """Note that an engine refused a step."""
         if error not in UNFIT_ERRORS:
@@ -258,9 +244,7 @@
     async def _probe_doubtful(self) -> None:
         while True:
             await asyncio.sleep(PROBE_S)
-            now = asyncio.get_running_loop().time()
-            held = {e for e, hold in self._holds.items() if now < hold.until_s}
-            doubtful = sorted(self._suspicion.suspected.union(self._unfit) - held)
+            doubtful = sorted(self._suspicion.suspected.union(self._unfit) - self._holds.held())
             picked = self._rng.sample(doubtful, min(PROBES_AT_ONCE, len(doubtful)))
             await asyncio.gather(*(self._probe(engine) for engine in picked))
 
--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -297,3 +297,17 @@
     assert reader.tokens == expected(prompt, 20)
     assert f'minttide_recoveries_total{{service="drafts",way="{way}"}} 1' in counted
     assert left == 0
+
+
+def test_a_draft_finds_the_one_chain_that_is_loaded_among_many_that_are_not():
+    async def run():
+        async with Bench(chains=16) as bench:
+            for chain in range(1, 16):
+                bench.engine(f"e{chain}-1").hold("other", "v9", 0, 1, 300)
+            reader = await bench.open(prompt=PROMPT, max_tokens=TOKENS)
+            await reader.read()
+            await reader.close()
+            return reader
+
+    reader = run_virtual(run())
+    assert (reader.problem, reader.tokens) == (None, expected(PROMPT, TOKENS))
