--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -302,7 +302,8 @@
 def test_a_draft_finds_the_one_chain_that_is_loaded_among_many_that_are_not():
     async def run():
         async with Bench(chains=16) as bench:
-            for chain in range(1, 16):
+            # Chain c8 is the last by name, so that nothing picks it by chance first.
+            for chain in set(range(16)) - {8}:
                 bench.engine(f"e{chain}-1").hold("other", "v9", 0, 1, 300)
             reader = await bench.open(prompt=PROMPT, max_tokens=TOKENS)
             await reader.read()
