--- a/cli/minttide_cli/demo/scenes.py
+++ b/cli/minttide_cli/demo/scenes.py
@@ -4,7 +4,6 @@
 import time
 
 from minttide.config.checks import check_service_files
-from minttide.config.service import PlainService
 from minttide.findings import CheckError
 from minttide.ids import Address, ServiceName
 from minttide.outcome import Ran
@@ -26,6 +25,8 @@
 STREAMS = 12
 SEEN_BEFORE_DEATH = 8
 MID_STREAM_S = 0.4
+BOOKING = ServiceName("booking")
+LEDGER = ServiceName("ledger")
 KEY = "0199-demo-wedding-of-bat-and-saraa"
 OUTAGE_KEY = "0199-demo-during-the-outage"
 OK = 200
@@ -119,12 +120,11 @@
         callers = [Caller([entry], token) for entry in self.site.entries[:2]]
         for caller, entry in zip(callers, self.site.entries, strict=False):
             caller.use_only(entry)
-        booking = self._plain("booking")
         replies = await asyncio.gather(
-            *(c.call(booking, "POST", "/bookings", body, KEY) for c in callers),
+            *(c.call(BOOKING, "POST", "/bookings", body, KEY) for c in callers),
             return_exceptions=True,
         )
-        ran = self.site.fakes.ledgers[booking][KEY]
+        ran = self.site.fakes.ledgers[BOOKING][KEY]
         seen = [
             str(reply) if isinstance(reply, BaseException) else str(reply.status)
             for reply in replies
@@ -139,16 +139,15 @@
         self.site.served.log.down = True
         caller = Caller(self.site.entries, token_of("portal"))
         auditor = Caller(self.site.entries, token_of("grocery-north"))
-        booking, ledger = self._plain("booking"), self._plain("ledger")
-        refused = await self._book(caller, booking)
+        refused = await self._book(caller)
         told = isinstance(refused, CallerError) and refused.problem.ran is Ran.NOT_RUN
         self.story.check(
-            told and not self.site.fakes.ledgers[booking][OUTAGE_KEY],
+            told and not self.site.fakes.ledgers[BOOKING][OUTAGE_KEY],
             "a keyed booking was refused as not run, and was not run",
             str(refused),
         )
-        posted = await auditor.call(ledger, "POST", "/postings", b"{}", OUTAGE_KEY)
-        ran = self.site.fakes.ledgers[ledger][OUTAGE_KEY]
+        posted = await auditor.call(LEDGER, "POST", "/postings", b"{}", OUTAGE_KEY)
+        ran = self.site.fakes.ledgers[LEDGER][OUTAGE_KEY]
         self.story.check(
             posted.status == OK and ran == 1,
             "a posting ran once, since the ledger itself rejects duplicates",
@@ -156,26 +155,22 @@
         answers = await ask_many(self.site.make_callers(), "Who sings in Dornod?", STREAMS // 2)
         self._check_answers(answers, "drafts were streamed all the while")
         self.site.served.log.down = False
-        back = await wait_until_async(SETTLE_LIMIT_S, lambda: self._is_booked(caller, booking))
-        ran = self.site.fakes.ledgers[booking][OUTAGE_KEY]
+        back = await wait_until_async(SETTLE_LIMIT_S, lambda: self._is_booked(caller))
+        ran = self.site.fakes.ledgers[BOOKING][OUTAGE_KEY]
         self.story.check(
             back and ran == 1, "once the log was back, the same booking ran once", f"ran {ran}"
         )
 
-    async def _book(self, caller: Caller, booking: ServiceName) -> HttpReply | CallerError:
+    async def _book(self, caller: Caller) -> HttpReply | CallerError:
         try:
-            return await caller.call(booking, "POST", "/bookings", b"{}", OUTAGE_KEY)
+            return await caller.call(BOOKING, "POST", "/bookings", b"{}", OUTAGE_KEY)
         except CallerError as exc:
             return exc
 
-    async def _is_booked(self, caller: Caller, booking: ServiceName) -> bool:
-        reply = await self._book(caller, booking)
+    async def _is_booked(self, caller: Caller) -> bool:
+        reply = await self._book(caller)
         return isinstance(reply, HttpReply) and reply.status == OK
 
-    def _plain(self, name: str) -> ServiceName:
-        files = self.site.fakes.plain.values()
-        return next(f.service for f in files if isinstance(f, PlainService) and f.service == name)
-
     async def stop_one(self) -> None:
         """Stop one daemon under load."""
         leaving = self.site.daemons[1]
