--- a/cli/minttide_cli/commands/demo.py
+++ b/cli/minttide_cli/commands/demo.py
@@ -9,7 +9,6 @@
 from minttide.config.settings import LogFormat, LogLevel
 from minttide.findings import CheckError
 from minttide.ids import HostId
-from minttide_cli.demo.runner import run_demo
 from minttide_cli.options import Exit, fail
 from minttided.logs import configure_logging
 
@@ -29,6 +28,9 @@
 
     Ends by itself, with exit status 0 only if every answer was whole and each booking ran once.
     """
+    # Imported here, since no other command needs the daemon and the stand-ins.
+    from minttide_cli.demo.runner import run_demo
+
     if verbose:
         configure_logging(HostId("demo"), LogLevel.INFO, LogFormat.KEY_VALUE)
     else:
--- a/cli/minttide_cli/commands/publish.py
+++ b/cli/minttide_cli/commands/publish.py
@@ -1,7 +1,6 @@
 """`minttide publish`: puts service files into force."""
 
 import getpass
-import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -97,7 +96,7 @@
         """Show the difference and publish it; return none when there is nothing to publish."""
         async with (
             open_log(log_address) as platform_log,
-            Publisher(platform_log, self._author, lambda: time.time_ns() // 1_000_000) as publisher,
+            Publisher(platform_log, self._author) as publisher,
         ):
             files = self._check(publisher.fold)
             if files is None:
--- a/cli/minttide_cli/demo/scenes.py
+++ b/cli/minttide_cli/demo/scenes.py
@@ -1,7 +1,6 @@
 """The scenes of the demo: each does one thing to the running site and checks what came of it."""
 
 import asyncio
-import time
 
 from minttide.config.checks import check_service_files
 from minttide.findings import CheckError
@@ -45,7 +44,7 @@
         self.story.tell(f"Publishing the service files of both deployments: {names}")
         async with (
             open_log(self.site.log_address) as platform_log,
-            Publisher(platform_log, "demo", lambda: time.time_ns() // 1_000_000) as publisher,
+            Publisher(platform_log, "demo") as publisher,
         ):
             files = check_service_files(self.site.texts, publisher.fold.files)
             if files.is_error():
--- a/daemon/minttided/publisher.py
+++ b/daemon/minttided/publisher.py
@@ -4,7 +4,6 @@
 import logging
 import uuid
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Self
 
@@ -24,6 +23,7 @@
 from minttide.interfaces import LogUnavailableError, LogUncertainError, PlatformLog
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttided.follower import Follower
+from minttided.node import read_wall_ms
 
 log = logging.getLogger(__name__)
 
@@ -126,19 +126,21 @@
     return values[index] if index < len(values) else None
 
 
-@dataclass
 class Publisher:
     """Publishes from one operator's machine; a context manager that follows the log meanwhile."""
 
-    platform_log: PlatformLog
-    author: str
-    now_ms: Callable[[], int]
-    fold: ConfigFold = field(default_factory=ConfigFold)
-    _verdicts: dict[PublishId, Verdict] = field(default_factory=dict)
-
-    def __post_init__(self) -> None:
+    def __init__(
+        self,
+        platform_log: PlatformLog,
+        author: str,
+        now_ms: Callable[[], int] = read_wall_ms,
+    ) -> None:
+        self.fold = ConfigFold()
+        self._author = author
+        self._now_ms = now_ms
         self._host = HostId(f"publisher-{uuid.uuid4().hex[:12]}")
-        self._follower = Follower(self.platform_log, CONFIG_STREAM, self.fold, self._note_verdicts)
+        self._verdicts: dict[PublishId, Verdict] = {}
+        self._follower = Follower(platform_log, CONFIG_STREAM, self.fold, self._note_verdicts)
 
     async def __aenter__(self) -> Self:
         await self._follower.__aenter__()
@@ -162,8 +164,8 @@
         """Publish the differences whole or not at all, and settle a lost answer."""
         publish_id = PublishId(uuid.uuid4().hex)
         changes = [ServiceChange(d.service, d.seen, d.file) for d in differences]
-        body = Publish(publish_id, self.author, changes)
-        envelope = Envelope(FORMAT, self._host, Incarnation(0), self.now_ms(), body)
+        body = Publish(publish_id, self._author, changes)
+        envelope = Envelope(FORMAT, self._host, Incarnation(0), self._now_ms(), body)
         payload = encode(envelope)
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
@@ -197,11 +199,6 @@
         settled = _SETTLED.get(verdict.decision, Settled.REJECTED)
         return Publication(publish_id, settled, verdict.offset, verdict.detail)
 
-    def winner_of(self, service: ServiceName) -> str:
-        """Say which publish changed a service last."""
-        entry = self.fold.entries.get(service)
-        return "withdrawn" if entry is None else f"publish {entry.publish_id} at {entry.changed}"
-
 
 _SETTLED = {
     Decision.ACCEPTED: Settled.ACCEPTED,
