Stop publishing where a record of a newer format stands in the log

Cause: behind such a record no verdict of this version comes; publish waited 30 s for one and said that no answer of the log settled it. Change: the command says so before anything is appended; when the record comes in between, the outcome is unknown at once, since hosts of the newer version may accept the publish. Figures: 2 cases in test_publisher.py; before, the same case ended after 30 s of virtual time. Conclusion: the operator is told what to do instead of waiting.

--- a/daemon/minttided/publisher.py
+++ b/daemon/minttided/publisher.py
@@ -32,6 +32,8 @@
 RETRY_S = 0.5
 POLL_S = 0.2
 
+NEWER_FORMAT = "the log holds a record of a newer format; use that version of minttide"
+
 
 class Action(Enum):
     """What a publish does to one service."""
@@ -150,6 +152,9 @@
         except TimeoutError:
             await self._follower.__aexit__(None, None, None)
             raise ConfigUnknownError("the platform log gives no configuration now") from None
+        if self._follower.stopped:
+            await self._follower.__aexit__(None, None, None)
+            raise ConfigUnknownError(NEWER_FORMAT)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -185,6 +190,9 @@
                 log.info("log unavailable", extra={"publish": publish_id})
             if await self._read_verdict(publish_id):
                 return self._outcome(publish_id)
+            if self._follower.stopped:
+                # Hosts of the newer version may accept the record, which can't be told here.
+                return Publication(publish_id, Settled.UNKNOWN, detail=NEWER_FORMAT)
             await asyncio.sleep(RETRY_S)
 
     async def _read_verdict(self, publish_id: PublishId) -> bool:
--- a/test/test_publisher.py
+++ b/test/test_publisher.py
@@ -84,6 +84,23 @@
     assert run_virtual(run()) is Settled.UNKNOWN
 
 
+@pytest.mark.parametrize("before", [True, False])
+def test_a_record_of_a_newer_format_stops_publishing(before):
+    async def run():
+        log = MemoryLog()
+        if before:
+            log.put(CONFIG_STREAM, b'{"format":99}')
+            with pytest.raises(ConfigUnknownError, match="newer format"):
+                async with make_publisher(log):
+                    pass
+            return Settled.UNKNOWN
+        async with make_publisher(log) as own:
+            log.put(CONFIG_STREAM, b'{"format":99}')
+            return (await own.publish(find_differences(own.fold, [make_file()]))).settled
+
+    assert run_virtual(run()) is Settled.UNKNOWN
+
+
 def test_differences_name_their_places_and_withdrawals():
     async def run():
         log = MemoryLog()
