--- a/daemon/minttided/publisher.py
+++ b/daemon/minttided/publisher.py
@@ -4,7 +4,6 @@
 import logging
 import uuid
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Self
 
@@ -24,6 +23,7 @@
 from minttide.interfaces import LogUnavailableError, LogUncertainError, PlatformLog
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttided.follower import Follower
+from minttided.node import read_wall_ms
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +32,8 @@
 RETRY_S = 0.5
 POLL_S = 0.2
 
+NEWER_FORMAT = "the log holds a record of a newer format; use that version of minttide"
+
 
 class Action(Enum):
     """What a publish does to one service."""
@@ -126,19 +128,21 @@
     return values[index] if index < len(values) else None
 
 
-@dataclass
 class Publisher:
     """Publishes from one operator's machine; a context manager that follows the log meanwhile."""
 
-    platform_log: PlatformLog
-    author: str
-    now_ms: Callable[[], int]
-    fold: ConfigFold = field(default_factory=ConfigFold)
-    _verdicts: dict[PublishId, Verdict] = field(default_factory=dict)
-
-    def __post_init__(self) -> None:
+    def __init__(
+        self,
+        platform_log: PlatformLog,
+        author: str,
+        now_ms: Callable[[], int] = read_wall_ms,
+    ) -> None:
+        self.fold = ConfigFold()
+        self._author = author
+        self._now_ms = now_ms
         self._host = HostId(f"publisher-{uuid.uuid4().hex[:12]}")
-        self._follower = Follower(self.platform_log, CONFIG_STREAM, self.fold, self._note_verdicts)
+        self._verdicts: dict[PublishId, Verdict] = {}
+        self._follower = Follower(platform_log, CONFIG_STREAM, self.fold, self._note_verdicts)
 
     async def __aenter__(self) -> Self:
         await self._follower.__aenter__()
@@ -148,6 +152,9 @@
         except TimeoutError:
             await self._follower.__aexit__(None, None, None)
             raise ConfigUnknownError("the platform log gives no configuration now") from None
+        if self._follower.stopped:
+            await self._follower.__aexit__(None, None, None)
+            raise ConfigUnknownError(NEWER_FORMAT)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -162,8 +169,8 @@
         """Publish the differences whole or not at all, and settle a lost answer."""
         publish_id = PublishId(uuid.uuid4().hex)
         changes = [ServiceChange(d.service, d.seen, d.file) for d in differences]
-        body = Publish(publish_id, self.author, changes)
-        envelope = Envelope(FORMAT, self._host, Incarnation(0), self.now_ms(), body)
+        body = Publish(publish_id, self._author, changes)
+        envelope = Envelope(FORMAT, self._host, Incarnation(0), self._now_ms(), body)
         payload = encode(envelope)
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
@@ -183,6 +190,9 @@
                 log.info("log unavailable", extra={"publish": publish_id})
             if await self._read_verdict(publish_id):
                 return self._outcome(publish_id)
+            if self._follower.stopped:
+                # Hosts of the newer version may accept the record, which can't be told here.
+                return Publication(publish_id, Settled.UNKNOWN, detail=NEWER_FORMAT)
             await asyncio.sleep(RETRY_S)
 
     async def _read_verdict(self, publish_id: PublishId) -> bool:
@@ -197,11 +207,6 @@
         settled = _SETTLED.get(verdict.decision, Settled.REJECTED)
         return Publication(publish_id, settled, verdict.offset, verdict.detail)
 
-    def winner_of(self, service: ServiceName) -> str:
-        """Say which publish changed a service last."""
-        entry = self.fold.entries.get(service)
-        return "withdrawn" if entry is None else f"publish {entry.publish_id} at {entry.changed}"
-
 
 _SETTLED = {
     Decision.ACCEPTED: Settled.ACCEPTED,
