Keep an account's rate over all hosts closer to its limit

Cause: host_share always allowed an even part, so hosts with little demand added to those with much. Change: a quarter of the even part is always allowed; measure limit_error.

--- a/core/minttide/policy/limits.py
+++ b/core/minttide/policy/limits.py
@@ -25,6 +25,9 @@
 RESERVED_SHARE = 0.15
 """Share of the capacity that only accounts below their share may take."""
 
+ALWAYS_ALLOWED = 0.25
+"""Part of its even share of a limit that a host may admit whatever it heard from peers."""
+
 LEAST_RETRY_S = 0.5
 MOST_RETRY_S = 60.0
 HTTP_TOO_MANY = 429
@@ -219,13 +222,14 @@
     """Return this host's share of an account's limit over all `hosts`.
 
     `others_per_s` is the account's demand elsewhere as peers hinted, or none where nothing is
-    known. An even part is always allowed, so the sum over the hosts stays below twice the limit.
+    known. A part of the even share is always allowed, so that a first caller gets in; the sum over
+    the hosts stays below 1 plus `ALWAYS_ALLOWED` while the hints are right.
     """
     even = 1.0 / max(1, hosts)
     if others_per_s is None:
         return even
     total = own_per_s + others_per_s
-    return max(even, own_per_s / total) if total > 0 else even
+    return max(ALWAYS_ALLOWED * even, own_per_s / total) if total > 0 else even
 
 
 class RateLimit:
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,7 @@
     "recovery",
     "shares",
     "zone_loss",
+    "limit_error",
 ]
 
 
