Plan in parts, so that the daemon's loop can run other work between them

Cause: a fresh plan of 300 engines took 1.2 s in one call, on the loop that also carries streams. Change: plan_in_parts is a generator that yields between parts; plan_site drives it to its end. Conclusion: same plans as before; the controller can await between the parts.

--- a/core/minttide/policy/group.py
+++ b/core/minttide/policy/group.py
@@ -4,7 +4,7 @@
 put in a few sensible orders, and each order is cut where the chains' summed scores are best.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 
 from minttide.ids import UpstreamId
 from minttide.policy.links import Links
@@ -16,6 +16,9 @@
 
 Group = tuple[tuple[EngineShape, ...], Split]
 
+Grouping = Generator[None, None, list[Group]]
+"""Planning in short parts: it yields between them, so that a daemon's loop can run other work."""
+
 
 class ChainRater:
     """Rates groups of engines for one service, remembering groups of engines alike."""
@@ -78,11 +81,12 @@
     return tuple(sorted(engines, key=lambda e: e.sort_key))
 
 
-def cut_into_chains(ordered: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+def cut_into_chains(ordered: Sequence[EngineShape], rater: ChainRater) -> Grouping:
     """Cut `ordered` into chains, leaving engines out where that is better."""
     best = [0.0] * (len(ordered) + 1)
     chosen: list[Group | None] = [None] * (len(ordered) + 1)
     for end in range(1, len(ordered) + 1):
+        yield
         best[end] = best[end - 1]
         for start in range(max(0, end - MAX_STAGES), end):
             engines = _stage_order(ordered[start:end])
@@ -102,15 +106,17 @@
     return groups[::-1]
 
 
-def group_engines(engines: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+def group_engines(engines: Sequence[EngineShape], rater: ChainRater) -> Grouping:
     """Group the engines of one zone, trying a few orders; returns the groups of the best."""
-    tried = [cut_into_chains(order(engines, rater), rater) for order in (_by_kind, _interleaved)]
+    tried = []
+    for order in (_by_kind, _interleaved):
+        tried.append((yield from cut_into_chains(order(engines, rater), rater)))
     return max(tried, key=total_score)
 
 
-def group_over_zones(engines: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+def group_over_zones(engines: Sequence[EngineShape], rater: ChainRater) -> Grouping:
     """Group engines that are left over in several zones into chains that cross links."""
-    return cut_into_chains(_by_zone(engines, rater), rater)
+    return (yield from cut_into_chains(_by_zone(engines, rater), rater))
 
 
 def total_score(groups: Sequence[Group]) -> float:
--- a/core/minttide/policy/placement.py
+++ b/core/minttide/policy/placement.py
@@ -4,23 +4,23 @@
 """
 
 from collections import defaultdict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Generator, Mapping, Sequence
 
 import msgspec
 
 from minttide.config.service import ModelService, Site
 from minttide.ids import ChainId, ServiceName, UpstreamId, ZoneId
 from minttide.policy.changes import order_changes
-from minttide.policy.group import ChainRater, Group, group_engines, group_over_zones
+from minttide.policy.group import ChainRater, Group, Grouping, group_engines, group_over_zones
 from minttide.policy.links import Links
 from minttide.policy.power import PowerBudget, choose_levels
 from minttide.policy.speed import EngineShape, Level, level_at, shape_engines, shape_service
 from minttide.policy.stability import ChainPlan, adopt, keep_intact, moved_mb
-from minttide.policy.tuning import tune_levels
+from minttide.policy.tuning import Tuning, tune_levels
 from minttide.records import Assignment
 from minttide.steps import EngineState
 
-__all__ = ["SitePlan", "order_changes", "plan_site"]
+__all__ = ["Planning", "SitePlan", "order_changes", "plan_in_parts", "plan_site"]
 
 IDLE = ""
 """The chain name of an engine that belongs to none."""
@@ -50,6 +50,10 @@
         return self.tokens_per_s / self.watts if self.watts else 0.0
 
 
+Planning = Generator[None, None, SitePlan]
+"""Planning in parts of a few milliseconds each; the plan is the generator's return value."""
+
+
 def plan_site(
     site: Site,
     services: Sequence[ModelService],
@@ -58,6 +62,24 @@
     lost_zones: Collection[ZoneId] = (),
     lost_engines: Collection[UpstreamId] = (),
 ) -> SitePlan:
+    """Plan the site at once; see `plan_in_parts`."""
+    planning = plan_in_parts(site, services, states, previous, lost_zones, lost_engines)
+    while True:
+        try:
+            next(planning)
+        except StopIteration as exc:
+            plan: SitePlan = exc.value
+            return plan
+
+
+def plan_in_parts(
+    site: Site,
+    services: Sequence[ModelService],
+    states: Mapping[UpstreamId, EngineState],
+    previous: Sequence[Assignment] = (),
+    lost_zones: Collection[ZoneId] = (),
+    lost_engines: Collection[UpstreamId] = (),
+) -> Planning:
     """Plan the site for the most useful tokens a second under its power cap.
 
     Engines that are lost, or that say in `states` that they are leaving, get no new layers. They
@@ -76,12 +98,12 @@
     planner = _Planner(site, ordered, owners, lost, previous)
     intact = keep_intact(previous, ordered, lost)
     if not intact:
-        return planner.plan({}, "fresh plan")
-    kept = planner.plan(intact, "chains in place kept")
+        return (yield from planner.plan({}, "fresh plan"))
+    kept = yield from planner.plan(intact, "chains in place kept")
     served = {a.service for a in previous if a.chain}
     if lost and served <= {c.service for c in kept.chains}:
         return kept
-    fresh = planner.plan({}, "fresh plan")
+    fresh = yield from planner.plan({}, "fresh plan")
     rate = site.weight_store.mb_per_s if site.weight_store else None
     return adopt(kept, fresh, rate)
 
@@ -139,7 +161,7 @@
         zones = len(site.zones)
         self._spare = zones / (zones - 1) if zones > 1 else 1.0
 
-    def plan(self, intact: Mapping[ChainId, Sequence[Assignment]], reason: str) -> SitePlan:
+    def plan(self, intact: Mapping[ChainId, Sequence[Assignment]], reason: str) -> Planning:
         """Plan with the chains `intact` left as they are."""
         live = {
             n: [e for e in engines if e.engine not in self._lost]
@@ -158,10 +180,13 @@
         levels = pinned | choose_levels(members, budget)
         plans: list[ChainPlan] = []
         for name, engines in live.items():
-            plans.extend(self._plan_service(self._services[name], engines, levels, intact))
+            service = self._services[name]
+            plans += yield from self._plan_service(service, engines, levels, intact)
         shapes = {n: shape_service(s) for n, s in self._services.items()}
         everyone = {e.engine: e for engines in live.values() for e in engines}
-        plans = tune_levels(plans, shapes, self._links, budget, levels, everyone, self._spare)
+        plans = yield from tune_levels(
+            plans, shapes, self._links, budget, levels, everyone, self._spare
+        )
         return self._assemble(plans, levels, over_cap, reason)
 
     def _levels_in_place(
@@ -200,7 +225,7 @@
         engines: Sequence[EngineShape],
         levels: Mapping[UpstreamId, Level],
         intact: Mapping[ChainId, Sequence[Assignment]],
-    ) -> list[ChainPlan]:
+    ) -> Tuning:
         rater = ChainRater(shape_service(service), levels, self._links, self._spare)
         by_id = {e.engine: e for e in engines}
         plans: list[ChainPlan] = []
@@ -212,19 +237,21 @@
                 plans.append(kept)
         used = {e.engine for p in plans for e in p.engines}
         free = [e for e in engines if e.engine not in used]
-        groups = self._group(free, rater)
+        groups = yield from self._group(free, rater)
         plans += [ChainPlan.new(service, group, split) for group, split in groups]
         on_time = [p for p in plans if p.split.on_time]
         return on_time or plans
 
-    def _group(self, free: Sequence[EngineShape], rater: ChainRater) -> list[Group]:
+    def _group(self, free: Sequence[EngineShape], rater: ChainRater) -> Grouping:
         zones: dict[ZoneId, list[EngineShape]] = defaultdict(list)
         for engine in free:
             zones[engine.zone].append(engine)
-        groups = [g for _, members in sorted(zones.items()) for g in group_engines(members, rater)]
+        groups: list[Group] = []
+        for _, members in sorted(zones.items()):
+            groups += yield from group_engines(members, rater)
         used = {e.engine for engines, _ in groups for e in engines}
         left = [e for e in free if e.engine not in used]
-        return groups + group_over_zones(left, rater)
+        return groups + (yield from group_over_zones(left, rater))
 
     def _assemble(
         self,
--- a/core/minttide/policy/tuning.py
+++ b/core/minttide/policy/tuning.py
@@ -1,6 +1,6 @@
 """Adjusts power levels once the chains are known: no engine draws more than its chain can use."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 
 import msgspec
 
@@ -15,6 +15,10 @@
 """A stage is lowered only while its chain keeps this share of its score."""
 
 
+Tuning = Generator[None, None, list[ChainPlan]]
+"""Tuning in short parts; it yields between them."""
+
+
 class _Raise(msgspec.Struct, frozen=True):
     """Higher levels for some engines of one chain."""
 
@@ -113,9 +117,12 @@
                 found[engine.engine] = higher[0]
         return found
 
-    def spend(self, plans: list[ChainPlan]) -> list[ChainPlan]:
+    def spend(self, plans: list[ChainPlan]) -> Tuning:
         """Raise chains, best added score for each watt first, until nothing more can be bought."""
-        raises = {i: self.best_raise(p) for i, p in enumerate(plans)}
+        raises: dict[int, _Raise | None] = {}
+        for i, plan in enumerate(plans):
+            raises[i] = self.best_raise(plan)
+            yield
         while True:
             able = [(r.gain, -i) for i, r in raises.items() if r is not None]
             if not able:
@@ -128,6 +135,7 @@
                     self._set(engine, level)
                 plans[index] = msgspec.structs.replace(plans[index], split=chosen.split)
             raises[index] = self.best_raise(plans[index])
+            yield
 
 
 def tune_levels(
@@ -138,12 +146,15 @@
     levels: dict[UpstreamId, Level],
     engines: Mapping[UpstreamId, EngineShape],
     spare: float,
-) -> list[ChainPlan]:
+) -> Tuning:
     """Take back power that no chain can use and spend it where it adds most.
 
     Changes `levels` and `budget`, and returns the chains with their new splits.
     """
     tuner = _Tuner(shapes, links, budget, levels, spare)
     tuner.release_idle(plans, engines)
-    trimmed = [tuner.trim(plan) for plan in plans]
-    return tuner.spend(trimmed)
+    trimmed = []
+    for plan in plans:
+        trimmed.append(tuner.trim(plan))
+        yield
+    return (yield from tuner.spend(trimmed))
