Say when a KV cache is worth an export, and pace imports with prefills

Cause: recovery takes as long as the prefill of what was lost, and nothing cheaper was offered. Change: export_due; a stalled stream names the chains on which only the rest of its tokens has to be prefilled, and the pacer counts that; measure.recovery has two more ways. An import of parts of several exports would pay far more; it needs an order that the engines' interface does not have.

--- a/core/minttide/policy/recovery.py
+++ b/core/minttide/policy/recovery.py
@@ -17,6 +17,10 @@
 """Prefill work that may wait on one chain; the rest waits in the router, in order."""
 
 
+EXPORT_EVERY_TOKENS = 64
+"""Tokens of context after which it pays to export a stream's KV cache again."""
+
+
 class ResumeWay(Enum):
     """How a stream goes on."""
 
@@ -34,6 +38,11 @@
     tokens: int
 
 
+def export_due(tokens: int, exported: int) -> bool:
+    """Return whether a stream of `tokens` should export its KV cache, last done at `exported`."""
+    return tokens - exported >= EXPORT_EVERY_TOKENS
+
+
 class Resume(msgspec.Struct, frozen=True):
     """The way that a stream takes, with the expected time to its next token in milliseconds."""
 
@@ -100,12 +109,21 @@
 
 
 class Stalled(msgspec.Struct, frozen=True):
-    """A stream that waits to be resumed. `since_ms` is when its first failure was seen."""
+    """A stream that waits to be resumed. `since_ms` is when its first failure was seen.
+
+    On the chains in `imports` only `rest` of its `tokens` have to be prefilled.
+    """
 
     request: RequestId
     tokens: int
     priority: int
     since_ms: float
+    imports: frozenset[ChainId] = frozenset()
+    rest: int = 0
+
+    def prefill_tokens(self, chain: ChainId) -> int:
+        """Return the tokens to prefill on a chain."""
+        return max(1, self.rest) if chain in self.imports else self.tokens
 
 
 class Start(msgspec.Struct, frozen=True):
@@ -163,12 +181,12 @@
         if not self._waiting or not prefill_ms_per_token:
             return None
         stalled = self._stalled[self._waiting[0][3]]
-        chain = self._pick(stalled.tokens, prefill_ms_per_token)
+        chain = self._pick(stalled, prefill_ms_per_token)
         if self._waiting_ms(chain) > self._backlog_ms:
             return None
         heapq.heappop(self._waiting)
         del self._stalled[stalled.request]
-        work_ms = prefill_ms_per_token[chain] * stalled.tokens
+        work_ms = prefill_ms_per_token[chain] * stalled.prefill_tokens(chain)
         self._busy_ms[chain] = self._busy_ms.get(chain, 0.0) + work_ms
         self._started[stalled.request] = (chain, work_ms)
         return Start(stalled, chain)
@@ -177,11 +195,14 @@
         """Return the work believed to wait on a chain, if all peers send it as much."""
         return self._peers * self._busy_ms.get(chain, 0.0)
 
-    def _pick(self, tokens: int, speeds: Mapping[ChainId, float]) -> ChainId:
+    def _done_ms(self, chain: ChainId, stalled: Stalled, per_token_ms: float) -> float:
+        return self._waiting_ms(chain) + per_token_ms * stalled.prefill_tokens(chain)
+
+    def _pick(self, stalled: Stalled, speeds: Mapping[ChainId, float]) -> ChainId:
         """Pick the chain that would be done first, among a random half, so that peers differ."""
         names = sorted(speeds)
         sample = self._rng.sample(names, -(-len(names) // 2)) if self._peers > 1 else names
-        return min(sample, key=lambda c: (self._waiting_ms(c) + speeds[c] * tokens, c))
+        return min(sample, key=lambda c: (self._done_ms(c, stalled, speeds[c]), c))
 
     def _release(self, request: RequestId) -> None:
         chain, work_ms = self._started.pop(request, (None, 0.0))
--- a/measure/failures.py
+++ b/measure/failures.py
@@ -4,11 +4,20 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from measure.model import SimEngine, Stream, Work
 from measure.router import Router, World
 from minttide.ids import ChainId, RequestId, UpstreamId
 from minttide.policy.chains import Chain, estimate_streams
-from minttide.policy.recovery import RecoveryPacer, Stalled
+from minttide.policy.links import Links
+from minttide.policy.recovery import (
+    EXPORT_EVERY_TOKENS,
+    IMPORT_SETUP_MS,
+    RecoveryPacer,
+    Stalled,
+    export_due,
+)
 from minttide.policy.split import batch_limit
 
 FIXED_TIMEOUT_MS = 1_000.0
@@ -16,6 +25,21 @@
 """Time until a caller whose entry host is gone has asked another one."""
 
 
+Ranges = tuple[tuple[int, int], ...]
+
+
+def _ranges(chain: Chain) -> Ranges:
+    return tuple((s.first, s.last) for s in chain.stages)
+
+
+def last_export(stream: Stream) -> int:
+    """Return the context of a stream at its last export; the first is after its prompt."""
+    exported = stream.prompt
+    while export_due(stream.context, exported):
+        exported += EXPORT_EVERY_TOKENS
+    return exported
+
+
 class Detect(Enum):
     """How a missing reply is noticed."""
 
@@ -28,6 +52,8 @@
 
     PACED = "paced, least work"
     AT_ONCE = "all at once, random"
+    IMPORT = "paced, import of exports with the same layer ranges"
+    IMPORT_ANY = "paced, import of exports with any layer ranges"
 
 
 @dataclass
@@ -40,6 +66,8 @@
     seen: int = 0
     false_alarms: int = 0
     found_ms: list[float] = field(default_factory=list)
+    _held: dict[str, Ranges] = field(default_factory=dict)
+    _imports: dict[ChainId, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._pacers = {
@@ -93,6 +121,8 @@
         self.found_ms.append(self.world.sim.now)
         hit = [s for s in router.streams if s.chain and engine in s.chain.chain.engines]
         for stream in sorted(hit, key=lambda s: s.name):
+            if stream.chain and stream.tokens:
+                self._held[stream.name] = _ranges(stream.chain.chain)
             router.leave(stream)
             stream.attempt += 1
             self._stall(router, stream)
@@ -104,10 +134,31 @@
             if usable:
                 router.begin(stream, router.rng.choice(usable))
             return
-        now = self.world.sim.now
-        self._pacers[router.host].add(Stalled(RequestId(stream.name), stream.context, 0, now))
+        self._pacers[router.host].add(self._stalled(router, stream))
         router.stalled[stream.name] = stream
 
+    def _stalled(self, router: Router, stream: Stream) -> Stalled:
+        now = self.world.sim.now
+        stalled = Stalled(RequestId(stream.name), stream.context, 0, now)
+        held = self._held.get(stream.name)
+        if self.resuming not in (Resuming.IMPORT, Resuming.IMPORT_ANY) or held is None:
+            return stalled
+        any_ranges = self.resuming is Resuming.IMPORT_ANY
+        alike = frozenset(c.id for c in router.usable() if any_ranges or _ranges(c) == held)
+        rest = stream.context - last_export(stream)
+        return msgspec.structs.replace(stalled, imports=alike, rest=rest)
+
+    def _import_ms(self, chain: Chain, tokens: int) -> float:
+        """Return the time of an import, each of the chain's engines taking one at a time."""
+        now = self.world.sim.now
+        model = self.world.service.model
+        local = Links(self.world.site).between(chain.stages[0].zone, chain.stages[0].zone)
+        most = max(s.last - s.first for s in chain.stages)
+        moved_ms = local.transfer_us(model.kv_kb_per_token_layer * most * tokens) / 1000.0
+        begin = max(now, self._imports.get(chain.id, 0.0))
+        self._imports[chain.id] = begin + IMPORT_SETUP_MS + moved_ms
+        return self._imports[chain.id] - now
+
     def _pump(self, router: Router) -> None:
         pacer = self._pacers[router.host]
         speeds: dict[ChainId, float] = {
@@ -116,7 +167,22 @@
         chains = {c.id: c for c in router.usable()}
         while (start := pacer.next(speeds)) is not None:
             stream = router.stalled[start.stalled.request]
-            router.begin(stream, chains[start.chain])
+            chain = chains[start.chain]
+            if start.chain in start.stalled.imports:
+                rest = start.stalled.prefill_tokens(chain.id)
+                delay = self._import_ms(chain, start.stalled.tokens - rest)
+                self.world.sim.after(delay, self._begin_rest, router, stream, chain, rest)
+            else:
+                router.begin(stream, chain)
+
+    def _begin_rest(self, router: Router, stream: Stream, chain: Chain, rest: int) -> None:
+        if stream.name not in router.stalled:
+            return
+        if router.suspects.intersection(chain.engines):
+            self._stall(router, stream)
+            self._pump(router)
+        else:
+            router.begin(stream, chain, rest)
 
     def _resumed(self, router: Router, stream: Stream) -> None:
         if router.stalled.pop(stream.name, None) is not None:
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -13,6 +13,8 @@
 END_MS = 40_000.0
 WAYS = [
     ("ours", Detect.ADAPTIVE, Resuming.PACED),
+    ("ours, exports, like ranges", Detect.ADAPTIVE, Resuming.IMPORT),
+    ("ours, exports, any ranges", Detect.ADAPTIVE, Resuming.IMPORT_ANY),
     ("ours, at once", Detect.ADAPTIVE, Resuming.AT_ONCE),
     ("ours, fixed timeout", Detect.FIXED, Resuming.PACED),
     ("cold new prefill", Detect.FIXED, Resuming.AT_ONCE),
@@ -106,4 +108,9 @@
     with Pool(WORKERS) as pool:
         for row in pool.imap(measure_one, cases):
             table.add(*row)
+    table.note("prefill of all: the least time for the remaining chains, doing nothing else")
+    table.note(
+        "exports: after the prompt and every 64 tokens, kept outside the engine that dies; any "
+        "ranges: as if an engine could import parts of several exports, which no order allows today"
+    )
     return table
--- a/measure/router.py
+++ b/measure/router.py
@@ -228,17 +228,17 @@
     def _choose(self, chains: Sequence[Chain], stream: Stream) -> Chain:
         return self._pick(self, chains, self.news(), stream.prompt)
 
-    def begin(self, stream: Stream, chain: Chain) -> None:
-        """Start an attempt of a stream on a chain, by a prefill of its whole context."""
+    def begin(self, stream: Stream, chain: Chain, prefill: int | None = None) -> None:
+        """Start an attempt of a stream on a chain, by a prefill of its context or its rest."""
+        tokens = stream.context if prefill is None else prefill
         self.streams.add(stream)
         stream.accepted = True
         for engine in chain.engines:
             self.own[engine] = self.own.get(engine, 0) + 1
             waits = self._prefill.setdefault(engine, LevelAverage(self.world.sim.now))
-            waits.add(stream.context, self.world.sim.now)
-        target = self.world.chains[chain.id]
-        target.start(stream, stream.context)
-        stream.waits = stream.context
+            waits.add(tokens, self.world.sim.now)
+        self.world.chains[chain.id].start(stream, tokens)
+        stream.waits = tokens
 
     def leave(self, stream: Stream) -> None:
         """Take a stream off its chain."""
--- a/test/test_policy_chains.py
+++ b/test/test_policy_chains.py
@@ -8,7 +8,14 @@
 from minttide.ids import ChainId, HostId, RequestId, UpstreamId, ZoneId
 from minttide.policy.chains import ChainEstimator, ChainNews, chains_of, choose_chain
 from minttide.policy.placement import plan_site
-from minttide.policy.recovery import KvExport, RecoveryPacer, ResumeWay, Stalled, choose_resume
+from minttide.policy.recovery import (
+    KvExport,
+    RecoveryPacer,
+    ResumeWay,
+    Stalled,
+    choose_resume,
+    export_due,
+)
 from minttide.policy.subset import spread_evenly, subset_for
 from minttide.policy.suspicion import Health, Suspicion
 from minttide.records import Assignment
@@ -188,6 +195,16 @@
     assert len(pacer) == 0
 
 
+def test_exports_are_taken_where_they_save_prefill():
+    assert [export_due(t, 100) for t in (100, 163, 164)] == [False, False, True]
+    pacer = RecoveryPacer(random.Random(1))
+    imports = frozenset([ChainId("c1")])
+    pacer.add(Stalled(RequestId("r1"), 400, 0, 0.0, imports, 30))
+    pacer.add(Stalled(RequestId("r2"), 400, 0, 0.0))
+    speeds = {ChainId("c1"): 2.0, ChainId("c2"): 1.0}
+    assert [pacer.next(speeds).chain for _ in range(2)] == ["c1", "c2"]
+
+
 def test_stream_that_fails_again_keeps_its_place_and_leaves_no_backlog():
     pacer = RecoveryPacer(random.Random(1), backlog_ms=10.0)
     pacer.add(stalled(1, since_ms=0.0))
