Share the fixed plan and configuration between tests and measurement

Cause: test/drafting.py and measure/router_cpu.py each built an account, a plan of chains, a placement that stands still and a configuration in force. Change: fakes/minttide_fakes/fixed.py has them once. Conclusion: no behaviour changed.

--- a/measure/router_cpu.py
+++ b/measure/router_cpu.py
@@ -9,7 +9,6 @@
 import argparse
 import asyncio
 import cProfile
-import hashlib
 import json
 import logging
 import os
@@ -23,7 +22,6 @@
 
 from minttide.config.service import (
     AcceleratorKind,
-    Account,
     Engine,
     Model,
     ModelService,
@@ -33,19 +31,22 @@
 )
 from minttide.config.settings import Settings
 from minttide.ids import (
-    AccountId,
     Address,
     HostId,
     Incarnation,
     ModelVersion,
-    Offset,
-    PublishId,
     ServiceName,
-    UpstreamId,
     ZoneId,
 )
-from minttide.records import Assignment, Envelope, Publish, ServiceChange, encode
+from minttide.records import Assignment
 from minttide_fakes.engine_server import EngineServer
+from minttide_fakes.fixed import (
+    FixedPlacement,
+    engine_id,
+    make_account,
+    plan_chains,
+    put_in_force,
+)
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.site import FakeSite
 from minttided.callers import CallerServer
@@ -90,14 +91,13 @@
 def make_site() -> Site:
     step_us = 1e6 * BETWEEN_TOKENS_S / LAYERS
     kind = AcceleratorKind("even", 80_000, step_us, 0.0, 0.01, [PowerLevel(300, 1.0)])
-    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
-    account = Account(AccountId("load"), digest, max_streams=10_000, requests_per_s=10_000.0)
+    account = make_account("load", TOKEN, max_streams=10_000, requests_per_s=10_000.0)
     return Site(ServiceName("site"), 1_000_000, [Zone(ZONE)], [], [kind], [account])
 
 
 def make_service(addresses: list[list[Address]]) -> ModelService:
     engines = [
-        Engine(UpstreamId(f"e{chain}-{stage}"), address, ZONE, "even")
+        Engine(engine_id(chain, stage), address, ZONE, "even")
         for chain, row in enumerate(addresses)
         for stage, address in enumerate(row)
     ]
@@ -106,12 +106,7 @@
 
 
 def make_plan(chains: int) -> list[Assignment]:
-    size = LAYERS // STAGES
-    return [
-        Assignment(UpstreamId(f"e{c}-{s}"), DRAFTS, VERSION, s * size, (s + 1) * size, 300, f"c{c}")
-        for c in range(chains)
-        for s in range(STAGES)
-    ]
+    return plan_chains(DRAFTS, VERSION, LAYERS, chains, STAGES, 300)
 
 
 # The children.
@@ -132,43 +127,13 @@
         await asyncio.to_thread(sys.stdin.read)
 
 
-class FixedPlacement:
-    """A plan that never changes."""
-
-    offset = Offset(0)
-
-    def __init__(self, plan: list[Assignment]):
-        self._plan = plan
-
-    def assignments(self) -> list[Assignment]:
-        """Return the plan."""
-        return self._plan
-
-    def state(self, engine: UpstreamId) -> None:
-        """Return nothing; no state was read."""
-        return
-
-    def report(self, engine: UpstreamId) -> None:
-        """Return nothing; no report was read."""
-        return
-
-    def suspect(self, engine: UpstreamId) -> None:
-        """Do nothing."""
-        return
-
-
 async def serve_router(addresses: list[list[Address]], profile: bool) -> None:
     """Serve callers; each line on standard input is answered with the processor time so far."""
     logging.basicConfig(level=logging.ERROR)
     settings = Settings(HostId("h"), ZONE, *[ANYWHERE] * 4, "secret")
     async with HttpClients() as clients:
         node = Node(settings, Incarnation(1), MemoryLog(), clients)
-        files = [make_site(), make_service(addresses)]
-        changes = [ServiceChange(f.service, Offset(-1), f) for f in files]
-        body = Publish(PublishId("p"), "measure", changes)
-        record = Envelope(1, HostId("o"), Incarnation(1), 1, body)
-        node.config.apply(Offset(0), encode(record))
-        node.config_known = True
+        put_in_force(node, [make_site(), make_service(addresses)])
         node.placement = FixedPlacement(make_plan(len(addresses)))
         async with CallerServer(node) as server:
             print(server.address, flush=True)
--- a/test/drafting.py
+++ b/test/drafting.py
@@ -1,7 +1,6 @@
 """A small site with chains of stand-in engines, and the data plane of one host before it."""
 
 import asyncio
-import hashlib
 import json
 from contextlib import AsyncExitStack
 
@@ -23,19 +22,22 @@
 )
 from minttide.config.settings import Bounds, Settings
 from minttide.ids import (
-    AccountId,
     AdapterName,
     Address,
     HostId,
     Incarnation,
     ModelVersion,
-    Offset,
-    PublishId,
     ServiceName,
     UpstreamId,
     ZoneId,
 )
-from minttide.records import Assignment, Envelope, Publish, ServiceChange, encode
+from minttide_fakes.fixed import (
+    FixedPlacement,
+    engine_id,
+    make_account,
+    plan_chains,
+    put_in_force,
+)
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.model import generate
 from minttide_fakes.site import FakeSite
@@ -55,8 +57,7 @@
 
 def account(name: str, **limits) -> Account:
     """Return an account whose bearer token is its name with "-token" after it."""
-    digest = hashlib.sha256(f"{name}-token".encode()).hexdigest()
-    return Account(AccountId(name), digest, **limits)
+    return make_account(name, f"{name}-token", **limits)
 
 
 def site_file(accounts: list[Account]) -> Site:
@@ -95,31 +96,6 @@
     return PlainService(BOOKING, calls, upstreams)
 
 
-def engine_id(chain: int, stage: int) -> UpstreamId:
-    return UpstreamId(f"e{chain}-{stage}")
-
-
-class FixedPlacement:
-    """A plan that stands still unless a test changes `plan` and `offset`."""
-
-    def __init__(self, plan: list[Assignment]):
-        self.plan = plan
-        self.offset = Offset(0)
-        self.suspected: list[UpstreamId] = []
-
-    def assignments(self):
-        return self.plan
-
-    def state(self, engine):
-        return None
-
-    def report(self, engine):
-        return None
-
-    def suspect(self, engine):
-        self.suspected.append(engine)
-
-
 class Bench:
     """One host with its engines. Use as an async context manager."""
 
@@ -136,27 +112,14 @@
             bounds=bounds or Bounds(),
         )
         self.node = Node(cfg, Incarnation(1), MemoryLog(), self.clients)
-        self._publish()
-        size = LAYERS // stages
-        self.placement = FixedPlacement(
-            [
-                Assignment(engine_id(c, s), DRAFTS, VERSION, s * size, (s + 1) * size, 300, f"c{c}")
-                for c in range(chains)
-                for s in range(stages)
-            ]
-        )
+        put_in_force(self.node, self.files)
+        plan = plan_chains(DRAFTS, VERSION, LAYERS, chains, stages, 300)
+        self.placement = FixedPlacement(plan)
         self.node.placement = self.placement
         if site is None:
             for a in self.placement.plan:
                 self.engine(a.engine).hold(a.service, VERSION, a.first, a.last, a.watts)
 
-    def _publish(self):
-        changes = [ServiceChange(f.service, Offset(-1), f) for f in self.files]
-        body = Publish(PublishId("p1"), "tests", changes)
-        record = Envelope(1, HostId("operator"), Incarnation(1), 1, body)
-        self.node.config.apply(Offset(0), encode(record))
-        self.node.config_known = True
-
     def engine(self, engine):
         return self.site.engines[UpstreamId(engine)]
 
