Bound the bytes of bodies that a server holds over all connections

Cause: a body of 1 MiB on each of 2,000 connections, read before the account is known, could take 2 GiB of an entry host. Change: at most 32 bodies of the greatest size are held, until their handlers have answered; beyond, a request is refused as not run, with a time to come back. Checks of requests while they are read are a module of their own (http_request.py).

--- a/daemon/minttided/http_connection.py
+++ b/daemon/minttided/http_connection.py
@@ -10,6 +10,13 @@
 from minttide.config.settings import Bounds
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
 from minttided.http_messages import Handler, Headers, HttpRequest, HttpResponse, StreamResponse
+from minttided.http_request import (
+    BodyBudget,
+    BodyShare,
+    RefusedError,
+    check_size,
+    make_request,
+)
 from minttided.problems import problem, problem_response
 
 log = logging.getLogger(__name__)
@@ -31,6 +38,7 @@
     bounds: Bounds
     open_requests: int
     closing: bool
+    bodies: BodyBudget
 
     def add(self, conn: "Connection") -> bool:
         """Take in a new connection; return whether it is within the bound."""
@@ -39,14 +47,6 @@
         """Forget a closed connection."""
 
 
-class _RefusedError(Exception):
-    """The request can't be read any further; answer `problem` and close."""
-
-    def __init__(self, problem: Problem):
-        super().__init__(problem.detail)
-        self.problem = problem
-
-
 class Connection(asyncio.Protocol):
     """One connection from a caller, served by one task."""
 
@@ -60,6 +60,7 @@
         self._busy = False  # a handler runs
         self._started = False  # bytes of a request have come
         self._held = 0  # bytes that came while a handler ran
+        self._body = BodyShare(server.bodies)
         self._discarding = False  # whatever still comes is dropped
         self._ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._more: asyncio.Future[None] | None = None
@@ -78,6 +79,7 @@
         """Cancel whatever still runs for the caller."""
         self._server.remove(self)
         self._end()
+        self._body.give_back()
         self.task.cancel()
 
     def data_received(self, data: bytes) -> None:
@@ -157,7 +159,8 @@
         """Serve one request; return whether the connection can take another."""
         try:
             req = await self._read_request()
-        except _RefusedError as exc:
+        except RefusedError as exc:
+            self._body.give_back()
             await self._refuse(exc.problem)
             return False
         if req is None:
@@ -165,7 +168,9 @@
         self._busy = True
         self._server.open_requests += 1
         try:
-            await self._answer(req)
+            resp = await self._run_handler(req)
+            self._body.give_back()
+            await self._answer(resp, req.method)
         finally:
             self._server.open_requests -= 1
             self._busy = False
@@ -185,26 +190,18 @@
                 head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
-            self._check_size(head)
+            check_size(head, self._server.bounds.max_header_bytes)
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 body = await self._read_body()
         except TimeoutError:
             if not self._started:
                 return None
             detail = "the request was not sent whole in time"
-            raise _RefusedError(problem(ProblemType.BAD_REQUEST, detail, status=408)) from None
+            raise RefusedError(problem(ProblemType.BAD_REQUEST, detail, status=408)) from None
         except h11.RemoteProtocolError as exc:
             refused = problem(ProblemType.BAD_REQUEST, str(exc), status=exc.error_status_hint)
-            raise _RefusedError(refused) from exc
-        return _make_request(head, body)
-
-    def _check_size(self, head: h11.Request) -> None:
-        # h11 bounds only a header that is still incomplete.
-        limit = self._server.bounds.max_header_bytes
-        size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
-        if size > limit:
-            detail = f"the header is longer than {limit} bytes"
-            raise _RefusedError(problem(ProblemType.TOO_LARGE, detail, status=431))
+            raise RefusedError(refused) from exc
+        return make_request(head, body)
 
     async def _wait_first_byte(self) -> None:
         while not self._started and not self._conn.trailing_data[1]:
@@ -227,25 +224,19 @@
             await self._wait_data()
 
     async def _read_body(self) -> bytes:
-        limit = self._server.bounds.max_body_bytes
         pieces: list[bytes] = []
-        size = 0
         while isinstance(event := await self._next_event(), h11.Data):
-            size += len(event.data)
-            if size > limit:
-                detail = f"the body is longer than {limit} bytes"
-                raise _RefusedError(problem(ProblemType.TOO_LARGE, detail))
+            self._body.add(len(event.data))
             pieces.append(bytes(event.data))
         return b"".join(pieces)
 
     # Answering.
 
-    async def _answer(self, req: HttpRequest) -> None:
-        resp = await self._run_handler(req)
+    async def _answer(self, resp: HttpResponse | StreamResponse, method: str) -> None:
         if isinstance(resp, StreamResponse):
             await self._send_stream(resp)
         else:
-            await self._send_whole(resp, without_body=req.method == "HEAD")
+            await self._send_whole(resp, without_body=method == "HEAD")
 
     async def _run_handler(self, req: HttpRequest) -> HttpResponse | StreamResponse:
         try:
@@ -296,14 +287,3 @@
         if self._writable is not None:
             async with asyncio.timeout(WRITE_STALL_S):
                 await self._writable
-
-
-def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
-    try:
-        target = head.target.decode("ascii")
-    except UnicodeDecodeError:
-        detail = "the request target is not ASCII"
-        raise _RefusedError(problem(ProblemType.BAD_REQUEST, detail)) from None
-    path, _, query = target.partition("?")
-    headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
-    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- /dev/null
+++ b/daemon/minttided/http_request.py
@@ -0,0 +1,77 @@
+"""Checks and bounds of requests while they are read."""
+
+import h11
+
+from minttide.outcome import Problem, ProblemType
+from minttided.http_messages import HttpRequest
+from minttided.problems import problem
+
+BODIES_PER_HOST = 32
+"""Bodies of the greatest size that are held at a time, until their handlers have answered."""
+
+RETRY_AFTER_S = 1.0
+
+
+class RefusedError(Exception):
+    """The request can't be read any further; answer `problem` and close."""
+
+    def __init__(self, problem: Problem):
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class BodyBudget:
+    """Bytes of bodies that one server holds, over all connections."""
+
+    def __init__(self, max_body_bytes: int):
+        self.max_body_bytes = max_body_bytes
+        self.held = 0
+
+    @property
+    def full(self) -> bool:
+        """Return whether too many bytes are held."""
+        return self.held > BODIES_PER_HOST * self.max_body_bytes
+
+
+class BodyShare:
+    """The bytes of one connection's body."""
+
+    def __init__(self, budget: BodyBudget):
+        self._budget = budget
+        self._size = 0
+
+    def add(self, size: int) -> None:
+        """Count `size` more bytes; raises `RefusedError` beyond the bounds."""
+        self._size += size
+        self._budget.held += size
+        if self._size > self._budget.max_body_bytes:
+            detail = f"the body is longer than {self._budget.max_body_bytes} bytes"
+            raise RefusedError(problem(ProblemType.TOO_LARGE, detail))
+        if self._budget.full:
+            detail = "too many large requests are being sent to this host"
+            raise RefusedError(problem(ProblemType.OVERLOADED, detail, retry_after_s=RETRY_AFTER_S))
+
+    def give_back(self) -> None:
+        """Note that the body isn't held any more."""
+        self._budget.held -= self._size
+        self._size = 0
+
+
+def check_size(head: h11.Request, limit: int) -> None:
+    """Raise `RefusedError` for a header above `limit` bytes; h11 bounds only incomplete ones."""
+    size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+    if size > limit:
+        detail = f"the header is longer than {limit} bytes"
+        raise RefusedError(problem(ProblemType.TOO_LARGE, detail, status=431))
+
+
+def make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    """Return the request that was read; raises `RefusedError`."""
+    try:
+        target = head.target.decode("ascii")
+    except UnicodeDecodeError:
+        detail = "the request target is not ASCII"
+        raise RefusedError(problem(ProblemType.BAD_REQUEST, detail)) from None
+    path, _, query = target.partition("?")
+    headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
+    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- a/daemon/minttided/http_server.py
+++ b/daemon/minttided/http_server.py
@@ -11,6 +11,7 @@
 from minttide.ids import Address
 from minttided.http_connection import Connection
 from minttided.http_messages import Handler, join_address, split_address
+from minttided.http_request import BodyBudget
 
 BACKLOG = 1024
 
@@ -23,6 +24,7 @@
         self.bounds = bounds
         self.open_requests = 0
         self.closing = False
+        self.bodies = BodyBudget(bounds.max_body_bytes)
         self._wanted = address
         self._server: asyncio.Server | None = None
         self._conns: set[Connection] = set()
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -5,6 +5,7 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
+from minttided import http_request
 from minttided.http_client import BrokenError, HttpClient, NotSentError
 from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse, split_address
 from minttided.http_server import HttpServer
@@ -175,6 +176,31 @@
     assert b"retry-after: 1" in answer.lower()
 
 
+def test_bodies_are_bounded_over_all_connections(monkeypatch):
+    monkeypatch.setattr(http_request, "BODIES_PER_HOST", 2)
+    body = b"b" * BOUNDS.max_body_bytes
+
+    async def run():
+        handlers = Handlers()
+        async with HttpServer(handlers, ANYWHERE, BOUNDS) as server:
+            client = HttpClient(server.address)
+            held = [asyncio.create_task(client.request("POST", "/hang", body)) for _ in range(2)]
+            while len(handlers.bodies) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            refused = await client.request("POST", "/", body)
+            small = await client.request("GET", "/")
+            for task in held:
+                task.cancel()
+            await asyncio.wait(held)
+            while server.open_requests:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            again = await client.request("POST", "/", body)
+            client.close()
+            return refused.status, small.status, again.status, server.bodies.held
+
+    assert asyncio.run(run()) == (503, 200, 200, 0)
+
+
 def test_stopping_closes_idle_connections_and_finishes_open_requests():
     async def run():
         handlers = Handlers()
