Hold the reference pages to the keys of settings and service files

Cause: a setting was added without a range; pages can fall behind the structs. Change: log_keep_s must be from 60 s to 366 days; a test holds every key of settings and service files to its reference page. Conclusion: a key without a line on its page fails the test.

--- a/core/minttide/config/settings_checks.py
+++ b/core/minttide/config/settings_checks.py
@@ -17,6 +17,10 @@
     "max_queue": (0, 100_000),
     "header_timeout_s": (0.1, 300),
 }
+CFG_RANGES: dict[str, Range] = {
+    "shutdown_limit_s": (1, 3600),
+    "log_keep_s": (60, 366 * 24 * 3600),
+}
 LISTENED = ("callers", "operators", "peer")
 
 
@@ -42,7 +46,7 @@
     if len(cfg.resume_secret) < MIN_SECRET_CHARS:
         place.key("resume_secret").add(f"must have at least {MIN_SECRET_CHARS} characters")
     check_ranges(place.key("bounds"), cfg.bounds, BOUND_RANGES)
-    check_ranges(place, cfg, {"shutdown_limit_s": (1, 3600)})
+    check_ranges(place, cfg, CFG_RANGES)
     _check_distinct(place, cfg)
 
 
--- a/test/test_checks.py
+++ b/test/test_checks.py
@@ -123,3 +123,14 @@
     text = msgspec.json.encode(make_schema(kind)).decode()
     for key in ("power_cap_watts", "checks_fencing") if kind == "service" else ("resume_secret",):
         assert f'"{key}"' in text
+
+
+PAGES = {"service": "service-files.md", "settings": "settings.md"}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_every_key_stands_on_its_reference_page(kind):
+    page = (EXAMPLES.parent / "docs" / "reference" / PAGES[kind]).read_text()
+    definitions = make_schema(kind)["$defs"].values()
+    keys = {key for definition in definitions for key in definition.get("properties", {})}
+    assert [key for key in sorted(keys) if f"`{key}`" not in page and f'"{key}"' not in page] == []
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -23,6 +23,7 @@
         ({"callers": "127.0.0.1:0", "operators": "127.0.0.1:0"}, []),
         ({"operators": "10.10.1.2:7400"}, ["$.operators: the same address as 'callers'"]),
         ({"log_service": "10.0.0.1:0", "peers": ["x"]}, ["$.log_service: ", "$.peers[0]: "]),
+        ({"log_keep_s": 1}, ["$.log_keep_s: must be from 60"]),
         ({"resume_secret": "short"}, ["$.resume_secret: must have at least 16"]),
         (
             {"bounds": {"max_body_bytes": 1, "max_streams": "9"}},
