Pace the appends of key streams, and measure keyed calls and takeovers

Cause: group commit appended again as soon as one change waited, so that a few busy shards could use up the several hundred appends a second that the log has for everything. Change: appends of one host to a shard start at least key_shards / 100 seconds apart; what comes meanwhile shares the next append. New measurements keyed and takeover. A test holds that a call which an owner ran, and whose answer was lost, is never told as not run.

--- a/daemon/minttided/key_batch.py
+++ b/daemon/minttided/key_batch.py
@@ -45,7 +45,10 @@
 
 
 class KeyBatcher:
-    """Appends the changes of one host to one key stream. Use as an async context manager."""
+    """Appends the changes of one host to one key stream. Use as an async context manager.
+
+    Appends start at least `interval_s` seconds apart, which bounds their rate at any load.
+    """
 
     def __init__(
         self,
@@ -53,7 +56,9 @@
         host: HostId,
         incarnation: Incarnation,
         wall_ms: Callable[[], int] = read_wall_ms,
+        interval_s: float = 0.0,
     ):
+        self._interval_s = interval_s
         self._append = append
         self._wall_ms = wall_ms
         self._host = host
@@ -92,7 +97,10 @@
             await self._wake.wait()
             self._wake.clear()
             while batch := self._take_batch():
+                next_at = asyncio.get_running_loop().time() + self._interval_s
                 await self._commit(batch)
+                # Changes that come meanwhile share the next append.
+                await asyncio.sleep(next_at - asyncio.get_running_loop().time())
 
     def _take_batch(self) -> list[_Waiting]:
         batch: list[_Waiting] = []
--- a/daemon/minttided/key_shard.py
+++ b/daemon/minttided/key_shard.py
@@ -29,6 +29,9 @@
 CLAIM_TRIES = 4
 """How often a request claims a key that others keep claiming and withdrawing."""
 
+KEY_APPENDS_PER_S = 100.0
+"""Appends a second to all key streams together, if one host owns each shard."""
+
 OUTCOME_WAIT_S = 2.0
 """Longest wait for the answer of a call that another host has claimed, in seconds."""
 
@@ -86,6 +89,7 @@
                 self._node.cfg.host,
                 self._node.incarnation,
                 self._node.wall_ms,
+                self._append_interval_s(),
             )
         )
         return self
@@ -101,6 +105,10 @@
         await asyncio.gather(*left, return_exceptions=True)
         await self._stack.aclose()
 
+    def _append_interval_s(self) -> float:
+        site = self._node.config.site
+        return site.key_shards / KEY_APPENDS_PER_S if site else 0.0
+
     async def run(self, req: KeyedRequest) -> UpstreamReply:
         """Run the call of `req` at most once over all hosts, or return its recorded answer.
 
--- a/daemon/minttided/keyed.py
+++ b/daemon/minttided/keyed.py
@@ -102,7 +102,7 @@
         """
         req = self._check(account, service, key, call, deadline)
         shard = shard_of(req.scope, key, self._site().key_shards)
-        owners = self._owners(shard)
+        owners = self.owners_of(shard)
         asked = False
         if self._node.cfg.host not in owners and self._forwarder is not None:
             for owner in owners:
@@ -211,7 +211,8 @@
             return [self._node.cfg.host]
         return [m.host for m in members.hosts() if not m.leaving and not m.suspect]
 
-    def _owners(self, shard: int) -> list[HostId]:
+    def owners_of(self, shard: int) -> list[HostId]:
+        """Return the hosts that look after a shard, as this host sees it."""
         return rank_hosts(f"keys-{shard}", set(self._live_hosts()))[:OWNERS]
 
     async def _open(self, number: int) -> KeyShard:
@@ -236,7 +237,7 @@
         if site is None:
             return
         host = self._node.cfg.host
-        owned = {s for s in range(site.key_shards) if host in self._owners(s)}
+        owned = {s for s in range(site.key_shards) if host in self.owners_of(s)}
         idle_since = asyncio.get_running_loop().time() - SHARD_IDLE_S
         idle = [
             n
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,8 @@
     "recovery",
     "shares",
     "zone_loss",
+    "keyed",
+    "takeover",
     "limit_error",
 ]
 
--- a/test/key_site.py
+++ b/test/key_site.py
@@ -145,6 +145,7 @@
         self.config = read_config(shards)
         self.hosts_by_name = {n: Host(self, n) for n in names}
         self.forwarding = False
+        self.answers_lost = False
         self._stack = AsyncExitStack()
 
     async def __aenter__(self):
@@ -186,5 +187,8 @@
     async def forward(self, host, account, service, key, call, deadline):
         target = self.hosts_by_name[host]
         if not self.forwarding or not target.alive:
-            raise ForwardError("no route")
-        return await target.runner.run_as_owner(account, service, key, call, deadline)
+            raise ForwardError("no route", sent=False)
+        reply = await target.runner.run_as_owner(account, service, key, call, deadline)
+        if self.answers_lost:
+            raise ForwardError("the answer was lost")
+        return reply
--- a/test/test_keyed.py
+++ b/test/test_keyed.py
@@ -202,6 +202,16 @@
     assert sorted(opened) == [0, 0, 1, 1]
 
 
+def test_a_call_that_an_owner_may_have_run_is_never_told_as_not_run():
+    async def scene(site):
+        site.forwarding = site.answers_lost = True
+        outsider = next(h for n, h in site.hosts_by_name.items() if n not in h.runner.owners_of(0))
+        outsider.log.cut = True
+        return await outsider.run()
+
+    assert play(scene, names=("a", "b", "c")) == (UNKNOWN, 1)
+
+
 @pytest.mark.parametrize(("requests", "appends_per_s"), [(300, 100.0)])
 def test_waiting_claims_share_appends(requests, appends_per_s):
     async def scene(site):
