--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -32,6 +32,9 @@
 BORROWED_SHARE = 1.05
 """Streams on a chain, over the rated ones, up to which a daemon goes beyond its part."""
 
+MOST_RATINGS = 4096
+"""Ratings of chains that are remembered; those of earlier plans are among them."""
+
 US_PER_MS = 1000.0
 
 REPORT_STALE_MS = 5_000
@@ -167,6 +170,8 @@
 
     def rating(self, chain: Chain) -> Split | None:
         """Return what the chain does at its rated load, or none where it can't serve at all."""
+        if len(self._ratings) >= MOST_RATINGS:
+            self._ratings.clear()
         if chain not in self._ratings:
             self._ratings[chain] = self._rate(chain)
         return self._ratings[chain]
--- a/core/minttide/policy/changes.py
+++ b/core/minttide/policy/changes.py
@@ -179,6 +179,15 @@
         }
         self._emit(leaving, Wait.DRAINED, "retire chains that are no longer wanted")
         self._lower_to_wanted("lower before raising")
-        for engine in set(self._now) - set(self._wanted):
-            del self._now[engine]
+        self._leave_out_removed()
         self._emit(self._wanted, Wait.CONFIRMED, "the wanted plan")
+
+    def _leave_out_removed(self) -> None:
+        """Drop engines that the service files no longer name; their power is free from then on."""
+        removed = set(self._now) - set(self._wanted)
+        if not removed:
+            return
+        for engine in removed:
+            del self._now[engine]
+        plan = tuple(self._now[e] for e in sorted(self._now))
+        self._steps.append(PlanStep(plan, Wait.CONFIRMED, "leave out removed engines"))
