--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -9,6 +9,7 @@
 from minttide.config.service import ModelService, Site
 from minttide.ids import ChainId, ServiceName, UpstreamId, ZoneId
 from minttide.policy.links import Links
+from minttide.policy.news import ChainNews, estimate_streams
 from minttide.policy.speed import (
     EngineShape,
     chunked_layer_us,
@@ -20,7 +21,6 @@
 )
 from minttide.policy.split import Split, batch_limit, rate_chain, waiting_periods
 from minttide.records import Assignment
-from minttide.steps import LoadReport
 
 SAMPLED_CHAINS = 3
 """Chains that are compared for one request."""
@@ -37,9 +37,6 @@
 
 US_PER_MS = 1000.0
 
-REPORT_STALE_MS = 5_000
-"""A load report older than this says nothing."""
-
 
 class Stage(msgspec.Struct, frozen=True):
     """One engine's part of a chain: layers `first` to `last - 1`."""
@@ -105,26 +102,6 @@
     return Chain(ChainId(name), members[0].service, members[0].version, stages)
 
 
-class ChainNews(msgspec.Struct):
-    """What a daemon knows of the engines when it chooses. Times are in milliseconds.
-
-    `own_streams` and `own_prefill` (prompt tokens waiting) are this daemon's own work and exact.
-    `usual_prefill` is the average of the latter, taken to be that of each of `peers` daemons.
-    `reports` come late. `cached` is the tokens of the prompt's prefix believed cached on an engine;
-    an engine whose cache events had a gap is absent. `step_factor` is the step time seen over the
-    rated one, above 1 where an engine or its link is slow.
-    """
-
-    now_ms: float
-    own_streams: Mapping[UpstreamId, int] = {}
-    own_prefill: Mapping[UpstreamId, float] = {}
-    usual_prefill: Mapping[UpstreamId, float] = {}
-    reports: Mapping[UpstreamId, LoadReport] = {}
-    cached: Mapping[UpstreamId, int] = {}
-    step_factor: Mapping[UpstreamId, float] = {}
-    peers: float = 1.0  # daemons that use the same chains, taken to do as this one does
-
-
 class Estimate(msgspec.Struct, frozen=True):
     """Expected times of a request on one chain, in milliseconds."""
 
@@ -253,15 +230,6 @@
         return Estimate(chain.id, first_us / US_PER_MS, round_us / US_PER_MS)
 
 
-def estimate_streams(engine: UpstreamId, news: ChainNews) -> float:
-    """Return the streams expected on an engine, own ones exact and others' from a late report."""
-    own = news.own_streams.get(engine, 0)
-    report = news.reports.get(engine)
-    if report is None or news.now_ms - report.at_ms > REPORT_STALE_MS:
-        return own * news.peers
-    return float(max(own, report.streams))
-
-
 def has_room(chain: Chain, estimator: ChainEstimator, news: ChainNews, followers: int) -> bool:
     """Return whether this daemon may start one more stream on `chain`.
 
