Take signals before the daemon is up, and heal large member tables sooner

Cause: (1) a signal between the line `up` and the installing of the handlers killed the daemon without a planned stop; the new test of a process found it. (2) A poll that a relay had overtaken was logged as `log ends before the applied offset`. (3) 1,600 hosts that all join at once did not know each other 110 s later: one knew 1,460 of 1,599. Change: handlers come first, and a signal before anything is up ends the process at once. The follower compares with what was applied when it asked. When a comparison of tables changed more than 2% of the table, the next follows after 3 s. Conclusion: (1) and (2) are mended and held by tests, (3) is to be seen by the measurement.

--- a/daemon/minttided/app.py
+++ b/daemon/minttided/app.py
@@ -67,6 +67,7 @@
         self._listen = listen
         self._rng = random.Random(time.time_ns() if seed is None else seed)
         self._stack = AsyncExitStack()
+        self.up = False
         self.callers: CallerServer | None = None
         self.operators: OperatorServer | None = None
         self._keyed: KeyedCallRunner | None = None
@@ -81,6 +82,7 @@
             stack.push_async_callback(self.drain.aclose)
             await stack.enter_async_context(self._supervised)
             self._stack = stack.pop_all()
+        self.up = True
         log.info("up", extra={"callers": self.callers_address, "zone": self.cfg.zone})
         return self
 
--- a/daemon/minttided/follower.py
+++ b/daemon/minttided/follower.py
@@ -192,6 +192,7 @@
         self.state = FollowState.FOLLOWING
 
     async def _poll(self) -> None:
+        asked = self.applied
         page = await self._read(POLL_WAIT_S if self.known else 0.0)
         if page.first > self.applied + 1:
             log.warning(
@@ -200,7 +201,7 @@
             )
             self.state = FollowState.LOCATING
             return
-        if page.end <= self.applied:
+        if page.end <= asked:
             await self._wait_for_end(page)
             return
         self._take(page)
--- a/daemon/minttided/main.py
+++ b/daemon/minttided/main.py
@@ -55,18 +55,20 @@
 
 async def run_daemon(cfg: Settings) -> None:
     """Run a daemon until a planned stop is done."""
-    async with App(cfg) as app:
-        loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, _stop, app)
+    app = App(cfg)
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, _stop, app)
+    async with app:
         await app.wait()
     log.info("stopped")
 
 
 def _stop(app: App) -> None:
-    """Start a planned stop, or end the process at once if one is under way."""
-    if app.drain.started:
-        log.warning("second signal; ending at once")
-        logging.shutdown()
-        os._exit(EXIT_FAILED)
-    app.start_drain()
+    """Start a planned stop; end the process at once if one is under way, or nothing is up yet."""
+    if app.up and not app.drain.started:
+        app.start_drain()
+        return
+    log.warning("ending at once")
+    logging.shutdown()
+    os._exit(EXIT_FAILED)
--- a/daemon/minttided/membership_loop.py
+++ b/daemon/minttided/membership_loop.py
@@ -30,6 +30,10 @@
 SYNC_PERIOD_S = 30.0
 """Mean time between two comparisons of the whole table with a peer's, so that lost news heals."""
 
+RESYNC_SHARE = 0.02
+"""Share of the table that must have changed for the next comparison to follow after RESYNC_S."""
+
+RESYNC_S = 3.0
 LIST_PERIOD_S = 10.0
 LIST_TIMEOUT_S = 5.0
 
@@ -197,7 +201,9 @@
             answer = await self._link.probe(address, probe, PROBE_TIMEOUT_S)
         except PeerError:
             return False
-        self._merge(answer.gossip)
+        changed = self._merge(answer.gossip)
+        if full and changed > RESYNC_SHARE * len(self.table.views()):
+            self._sync_due = _now() + RESYNC_S
         return host is None or answer.gossip.sender.host == host
 
     async def _exchange_indirectly(self, member: Member) -> bool:
@@ -252,7 +258,8 @@
     def _beat(self) -> None:
         self.table.beat(*self._read_vitals())
 
-    def _merge(self, gossip: Gossip) -> None:
+    def _merge(self, gossip: Gossip) -> int:
+        """Take in what a peer tells; return the number of entries that it changed."""
         was_superseded = self.table.superseded
         changed = self.table.merge(gossip, _now())
         if self.table.superseded and not was_superseded:
@@ -268,6 +275,7 @@
         for vitals in gossip.vitals:
             if vitals.host == gossip.sender.host:
                 self._on_peer_offset(gossip.sender.peer, vitals.applied)
+        return len(changed)
 
 
 def _log_change(member: Member) -> None:
--- a/measure/publish.py
+++ b/measure/publish.py
@@ -4,10 +4,10 @@
 relay, over an in-memory log and network. Some hosts, drawn at random, are cut from the log.
 """
 
+import argparse
 import asyncio
 import logging
 import random
-import sys
 import time
 from contextlib import AsyncExitStack
 
@@ -70,7 +70,9 @@
 class Host:
     """What takes part in bringing a publish into force on one host."""
 
-    def __init__(self, net: MemoryNet, log: MemoryLog, number: int):
+    def __init__(
+        self, net: MemoryNet, log: MemoryLog, number: int, relay_type: type[Relay] = Relay
+    ):
         self.peer = Address(f"h{number}:1")
         rng = random.Random(number)
         link = net.link(self.peer)
@@ -82,7 +84,7 @@
             peers=[Address(f"h{i}:1") for i in range(3)],
         )
         self.view = log.view(cfg.host)
-        self.relay = Relay(link, lambda: self.membership.table.up(), rng)
+        self.relay = relay_type(link, lambda: self.membership.table.up(), rng)
         self.follower = Follower(
             self.view,
             CONFIG_STREAM,
@@ -160,10 +162,13 @@
 def main() -> None:
     """Measure and print the table."""
     logging.disable(logging.WARNING)
-    sizes = [int(arg) for arg in sys.argv[1:]] or HOSTS
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("hosts", type=int, nargs="*", default=HOSTS)
+    parser.add_argument("--share", type=float, nargs="*", default=CUT_SHARES, help="hosts cut off")
+    args = parser.parse_args()
     print("hosts  cut from log  median s  worst s  bound s       relayed  messages a host and s")
-    for count in sizes:
-        for share in CUT_SHARES:
+    for count in args.hosts:
+        for share in args.share:
             r = run_virtual(read_site(count, share), limit_s=100_000.0)
             verdict = "met" if r.worst_s <= r.bound_s else "MISSED"
             print(
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import random
+import signal
+import sys
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -279,3 +282,25 @@
                 await HttpClient(app.callers_address).request("GET", "/v1/where")
 
     asyncio.run(scenario())
+
+
+# As a process.
+
+
+def test_a_second_signal_ends_the_process_at_once(tmp_path):
+    async def scenario():
+        ports = dict.fromkeys(("callers", "operators", "peer"), Address("127.0.0.1:0"))
+        cfg = settings(0, log_service=Address("127.0.0.1:1"), peers=[], **ports)
+        path = tmp_path / "settings.json"
+        path.write_bytes(msgspec.json.encode(cfg))
+        program = Path(sys.executable).with_name("minttided")
+        process = await asyncio.create_subprocess_exec(
+            str(program), "--settings", str(path), stderr=asyncio.subprocess.PIPE
+        )
+        for word in (b"event=up", b"event=leaving"):
+            while word not in (line := await process.stderr.readline()):
+                assert line, "the daemon has ended"
+            process.send_signal(signal.SIGTERM)
+        return await process.wait()
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 60.0)) == 1
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -16,7 +16,7 @@
 from minttide_fakes.virtual import run_virtual
 from minttided.bootstrap import SCAN_RECORDS, find_checkpoint
 from minttided.checkpointer import CheckpointAge, Checkpointer
-from minttided.follower import Follower
+from minttided.follower import POLL_WAIT_S, Follower
 
 HOURS = 8
 NEWER = b'{"format":2}'
@@ -251,6 +251,34 @@
     assert run_virtual(scenario()) == (1, 1)
 
 
+class LateAnswers:
+    """A log whose answers to reads take a second to arrive."""
+
+    def __init__(self, log):
+        self._log = log
+
+    async def read(self, *args):
+        page = await self._log.read(*args)
+        await asyncio.sleep(1.0)
+        return page
+
+
+def test_a_poll_that_a_relay_has_overtaken_is_no_fault_of_the_log(caplog):
+    async def scenario():
+        log = log_with(10)
+        async with follow(LateAnswers(log)) as follower:
+            await settle(follower)
+            log.put(CONFIG_STREAM, publish(10))
+            await asyncio.sleep(0.5)
+            log.put(CONFIG_STREAM, publish(11))
+            follower.offer(log.records(CONFIG_STREAM))
+            await asyncio.sleep(POLL_WAIT_S + 5.0)
+            return follower.applied, follower.log_offset
+
+    assert run_virtual(scenario()) == (11, 11)
+    assert "log ends before the applied offset" not in caplog.messages
+
+
 # Checkpoints.
 
 
