--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,9 @@
     "recovery",
     "shares",
     "zone_loss",
+    "keyed",
+    "takeover",
+    "limit_error",
 ]
 
 
--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -268,3 +268,47 @@
     assert 'minttide_recoveries_total{service="drafts",way="prefill"} 1' in text
     assert 'minttide_first_token_seconds_count{service="drafts"} 1' in text
     assert 'minttide_recovery_seconds_count{service="drafts"} 1' in text
+
+
+@pytest.mark.parametrize(
+    ("prompt_tokens", "hangs", "way"),
+    [(2000, True, "import"), (100, True, "prefill"), (2000, False, "prefill")],
+)
+def test_kv_caches_are_imported_where_all_are_there_and_that_is_sooner(prompt_tokens, hangs, way):
+    prompt = "commentary " * (prompt_tokens // 11)
+
+    async def run():
+        async with Bench(chains=2) as bench:
+            reader = await bench.open(prompt=prompt, max_tokens=20)
+            await reader.read(5)
+            run = next(iter(bench.watch.owners.values()))
+            engine = bench.engine(run.attempt.chain.engines[1])
+            if hangs:
+                engine.slow_factor = 1e4
+            else:
+                engine.die()
+            await reader.read()
+            await reader.close()
+            engine.slow_factor = 1.0
+            await asyncio.sleep(100)
+            return reader, bench.node.metrics.render().decode(), bench.site.left_behind
+
+    reader, counted, left = run_virtual(run())
+    assert reader.tokens == expected(prompt, 20)
+    assert f'minttide_recoveries_total{{service="drafts",way="{way}"}} 1' in counted
+    assert left == 0
+
+
+def test_a_draft_finds_the_one_chain_that_is_loaded_among_many_that_are_not():
+    async def run():
+        async with Bench(chains=16) as bench:
+            # Chain c8 is the last by name, so that nothing picks it by chance first.
+            for chain in set(range(16)) - {8}:
+                bench.engine(f"e{chain}-1").hold("other", "v9", 0, 1, 300)
+            reader = await bench.open(prompt=PROMPT, max_tokens=TOKENS)
+            await reader.read()
+            await reader.close()
+            return reader
+
+    reader = run_virtual(run())
+    assert (reader.problem, reader.tokens) == (None, expected(PROMPT, TOKENS))
