Keep lanes, watch and admission running after a defect, and bound reads of engines in time

Cause: an unexpected exception ended a background task for good: suspicions would never have been lifted, cancellations never sent, and the steps of a batch neither answered nor missed until the draft's deadline. Change: such an exception is logged with its traceback and the work goes on; the steps of its batch are missed, so that their drafts go on elsewhere. A read of an engine may take 2 s. Four suspected engines are read every quarter of a second, not sixteen, which bounds the traffic while a zone is lost.

--- a/daemon/minttided/admission.py
+++ b/daemon/minttided/admission.py
@@ -1,6 +1,7 @@
 """Lets requests in by the limits and shares of their client accounts, or refuses them early."""
 
 import asyncio
+import logging
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -14,6 +15,8 @@
 from minttided.node import Node
 from minttided.problems import refusal
 
+log = logging.getLogger(__name__)
+
 EXPIRY_CHECK_S = 0.05
 RETRY_AFTER_S = 1.0
 SHARE_SLACK = 2.0
@@ -179,7 +182,14 @@
         while True:
             await asyncio.sleep(EXPIRY_CHECK_S)
             for service, queue in self._queues.items():
-                if len(queue):
-                    self._pump(service, queue)
-                else:
-                    queue.forget_idle()
+                self._check_queue(service, queue)
+
+    def _check_queue(self, service: ServiceName, queue: FairQueue) -> None:
+        """Let requests in or refuse them; a defect with one service must not stop the others."""
+        try:
+            if len(queue):
+                self._pump(service, queue)
+            else:
+                queue.forget_idle()
+        except Exception:
+            log.exception("admission failed", extra={"service": service})
--- a/daemon/minttided/cancellations.py
+++ b/daemon/minttided/cancellations.py
@@ -64,6 +64,10 @@
         except EngineError as exc:
             self._drop_old(str(exc))
             return False
+        except Exception:
+            log.exception("cancellation failed", extra={"engine": self._engine})
+            self._drop_old("a defect in the router")
+            return False
         for request, keep_until in sent.items():
             if self._keep_until.get(request) == keep_until:
                 del self._keep_until[request]
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -3,9 +3,8 @@
 import asyncio
 import logging
 import random
-from collections import Counter
-from collections.abc import Sequence
-from itertools import cycle
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 
@@ -30,7 +29,8 @@
 PROBE_S = 0.25
 """Time between two looks at engines that are suspected."""
 
-PROBES_AT_ONCE = 16
+PROBES_AT_ONCE = 4
+READ_TIMEOUT_S = 2.0
 UNFIT_ERRORS = {StepError.WRONG_LAYERS, StepError.NO_MEMORY, StepError.LEAVING}
 """Errors after which an engine gets no new request until its state was read."""
 
@@ -43,6 +43,7 @@
         self._suspicion = Suspicion()
         self._unfit: dict[UpstreamId, str] = {}
         self._holds = Holds()
+        self._round: deque[UpstreamId] = deque()
         self._rng = random.Random(node.cfg.host)
         self._reports: dict[UpstreamId, LoadReport] = {}
         self._caches = CacheView()
@@ -56,8 +57,12 @@
 
     async def __aenter__(self) -> "EngineWatch":
         loop = asyncio.get_running_loop()
-        jobs = (self._refresh_regularly(), self._read_engines(), self._probe_doubtful())
-        self._tasks = [loop.create_task(job) for job in jobs]
+        jobs = (
+            (REFRESH_S, self._refresh_once),
+            (1.0 / READS_PER_S, self._read_next),
+            (PROBE_S, self._probe_doubtful),
+        )
+        self._tasks = [loop.create_task(_repeat(pause_s, job)) for pause_s, job in jobs]
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -208,33 +213,26 @@
 
     # Regular work.
 
-    async def _refresh_regularly(self) -> None:
-        while True:
-            await asyncio.sleep(REFRESH_S)
-            self.refresh()
+    async def _refresh_once(self) -> None:
+        self.refresh()
 
-    async def _read_engines(self) -> None:
-        """Read load and cache events of the followed engines in turn, at a constant rate."""
-        while True:
-            followed = self._topology
-            if not followed.followed:
-                await asyncio.sleep(REFRESH_S)
-                continue
-            for engine in cycle(followed.followed):
-                await asyncio.sleep(1.0 / READS_PER_S)
-                if self._topology is not followed:
-                    break
-                await self._read_engine(engine)
+    async def _read_next(self) -> None:
+        """Read load and cache events of the next followed engine, in turn."""
+        if not self._round:
+            self._round.extend(self._topology.followed)
+        if self._round:
+            await self._read_engine(self._round.popleft())
 
     async def _read_engine(self, engine: UpstreamId) -> None:
         if engine in self._suspicion.suspected:
             return
         try:
-            client = self._client(engine)
-            report = await client.report()
-            events = await client.cache_events(self._caches.sequence(engine))
-        except EngineError as exc:
-            self.suspect(engine, str(exc))
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                client = self._client(engine)
+                report = await client.report()
+                events = await client.cache_events(self._caches.sequence(engine))
+        except (EngineError, TimeoutError) as exc:
+            self.suspect(engine, str(exc) or "no answer to a read")
             return
         # The engine's clock may be wrong, so the report counts from when it was read.
         now_ms = int(asyncio.get_running_loop().time() * 1000)
@@ -242,16 +240,16 @@
         self._caches.apply(engine, events)
 
     async def _probe_doubtful(self) -> None:
-        while True:
-            await asyncio.sleep(PROBE_S)
-            doubtful = sorted(self._suspicion.suspected.union(self._unfit) - self._holds.held())
-            picked = self._rng.sample(doubtful, min(PROBES_AT_ONCE, len(doubtful)))
-            await asyncio.gather(*(self._probe(engine) for engine in picked))
+        """Read the states of some engines that get no work."""
+        doubtful = sorted(self._suspicion.suspected.union(self._unfit) - self._holds.held())
+        picked = self._rng.sample(doubtful, min(PROBES_AT_ONCE, len(doubtful)))
+        await asyncio.gather(*(self._probe(engine) for engine in picked))
 
     async def _probe(self, engine: UpstreamId) -> None:
         try:
-            state = await self._client(engine).read_state()
-        except EngineError:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                state = await self._client(engine).read_state()
+        except (EngineError, TimeoutError):
             return
         if not self._fits(engine, state):
             return
@@ -270,6 +268,16 @@
         return not state.loading and not state.leaving and held == _layers(wanted)
 
 
+async def _repeat(pause_s: float, job: Callable[[], Awaitable[None]]) -> None:
+    """Run `job` again and again; a defect in it must not end the watch over all engines."""
+    while True:
+        await asyncio.sleep(pause_s)
+        try:
+            await job()
+        except Exception:
+            log.exception("watch over engines failed", extra={"job": job.__name__})
+
+
 def _layers(assignment: object) -> tuple[object, ...]:
     """Return what an assignment lets its engine hold."""
     names = ("service", "version", "first", "last")
--- a/daemon/minttided/recoveries.py
+++ b/daemon/minttided/recoveries.py
@@ -136,12 +136,14 @@
 
     def _pump(self) -> None:
         self._pump_handle = None
-        for group, pacer in self._pacers.items():
-            if len(pacer):
-                self._start_stalled(group, pacer)
-        self._drop_old_pacers()
-        if any(len(pacer) for pacer in self._pacers.values()):
-            self._pump_soon(PUMP_S)
+        try:
+            for group, pacer in list(self._pacers.items()):
+                if len(pacer):
+                    self._start_stalled(group, pacer)
+            self._drop_old_pacers()
+        finally:
+            if self.waiting:
+                self._pump_soon(PUMP_S)
 
     def _drop_old_pacers(self) -> None:
         """Forget versions that no chain holds any more."""
--- a/daemon/minttided/steps_batcher.py
+++ b/daemon/minttided/steps_batcher.py
@@ -146,12 +146,14 @@
         self._arm(watch)
         try:
             replies = await self._client.run_steps(StepBatch(steps))
-        except EngineError as exc:
-            self._suspect(batch, str(exc))
-        else:
             self._last_answer_s = self._loop.time()
             self._health.observe(self.engine, work, self._loop.time() - started)
             self._hand_out(batch, replies)
+        except EngineError as exc:
+            self._suspect(batch, str(exc))
+        except Exception:
+            log.exception("batch failed", extra={"engine": self.engine})
+            self._miss_all(batch.steps.values(), "a defect in the router")
         finally:
             if watch.timer is not None:
                 watch.timer.cancel()
--- a/test/test_steps_batcher.py
+++ b/test/test_steps_batcher.py
@@ -175,3 +175,29 @@
 
     assert run_lane(job, Uneven(), patience_s=0.7) == (["a", "b", "c", "d"], [])
     assert run_lane(job, Uneven(), patience_s=0.66)[1] == [ENGINE]
+
+
+def test_a_defect_on_the_way_misses_the_steps_and_stops_nothing():
+    class Broken(Engine):
+        broken = True
+
+        async def run_steps(self, batch):
+            if self.broken:
+                raise ValueError("a defect")
+            return await super().run_steps(batch)
+
+        async def cancel(self, requests):
+            if self.broken:
+                raise ValueError("a defect")
+            await super().cancel(requests)
+
+    async def job(lane, engine, owner, health):
+        lane.submit(step("a"))
+        lane.cancel(RequestId("b"))
+        await asyncio.sleep(1)
+        engine.broken = False
+        lane.submit(step("c"))
+        await asyncio.sleep(10)
+        return owner.misses, owner.replies, engine.cancelled, health.suspected
+
+    assert run_lane(job, Broken()) == (["a"], ["c"], [["b"]], [])
