Limit the KV memory of stand-in engines and evict idle caches

Cause: the stand-in engines had endless memory for KV caches, so NO_MEMORY never came, and caches of a dead daemon's drafts stayed for ever. Change: a step that doesn't fit evicts caches that no step has used for 30 s, oldest first, and is refused as NO_MEMORY when that isn't enough. The number of cached tokens is kept, not summed. Conclusion: what a dead daemon leaves behind is bounded by memory, as on a real engine.

--- a/fakes/minttide_fakes/engine.py
+++ b/fakes/minttide_fakes/engine.py
@@ -74,6 +74,7 @@
         self.report_lag_s = REPORT_LAG_S
         self.steps_run = 0
         self.holding = Holding(engine, kind, models, weights, self.stage)
+        self.stage.free_tokens = lambda: self.holding.kv_free_tokens
         self._fabric = fabric
         self._queue: list[_Waiting] = []
         self._running: list[_Waiting] = []
--- a/fakes/minttide_fakes/holding.py
+++ b/fakes/minttide_fakes/holding.py
@@ -103,6 +103,15 @@
         used += self._stage.kv_tokens * layers * model.kv_kb_per_token_layer / KB_PER_MB
         return max(0.0, self._memory_mb - used)
 
+    @property
+    def kv_free_tokens(self) -> float:
+        """Return how many more tokens the KV caches of the held layers can take."""
+        model = self._models.get(self._service)
+        layers = self._last - self._first
+        if model is None or not layers or not model.kv_kb_per_token_layer:
+            return float("inf")
+        return self.kv_free_mb * KB_PER_MB / (layers * model.kv_kb_per_token_layer)
+
     def hold(
         self, service: ServiceName, version: ModelVersion, first: int, last: int, watts: int
     ) -> None:
--- a/fakes/minttide_fakes/kv.py
+++ b/fakes/minttide_fakes/kv.py
@@ -14,7 +14,7 @@
     """The KV cache of one request on one engine, for layers `first` to `last - 1`.
 
     `position` counts the tokens that the layers have seen; `prefix` is the digest of those tokens
-    and is kept at the stage that holds layer 0.
+    and is kept at the stage that holds layer 0. `used_s` is the loop time of its last step.
     """
 
     service: str
@@ -26,6 +26,7 @@
     position: int
     prefix: bytes = b""
     prefix_names: list[str] = field(default_factory=list)
+    used_s: float = 0.0
 
     def fits(self, service: str, version: str, adapter: str | None, first: int, last: int) -> bool:
         """Return whether this cache belongs to these layers of this model."""
--- a/fakes/minttide_fakes/stage.py
+++ b/fakes/minttide_fakes/stage.py
@@ -1,5 +1,8 @@
 """The layers that a stand-in engine holds, and how one step runs through them."""
 
+import asyncio
+from collections.abc import Callable
+
 from minttide.ids import ModelVersion, RequestId, ServiceName, UpstreamId
 from minttide.prefix import prefix_digests
 from minttide.steps import Step, StepError, StepReply
@@ -11,6 +14,10 @@
 """Cancelled requests that are remembered, so that a late step brings nothing back."""
 
 
+IDLE_S = 30.0
+"""How long no step has come for a request whose cache may be evicted when memory runs short."""
+
+
 class Stage:
     """Layers `first` to `last - 1` of one model version, with the KV caches of its requests."""
 
@@ -18,11 +25,13 @@
         self.leaving = False
         self.held = (ServiceName(""), ModelVersion(""), 0, 0)
         self.layers_run: dict[RequestId, int] = {}
+        self._kv_tokens = 0
         self._engine = engine
         self._fabric = fabric
         self._prefixes = prefixes
         self._caches: dict[RequestId, KvCache] = {}
         self._cancelled: dict[RequestId, int] = {}
+        self.free_tokens: Callable[[], float] = lambda: float("inf")
 
     @property
     def kept(self) -> int:
@@ -37,7 +46,7 @@
     @property
     def kv_tokens(self) -> int:
         """Return how many tokens all caches hold."""
-        return sum(cache.position for cache in self._caches.values())
+        return self._kv_tokens
 
     def find_cache(self, request: RequestId) -> KvCache | None:
         """Return the cache of a request."""
@@ -57,18 +66,24 @@
     def clear(self) -> None:
         """Drop all caches and outputs."""
         self._caches.clear()
+        self._kv_tokens = 0
         self._fabric.outputs_of(self._engine).clear()
         self._prefixes.clear()
 
     def cancel(self, request: RequestId, attempt: int) -> None:
         """Drop what is kept for a request, and refuse what still comes up to its `attempt`."""
-        cache = self._caches.pop(request, None)
-        self._fabric.outputs_of(self._engine).pop(request, None)
+        cache = self._drop(request)
         attempt = max(attempt, cache.attempt if cache else 0, self._cancelled.get(request, 0))
         self._cancelled[request] = attempt
         while len(self._cancelled) > MAX_CANCELLED:
             self._cancelled.pop(next(iter(self._cancelled)))
 
+    def _drop(self, request: RequestId) -> KvCache | None:
+        cache = self._caches.pop(request, None)
+        self._kv_tokens -= cache.position if cache else 0
+        self._fabric.outputs_of(self._engine).pop(request, None)
+        return cache
+
     def cancelled_reply(self, step: Step) -> StepReply:
         """Return the reply to a step of a cancelled request."""
         return _refuse(step, StepError.CANCELLED)
@@ -84,6 +99,8 @@
     def run(self, step: Step) -> StepReply:
         """Run one step, or say why not."""
         error = self._check(step)
+        if error is None and not self._make_room(step):
+            error = StepError.NO_MEMORY
         if error is not None:
             return _refuse(step, error)
         cached = step.position - self.new_tokens(step) if step.prefill else 0
@@ -107,6 +124,20 @@
             return StepError.WRONG_POSITION
         return None if cache.position + 1 == step.position else StepError.WRONG_POSITION
 
+    def _make_room(self, step: Step) -> bool:
+        """Return whether the step's tokens fit, after evicting idle caches where need be."""
+        cache = self._caches.get(step.request)
+        needed = step.position - (cache.position if cache else 0)
+        if self.free_tokens() >= needed:
+            return True
+        horizon_s = _now_s() - IDLE_S
+        idle = [r for r, c in self._caches.items() if c.used_s < horizon_s and r != step.request]
+        for request in sorted(idle, key=lambda r: self._caches[r].used_s):
+            self._drop(request)
+            if self.free_tokens() >= needed:
+                return True
+        return False
+
     def _enter(self, step: Step) -> bytes | StepError:
         """Bring the request's cache to the step's position; return what enters `step.first`."""
         if step.first == 0:
@@ -151,6 +182,8 @@
         return cache if fits else None
 
     def _keep(self, step: Step, prefix: bytes, names: list[str]) -> None:
+        old = self._caches.get(step.request)
+        self._kv_tokens += step.position - (old.position if old else 0)
         self._caches[step.request] = KvCache(
             step.service,
             step.version,
@@ -161,6 +194,7 @@
             step.position,
             prefix,
             names,
+            _now_s(),
         )
         if step.prefill:
             self._prefixes.add(names)
@@ -184,3 +218,7 @@
 
 def _refuse(step: Step, error: StepError) -> StepReply:
     return StepReply(step.request, step.attempt, step.position, step.stage, error=error)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/test/test_fakes.py
+++ b/test/test_fakes.py
@@ -13,6 +13,7 @@
 from minttide_fakes.kv import Fabric
 from minttide_fakes.memory import AppendFault, MemoryLog
 from minttide_fakes.model import generate, next_token
+from minttide_fakes.virtual import run_virtual
 
 KIND = AcceleratorKind("a", 1000, 10.0, 1.0, 1.0, [PowerLevel(100, 0.5), PowerLevel(200, 1.0)])
 MODEL = Model(4, 10.0, 1.0, 1.0)
@@ -161,6 +162,21 @@
     assert asyncio.run(run()) == counts
 
 
+def test_memory_is_limited_and_idle_caches_make_room():
+    async def run():
+        (engine,) = make_chain(1)
+        room = int(engine.holding.kv_free_tokens)
+        tokens = [1] * (room // 2 + 1)
+        replies = [await run_token([engine], tokens, True, request=name) for name in "ab"]
+        await asyncio.sleep(31)
+        replies.append(await run_token([engine], tokens, True, request="b"))
+        return [reply.error for reply in replies], engine.stage.streams, engine.stage.kv_tokens
+
+    errors, streams, kv_tokens = run_virtual(run())
+    assert errors == [None, StepError.NO_MEMORY, None]
+    assert (streams, kv_tokens) == (1, 245_760 // 2 + 1)
+
+
 def test_death_mid_step_loses_everything_and_a_restart_holds_nothing():
     async def run():
         engines = make_chain()
