--- a/measure/soak.py
+++ b/measure/soak.py
@@ -181,6 +181,7 @@
 
     async def _replace(self, index: int, planned: bool) -> None:
         old = self._site.daemons[index]
+        self.counts["daemons stopped" if planned else "daemons killed"] += 1
         if planned:
             old.app.start_drain()
             self.counts["planned stops that did not end"] += not await old.wait_ended(DRAIN_LIMIT_S)
