Look at the lease on the open connection before an order is sent

Cause: the specification of power gives the steps by which an engine that forgets its fencing number at a restart is raised past the cap: a lapsed holder that was paused between its look at the clock and connecting sends an old order to the new process. Change: EngineClient.order takes may_send (shared file interfaces.py, additive, with a default); HttpClient asks it when the connection stands, just before the first byte. A second model in spec/power.py has engines that forget and senders that look.

--- a/core/minttide/interfaces.py
+++ b/core/minttide/interfaces.py
@@ -1,6 +1,6 @@
 """Narrow interfaces to the platform, engines and upstreams. Adapters stay behind them."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -85,6 +85,11 @@
     """An engine refused an order because it has taken a newer fencing number."""
 
 
+def always() -> bool:
+    """Let a message be sent at any time."""
+    return True
+
+
 class EngineClient(Protocol):
     """One model engine. Every call raises `EngineError` when the engine can't answer."""
 
@@ -97,8 +102,13 @@
     async def read_state(self) -> EngineState:
         """Read what the engine holds now."""
 
-    async def order(self, order: Order) -> EngineState:
-        """Give an order. Raises `StaleFencingError` where the engine checks the number."""
+    async def order(self, order: Order, may_send: Callable[[], bool] = always) -> EngineState:
+        """Give an order. Raises `StaleFencingError` where the engine checks the number.
+
+        `may_send` is asked once a connection to the engine stands, and the order is sent at once
+        or, when it returns false, not at all (`EngineError`). So an order reaches no process of the
+        engine that started after its sender was last allowed to send it.
+        """
 
     async def report(self) -> LoadReport:
         """Read the engine's last load report."""
--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/controller.py
@@ -205,7 +205,7 @@
 
     async def _order(self, assignment: Assignment, fencing: Offset) -> None:
         engine = self._view.engines().get(assignment.engine)
-        if engine is None or not self._lease.holds() or fencing != self._view.offset:
+        if engine is None or not self._may_order(fencing):
             return
         order = Order(
             fencing,
@@ -227,11 +227,15 @@
             },
         )
 
+    def _may_order(self, fencing: Offset) -> bool:
+        return self._lease.holds() and fencing == self._view.offset
+
     async def _send(self, engine: Engine, order: Order) -> str:
         client = self._node.clients.engine(engine.id, engine.address)
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                self._view.poller.note_state(await client.order(order))
+                state = await client.order(order, lambda: self._may_order(order.fencing))
+            self._view.poller.note_state(state)
         except StaleFencingError:
             return "refused: a newer order was taken"
         except (EngineError, TimeoutError) as exc:
--- a/daemon/minttided/engine_http.py
+++ b/daemon/minttided/engine_http.py
@@ -1,12 +1,12 @@
 """Model engines over HTTP with JSON bodies of the structs in `minttide.steps`."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 import msgspec
 
 from minttide.ids import RequestId
-from minttide.interfaces import EngineError, StaleFencingError
+from minttide.interfaces import EngineError, StaleFencingError, always
 from minttide.steps import CacheEvent, EngineState, LoadReport, Order, StepBatch, StepReplies
 from minttided.http_client import BrokenError, HttpClient, HttpReply, NotSentError
 
@@ -59,9 +59,10 @@
         """Read what the engine holds now."""
         return _decode(_state, await self._ask("GET", "/v1/state"))
 
-    async def order(self, order: Order) -> EngineState:
-        """Give an order."""
-        reply = await self._ask("POST", "/v1/order", _encoder.encode(order))
+    async def order(self, order: Order, may_send: Callable[[], bool] = always) -> EngineState:
+        """Give an order, if `may_send` allows it once a connection stands."""
+        body = _encoder.encode(order)
+        reply = await self._ask("POST", "/v1/order", body, may_send=may_send)
         if reply.status == _STALE:
             raise StaleFencingError(reply.body[:200].decode("utf-8", "replace"))
         return _decode(_state, reply)
@@ -80,10 +81,17 @@
         return _decode(_handle, await self._ask("POST", "/v1/kv/export", body)).handle
 
     async def _ask(
-        self, method: str, path: str, body: bytes = b"", timeout_s: float = CONTROL_TIMEOUT_S
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CONTROL_TIMEOUT_S,
+        may_send: Callable[[], bool] = always,
     ) -> HttpReply:
         try:
-            return await self._client.request(method, path, body, _HEADERS, timeout_s)
+            return await self._client.request(
+                method, path, body, _HEADERS, timeout_s, may_send=may_send
+            )
         except (NotSentError, BrokenError) as exc:
             raise EngineError(str(exc)) from exc
 
--- a/daemon/minttided/http_client.py
+++ b/daemon/minttided/http_client.py
@@ -1,12 +1,13 @@
 """An HTTP/1.1 client on h11 for one address, with a small pool of kept-alive connections."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import h11
 
 from minttide.ids import Address
+from minttide.interfaces import always
 from minttided.http_messages import Headers, split_address
 
 READ_BYTES = 65_536
@@ -54,15 +55,21 @@
         headers: Sequence[tuple[str, str]] = (),
         timeout_s: float = 10.0,
         fresh: bool = False,
+        may_send: Callable[[], bool] = always,
     ) -> HttpReply:
         """Make one request, on a connection opened for it when `fresh`.
 
+        `may_send` is asked on the open connection, just before the first byte is sent.
+
         Raises `NotSentError` or `BrokenError`; a timeout is one or the other.
         """
         request = self._make_request(method, path, body, headers)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
         conn = await self._take(fresh, deadline)
+        if not may_send():
+            conn.close()
+            raise NotSentError("the sender may not send it any more")
         try:
             async with asyncio.timeout_at(deadline):
                 reply = await conn.exchange(request, body, self._max_reply)
--- a/fakes/minttide_fakes/site.py
+++ b/fakes/minttide_fakes/site.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from minttide.config.service import ModelService, PlainService, ServiceFile, Site
 from minttide.ids import Address, RequestId, ServiceName, UpstreamId, ZoneId
@@ -13,6 +13,7 @@
     UpstreamClient,
     UpstreamRefusedError,
     UpstreamReply,
+    always,
 )
 from minttide.steps import CacheEvent, EngineState, LoadReport, Order, StepBatch, StepReplies
 from minttide_fakes.engine import FakeEngine
@@ -142,9 +143,12 @@
         await self._return()
         return state
 
-    async def order(self, order: Order) -> EngineState:
-        """Give an order."""
-        state = await (await self._reach()).order(order)
+    async def order(self, order: Order, may_send: Callable[[], bool] = always) -> EngineState:
+        """Give an order, if `may_send` allows it once the engine is reached."""
+        engine = await self._reach()
+        if not may_send():
+            raise EngineError("the sender may not send it any more")
+        state = await engine.order(order)
         await self._return()
         return state
 
--- a/spec/power.py
+++ b/spec/power.py
@@ -18,6 +18,7 @@
 ENGINES = 3
 IGNORING = 2
 MAX_LOG = 5
+MAX_STARTS = 1
 DECIDERS = 2
 LEVELS = ((HIGH, LOW, HIGH), (LOW, HIGH, HIGH), (LOW, LOW, HIGH))
 UNPINNED = (*LEVELS, (LOW, LOW, LOW), (HIGH, HIGH, LOW))
@@ -58,6 +59,21 @@
     read_back: frozenset
 
 
+class Guarded(NamedTuple):
+    """A state in which orders go to one process of an engine; `sent` holds those on their way.
+
+    `starts` counts the starts of the first engine, the only one that restarts; `newest` is the
+    newest plan that an order was sent for.
+    """
+
+    log: tuple
+    engines: tuple
+    read_back: frozenset
+    starts: int
+    newest: int
+    sent: frozenset
+
+
 @cache
 def fold(log: tuple, broken: str | None = None) -> tuple[Domain, tuple[bool, ...]]:
     """Return the domain after `log`, and which records were accepted."""
@@ -157,6 +173,77 @@
             self.found.append((f"read back {i}", self.state._replace(read_back=read_back)))
 
 
+class _GuardedSteps:
+    """Steps where engines forget their number, and senders look at their lease once connected.
+
+    An order dies with the process that it was sent to. While its sender holds the lease, it sends
+    orders of its newest plan only.
+    """
+
+    def __init__(self, state: Guarded, broken: str | None):
+        self.state = state
+        self.broken = broken
+
+    def all(self) -> list[tuple[str, Guarded]]:
+        inner = State(*self.state[:3])
+        steps = _Steps(inner, "engine forgets its number")
+        if len(inner.log) < MAX_LOG:
+            steps._append_steps(0)
+        for i, engine in enumerate(inner.engines):
+            steps._read_back(i, engine)
+        found = [(label, self.state._replace(**after._asdict())) for label, after in steps.found]
+        return found + self._sends() + self._arrivals() + self._restarts()
+
+    def _sends(self) -> list[tuple[str, Guarded]]:
+        plans = [n for n, r in enumerate(self.state.log) if r.kind == "plan"]
+        unguarded = self.broken == "lease not looked at once connected"
+        found = []
+        for plan in plans:
+            if plan < self.state.newest and not unguarded:
+                continue
+            for i in range(ENGINES - 1):  # the last one stands at its highest level all the time
+                process = self.state.starts if i == 0 else 0
+                sent = self.state.sent | {(i, plan, process)}
+                newest = max(plan, self.state.newest)
+                found.append((f"send {i}", self.state._replace(sent=sent, newest=newest)))
+        return found
+
+    def _arrivals(self) -> list[tuple[str, Guarded]]:
+        found = []
+        for i, plan, process in self.state.sent:
+            engine, level = self.state.engines[i], self.state.log[plan].levels[i]
+            if process != (self.state.starts if i == 0 else 0) or plan < engine.fencing:
+                continue
+            engines = list(self.state.engines)
+            engines[i] = Engine(plan, level)
+            found.append((f"order {i}", self.state._replace(engines=tuple(engines))))
+        return found
+
+    def _restarts(self) -> list[tuple[str, Guarded]]:
+        if self.state.starts >= MAX_STARTS:
+            return []
+        engines = (Engine(), *self.state.engines[1:])
+        sent = frozenset(s for s in self.state.sent if s[0] != 0)
+        starts = self.state.starts + 1
+        after = self.state._replace(engines=engines, sent=sent, starts=starts)
+        return [("restart 0", after)]
+
+
+def build_guarded(broken: str | None = None) -> minicheck.Protocol:
+    """Return the model of guarded senders, or the variant of it that `broken` names."""
+    boot = (Engine(), Engine(), Engine(level=HIGH))
+    return minicheck.Protocol(
+        name="power, numbers forgotten",
+        candidate=False,
+        fields=Guarded._fields,
+        initial=Guarded((), boot, frozenset(), 0, -1, frozenset()),
+        transitions=lambda state: _GuardedSteps(Guarded(*state), broken).all(),
+        invariants={
+            "power stays under the cap": lambda d: sum(e.level for e in d["engines"]) <= CAP
+        },
+    )
+
+
 def build(broken: str | None = None) -> minicheck.Protocol:
     """Return the model, or the variant of it that `broken` names."""
     boot = (Engine(), Engine(), Engine(level=HIGH))
@@ -186,5 +273,10 @@
             ],
             "power stays under the cap",
         ),
-    )
+    ),
+    Spec(
+        "power, number lost",
+        build_guarded,
+        {"lease not looked at once connected": "power stays under the cap"},
+    ),
 ]
--- a/test/schedule.py
+++ b/test/schedule.py
@@ -148,7 +148,7 @@
         self.read_state, self.report = linked.read_state, linked.report
         self.cache_events = linked.cache_events
 
-    async def order(self, order):
+    async def order(self, order, may_send):
         started = getattr(self._fake, "starts", 0)
         task = asyncio.create_task(self._deliver(order, started))
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -116,8 +116,9 @@
         self.read_state = engine.read_state
         self.report = engine.report
 
-    async def order(self, order):
+    async def order(self, order, may_send):
         faults = self.faults
+        assert may_send()
         if faults.late_s is not None:
             task = asyncio.create_task(self._deliver_late(order, faults.late_s))
             faults.tasks.add(task)
--- a/test/test_engine_http.py
+++ b/test/test_engine_http.py
@@ -83,3 +83,21 @@
         None,
         [("GET", "/v1/cache-events", "after=7")],
     )
+
+
+def test_an_order_is_not_sent_once_its_sender_may_no_longer_send_it():
+    seen = []
+
+    async def handle(req):
+        seen.append(req.path)
+        return HttpResponse(200, b"{}")
+
+    async def run():
+        async with HttpServer(handle, Address("127.0.0.1:0"), Bounds()) as server:
+            client = HttpClient(server.address)
+            with pytest.raises(EngineError):
+                await EngineHttp(client).order(ORDER, lambda: False)
+            client.close()
+
+    asyncio.run(run())
+    assert seen == []
