Pin engines that ignore fencing in every step, and part orders from the controller

Cause: the controller kept engines that ignore fencing at their highest level in the wanted plan, but not in the steps on the way that a planner gives, and counted one accelerator where an engine has several. Change: each step is pinned before it is appended, at the level times the accelerators. Orders and confirmations are in engine_orders.py, the append of placement records in placement_view.py. Conclusion: the rule holds whatever a planner asks for.

--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/controller.py
@@ -1,40 +1,31 @@
-"""The decider of a placement domain: plans, orders engines, reads back, confirms, repairs.
+"""The decider of a placement domain: takes it step by step to the plan that the policy wants.
 
-It acts only while its host holds the domain's lease. Orders are absolute and carry the offset of
-their accepted plan as fencing number. The clock is looked at again just before each order.
+It acts only while its host holds the domain's lease.
 """
 
 import asyncio
 import logging
-from collections.abc import Sequence
 
 import msgspec
 
-from minttide.config.service import Engine, Site
-from minttide.ids import ModelVersion, Offset, UpstreamId
+from minttide.config.service import Site
+from minttide.ids import Offset, UpstreamId
 from minttide.interfaces import (
-    EngineError,
     LogUnavailableError,
     LogUncertainError,
-    StaleFencingError,
 )
-from minttide.records import Assignment, Body, Confirmation, EngineWatts, Plan
-from minttide.steps import EngineState, Order
+from minttide.records import Assignment, Plan
+from minttided.engine_orders import EngineOrders, holds_as_planned
 from minttided.lease_holder import LeaseHolder
 from minttided.node import Node
 from minttided.placement_view import PlacementView
 from minttided.planning import ChangeStep, Planner, StepWait
-from minttided.streams import seal
 
 log = logging.getLogger(__name__)
 
 ROUND_S = 0.5
 """Longest time between two rounds of the controller, in seconds."""
 
-ORDER_TIMEOUT_S = 3.0
-MAX_ORDERS_OPEN = 16
-APPEND_TIMEOUT_S = 3.0
-
 WAIT_LIMIT_S = {
     StepWait.CONFIRMED: 5.0,
     StepWait.DRAINED: 60.0,
@@ -63,6 +54,7 @@
         self._view = view
         self._lease = lease
         self._planner = planner
+        self._orders = EngineOrders(node, view, lease)
         self._trigger: _Trigger | None = None
         self._wanted: tuple[Assignment, ...] = ()
         self._wait: StepWait | None = None
@@ -95,7 +87,7 @@
         if not self._lease.holds() or site is None or cfg.stopped_at is not None:
             self._trigger = None
             return
-        await self._carry_out()
+        await self._orders.carry_out()
         self._plan_if_changed(site)
         if self._is_step_done():
             await self._take_next_step(site)
@@ -132,19 +124,26 @@
         if engine is None or engine.checks_fencing:
             return assignment
         levels = {k.name: k.power[-1].watts for k in site.accelerators}
-        highest = levels.get(engine.accelerator, assignment.watts)
+        highest = levels.get(engine.accelerator, 0) * engine.accelerators
         return msgspec.structs.replace(assignment, watts=max(assignment.watts, highest))
 
+    def _pin_step(self, site: Site, step: ChangeStep) -> ChangeStep:
+        pinned = tuple(self._pin_power(site, a) for a in step.assignments)
+        return msgspec.structs.replace(step, assignments=pinned)
+
     async def _take_next_step(self, site: Site) -> None:
         current = tuple(self._view.assignments())
-        steps = self._planner.steps(current, self._wanted, site.power_cap_watts)
+        steps = [
+            self._pin_step(site, step)
+            for step in self._planner.steps(current, self._wanted, site.power_cap_watts)
+        ]
         step = next((s for s in steps if s.assignments != current), None)
         if step is None:
             return
         # Set before the append, whose answer may be lost after the plan came into force.
         self._start_wait(step.wait)
         if await self._append_plan(site, step):
-            await self._carry_out()
+            await self._orders.carry_out()
 
     async def _append_plan(self, site: Site, step: ChangeStep) -> bool:
         fold = self._view.fold
@@ -154,7 +153,7 @@
         placed = {a.engine for a in step.assignments}
         gone = sorted(set(fold.reserved) - placed - set(self._view.engines()))
         plan = Plan(term, fold.plan_offset, list(step.assignments), site.power_cap_watts, gone)
-        await self._append(plan)
+        await self._view.append(plan)
         accepted = fold.plan == plan
         log.info(
             "plan appended",
@@ -162,107 +161,6 @@
         )
         return accepted
 
-    async def _append(self, body: Body) -> None:
-        async with asyncio.timeout(APPEND_TIMEOUT_S):
-            offset = await self._view.follower.append(seal(self._node, body))
-            await self._view.follower.wait_applied(offset)
-
-    # Orders.
-
-    async def _carry_out(self) -> None:
-        """Order every engine that differs from the plan, lower first, and confirm."""
-        due = [a for a in self._view.assignments() if self._needs_order(a)]
-        lower = [a for a in due if not self._is_raise(a)]
-        raises = [a for a in due if self._is_raise(a)]
-        await self._order_all(lower)
-        await self._confirm()
-        await self._order_all(raises)
-        await self._confirm()
-
-    def _needs_order(self, assignment: Assignment) -> bool:
-        engine = self._view.engines().get(assignment.engine)
-        if engine is None or assignment.engine in self._view.poller.lost():
-            return False
-        state = self._view.state(assignment.engine)
-        if state is None or not _matches(state, assignment):
-            return True
-        unconfirmed = self._view.fold.reserved.get(engine.id) != assignment.watts
-        return engine.checks_fencing and unconfirmed and state.fencing < self._view.offset
-
-    def _is_raise(self, assignment: Assignment) -> bool:
-        state = self._view.state(assignment.engine)
-        return state is not None and state.watts < assignment.watts
-
-    async def _order_all(self, assignments: Sequence[Assignment]) -> None:
-        slots = asyncio.Semaphore(MAX_ORDERS_OPEN)
-        fencing = self._view.offset
-
-        async def order(assignment: Assignment) -> None:
-            async with slots:
-                await self._order(assignment, fencing)
-
-        await asyncio.gather(*(order(a) for a in assignments))
-
-    async def _order(self, assignment: Assignment, fencing: Offset) -> None:
-        engine = self._view.engines().get(assignment.engine)
-        if engine is None or not self._may_order(fencing):
-            return
-        order = Order(
-            fencing,
-            assignment.service,
-            ModelVersion(assignment.version),
-            assignment.first,
-            assignment.last,
-            assignment.watts,
-        )
-        result = await self._send(engine, order)
-        log.info(
-            "engine ordered",
-            extra={
-                "engine": engine.id,
-                "fencing": fencing,
-                "layers": f"{order.first}-{order.last}",
-                "watts": order.watts,
-                "result": result,
-            },
-        )
-
-    def _may_order(self, fencing: Offset) -> bool:
-        return self._lease.holds() and fencing == self._view.offset
-
-    async def _send(self, engine: Engine, order: Order) -> str:
-        client = self._node.clients.engine(engine.id, engine.address)
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                state = await client.order(order, lambda: self._may_order(order.fencing))
-            self._view.poller.note_state(state)
-        except StaleFencingError:
-            return "refused: a newer order was taken"
-        except (EngineError, TimeoutError) as exc:
-            # The order may have been taken; the next round reads the engine and orders again.
-            self._view.poller.note_failure(engine.id)
-            self._view.poller.hurry(engine.id)
-            return f"no answer: {exc}"
-        return "taken"
-
-    async def _confirm(self) -> None:
-        rows = [
-            EngineWatts(a.engine, self._view.offset, a.watts)
-            for a in self._view.assignments()
-            if self._is_unconfirmed(a)
-        ]
-        term = self._lease.term
-        if rows and term is not None and self._lease.holds():
-            await self._append(Confirmation(term, rows))
-
-    def _is_unconfirmed(self, assignment: Assignment) -> bool:
-        engine = self._view.engines().get(assignment.engine)
-        state = self._view.state(assignment.engine)
-        if engine is None or state is None or not engine.checks_fencing:
-            return False
-        read_back = state.fencing == self._view.offset and state.watts == assignment.watts
-        return read_back and self._view.fold.reserved.get(engine.id) != assignment.watts
-
     # Waiting for a step.
 
     def _is_retiring(self) -> bool:
@@ -302,18 +200,7 @@
 
     def _is_loaded(self, assignment: Assignment) -> bool:
         state = self._view.state(assignment.engine)
-        return state is not None and _matches(state, assignment) and not state.loading
+        return state is not None and holds_as_planned(state, assignment) and not state.loading
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _matches(state: EngineState, assignment: Assignment) -> bool:
-    held = (state.service, state.version, state.first, state.last, state.watts)
-    return held == (
-        assignment.service,
-        assignment.version,
-        assignment.first,
-        assignment.last,
-        assignment.watts,
-    )
--- a/daemon/minttided/key_shard.py
+++ b/daemon/minttided/key_shard.py
@@ -8,9 +8,8 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
-from typing import Any
 
 from minttide.agree.fold import Decision, Verdict
 from minttide.agree.keys import KeyEntry, KeyFold, KeyStatus, key_name
@@ -269,10 +268,7 @@
             self._record(_withdraw(claim))
 
     def _record(self, change: KeyChange) -> None:
-        self._spawn(self._record_until_settled(change))
-
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coro)
+        task = asyncio.create_task(self._record_until_settled(change))
         self._records.add(task)
         task.add_done_callback(self._records.discard)
 
--- a/daemon/minttided/placement_view.py
+++ b/daemon/minttided/placement_view.py
@@ -8,11 +8,13 @@
 from minttide.agree.placement import PlacementFold
 from minttide.config.service import Engine, ModelService
 from minttide.ids import Offset, UpstreamId, placement_stream
-from minttide.records import Assignment
+from minttide.records import Assignment, Body
 from minttide.steps import EngineState, LoadReport
 from minttided.engine_poll import EnginePoller
 from minttided.node import Node
-from minttided.streams import Follow, StreamFollower
+from minttided.streams import Follow, StreamFollower, seal
+
+APPEND_TIMEOUT_S = 3.0
 
 
 class PlacementView:
@@ -73,6 +75,16 @@
             self._engines_at = applied
         return self._engines
 
+    async def append(self, body: Body) -> None:
+        """Append a record to the placement stream and read the stream up to it.
+
+        Raises `LogUnavailableError`, `LogUncertainError`, or `TimeoutError`, which leaves it open
+        whether the record is appended.
+        """
+        async with asyncio.timeout(APPEND_TIMEOUT_S):
+            offset = await self.follower.append(seal(self._node, body))
+            await self.follower.wait_applied(offset)
+
     def listen(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of the plan in force or of the lease."""
         self._listeners.append(listener)
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -343,8 +343,21 @@
     assert run_virtual(run()) <= CAP
 
 
-def test_an_engine_that_ignores_fencing_is_never_lowered(monkeypatch):
-    monkeypatch.setattr(TablePlanner, "ignoring_watts", 100)
+@pytest.mark.parametrize("lowered", ["the wanted plan", "a step on the way"])
+def test_an_engine_that_ignores_fencing_is_never_lowered(monkeypatch, lowered):
+    if lowered == "the wanted plan":
+        monkeypatch.setattr(TablePlanner, "ignoring_watts", 100)
+    else:
+        careful = TablePlanner.steps
+
+        def lower_first(self, previous, wanted, cap_watts):
+            low = [msgspec.structs.replace(a, watts=100) for a in wanted]
+            first = ChangeStep(tuple(low), StepWait.CONFIRMED, "all low")
+            now = {a.version for a in previous}
+            steps = careful(self, previous, wanted, cap_watts)
+            return steps if now == {wanted[0].version} else [first, *steps]
+
+        monkeypatch.setattr(TablePlanner, "steps", lower_first)
 
     async def run():
         async with Domain() as domain:
