Keep key batches and the lease going through a defect of the log's adapter

Cause: an exception of the log's adapter other than its two stated ones ended the batcher's task, after which every keyed call of the shard waited for its deadline; the same for the lease. Change: the batch is told that its outcome is uncertain and the batcher goes on; the lease loop logs and goes on. In test_controller.py the refusal of an order that arrives late is looked at, since its traceback, written while a module was compiled, met a defect of CPython 3.11.7 ("AST constructor recursion depth mismatch") at the end of a run of that file alone.

--- a/daemon/minttided/key_batch.py
+++ b/daemon/minttided/key_batch.py
@@ -128,6 +128,11 @@
         except asyncio.CancelledError:
             self._fail(batch, LogUncertainError("the key stream was closed during an append"))
             raise
+        except Exception as exc:
+            # A defect of an adapter says nothing on the record; the batcher goes on.
+            log.warning("append failed", extra={"error": repr(exc)})
+            self._fail(batch, LogUncertainError(f"the append failed: {exc!r}"))
+            return
         for waiting in batch:
             if not waiting.fut.done():
                 waiting.fut.set_result(offset)
--- a/daemon/minttided/lease_holder.py
+++ b/daemon/minttided/lease_holder.py
@@ -73,6 +73,8 @@
                     await self._step()
             except (LogUnavailableError, LogUncertainError, TimeoutError) as exc:
                 log.debug("lease record not settled", extra={"error": str(exc)})
+            except Exception as exc:
+                log.warning("lease not looked after", extra={"error": repr(exc)})
             await asyncio.sleep(CHECK_S)
 
     async def _step(self) -> None:
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -122,6 +122,8 @@
         if faults.late_s is not None:
             task = asyncio.create_task(self._deliver_late(order, faults.late_s))
             faults.tasks.add(task)
+            # An order that is refused in the end is as it should be; it isn't to be logged.
+            task.add_done_callback(lambda t: t.cancelled() or t.exception())
             raise EngineError("no answer")
         if faults.lost[order.service]:
             faults.lost[order.service] -= 1
--- a/test/test_keyed.py
+++ b/test/test_keyed.py
@@ -132,6 +132,19 @@
     return [first, await site.hosts_by_name["b"].run()]
 
 
+async def log_adapter_fails(site):
+    a = site.hosts_by_name["a"]
+
+    def fail(stream, payload):
+        raise RuntimeError("a defect")
+
+    a.log.on_append = fail
+    first = await a.run()
+    a.log.on_append = None
+    await asyncio.sleep(1)
+    return [first, await a.run()]
+
+
 async def newer_format_in_the_stream(site):
     site.log.put(key_stream(0), b'{"format":%d}' % (FORMAT + 1))
     return [await site.hosts_by_name["a"].run()]
@@ -168,6 +181,7 @@
         (log_out_at_the_claim, [LOG_OUT, DONE], 1),
         (log_out_before_it_was_ever_read, [LOG_OUT], 0),
         (claim_too_slow_for_the_deadline, [DEADLINE, DONE], 1),
+        (log_adapter_fails, [LOG_OUT, DONE], 1),
         (newer_format_in_the_stream, [LOG_OUT], 0),
         (key_used_for_another_call, [DONE, MISMATCH], 1),
         (key_too_old, [TOO_OLD], 0),
