Keep the owners of key shards at the cost of what has changed

Cause: each keyed call ranked all hosts for its shard, and every 5 s all hosts for all shards. Change: OwnerTable weighs a host once when it comes, and ranks only the shards anew that a gone host owned; the list of live hosts is read at most every 0.5 s.

--- a/core/minttide/rendezvous.py
+++ b/core/minttide/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing: which hosts look after a shard, the same on every host that asks."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from minttide.ids import HostId, IdempotencyKey
 
@@ -22,3 +22,39 @@
 
 def _weigh(name: str, host: HostId) -> tuple[bytes, HostId]:
     return hashlib.blake2b(f"{name}\n{host}".encode(), digest_size=8).digest(), host
+
+
+class OwnerTable:
+    """The owners of each key shard, kept up to date at the cost of what has changed.
+
+    A host that comes is weighed once for each shard. When one goes, only the shards that it owned
+    are ranked anew.
+    """
+
+    def __init__(self, shards: int):
+        self.shards = shards
+        self._hosts: frozenset[HostId] = frozenset()
+        self._owners: list[list[HostId]] = [[] for _ in range(shards)]
+
+    @property
+    def hosts(self) -> frozenset[HostId]:
+        """Return the hosts that the owners were chosen among."""
+        return self._hosts
+
+    def owners(self, shard: int) -> list[HostId]:
+        """Return the owners of a shard, the first in rank first."""
+        return self._owners[shard]
+
+    def owned_by(self, host: HostId) -> set[int]:
+        """Return the shards that a host owns."""
+        return {shard for shard, owners in enumerate(self._owners) if host in owners}
+
+    def update(self, hosts: Set[HostId]) -> None:
+        """Choose among `hosts` from now on."""
+        gone, come = self._hosts - hosts, hosts - self._hosts
+        if not gone and not come:
+            return
+        self._hosts = frozenset(hosts)
+        for shard, owners in enumerate(self._owners):
+            among = self._hosts if gone.intersection(owners) else [*owners, *come]
+            self._owners[shard] = rank_hosts(f"keys-{shard}", among)[:OWNERS]
--- a/daemon/minttided/keyed.py
+++ b/daemon/minttided/keyed.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from typing import Protocol
 
@@ -11,7 +10,7 @@
 from minttide.ids import AccountId, HostId, IdempotencyKey, RequestId, ServiceName
 from minttide.interfaces import UpstreamCall, UpstreamReply
 from minttide.outcome import Ran, RequestError
-from minttide.rendezvous import OWNERS, rank_hosts, shard_of
+from minttide.rendezvous import OwnerTable, shard_of
 from minttided import key_problems as problems
 from minttided.key_shard import KeyShard, is_log_out
 from minttided.keyed_request import KeyedRequest
@@ -26,6 +25,9 @@
 SHARD_IDLE_S = 60.0
 """How long a shard that was opened on demand stays open without a request, in seconds."""
 
+LIVE_KEEP_S = 0.5
+"""How long the list of live hosts is used before it is read again, in seconds."""
+
 OWNER_CHECK_S = 0.25
 """Time between two looks at whether the owner that was asked is still up, in seconds."""
 
@@ -69,6 +71,8 @@
         self._follow = follow
         self._forwarder = forwarder
         self._shards: dict[int, KeyShard] = {}
+        self._table: OwnerTable | None = None
+        self._table_at = 0.0
         self._lock = asyncio.Lock()
         self._stack = AsyncExitStack()
         self._review: asyncio.Task[None] | None = None
@@ -131,7 +135,7 @@
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=OWNER_CHECK_S)
-                if not task.done() and owner not in self._live_hosts():
+                if not task.done() and owner not in self._owner_table().hosts:
                     raise ForwardError(f"{owner} is suspected to be down")
             return task.result()
         finally:
@@ -205,15 +209,26 @@
 
     # Shards.
 
-    def _live_hosts(self) -> Iterable[HostId]:
+    def _owner_table(self) -> OwnerTable:
+        shards = self._site().key_shards
+        now = asyncio.get_running_loop().time()
+        if self._table is None or self._table.shards != shards:
+            self._table = OwnerTable(shards)
+        elif now < self._table_at + LIVE_KEEP_S:
+            return self._table
+        self._table.update(self._live_hosts())
+        self._table_at = now
+        return self._table
+
+    def _live_hosts(self) -> set[HostId]:
         members = self._node.members
         if members is None:
-            return [self._node.cfg.host]
-        return [m.host for m in members.hosts() if not m.leaving and not m.suspect]
+            return {self._node.cfg.host}
+        return {m.host for m in members.hosts() if not m.leaving and not m.suspect}
 
     def owners_of(self, shard: int) -> list[HostId]:
         """Return the hosts that look after a shard, as this host sees it."""
-        return rank_hosts(f"keys-{shard}", set(self._live_hosts()))[:OWNERS]
+        return self._owner_table().owners(shard)
 
     async def _open(self, number: int) -> KeyShard:
         async with self._lock:
@@ -233,11 +248,9 @@
             await asyncio.sleep(REVIEW_S)
 
     async def _review_once(self) -> None:
-        site = self._node.config.site
-        if site is None:
+        if not self._node.config_known or self._node.config.site is None:
             return
-        host = self._node.cfg.host
-        owned = {s for s in range(site.key_shards) if host in self.owners_of(s)}
+        owned = self._owner_table().owned_by(self._node.cfg.host)
         idle_since = asyncio.get_running_loop().time() - SHARD_IDLE_S
         idle = [
             n
