Wait before a plan that the fold refused is tried again

Cause: a planner that asks for more than the cap made the controller append the same plan again at once, 253 records in 30 s; at the planned size a plan has tens of kilobytes. Change: a refused plan is tried again after 5 s, or when what it was made from has changed.

--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/controller.py
@@ -26,6 +26,9 @@
 ROUND_S = 0.5
 """Longest time between two rounds of the controller, in seconds."""
 
+REFUSED_RETRY_S = 5.0
+"""Time until a plan that the fold refused is tried again, in seconds."""
+
 WAIT_LIMIT_S = {
     StepWait.CONFIRMED: 5.0,
     StepWait.DRAINED: 60.0,
@@ -59,6 +62,7 @@
         self._wanted: tuple[Assignment, ...] = ()
         self._wait: StepWait | None = None
         self._wait_since = 0.0
+        self._retry_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Controller":
@@ -89,7 +93,7 @@
             return
         await self._orders.carry_out()
         self._plan_if_changed(site)
-        if self._is_step_done():
+        if self._is_step_done() and self._now() >= self._retry_at:
             await self._take_next_step(site)
 
     # Planning.
@@ -107,6 +111,7 @@
         wanted = self._planner.plan(site, self._view.models(), states, previous, lost)
         self._wanted = tuple(self._pin_power(site, a) for a in wanted.assignments)
         self._trigger = trigger
+        self._retry_at = 0.0
         self._start_wait(StepWait.DRAINED if self._is_retiring() else None)
         log.info(
             "placement decided",
@@ -144,6 +149,8 @@
         self._start_wait(step.wait)
         if await self._append_plan(site, step):
             await self._orders.carry_out()
+        else:
+            self._retry_at = self._now() + REFUSED_RETRY_S
 
     async def _append_plan(self, site: Site, step: ChangeStep) -> bool:
         fold = self._view.fold
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -339,10 +339,13 @@
     async def run():
         async with Domain() as domain:
             domain.publish(files(version="2"))
+            before = domain.log.appends
             await asyncio.sleep(30)
-            return domain.peak_watts
+            return domain.peak_watts, domain.log.appends - before
 
-    assert run_virtual(run()) <= CAP
+    peak_watts, appends = run_virtual(run())
+    assert peak_watts <= CAP
+    assert appends < 30  # renewals, and few tries of the plan
 
 
 @pytest.mark.parametrize("lowered", ["the wanted plan", "a step on the way"])
