Weigh step times relative to other engines, and try slow engines again

Cause: step_factors were absolute, so waiting for other daemons' batches inflated every estimate; and a slow engine, once avoided, showed no new times and would have been avoided for ever. Change: step_factors names only engines that are slow against the median, by how much; relax, to be called once a second, lets engines without work come back; measure slow_stage.

--- a/core/minttide/policy/suspicion.py
+++ b/core/minttide/policy/suspicion.py
@@ -34,6 +34,10 @@
 """Steps that must have been seen before a stage is called slow."""
 
 
+RELAXED_SHARE = 0.05
+"""Part of the way back to the usual factor that an engine without work goes at each `relax`."""
+
+
 class Health(Enum):
     """What the router makes of an engine."""
 
@@ -82,6 +86,7 @@
     """Step times of the engines that one daemon drives. Times are in milliseconds."""
 
     def __init__(self) -> None:
+        self._idle: set[UpstreamId] = set()
         self._times: dict[UpstreamId, StepTimes] = {}
         self._suspected: set[UpstreamId] = set()
 
@@ -89,6 +94,18 @@
         """Note a reply; any reply lifts the suspicion of its engine."""
         self._times.setdefault(engine, StepTimes()).observe(expected_ms, seen_ms)
         self._suspected.discard(engine)
+        self._idle.discard(engine)
+
+    def relax(self) -> None:
+        """Let engines without a step since the last call come back; call it once a second.
+
+        A slow engine gets no work and so shows no better times: it has to be tried again.
+        """
+        usual = self._usual_factor()
+        for engine in self._idle:
+            times = self._times[engine]
+            times.factor += RELAXED_SHARE * (usual - times.factor)
+        self._idle = set(self._times)
 
     def patience_ms(self, engine: UpstreamId, expected_ms: float) -> float:
         """Return how long to wait for a reply of `engine` to work of `expected_ms`."""
@@ -101,6 +118,7 @@
     def forget(self, engine: UpstreamId) -> None:
         """Drop all that is known, as after an order that loads other layers."""
         self._times.pop(engine, None)
+        self._idle.discard(engine)
         self._suspected.discard(engine)
 
     @property
@@ -109,8 +127,20 @@
         return frozenset(self._suspected)
 
     def step_factors(self) -> dict[UpstreamId, float]:
-        """Return the mean factor of each engine, for the estimates of chains."""
-        return {e: t.factor for e, t in self._times.items()}
+        """Return for each slow engine how much slower it is than the median, for estimates.
+
+        Waiting for other daemons' batches is in all step times, so only the difference counts.
+        """
+        usual = self._usual_factor()
+        return {
+            e: t.factor / usual
+            for e, t in self._times.items()
+            if t.steps >= LEAST_STEPS and t.factor > SLOW_FACTOR * usual
+        }
+
+    def _usual_factor(self) -> float:
+        seen = [t.factor for t in self._times.values() if t.steps]
+        return median(seen) if seen else 1.0
 
     def health(self, engine: UpstreamId) -> Health:
         """Judge one engine against the median of all."""
@@ -119,8 +149,7 @@
         times = self._times.get(engine)
         if times is None or times.steps < LEAST_STEPS:
             return Health.GOOD
-        usual = median(t.factor for t in self._times.values() if t.steps)
-        return Health.SLOW if times.factor > SLOW_FACTOR * usual else Health.GOOD
+        return Health.SLOW if engine in self.step_factors() else Health.GOOD
 
     def degraded_links(self, zones: Mapping[UpstreamId, ZoneId]) -> list[LinkHealth]:
         """Return zones all of whose engines are slow together: the link, not each engine."""
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,7 @@
     "recovery",
     "shares",
     "zone_loss",
+    "slow_stage",
     "keyed",
     "takeover",
     "limit_error",
--- a/measure/router.py
+++ b/measure/router.py
@@ -86,6 +86,8 @@
             if not e.dead
         }
         self.sim.after(REPORT_LAG_MS, self.reports.update, fresh)
+        for router in self.routers:
+            router.suspicion.relax()
         self.sim.after(REPORT_EVERY_MS, self.publish_reports)
 
 
@@ -123,6 +125,7 @@
         self.suspects: set[UpstreamId] = set()
         self.stalled: dict[str, Stream] = {}
         self.gone = False
+        self.weighs_steps = True
         self.on_resumed: Callable[[Router, Stream], None] = lambda _router, _stream: None
         self._prefill: dict[UpstreamId, LevelAverage] = {}
         self._followers = followers
@@ -151,6 +154,7 @@
             own_prefill=own,
             usual_prefill=usual,
             reports=self.world.reports,
+            step_factor=self.suspicion.step_factors() if self.weighs_steps else {},
             peers=float(len(self.world.routers)),
         )
 
--- a/test/test_policy_chains.py
+++ b/test/test_policy_chains.py
@@ -141,6 +141,7 @@
     watch(["a2"], factor=5.0, into=one_slow)
     assert one_slow.health("a2") is Health.SLOW
     assert one_slow.health("a1") is Health.GOOD
+    assert one_slow.step_factors() == {"a2": pytest.approx(5.0, rel=0.1)}
     assert one_slow.degraded_links(zones) == []
     link = watch(["a0", "a1", "a2"])
     watch(["b0", "b1", "b2"], factor=5.0, into=link)
@@ -151,6 +152,17 @@
     assert link.suspected == set()
 
 
+def test_slow_engine_without_work_is_tried_again_and_a_busy_one_is_not():
+    suspicion = watch(["a0", "a1", "a2", "a3", "a4"])
+    watch(["b0", "b1"], factor=8.0, into=suspicion)
+    for _ in range(60):
+        suspicion.relax()
+        watch(["a0", "a1", "a2", "a3", "a4"], steps=1, into=suspicion)
+        watch(["b1"], steps=1, factor=8.0, into=suspicion)
+    assert suspicion.health("b0") is Health.GOOD
+    assert suspicion.health("b1") is Health.SLOW
+
+
 @pytest.mark.parametrize(
     ("tokens", "exports", "way"),
     [
