Give the folds of all streams one base

Change: StreamFold holds it, with one hook for the records of a stream, one for what expires and one for what is derived from a restored state.

--- a/core/minttide/agree/config.py
+++ b/core/minttide/agree/config.py
@@ -1,13 +1,11 @@
 """The fold of the configuration stream: compare and accept, a publish whole or not at all."""
 
-from collections.abc import Sequence
-
 import msgspec
 
-from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
+from minttide.agree.fold import BaseState, Decision, StreamFold, Verdict, judge
 from minttide.config.service import SITE_NAME, ModelService, PlainService, ServiceFile, Site
 from minttide.ids import NO_OFFSET, Offset, PublishId, ServiceName
-from minttide.records import BadRecordError, CheckpointPart, Envelope, Publish, ServiceChange
+from minttide.records import Envelope, Publish, ServiceChange
 
 PUBLISH_MAX_AGE_MS = 10 * 60 * 1000
 """A publish older than this against the fold's time is a late copy and is rejected."""
@@ -34,26 +32,13 @@
     key_shards: int | None = None  # of the first accepted site file, for good
 
 
-_decoder = msgspec.json.Decoder(_State)
-
-
-class ConfigFold:
+class ConfigFold(StreamFold[_State]):
     """The configuration in force after the records folded so far."""
 
     def __init__(self) -> None:
-        self._state = _State()
+        super().__init__(_State)
         self._withdrawn: set[ServiceName] = set()
 
-    @property
-    def applied(self) -> Offset:
-        """Return the offset of the last folded record, or -1."""
-        return self._state.applied
-
-    @property
-    def stopped_at(self) -> Offset | None:
-        """Return the offset of the first record of a newer format, if one has come."""
-        return self._state.stopped_at
-
     @property
     def entries(self) -> dict[ServiceName, ServiceEntry]:
         """Return every remembered service, withdrawn ones among them."""
@@ -90,22 +75,15 @@
         entry = self._state.services.get(service)
         return entry.changed if entry else NO_OFFSET
 
-    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
-        """Fold the record at `offset` and return its verdict."""
-        envelope, verdicts = open_record(self._state, offset, payload)
-        if envelope is None:
-            return verdicts
-        self._forget_tombstones()
+    def _judge_record(self, offset: Offset, envelope: Envelope) -> list[Verdict]:
         decision, detail = self._decide(offset, envelope)
         return [judge(offset, envelope, decision, detail)]
 
     def _decide(self, offset: Offset, envelope: Envelope) -> tuple[Decision, str]:
         body = envelope.body
-        if isinstance(body, CheckpointPart):
-            return Decision.ACCEPTED, ""
         if not isinstance(body, Publish):
             return Decision.FOREIGN, type(body).__name__
-        if envelope.time_ms < self._state.clock.now_ms - PUBLISH_MAX_AGE_MS:
+        if envelope.time_ms < self.now_ms - PUBLISH_MAX_AGE_MS:
             return Decision.TOO_OLD, "written too long ago"
         if self._is_repeat(body):
             return Decision.REPEATED, "this publish was accepted before"
@@ -172,21 +150,12 @@
             return "key_shards can't be changed"
         return ""
 
-    def _forget_tombstones(self) -> None:
-        horizon = self._state.clock.now_ms - TOMBSTONE_MS
+    def _forget_expired(self) -> None:
+        horizon = self.now_ms - TOMBSTONE_MS
         services = self._state.services
         for name in [n for n in self._withdrawn if services[n].time_ms < horizon]:
             del services[name]
             self._withdrawn.discard(name)
 
-    def snapshot(self) -> bytes:
-        """Encode all that the fold looks at."""
-        return msgspec.json.encode(self._state, order="deterministic")
-
-    def restore(self, data: bytes) -> None:
-        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
-        try:
-            self._state = _decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise BadRecordError(str(exc)) from exc
+    def _index_state(self) -> None:
         self._withdrawn = {n for n, e in self._state.services.items() if e.file is None}
--- a/core/minttide/agree/fold.py
+++ b/core/minttide/agree/fold.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Sequence
 from enum import Enum
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 import msgspec
 
@@ -14,6 +14,7 @@
 from minttide.records import (
     BadRecordError,
     Body,
+    CheckpointPart,
     Envelope,
     KeyChange,
     NewerFormatError,
@@ -99,27 +100,73 @@
     clock: FoldClock = msgspec.field(default_factory=FoldClock)
 
 
-def open_record(
-    state: BaseState, offset: Offset, payload: bytes
-) -> tuple[Envelope | None, list[Verdict]]:
-    """Advance `state` to `offset` and decode the record there.
+S = TypeVar("S", bound=BaseState)
 
-    Returns the envelope, or none and the verdicts when the record doesn't count.
-    """
-    if offset <= state.applied:
-        return None, []
-    state.applied = offset
-    if state.stopped_at is not None:
-        return None, [Verdict(offset, Decision.STOPPED)]
-    try:
-        envelope = decode(payload)
-    except NewerFormatError as exc:
-        state.stopped_at = offset
-        return None, [Verdict(offset, Decision.STOPPED, detail=str(exc))]
-    except BadRecordError as exc:
-        return None, [Verdict(offset, Decision.MALFORMED, detail=str(exc))]
-    state.clock.observe(envelope.host, envelope.time_ms)
-    return envelope, []
+
+class StreamFold(Generic[S]):
+    """The part of a fold that every stream has; a stream's own fold adds `_judge_record`."""
+
+    def __init__(self, state_type: type[S]):
+        self._state = state_type()
+        self._decoder = msgspec.json.Decoder(state_type)
+
+    @property
+    def applied(self) -> Offset:
+        """Return the offset of the last folded record, or -1."""
+        return self._state.applied
+
+    @property
+    def stopped_at(self) -> Offset | None:
+        """Return the offset of the first record of a newer format, if one has come."""
+        return self._state.stopped_at
+
+    @property
+    def now_ms(self) -> int:
+        """Return the fold's time in milliseconds since the epoch."""
+        return self._state.clock.now_ms
+
+    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
+        """Fold the record at `offset` and return a verdict for each change in it."""
+        state = self._state
+        if offset <= state.applied:
+            return []
+        state.applied = offset
+        if state.stopped_at is not None:
+            return [Verdict(offset, Decision.STOPPED)]
+        try:
+            envelope = decode(payload)
+        except NewerFormatError as exc:
+            state.stopped_at = offset
+            return [Verdict(offset, Decision.STOPPED, detail=str(exc))]
+        except BadRecordError as exc:
+            return [Verdict(offset, Decision.MALFORMED, detail=str(exc))]
+        state.clock.observe(envelope.host, envelope.time_ms)
+        self._forget_expired()
+        if isinstance(envelope.body, CheckpointPart):
+            return [judge(offset, envelope, Decision.ACCEPTED)]
+        return self._judge_record(offset, envelope)
+
+    def _judge_record(self, offset: Offset, envelope: Envelope) -> list[Verdict]:
+        """Decide on the changes of a record that isn't part of a checkpoint."""
+        raise NotImplementedError
+
+    def _forget_expired(self) -> None:
+        """Forget what has expired by the fold's time."""
+
+    def _index_state(self) -> None:
+        """Build what is derived from a state that was restored."""
+
+    def snapshot(self) -> bytes:
+        """Encode all that the fold looks at."""
+        return msgspec.json.encode(self._state, order="deterministic")
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
+        try:
+            self._state = self._decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise BadRecordError(str(exc)) from exc
+        self._index_state()
 
 
 def judge(offset: Offset, envelope: Envelope, decision: Decision, detail: str = "") -> Verdict:
--- a/core/minttide/agree/keys.py
+++ b/core/minttide/agree/keys.py
@@ -2,17 +2,14 @@
 
 import heapq
 import sys
-from collections.abc import Sequence
 from enum import Enum
 
 import msgspec
 
-from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
+from minttide.agree.fold import BaseState, Decision, StreamFold, Verdict, judge
 from minttide.ids import NO_OFFSET, ClaimId, HostId, IdempotencyKey, Incarnation, Offset
 from minttide.records import (
     Answer,
-    BadRecordError,
-    CheckpointPart,
     Claim,
     Envelope,
     KeyBatch,
@@ -62,9 +59,6 @@
     keys: dict[str, KeyEntry] = {}
 
 
-_decoder = msgspec.json.Decoder(_State)
-
-
 def key_name(scope: str, key: IdempotencyKey) -> str:
     """Return the name that a key has in the fold; scopes hold no line feed."""
     return f"{scope}\n{key}"
@@ -75,28 +69,13 @@
     return KeptAnswer(change.status, sys.intern(change.content_type), change.body)
 
 
-class KeyFold:
+class KeyFold(StreamFold[_State]):
     """The keys of one shard after the records folded so far."""
 
     def __init__(self) -> None:
-        self._state = _State()
+        super().__init__(_State)
         self._expiry: list[tuple[int, str]] = []
 
-    @property
-    def applied(self) -> Offset:
-        """Return the offset of the last folded record, or -1."""
-        return self._state.applied
-
-    @property
-    def stopped_at(self) -> Offset | None:
-        """Return the offset of the first record of a newer format, if one has come."""
-        return self._state.stopped_at
-
-    @property
-    def now_ms(self) -> int:
-        """Return the fold's time in milliseconds since the epoch."""
-        return self._state.clock.now_ms
-
     def __len__(self) -> int:
         return len(self._state.keys)
 
@@ -110,15 +89,8 @@
         entry = self.find(scope, key)
         return entry.changed if entry else NO_OFFSET
 
-    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
-        """Fold the record at `offset` and return a verdict for each change in it."""
-        envelope, verdicts = open_record(self._state, offset, payload)
-        if envelope is None:
-            return verdicts
-        self._forget_expired()
+    def _judge_record(self, offset: Offset, envelope: Envelope) -> list[Verdict]:
         body = envelope.body
-        if isinstance(body, CheckpointPart):
-            return [judge(offset, envelope, Decision.ACCEPTED)]
         if not isinstance(body, KeyBatch):
             return [judge(offset, envelope, Decision.FOREIGN)]
         return [
@@ -210,15 +182,6 @@
             else:
                 heapq.heappush(self._expiry, (expires_ms, name))
 
-    def snapshot(self) -> bytes:
-        """Encode all that the fold looks at."""
-        return msgspec.json.encode(self._state, order="deterministic")
-
-    def restore(self, data: bytes) -> None:
-        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
-        try:
-            self._state = _decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise BadRecordError(str(exc)) from exc
+    def _index_state(self) -> None:
         self._expiry = [(e.expires_ms, n) for n, e in self._state.keys.items()]
         heapq.heapify(self._expiry)
--- a/core/minttide/agree/placement.py
+++ b/core/minttide/agree/placement.py
@@ -6,16 +6,12 @@
 older orders from then on.
 """
 
-from collections.abc import Sequence
-
 import msgspec
 
-from minttide.agree.fold import BaseState, Decision, Verdict, judge, open_record
+from minttide.agree.fold import BaseState, Decision, StreamFold, Verdict, judge
 from minttide.ids import NO_OFFSET, HostId, Incarnation, Offset, UpstreamId
 from minttide.records import (
-    BadRecordError,
     Body,
-    CheckpointPart,
     Confirmation,
     Envelope,
     LeaseRelease,
@@ -46,24 +42,11 @@
     retired: dict[UpstreamId, int] = {}  # what was reserved for engines that have gone
 
 
-_decoder = msgspec.json.Decoder(_State)
-
-
-class PlacementFold:
+class PlacementFold(StreamFold[_State]):
     """The lease, plan and reserved power of one domain after the records folded so far."""
 
     def __init__(self) -> None:
-        self._state = _State()
-
-    @property
-    def applied(self) -> Offset:
-        """Return the offset of the last folded record, or -1."""
-        return self._state.applied
-
-    @property
-    def stopped_at(self) -> Offset | None:
-        """Return the offset of the first record of a newer format, if one has come."""
-        return self._state.stopped_at
+        super().__init__(_State)
 
     @property
     def lease(self) -> Lease:
@@ -85,17 +68,11 @@
         """Return the highest watts that each engine may still be set to."""
         return self._state.reserved
 
-    def apply(self, offset: Offset, payload: bytes) -> Sequence[Verdict]:
-        """Fold the record at `offset` and return its verdict."""
-        envelope, verdicts = open_record(self._state, offset, payload)
-        if envelope is None:
-            return verdicts
+    def _judge_record(self, offset: Offset, envelope: Envelope) -> list[Verdict]:
         return [judge(offset, envelope, self._decide(offset, envelope))]
 
     def _decide(self, offset: Offset, envelope: Envelope) -> Decision:
         match envelope.body:
-            case CheckpointPart():
-                return Decision.ACCEPTED
             case LeaseTake() as take:
                 return self._take(offset, envelope, take)
             case LeaseRenewal() | LeaseRelease() | Plan() | Confirmation() as body:
@@ -164,17 +141,6 @@
                 self._state.reserved[engine.engine] = engine.watts
         return Decision.ACCEPTED
 
-    def snapshot(self) -> bytes:
-        """Encode all that the fold looks at."""
-        return msgspec.json.encode(self._state, order="deterministic")
-
-    def restore(self, data: bytes) -> None:
-        """Replace the state by a snapshot. Raises `BadRecordError` and changes nothing if bad."""
-        try:
-            self._state = _decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise BadRecordError(str(exc)) from exc
-
 
 def reserve(
     reserved: dict[UpstreamId, int], plan: Plan, retired: dict[UpstreamId, int]
