Read engines that are new to a daemon sooner

Cause: a plan waits for the states of all engines, which were read at 8 a second: 24 engines took 3.5 s in the demo, and the 278 of a zone at the planned size would take 35 s after each takeover. Ruled out: a higher constant rate, since it would cost every daemon all the time. Change: while there are engines that the daemon has not read, it reads 64 a second, those first.

--- a/daemon/minttided/engine_poll.py
+++ b/daemon/minttided/engine_poll.py
@@ -15,6 +15,9 @@
 READS_PER_S = 8.0
 """Engines read a second by one daemon, whatever their number."""
 
+FIRST_READS_PER_S = 64.0
+"""The same while there are engines that this daemon has not read yet, since plans wait for them."""
+
 READ_TIMEOUT_S = 2.0
 MAX_READS_OPEN = 16
 
@@ -35,6 +38,7 @@
         self._reports: dict[UpstreamId, LoadReport] = {}
         self._failing_since: dict[UpstreamId, float] = {}
         self._round: deque[UpstreamId] = deque()
+        self._unread: set[UpstreamId] = set()  # of this round, not read before it
         self._urgent: dict[UpstreamId, None] = {}
         self._reads: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
@@ -80,7 +84,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(1.0 / READS_PER_S)
+            await asyncio.sleep(1.0 / (FIRST_READS_PER_S if self._unread else READS_PER_S))
             engine = self._next_engine()
             if engine is not None and len(self._reads) < MAX_READS_OPEN:
                 task = asyncio.create_task(self._read(engine))
@@ -94,20 +98,26 @@
             if engine is not None:
                 return engine
         if not self._round:
-            self._forget_gone(engines)
-            self._round.extend(engines)
+            self._begin_round(engines)
         while self._round:
             engine = engines.get(self._round.popleft())
             if engine is not None:
                 return engine
         return None
 
+    def _begin_round(self, engines: Mapping[UpstreamId, Engine]) -> None:
+        self._forget_gone(engines)
+        known = self._states.keys() | self._failing_since.keys()
+        self._unread = engines.keys() - known
+        self._round.extend(sorted(engines, key=known.__contains__))
+
     def _forget_gone(self, engines: Mapping[UpstreamId, Engine]) -> None:
         for known in (self._states, self._reports, self._failing_since):
             for engine in [e for e in known if e not in engines]:
                 del known[engine]  # type: ignore[attr-defined]
 
     async def _read(self, engine: Engine) -> None:
+        self._unread.discard(engine.id)
         client = self._clients.engine(engine.id, engine.address)
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
