Keep a part of the streams for accounts below their share, and try slow engines again

Cause: the daemon did not pass the policies what they were measured with: the fair queue was never told how many streams run, so that an account could hold every place; suspicion was never relaxed, so that an engine that had been slow once got no work again. Change: ChainCapacity tells the rated streams; admission counts what runs and says when a request ends; the watch relaxes suspicions once a second. Still missing of the measured policies: limits of batches, averaged prefill of peers and peers' demand as hints.

--- a/daemon/minttided/admission.py
+++ b/daemon/minttided/admission.py
@@ -4,9 +4,8 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Callable
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 from minttide.config.service import Account
 from minttide.ids import AccountId, RequestId, ServiceName
@@ -39,6 +38,19 @@
             self._admission = None
 
 
+class Capacity(Protocol):
+    """What the chains that this host uses can take of each service."""
+
+    def has_room(self, service: ServiceName) -> bool:
+        """Return whether a chain can take another stream within the time between tokens."""
+
+    def tokens_per_s(self, service: ServiceName) -> float:
+        """Return the rated output of this host's part of its chains, in tokens a second."""
+
+    def streams(self, service: ServiceName) -> int:
+        """Return the rated streams of this host's part of its chains."""
+
+
 class Admission:
     """The open and waiting requests of this host.
 
@@ -48,16 +60,15 @@
     def __init__(
         self,
         node: Node,
-        has_room: Callable[[ServiceName], bool],
-        rated_tokens_per_s: Callable[[ServiceName], float],
+        capacity: Capacity,
     ):
         self._node = node
-        self._has_room = has_room
-        self._rated_tokens_per_s = rated_tokens_per_s
+        self._capacity = capacity
         self._rates: dict[AccountId, RateLimit] = {}
         self._queues: dict[ServiceName, FairQueue] = {}
         self._waiting: dict[RequestId, asyncio.Future[None]] = {}
         self._open: Counter[AccountId] = Counter()
+        self._running: Counter[ServiceName] = Counter()
         self._checker: asyncio.Task[None] | None = None
 
     @property
@@ -117,7 +128,7 @@
         queue = self._queues.get(service)
         if queue is None:
             most = self._node.cfg.bounds.max_queue
-            queue = FairQueue(most, self._rated_tokens_per_s(service))
+            queue = FairQueue(most, self._capacity.tokens_per_s(service))
             self._queues[service] = queue
         loop = asyncio.get_running_loop()
         refused = queue.offer(ticket, account.weight, loop.time())
@@ -152,7 +163,9 @@
     def leave(self, service: ServiceName, ticket: Ticket, used_tokens: int) -> None:
         """Free the place of a request that has ended, and let the next one in."""
         self._open[ticket.account] -= 1
+        self._running[service] -= 1
         queue = self._queues[service]
+        queue.finish(ticket.account)
         queue.correct(ticket.account, ticket.cost, float(used_tokens))
         self._pump(service, queue)
 
@@ -160,16 +173,22 @@
         loop = asyncio.get_running_loop()
         self._expire(queue, loop.time())
         while len(queue) and self._may_start(service):
-            ticket = queue.take(loop.time())
+            streams = self._capacity.streams(service)
+            ticket = queue.take(loop.time(), self._running[service], streams)
             if ticket is None:
                 return
             fut = self._waiting.get(ticket.request)
-            if fut is not None and not fut.done():
-                self._open[ticket.account] += 1
-                fut.set_result(None)
+            if fut is None or fut.done():
+                queue.finish(ticket.account)
+                continue
+            self._open[ticket.account] += 1
+            self._running[service] += 1
+            fut.set_result(None)
 
     def _may_start(self, service: ServiceName) -> bool:
-        return self.open_streams < self._node.cfg.bounds.max_streams and self._has_room(service)
+        return self.open_streams < self._node.cfg.bounds.max_streams and self._capacity.has_room(
+            service
+        )
 
     def _expire(self, queue: FairQueue, now: float) -> None:
         for ticket in queue.drop_expired(now):
--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts.py
@@ -10,14 +10,15 @@
 import msgspec
 
 from minttide.config.service import Account, ModelService
-from minttide.ids import RequestId, ServiceName
+from minttide.ids import RequestId
 from minttide.outcome import ProblemType, RequestError
 from minttide.policy.attempt import Attempt
-from minttide.policy.chains import Chain, ChainDecision, choose_chain, has_room
+from minttide.policy.chains import Chain, ChainDecision, choose_chain
 from minttide.policy.limits import Ticket, latest_start_s
 from minttide.prefix import prefix_digests
 from minttided.accounts import check_allowed
 from minttided.admission import Admission, Slot
+from minttided.capacity import ChainCapacity
 from minttided.draft_request import DraftRequest, parse_draft
 from minttided.draft_run import DraftRun
 from minttided.engine_watch import EngineWatch
@@ -52,7 +53,7 @@
     """The drafts that run on this host."""
 
     def __init__(self, node: Node, watch: EngineWatch):
-        self.admission = Admission(node, self._has_room, self._rated_tokens_per_s)
+        self.admission = Admission(node, ChainCapacity(node, watch))
         self._node = node
         self._watch = watch
         self._recoveries = Recoveries(watch)
@@ -189,30 +190,6 @@
         detail = "no chain of engines can take the request now"
         return refusal(ProblemType.NO_CHAIN, detail, NO_CHAIN_RETRY_S)
 
-    def _rated_tokens_per_s(self, service: ServiceName) -> float:
-        """Return this host's part of what the chains of a service give at their rated load."""
-        topology = self._watch.topology
-        file = self._node.config.model(service)
-        if topology.estimator is None or file is None:
-            return 0.0
-        streams = sum(topology.estimator.rated_streams(c) for c in self._watch.chains(service))
-        per_stream = MS_PER_S / file.between_tokens_ms
-        return streams * per_stream / topology.followers(service)
-
-    def _has_room(self, service: ServiceName) -> bool:
-        """Return whether a chain can take another stream within the time between tokens."""
-        topology = self._watch.topology
-        estimator = topology.estimator
-        if estimator is None:
-            return False
-        news = self._watch.news(service)
-        avoid = self._watch.avoid()
-        followers = topology.followers(service)
-        return any(
-            avoid.isdisjoint(c.engines) and has_room(c, estimator, news, followers)
-            for c in self._watch.chains(service)
-        )
-
 
 def _log_choice(draft: DraftRequest, request: RequestId, decision: ChainDecision) -> None:
     candidates = [f"{e.chain}:{e.first_token_ms:.0f}ms" for e in decision.candidates]
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engine_watch.py
@@ -26,6 +26,9 @@
 """Engines that are read each second, however many there are."""
 
 REFRESH_S = 1.0
+RELAX_S = 1.0
+"""Time between two steps by which slow engines without work are trusted again."""
+
 PROBE_S = 0.25
 """Time between two looks at engines that are suspected."""
 
@@ -59,6 +62,7 @@
         loop = asyncio.get_running_loop()
         jobs = (
             (REFRESH_S, self._refresh_once),
+            (RELAX_S, self._relax),
             (1.0 / READS_PER_S, self._read_next),
             (PROBE_S, self._probe_doubtful),
         )
@@ -216,6 +220,9 @@
     async def _refresh_once(self) -> None:
         self.refresh()
 
+    async def _relax(self) -> None:
+        self._suspicion.relax()
+
     async def _read_next(self) -> None:
         """Read load and cache events of the next followed engine, in turn."""
         if not self._round:
