--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -116,11 +116,14 @@
         self.read_state = engine.read_state
         self.report = engine.report
 
-    async def order(self, order):
+    async def order(self, order, may_send):
         faults = self.faults
+        assert may_send()
         if faults.late_s is not None:
             task = asyncio.create_task(self._deliver_late(order, faults.late_s))
             faults.tasks.add(task)
+            # An order that is refused in the end is as it should be; it isn't to be logged.
+            task.add_done_callback(lambda t: t.cancelled() or t.exception())
             raise EngineError("no answer")
         if faults.lost[order.service]:
             faults.lost[order.service] -= 1
@@ -336,14 +339,30 @@
     async def run():
         async with Domain() as domain:
             domain.publish(files(version="2"))
+            before = domain.log.appends
             await asyncio.sleep(30)
-            return domain.peak_watts
+            return domain.peak_watts, domain.log.appends - before
 
-    assert run_virtual(run()) <= CAP
+    peak_watts, appends = run_virtual(run())
+    assert peak_watts <= CAP
+    assert appends < 30  # renewals, and few tries of the plan
 
 
-def test_an_engine_that_ignores_fencing_is_never_lowered(monkeypatch):
-    monkeypatch.setattr(TablePlanner, "ignoring_watts", 100)
+@pytest.mark.parametrize("lowered", ["the wanted plan", "a step on the way"])
+def test_an_engine_that_ignores_fencing_is_never_lowered(monkeypatch, lowered):
+    if lowered == "the wanted plan":
+        monkeypatch.setattr(TablePlanner, "ignoring_watts", 100)
+    else:
+        careful = TablePlanner.steps
+
+        def lower_first(self, previous, wanted, cap_watts):
+            low = [msgspec.structs.replace(a, watts=100) for a in wanted]
+            first = ChangeStep(tuple(low), StepWait.CONFIRMED, "all low")
+            now = {a.version for a in previous}
+            steps = careful(self, previous, wanted, cap_watts)
+            return steps if now == {wanted[0].version} else [first, *steps]
+
+        monkeypatch.setattr(TablePlanner, "steps", lower_first)
 
     async def run():
         async with Domain() as domain:
