Plan a site in parts, so that the daemon's loop runs other work between them

Cause: the decider planned in one go; at 300 engines that held the loop of an entry host for 1.6 s, and every stream on it with it. Change: the planner is a coroutine that steps through the policy's generator. The new table of both sites fails with the planner of before, which gives other work two turns.

--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/controller.py
@@ -92,13 +92,13 @@
             self._trigger = None
             return
         await self._orders.carry_out()
-        self._plan_if_changed(site)
+        await self._plan_if_changed(site)
         if self._is_step_done() and self._now() >= self._retry_at:
             await self._take_next_step(site)
 
     # Planning.
 
-    def _plan_if_changed(self, site: Site) -> None:
+    async def _plan_if_changed(self, site: Site) -> None:
         states = self._view.poller.states
         leaving = frozenset(e for e, s in states.items() if s.leaving)
         term = self._lease.term
@@ -108,7 +108,7 @@
         if trigger == self._trigger:
             return
         previous = self._view.assignments()
-        wanted = self._planner.plan(site, self._view.models(), states, previous, lost)
+        wanted = await self._planner.plan(site, self._view.models(), states, previous, lost)
         self._wanted = tuple(self._pin_power(site, a) for a in wanted.assignments)
         self._trigger = trigger
         self._retry_at = 0.0
--- a/daemon/minttided/planning.py
+++ b/daemon/minttided/planning.py
@@ -38,7 +38,7 @@
 class Planner(Protocol):
     """Decides which engine holds what."""
 
-    def plan(
+    async def plan(
         self,
         site: Site,
         services: Sequence[ModelService],
@@ -46,7 +46,7 @@
         previous: Sequence[Assignment],
         lost: Collection[UpstreamId],
     ) -> Wanted:
-        """Return the plan to reach."""
+        """Return the plan to reach, letting other work of the loop run in between."""
 
     def steps(
         self, previous: Sequence[Assignment], wanted: Sequence[Assignment], cap_watts: int
--- a/daemon/minttided/site_planner.py
+++ b/daemon/minttided/site_planner.py
@@ -1,10 +1,11 @@
 """Gives the controller the placement policy."""
 
+import asyncio
 from collections.abc import Collection, Mapping, Sequence
 
 from minttide.config.service import ModelService, Site
 from minttide.ids import UpstreamId
-from minttide.policy.placement import order_changes, plan_site
+from minttide.policy.placement import order_changes, plan_in_parts
 from minttide.records import Assignment
 from minttide.steps import EngineState
 from minttided.planning import ChangeStep, StepWait, Wanted
@@ -13,7 +14,7 @@
 class SitePlanner:
     """Implements `Planner`."""
 
-    def plan(
+    async def plan(
         self,
         site: Site,
         services: Sequence[ModelService],
@@ -21,9 +22,14 @@
         previous: Sequence[Assignment],
         lost: Collection[UpstreamId],
     ) -> Wanted:
-        """Return the plan to reach."""
-        plan = plan_site(site, services, states, previous, lost_engines=lost)
-        return Wanted(plan.assignments, plan.reason)
+        """Return the plan to reach, letting other work of the loop run in between."""
+        planning = plan_in_parts(site, services, states, previous, lost_engines=lost)
+        while True:
+            try:
+                next(planning)
+            except StopIteration as end:
+                return Wanted(end.value.assignments, end.value.reason)
+            await asyncio.sleep(0)
 
     def steps(
         self, previous: Sequence[Assignment], wanted: Sequence[Assignment], cap_watts: int
--- a/test/schedule.py
+++ b/test/schedule.py
@@ -105,8 +105,8 @@
 
     levels = {"v1": (400, 300, 200), "v2": (200, 400, 300), "v3": (300, 200, 400)}
 
-    def plan(self, site, services, states, previous, lost):
-        wanted = super().plan(site, services, states, previous, lost)
+    async def plan(self, site, services, states, previous, lost):
+        wanted = await super().plan(site, services, states, previous, lost)
         rows = sorted(wanted.assignments, key=lambda a: a.engine)
         watts = (400, *self.levels[services[0].version])
         rows = [msgspec.structs.replace(a, watts=w) for a, w in zip(rows, watts, strict=True)]
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from measure.sites import bureau, zaloga
 from minttide.agree.config import ConfigFold
 from minttide.config.service import (
     SITE_NAME,
@@ -43,6 +44,7 @@
 from minttided.node import Node
 from minttided.placement_view import PlacementView
 from minttided.planning import ChangeStep, StepWait, Wanted
+from minttided.site_planner import SitePlanner
 
 CAP = 900
 MODEL = ServiceName("draft")
@@ -75,7 +77,7 @@
     levels = {"1": (300, 200, 100), "2": (100, 200, 300), "3": (100, 100, 100)}
     ignoring_watts = 300
 
-    def plan(self, site, services, states, previous, lost):
+    async def plan(self, site, services, states, previous, lost):
         version = services[0].version
         rows = zip((*CHECKING, IGNORING), (*self.levels[version], self.ignoring_watts), strict=True)
         rows = [row(e, w, version, 2 * i) for i, (e, w) in enumerate(rows)]
@@ -372,3 +374,21 @@
             return {o.watts for o in domain.engines[UpstreamId(IGNORING)].orders}
 
     assert run_virtual(run()) == {300}
+
+
+@pytest.mark.parametrize("build", [bureau, zaloga])
+def test_other_work_goes_on_while_a_site_is_planned(build):
+    site, services = build(1)
+
+    async def run():
+        task = asyncio.create_task(SitePlanner().plan(site, services, {}, (), ()))
+        turns = 0
+        while not task.done():
+            turns += 1
+            await asyncio.sleep(0)
+        return turns, task.result()
+
+    turns, wanted = run_virtual(run())
+    engines = sum(len(service.engines) for service in services)
+    assert len(wanted.assignments) == engines
+    assert turns > engines
