Let a silent peer hold up no state from others

Cause: a host that joins while the log is out asks three peers for their state and waited for all three, so that one paused peer among them cost it the whole time of 3 s. Ruled out: classifying the view first. Change: once one peer has answered, the others get 0.2 s more; the furthest state counts as before.

--- a/daemon/minttided/relay.py
+++ b/daemon/minttided/relay.py
@@ -28,6 +28,8 @@
 """How long the log itself gets to deliver a record before a peer is asked for it."""
 
 SNAPSHOT_PEERS = 3
+SNAPSHOT_GRACE_S = 0.2
+"""How long other peers get to answer with a later state once one has answered."""
 
 
 class RecordTail:
@@ -127,8 +129,20 @@
         """Ask a few peers for the folded state and return the one that is furthest on."""
         members = list(self._peers())
         chosen = self._rng.sample(members, min(SNAPSHOT_PEERS, len(members)))
-        answers = await asyncio.gather(*(self._ask_snapshot(m) for m in chosen))
-        found = [snapshot for snapshot in answers if snapshot is not None]
+        found: list[Checkpoint] = []
+        waiting = {asyncio.create_task(self._ask_snapshot(member)) for member in chosen}
+        try:
+            while waiting:
+                grace_s = SNAPSHOT_GRACE_S if found else None
+                done, waiting = await asyncio.wait(
+                    waiting, timeout=grace_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    break
+                found.extend(s for s in (task.result() for task in done) if s is not None)
+        finally:
+            for task in waiting:
+                task.cancel()
         return max(found, key=lambda snapshot: snapshot.covers, default=None)
 
     async def _ask_snapshot(self, member: Member) -> Checkpoint | None:
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from minttide.agree.checkpoint import Checkpoint
 from minttide.config.settings import Settings
 from minttide.gossip import Gossip, Member, Status
 from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
@@ -16,6 +17,8 @@
 from minttide_fakes.virtual import run_virtual
 from minttided.listing import HostListing
 from minttided.membership_loop import Membership
+from minttided.peer_link import Pulled
+from minttided.relay import PULL_TIMEOUT_S, SNAPSHOT_GRACE_S, Relay
 
 HOSTS = 9
 
@@ -258,3 +261,40 @@
             return [h.members.upstream_leaving(leaving) for h in hosts]
 
     assert run_virtual(scenario()) == [True] * 3
+
+
+class StateHolder:
+    """A peer that gives the folded state up to an offset."""
+
+    def __init__(self, covers):
+        self.covers = covers
+
+    async def on_pull(self, start):
+        return Pulled(snapshot=Checkpoint(Offset(self.covers), b"{}"))
+
+
+@pytest.mark.parametrize(
+    ("covers", "silent", "found"),
+    [
+        ((5, 7, 6), (), 7),
+        ((5, 7, 6), (1,), 6),
+        ((5, 7, 6), (0, 1), 6),
+        ((5, 7, 6), (0, 1, 2), None),
+    ],
+)
+def test_a_silent_peer_does_not_hold_up_the_state_of_others(covers, silent, found):
+    async def scenario():
+        net = MemoryNet()
+        members = []
+        for number, offset in enumerate(covers):
+            address = Address(f"p{number}:1")
+            net.put(address, StateHolder(offset))
+            net.silence(address, number in silent)
+            members.append(Member(HostId(address), Incarnation(1), ZoneId("z"), address, address))
+        relay = Relay(net.link(Address("joiner:1")), lambda: members, random.Random(1))
+        checkpoint = await relay.fetch_snapshot()
+        return checkpoint and checkpoint.covers, asyncio.get_running_loop().time()
+
+    covered, seconds = run_virtual(scenario())
+    assert covered == found
+    assert seconds <= (PULL_TIMEOUT_S if found is None else 2 * SNAPSHOT_GRACE_S)
