Read engines seldom where nothing is decided

Cause: an idle daemon spent most of its processor time on reading the states of engines 8 times a second, in case it had to decide (profile: 0.74 s of 1.7 s were these reads). Change: a daemon that doesn't hold the lease reads 1 engine a second; one that begins to decide reads all of them anew at 64 a second. The table of reads covers both kinds of daemon, and the start of deciding.

--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/controller.py
@@ -88,7 +88,9 @@
     async def _round(self) -> None:
         cfg = self._node.config
         site = cfg.site
-        if not self._lease.holds() or site is None or cfg.stopped_at is not None:
+        deciding = self._lease.holds() and site is not None and cfg.stopped_at is None
+        self._view.poller.set_deciding(deciding)
+        if not deciding or site is None:
             self._trigger = None
             return
         await self._orders.carry_out()
--- a/daemon/minttided/engine_poll.py
+++ b/daemon/minttided/engine_poll.py
@@ -4,6 +4,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 
 from minttide.config.service import Engine
 from minttide.ids import UpstreamId
@@ -13,10 +14,14 @@
 log = logging.getLogger(__name__)
 
 READS_PER_S = 8.0
-"""Engines read a second by one daemon, whatever their number."""
+"""Engines read a second by the daemon that decides, whatever their number."""
+
+SPARE_READS_PER_S = 1.0
+"""The same by a daemon that doesn't decide and only has to be ready to."""
 
 FIRST_READS_PER_S = 64.0
-"""The same while there are engines that this daemon has not read yet, since plans wait for them."""
+"""The same while there are engines that this daemon has not read since it started or began to
+decide, since plans wait for them."""
 
 READ_TIMEOUT_S = 2.0
 MAX_READS_OPEN = 16
@@ -42,6 +47,8 @@
         self._urgent: dict[UpstreamId, None] = {}
         self._reads: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
+        self._deciding = False
+        self._sooner = asyncio.Event()
 
     async def __aenter__(self) -> "EnginePoller":
         self._task = asyncio.create_task(self._run())
@@ -84,13 +91,30 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(1.0 / (FIRST_READS_PER_S if self._unread else READS_PER_S))
+            await self._pause()
             engine = self._next_engine()
             if engine is not None and len(self._reads) < MAX_READS_OPEN:
                 task = asyncio.create_task(self._read(engine))
                 self._reads.add(task)
                 task.add_done_callback(self._reads.discard)
 
+    async def _pause(self) -> None:
+        """Wait until the next read is due, or until it is due sooner than it was."""
+        rate = READS_PER_S if self._deciding else SPARE_READS_PER_S
+        period_s = 1.0 / (FIRST_READS_PER_S if self._unread else rate)
+        self._sooner.clear()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._sooner.wait(), period_s)
+
+    def set_deciding(self, deciding: bool) -> None:
+        """Say whether this daemon decides; one that begins to reads all engines anew at once."""
+        if deciding and not self._deciding:
+            self._round.clear()
+            self._unread = set(self._engines())
+            self._round.extend(self._unread)
+            self._sooner.set()
+        self._deciding = deciding
+
     def _next_engine(self) -> Engine | None:
         engines = self._engines()
         while self._urgent:
--- a/test/test_engine_poll.py
+++ b/test/test_engine_poll.py
@@ -9,7 +9,12 @@
 from minttide.interfaces import EngineError
 from minttide.steps import EngineState, LoadReport
 from minttide_fakes.virtual import run_virtual
-from minttided.engine_poll import FIRST_READS_PER_S, READS_PER_S, EnginePoller
+from minttided.engine_poll import (
+    FIRST_READS_PER_S,
+    READS_PER_S,
+    SPARE_READS_PER_S,
+    EnginePoller,
+)
 
 ENGINES_A_ZONE = 278
 WATCHED_S = 60.0
@@ -37,20 +42,27 @@
         return LoadReport(self.asked, 0, 0, 0, 0.0, 0.0)
 
 
+@pytest.mark.parametrize(("deciding", "rate"), [(True, READS_PER_S), (False, SPARE_READS_PER_S)])
 @pytest.mark.parametrize("dead", [False, True])
 @pytest.mark.parametrize("count", [1, 40, ENGINES_A_ZONE])
-def test_all_engines_are_soon_read_and_then_at_a_constant_rate(count, dead):
+def test_all_engines_are_soon_read_and_then_at_a_constant_rate(count, dead, deciding, rate):
     names = [UpstreamId(f"e{i}") for i in range(count)]
     engines = {n: Engine(n, Address("h:1"), ZoneId("z"), "k") for n in names}
 
     async def scenario():
         clients = CountedEngines(dead)
-        async with EnginePoller(clients, lambda: engines, lambda: None):
+        async with EnginePoller(clients, lambda: engines, lambda: None) as poller:
+            poller.set_deciding(deciding)
             await asyncio.sleep(START_S + count / FIRST_READS_PER_S)
             first = clients.reads
             await asyncio.sleep(WATCHED_S)
-            return first, clients.reads - first
+            later = clients.reads - first
+            poller.set_deciding(False)
+            poller.set_deciding(True)
+            await asyncio.sleep(START_S + count / FIRST_READS_PER_S)
+            return first, later, clients.reads - first - later
 
-    first, later = run_virtual(scenario(), limit_s=2 * WATCHED_S)
+    first, later, again = run_virtual(scenario(), limit_s=3 * WATCHED_S)
     assert first >= count
-    assert later <= WATCHED_S * READS_PER_S + 1
+    assert later <= WATCHED_S * rate + 1
+    assert again >= count
