--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,11 @@
 
 measure: .venv/ready-measure
 	$(PY) -m measure
+	$(PY) -m measure.publish
+	$(PY) -m measure.joining
+	$(PY) -m measure.slopes
+	$(PY) -m measure.capacity
+	$(PY) -m measure.plots
 
 clean:
 	rm -rf .venv build out
