Wait with a timeout that keeps a cancellation

Cause: asyncio.wait_for of CPython 3.11 can swallow a cancellation that comes as the awaited event is set; a part that loops over it would then never end when its daemon closes. Four loops of the daemon used it. Ruled out: a test; the moment can't be ordered from outside the event loop. Change: asyncio.timeout around the wait, as elsewhere in the daemon.

--- a/daemon/minttided/engine_poll.py
+++ b/daemon/minttided/engine_poll.py
@@ -104,7 +104,8 @@
         period_s = 1.0 / (FIRST_READS_PER_S if self._unread else rate)
         self._sooner.clear()
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._sooner.wait(), period_s)
+            async with asyncio.timeout(period_s):
+                await self._sooner.wait()
 
     def set_deciding(self, deciding: bool) -> None:
         """Say whether this daemon decides; one that begins to reads all engines anew at once."""
--- a/daemon/minttided/key_shard.py
+++ b/daemon/minttided/key_shard.py
@@ -151,7 +151,8 @@
     async def _wait_ready(self, req: KeyedRequest) -> None:
         limit_s = min(self._left_s(req), problems.READY_WAIT_S)
         try:
-            await asyncio.wait_for(self._follower.wait_known(), limit_s)
+            async with asyncio.timeout(limit_s):
+                await self._follower.wait_known()
         except (TimeoutError, LogUnavailableError) as exc:
             raise problems.log_out("the key stream could not be read") from exc
         if self._fold.stopped_at is not None:
@@ -245,7 +246,8 @@
         if limit_s <= 0:
             return False
         try:
-            await asyncio.wait_for(self._changed.wait(), limit_s)
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
         except TimeoutError:
             return False
         return True
--- a/daemon/minttided/placement_view.py
+++ b/daemon/minttided/placement_view.py
@@ -97,7 +97,8 @@
     async def wait_change(self, limit_s: float) -> None:
         """Wait for a change of the plan, the lease or an engine, at most `limit_s` seconds."""
         try:
-            await asyncio.wait_for(self._changed.wait(), limit_s)
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
         except TimeoutError:
             return
 
