--- a/core/minttide/lease.py
+++ b/core/minttide/lease.py
@@ -27,11 +27,6 @@
         self._asked_at: float | None = None
         self._held_until = 0.0
 
-    @property
-    def held_until(self) -> float:
-        """Return until when the lease is held, or a past time."""
-        return self._held_until
-
     def is_own(self, lease: Lease) -> bool:
         """Return whether the log names this process as the lease's holder."""
         return (lease.holder, lease.incarnation) == self._writer
--- a/core/minttide/policy/planner.py
+++ b/core/minttide/policy/planner.py
@@ -40,11 +40,6 @@
     moved_mb: float
     reason: str = ""
 
-    @property
-    def tokens_per_joule(self) -> float:
-        """Return the useful output for each joule of the power that may be drawn."""
-        return self.tokens_per_s / self.watts if self.watts else 0.0
-
 
 Planning = Generator[None, None, SitePlan]
 """Planning in parts of a few milliseconds each; the plan is the generator's return value."""
--- a/core/minttide/policy/power.py
+++ b/core/minttide/policy/power.py
@@ -1,6 +1,6 @@
 """Chooses the power level of each engine, so that the site stays under its cap."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
@@ -92,8 +92,3 @@
         turn[shape.zone] = place + 1
         keyed.append((place, shape.zone, shape.engine))
     return [engine for _, _, engine in sorted(keyed)]
-
-
-def total_watts(levels: Mapping[UpstreamId, Level]) -> int:
-    """Return the power that the chosen levels may draw, in watts."""
-    return sum(level.watts for level in levels.values())
--- a/core/minttide/policy/speed.py
+++ b/core/minttide/policy/speed.py
@@ -1,6 +1,6 @@
 """What one engine can do: its layer times, memory and power levels, from the service files."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
@@ -120,8 +120,3 @@
     prompt = PROMPT_TOKENS_PER_TOKEN * streams
     decode = decode_layer_us(shape, level, model, streams)
     return decode + prompt * prefill_layer_us(shape, level, model)
-
-
-def lowest_watts(shapes: Collection[EngineShape]) -> int:
-    """Return the power that the engines may draw at their lowest levels, in watts."""
-    return sum(s.levels[0].watts for s in shapes)
--- a/fakes/minttide_fakes/served.py
+++ b/fakes/minttide_fakes/served.py
@@ -16,8 +16,6 @@
 from minttide_fakes.routes import ANY_PORT
 from minttide_fakes.site import FakeSite
 
-LOOPBACK = "127.0.0.1"
-
 
 class ServedSite:
     """A `FakeSite` with its log, on sockets. `files` have the addresses that are listened on."""
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -26,7 +26,6 @@
 NEWS_PROBES = 2  # extra probes that a host sends for news
 KEY_MEMORY_S = 3_600
 KEY_SHARDS = 64
-OWNERS_A_SHARD = 2
 LEASE_RECORD_BYTES = 200
 REPORT_BYTES = 300
 
@@ -39,7 +38,6 @@
     probes: list[probe_cost.ProbeReading]
     following: list[follow_cost.FollowReading]
     idle: memory.Reading
-    today: memory.Reading
     router: list[router_cpu.Reading]
 
     @property
@@ -75,9 +73,8 @@
     probes = asyncio.run(probe_cost.read_all())
     following = asyncio.run(follow_cost.read_all())
     idle = asyncio.run(memory.read_daemons(1, False))
-    today = asyncio.run(memory.read_daemons(9, True))
     router = [asyncio.run(router_cpu.measure(n, CHAINS, False)) for n in STREAMS]
-    return Readings(slopes, probes, following, idle, today, router)
+    return Readings(slopes, probes, following, idle, router)
 
 
 # The control of one daemon.
