--- a/cli/minttide_cli/caller.py
+++ b/cli/minttide_cli/caller.py
@@ -10,7 +10,7 @@
 from minttide.ids import Address
 from minttide.outcome import Ran
 from minttide_cli.sse_reader import EventStream, SseEvent, StreamBrokenError
-from minttided.http_client import BrokenError, HttpClient, HttpReply, NotSentError
+from minttided.http.client import BrokenError, HttpClient, HttpReply, NotSentError
 
 MAX_ATTEMPTS = 6
 RETRY_S = 0.1
--- a/cli/minttide_cli/commands/demo.py
+++ b/cli/minttide_cli/commands/demo.py
@@ -10,7 +10,7 @@
 from minttide.findings import CheckError
 from minttide.ids import HostId
 from minttide_cli.options import Exit, fail
-from minttided.logs import configure_logging
+from minttided.operators.logs import configure_logging
 
 
 @click.command(epilog="Example: minttide demo --keep")
--- a/cli/minttide_cli/commands/publish.py
+++ b/cli/minttide_cli/commands/publish.py
@@ -24,7 +24,7 @@
     show_json,
 )
 from minttide_cli.platform_log import open_log
-from minttided.publisher import (
+from minttided.log.publisher import (
     ConfigUnknownError,
     Difference,
     Publication,
--- a/cli/minttide_cli/demo/scenes.py
+++ b/cli/minttide_cli/demo/scenes.py
@@ -14,8 +14,8 @@
 from minttide_cli.operators import ask_daemon, read_applied
 from minttide_cli.platform_log import open_log
 from minttide_fakes.engine import FakeEngine
-from minttided.http_client import HttpReply
-from minttided.publisher import Publisher, Settled, find_differences, wait_in_force
+from minttided.http.client import HttpReply
+from minttided.log.publisher import Publisher, Settled, find_differences, wait_in_force
 
 IN_FORCE_LIMIT_S = 3.0
 PLACED_LIMIT_S = 8.0
--- a/cli/minttide_cli/operators.py
+++ b/cli/minttide_cli/operators.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from minttide.ids import Address, HostId, Offset
-from minttided.http_client import BrokenError, HttpClient, NotSentError
+from minttided.http.client import BrokenError, HttpClient, NotSentError
 
 TIMEOUT_S = 3.0
 OK_STATUSES = (200, 202, 204)
--- a/cli/minttide_cli/platform_log.py
+++ b/cli/minttide_cli/platform_log.py
@@ -5,7 +5,7 @@
 
 from minttide.ids import Address
 from minttide.interfaces import PlatformLog
-from minttided.log_http import LogHttp
+from minttided.log.log_http import LogHttp
 
 
 @asynccontextmanager
--- a/cli/minttide_cli/sse_reader.py
+++ b/cli/minttide_cli/sse_reader.py
@@ -7,7 +7,7 @@
 import h11
 
 from minttide.ids import Address
-from minttided.http_messages import Headers, split_address
+from minttided.http.messages import Headers, split_address
 
 READ_BYTES = 65_536
 MAX_EVENT_BYTES = 256 * 1024
--- a/daemon/minttided/app.py
+++ b/daemon/minttided/app.py
@@ -13,32 +13,38 @@
 from minttide.ids import CONFIG_STREAM, Address, Incarnation, Offset
 from minttide.interfaces import Clients, HostList, PlatformLog
 from minttide.records import Publish
-from minttided.callers import CallerServer
-from minttided.controller import Controller
-from minttided.followed import FollowedStreams
-from minttided.forwarder import PeerForwarder
-from minttided.host_list_http import HostListHttp
-from minttided.keyed import KeyedCallRunner
-from minttided.lease_holder import LeaseHolder
-from minttided.listing import HostListing
-from minttided.log_http import LogHttp
-from minttided.membership_loop import Membership
-from minttided.metrics import Metrics
+from minttided.callers.server import CallerServer
+from minttided.callers.upstream_http import HttpClients
+from minttided.keys.keyed import KeyedCallRunner
+from minttided.log.followed import FollowedStreams
+from minttided.log.log_http import LogHttp
 from minttided.node import Node, read_wall_ms
-from minttided.operators import OperatorServer
-from minttided.peer_handler import PeerHandler
-from minttided.peer_link import PeerNet
-from minttided.peers import GrpcNet
-from minttided.placement_view import PlacementView
-from minttided.relay import Relay
-from minttided.shutdown import Drain
-from minttided.site_planner import SitePlanner
-from minttided.status import HostStatus, read_status
+from minttided.operators.metrics import Metrics
+from minttided.operators.server import OperatorServer
+from minttided.operators.status import HostStatus, read_status
+from minttided.peers.forwarder import PeerForwarder
+from minttided.peers.grpc_net import GrpcNet
+from minttided.peers.handler import PeerHandler
+from minttided.peers.host_list_http import HostListHttp
+from minttided.peers.link import PeerNet
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import Membership
+from minttided.peers.relay import Relay
+from minttided.placement.controller import Controller
+from minttided.placement.lease_holder import LeaseHolder
+from minttided.placement.placement_view import PlacementView
+from minttided.placement.site_planner import SitePlanner
+from minttided.stopping import Drain
 from minttided.supervisor import Child, Ready, Restart, Supervised, Supervisor
-from minttided.upstream_http import HttpClients
 
 log = logging.getLogger(__name__)
 
+SPREAD_S = 3.0
+"""How long other hosts may still name this one after it has announced that it is leaving."""
+
+DEFAULT_KEEP_S = 10.0
+"""How long callers keep an answer while no site file is in force."""
+
 
 class App:
     """One daemon, running while the context is open.
@@ -172,7 +178,12 @@
         self.relay.attach(self._config.follower)
         self._peers = PeerHandler(self.membership, self.relay, lambda: self._keyed)
         self._forwarder = PeerForwarder(self.node, link)
-        self.drain = Drain(self.node, self.membership.leave, lambda: self.callers)
+        self.drain = Drain(
+            self.membership.leave,
+            lambda: self.callers,
+            self._accept_s,
+            self.cfg.shutdown_limit_s,
+        )
         self._supervised = Supervised(self._make_tree())
 
     async def _open_log(self, stack: AsyncExitStack) -> PlatformLog:
@@ -262,6 +273,11 @@
             self.operators = server
             await _stay(ready)
 
+    def _accept_s(self) -> float:
+        """Return how long callers may still come after this host has announced that it leaves."""
+        site = self.node.config.site
+        return (site.answer_keep_s if site else DEFAULT_KEEP_S) + SPREAD_S
+
     # Configuration.
 
     def _read_vitals(self) -> tuple[Offset, float]:
--- /dev/null
+++ b/daemon/minttided/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' listener: where to connect, accounts and plain calls."""
--- a/daemon/minttided/accounts.py
+++ b/daemon/minttided/callers/accounts.py
@@ -5,9 +5,9 @@
 
 from minttide.config.service import Account, ModelService, PlainService, Site
 from minttide.outcome import ProblemType
-from minttided.http_messages import HttpRequest
+from minttided.http.messages import HttpRequest
+from minttided.http.problems import refusal
 from minttided.node import Node
-from minttided.problems import refusal
 
 _SCHEME = "bearer "
 CONFIG_RETRY_S = 2.0
--- a/daemon/minttided/calls.py
+++ b/daemon/minttided/callers/calls.py
@@ -19,9 +19,9 @@
 from minttide.policy.circuit import Circuit
 from minttide.policy.retries import RetryBudget
 from minttide.policy.upstreams import UpstreamDecision, choose_upstream
-from minttided.discovery import Discovery
+from minttided.callers.discovery import Discovery
+from minttided.http.problems import problem, refusal
 from minttided.node import Node
-from minttided.problems import problem, refusal
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/callers.py
+++ b/daemon/minttided/callers/server.py
@@ -11,16 +11,16 @@
 from minttide.ids import Address, IdempotencyKey, ServiceName
 from minttide.interfaces import UpstreamCall, UpstreamReply
 from minttide.outcome import ProblemType, Ran, RequestError
-from minttided.accounts import Accounts, check_allowed
-from minttided.calls import Calls
-from minttided.discovery import Discovery
-from minttided.drafts import Drafts
-from minttided.engine_watch import EngineWatch
-from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse
-from minttided.http_server import HttpServer
+from minttided.callers.accounts import Accounts, check_allowed
+from minttided.callers.calls import Calls
+from minttided.callers.discovery import Discovery
+from minttided.callers.where import Where
+from minttided.drafts.drafts import Drafts
+from minttided.engines.engine_watch import EngineWatch
+from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.http.problems import refusal
+from minttided.http.server import HttpServer
 from minttided.node import Node
-from minttided.problems import refusal
-from minttided.where import Where
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/upstream_http.py
+++ b/daemon/minttided/callers/upstream_http.py
@@ -10,8 +10,8 @@
     UpstreamRefusedError,
     UpstreamReply,
 )
-from minttided.engine_http import EngineHttp
-from minttided.http_client import BrokenError, HttpClient, NotSentError
+from minttided.engines.engine_http import EngineHttp
+from minttided.http.client import BrokenError, HttpClient, NotSentError
 
 
 class UpstreamHttp:
--- a/daemon/minttided/where.py
+++ b/daemon/minttided/callers/where.py
@@ -7,10 +7,10 @@
 from minttide.ids import Address, ZoneId
 from minttide.outcome import ProblemType
 from minttide.policy.entry import WhereAnswer, answer_where
-from minttided.accounts import Accounts
-from minttided.http_messages import HttpRequest, HttpResponse
+from minttided.callers.accounts import Accounts
+from minttided.http.messages import HttpRequest, HttpResponse
+from minttided.http.problems import refusal
 from minttided.node import Node
-from minttided.problems import refusal
 
 MAX_ZONE_CHARS = 100
 LEAVING_RETRY_S = 1.0
--- /dev/null
+++ b/daemon/minttided/drafts/__init__.py
@@ -0,0 +1,1 @@
+"""Drafts: admission, running along a chain, recovery and resumption."""
--- a/daemon/minttided/admission.py
+++ b/daemon/minttided/drafts/admission.py
@@ -11,8 +11,8 @@
 from minttide.ids import AccountId, RequestId, ServiceName
 from minttide.outcome import ProblemType, RequestError
 from minttide.policy.limits import FairQueue, RateLimit, Ticket, host_share
+from minttided.http.problems import refusal
 from minttided.node import Node
-from minttided.problems import refusal
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/draft_request.py
+++ b/daemon/minttided/drafts/draft_request.py
@@ -9,15 +9,15 @@
 from minttide.ids import AdapterName, RequestId, ServiceName
 from minttide.outcome import ProblemType
 from minttide.policy.chains import Chain
-from minttided.problems import refusal
-from minttided.resume_token import (
+from minttided.drafts.resume_token import (
     BadResumeTokenError,
     ResumeNote,
     digest_prompt,
     open_token,
     sign_note,
 )
-from minttided.tokens import tokenize
+from minttided.drafts.tokens import tokenize
+from minttided.http.problems import refusal
 
 DEFAULT_TOKENS = 256
 
--- a/daemon/minttided/draft_run.py
+++ b/daemon/minttided/drafts/draft_run.py
@@ -12,9 +12,9 @@
 from minttide.policy.attempt import Attempt, AttemptState, Outcome, Taken
 from minttide.policy.chains import Chain
 from minttide.steps import Step, StepError, StepReply
-from minttided.engine_watch import UNFIT_ERRORS, EngineWatch
-from minttided.problems import problem
-from minttided.steps_batcher import log_dropped
+from minttided.engines.engine_watch import UNFIT_ERRORS, EngineWatch
+from minttided.engines.steps_batcher import log_dropped
+from minttided.http.problems import problem
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/drafts.py
+++ b/daemon/minttided/drafts/drafts.py
@@ -16,18 +16,18 @@
 from minttide.policy.chains import Chain, ChainDecision, choose_chain
 from minttide.policy.limits import Ticket, latest_start_s
 from minttide.prefix import prefix_digests
-from minttided.accounts import check_allowed
-from minttided.admission import Admission, Slot
-from minttided.capacity import ChainCapacity
-from minttided.draft_request import DraftRequest, parse_draft
-from minttided.draft_run import DraftRun
-from minttided.engine_watch import EngineWatch
-from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.callers.accounts import check_allowed
+from minttided.drafts.admission import Admission, Slot
+from minttided.drafts.draft_request import DraftRequest, parse_draft
+from minttided.drafts.draft_run import DraftRun
+from minttided.drafts.recoveries import Recoveries
+from minttided.drafts.sse import Opened, end_event, open_event, problem_event, token_event
+from minttided.drafts.tokens import TextDecoder, decode_text
+from minttided.engines.capacity import ChainCapacity
+from minttided.engines.engine_watch import EngineWatch
+from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.http.problems import refusal
 from minttided.node import Node
-from minttided.problems import refusal
-from minttided.recoveries import Recoveries
-from minttided.sse import Opened, end_event, open_event, problem_event, token_event
-from minttided.tokens import TextDecoder, decode_text
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/recoveries.py
+++ b/daemon/minttided/drafts/recoveries.py
@@ -12,8 +12,8 @@
 from minttide.interfaces import EngineError
 from minttide.policy.chains import Chain
 from minttide.policy.recovery import KvExport, RecoveryPacer, ResumeWay, Stalled, choose_resume
-from minttided.draft_run import DraftRun
-from minttided.engine_watch import EngineWatch
+from minttided.drafts.draft_run import DraftRun
+from minttided.engines.engine_watch import EngineWatch
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/sse.py
+++ b/daemon/minttided/drafts/sse.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from minttide.outcome import Problem
-from minttided.problems import encode_problem
+from minttided.http.problems import encode_problem
 
 
 class Opened(msgspec.Struct):
--- /dev/null
+++ b/daemon/minttided/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines that run single steps: clients, batches, reports and orders."""
--- a/daemon/minttided/capacity.py
+++ b/daemon/minttided/engines/capacity.py
@@ -2,7 +2,7 @@
 
 from minttide.ids import ServiceName
 from minttide.policy.chains import ROOM_SHARE, has_room
-from minttided.engine_watch import EngineWatch
+from minttided.engines.engine_watch import EngineWatch
 from minttided.node import Node
 
 MS_PER_S = 1000.0
--- a/daemon/minttided/engine_http.py
+++ b/daemon/minttided/engines/engine_http.py
@@ -8,7 +8,7 @@
 from minttide.ids import RequestId
 from minttide.interfaces import EngineError, StaleFencingError, always
 from minttide.steps import CacheEvent, EngineState, LoadReport, Order, StepBatch, StepReplies
-from minttided.http_client import BrokenError, HttpClient, HttpReply, NotSentError
+from minttided.http.client import BrokenError, HttpClient, HttpReply, NotSentError
 
 STEPS_TIMEOUT_S = 30.0
 CONTROL_TIMEOUT_S = 5.0
--- a/daemon/minttided/engine_orders.py
+++ b/daemon/minttided/engines/engine_orders.py
@@ -13,9 +13,9 @@
 from minttide.interfaces import EngineError, StaleFencingError
 from minttide.records import Assignment, Confirmation, EngineWatts
 from minttide.steps import EngineState, Order
-from minttided.lease_holder import LeaseHolder
 from minttided.node import Node
-from minttided.placement_view import PlacementView
+from minttided.placement.lease_holder import LeaseHolder
+from minttided.placement.placement_view import PlacementView
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/engine_watch.py
+++ b/daemon/minttided/engines/engine_watch.py
@@ -13,12 +13,12 @@
 from minttide.policy.chains import Chain, ChainNews
 from minttide.policy.suspicion import Suspicion
 from minttide.steps import EngineState, LoadReport, Step, StepError
-from minttided.cache_view import CacheView
-from minttided.holds import Holds
-from minttided.metrics import Metrics
+from minttided.drafts.holds import Holds
+from minttided.engines.cache_view import CacheView
+from minttided.engines.steps_batcher import EngineLane, StepOwner
+from minttided.engines.topology import Topology, build_topology, topology_key
 from minttided.node import Node
-from minttided.steps_batcher import EngineLane, StepOwner
-from minttided.topology import Topology, build_topology, topology_key
+from minttided.operators.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/steps_batcher.py
+++ b/daemon/minttided/engines/steps_batcher.py
@@ -13,7 +13,7 @@
 from minttide.ids import RequestId, UpstreamId
 from minttide.interfaces import EngineClient, EngineError
 from minttide.steps import Step, StepBatch, StepReplies, StepReply
-from minttided.cancellations import Cancellations
+from minttided.drafts.cancellations import Cancellations
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/http_client.py
+++ b/daemon/minttided/http/client.py
@@ -8,7 +8,7 @@
 
 from minttide.ids import Address
 from minttide.interfaces import always
-from minttided.http_messages import Headers, split_address
+from minttided.http.messages import Headers, split_address
 
 READ_BYTES = 65_536
 MAX_IDLE = 4
--- a/daemon/minttided/http_connection.py
+++ b/daemon/minttided/http/connection.py
@@ -9,15 +9,15 @@
 
 from minttide.config.settings import Bounds
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
-from minttided.http_messages import Handler, Headers, HttpRequest, HttpResponse, StreamResponse
-from minttided.http_request import (
+from minttided.http.messages import Handler, Headers, HttpRequest, HttpResponse, StreamResponse
+from minttided.http.problems import problem, problem_response
+from minttided.http.request import (
     BodyBudget,
     BodyShare,
     RefusedError,
     check_size,
     make_request,
 )
-from minttided.problems import problem, problem_response
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/http_messages.py
+++ b/daemon/minttided/http/messages.py
@@ -12,13 +12,14 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """One whole request. Header names are lower-case; `path` is without the query."""
+    """One whole request. Header names are lower-case; `path` is `target` without the query."""
 
     method: str
     path: str
     query: str
     headers: Headers
     body: bytes
+    target: str = ""
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, `name` in lower case."""
--- a/daemon/minttided/problems.py
+++ b/daemon/minttided/http/problems.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
-from minttided.http_messages import HttpResponse
+from minttided.http.messages import HttpResponse
 
 TYPE_BASE = "https://minttide.invalid/problems/"
 CONTENT_TYPE = "application/problem+json"
--- a/daemon/minttided/http_request.py
+++ b/daemon/minttided/http/request.py
@@ -3,8 +3,8 @@
 import h11
 
 from minttide.outcome import Problem, ProblemType
-from minttided.http_messages import HttpRequest
-from minttided.problems import problem
+from minttided.http.messages import HttpRequest
+from minttided.http.problems import problem
 
 BODIES_PER_HOST = 32
 """Bodies of the greatest size that are held at a time, until their handlers have answered."""
@@ -74,4 +74,4 @@
         raise RefusedError(problem(ProblemType.BAD_REQUEST, detail)) from None
     path, _, query = target.partition("?")
     headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
-    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
+    return HttpRequest(head.method.decode("ascii"), path, query, headers, body, target)
--- a/daemon/minttided/http_server.py
+++ b/daemon/minttided/http/server.py
@@ -9,9 +9,9 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
-from minttided.http_connection import Connection
-from minttided.http_messages import Handler, join_address, split_address
-from minttided.http_request import BodyBudget
+from minttided.http.connection import Connection
+from minttided.http.messages import Handler, join_address, split_address
+from minttided.http.request import BodyBudget
 
 BACKLOG = 1024
 
--- /dev/null
+++ b/daemon/minttided/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Calls with an idempotency key, at most once over all hosts."""
--- a/daemon/minttided/key_shard.py
+++ b/daemon/minttided/keys/key_shard.py
@@ -17,11 +17,11 @@
 from minttide.interfaces import LogUnavailableError, LogUncertainError, UpstreamReply
 from minttide.outcome import ProblemType, Ran, RequestError
 from minttide.records import Answer, Claim, KeyChange, Withdrawal
-from minttided import key_problems as problems
-from minttided.key_batch import BatchFullError, KeyBatcher
-from minttided.keyed_request import KeyedRequest
+from minttided.drafts.streams import Follow
+from minttided.keys import key_problems as problems
+from minttided.keys.key_batch import BatchFullError, KeyBatcher
+from minttided.keys.keyed_request import KeyedRequest
 from minttided.node import Node
-from minttided.streams import Follow
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/keyed.py
+++ b/daemon/minttided/keys/keyed.py
@@ -11,11 +11,11 @@
 from minttide.interfaces import UpstreamCall, UpstreamReply
 from minttide.outcome import Ran, RequestError
 from minttide.rendezvous import OwnerTable, shard_of
-from minttided import key_problems as problems
-from minttided.key_shard import KeyShard, is_log_out
-from minttided.keyed_request import KeyedRequest
+from minttided.drafts.streams import Follow
+from minttided.keys import key_problems as problems
+from minttided.keys.key_shard import KeyShard, is_log_out
+from minttided.keys.keyed_request import KeyedRequest
 from minttided.node import Node
-from minttided.streams import Follow
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/daemon/minttided/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's log: reading, folding, checkpoints and publishing."""
--- a/daemon/minttided/checkpointer.py
+++ b/daemon/minttided/log/checkpointer.py
@@ -22,7 +22,7 @@
     decode,
     encode,
 )
-from minttided.follower import Follower
+from minttided.log.follower import Follower
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/followed.py
+++ b/daemon/minttided/log/followed.py
@@ -9,8 +9,8 @@
 from minttide.ids import HostId, StreamName
 from minttide.interfaces import LogRecord
 from minttide.rendezvous import rank_hosts
-from minttided.checkpointer import CheckpointAge, Checkpointer
-from minttided.follower import Follower, OnVerdicts, PeerSnapshot
+from minttided.log.checkpointer import CheckpointAge, Checkpointer
+from minttided.log.follower import Follower, OnVerdicts, PeerSnapshot
 from minttided.node import Node
 from minttided.supervisor import Child, Ready, Supervised, Supervisor
 
--- a/daemon/minttided/follower.py
+++ b/daemon/minttided/log/follower.py
@@ -18,7 +18,7 @@
 from minttide.ids import Offset, StreamName
 from minttide.interfaces import LogPage, LogRecord, LogUnavailableError, PlatformLog
 from minttided.backoff import Backoff
-from minttided.bootstrap import find_checkpoint, restore_forward
+from minttided.log.bootstrap import find_checkpoint, restore_forward
 from minttided.supervisor import Child, Ready, Supervised, Supervisor
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/log_http.py
+++ b/daemon/minttided/log/log_http.py
@@ -4,7 +4,7 @@
 
 from minttide.ids import Address, Offset, StreamName
 from minttide.interfaces import LogPage, LogUnavailableError, LogUncertainError
-from minttided.http_client import BrokenError, HttpClient, HttpReply, NotSentError
+from minttided.http.client import BrokenError, HttpClient, HttpReply, NotSentError
 
 APPEND_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 4.0
--- a/daemon/minttided/publisher.py
+++ b/daemon/minttided/log/publisher.py
@@ -22,7 +22,7 @@
 )
 from minttide.interfaces import LogUnavailableError, LogUncertainError, PlatformLog
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
-from minttided.follower import Follower
+from minttided.log.follower import Follower
 from minttided.node import read_wall_ms
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/main.py
+++ b/daemon/minttided/main.py
@@ -12,7 +12,7 @@
 from minttide.config.settings import Settings
 from minttide.config.settings_checks import check_settings
 from minttided.app import App
-from minttided.logs import configure_logging
+from minttided.operators.logs import configure_logging
 from minttided.supervisor import TooManyRestartsError
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/node.py
+++ b/daemon/minttided/node.py
@@ -26,8 +26,8 @@
 )
 from minttide.records import Assignment
 from minttide.steps import EngineState, LoadReport
-from minttided.listing import HostListing
-from minttided.metrics import Metrics
+from minttided.operators.metrics import Metrics
+from minttided.peers.listing import HostListing
 
 
 class Members(Protocol):
--- /dev/null
+++ b/daemon/minttided/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' listener, status, metrics and log lines."""
--- a/daemon/minttided/operators.py
+++ b/daemon/minttided/operators/server.py
@@ -9,11 +9,11 @@
 from minttide.gossip import Status
 from minttide.ids import Address
 from minttide.outcome import ProblemType
-from minttided.http_messages import HttpRequest, HttpResponse
-from minttided.http_server import HttpServer
-from minttided.metrics import CONTENT_TYPE, Metrics
-from minttided.problems import refusal
-from minttided.status import HostStatus
+from minttided.http.messages import HttpRequest, HttpResponse
+from minttided.http.problems import refusal
+from minttided.http.server import HttpServer
+from minttided.operators.metrics import CONTENT_TYPE, Metrics
+from minttided.operators.status import HostStatus
 
 OPERATORS_BOUNDS = Bounds(max_connections=64, max_body_bytes=4_096)
 
--- a/daemon/minttided/status.py
+++ b/daemon/minttided/operators/status.py
@@ -22,7 +22,7 @@
 )
 from minttide.interfaces import MemberView
 from minttide.records import Assignment
-from minttided.follower import Follower
+from minttided.log.follower import Follower
 from minttided.node import Node
 
 
--- a/daemon/minttided/peer_codec.py
+++ b/daemon/minttided/peers/codec.py
@@ -15,7 +15,7 @@
 )
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
-from minttided.peer_link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
 from minttided.proto import peer_pb2 as pb
 
 _STATUS_OUT = {
--- a/daemon/minttided/forwarder.py
+++ b/daemon/minttided/peers/forwarder.py
@@ -5,10 +5,10 @@
 from minttide.ids import AccountId, HostId, IdempotencyKey, ServiceName
 from minttide.interfaces import UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, RequestError
-from minttided.keyed import ForwardError, KeyedCallRunner
+from minttided.http.problems import problem
+from minttided.keys.keyed import ForwardError, KeyedCallRunner
 from minttided.node import Node
-from minttided.peer_link import KeyedCall, PeerError, PeerLink
-from minttided.problems import problem
+from minttided.peers.link import KeyedCall, PeerError, PeerLink
 
 RETRY_AFTER_S = 1.0
 
--- a/daemon/minttided/peers.py
+++ b/daemon/minttided/peers/grpc_net.py
@@ -16,9 +16,9 @@
 from minttide.ids import Address, Offset
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
-from minttided import peer_codec as codec
-from minttided.http_messages import join_address, split_address
-from minttided.peer_link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.http.messages import join_address, split_address
+from minttided.peers import codec as codec
+from minttided.peers.link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
 from minttided.proto import peer_pb2 as pb
 from minttided.proto.peer_grpc import PeerBase, PeerStub
 
--- a/daemon/minttided/peer_handler.py
+++ b/daemon/minttided/peers/handler.py
@@ -5,11 +5,11 @@
 from minttide.ids import Offset
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
-from minttided.forwarder import run_forwarded
-from minttided.keyed import KeyedCallRunner
-from minttided.membership_loop import Membership
-from minttided.peer_link import KeyedCall, Probe, ProbeAnswer, Pulled
-from minttided.relay import Relay
+from minttided.keys.keyed import KeyedCallRunner
+from minttided.peers.forwarder import run_forwarded
+from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.membership import Membership
+from minttided.peers.relay import Relay
 
 
 class PeerHandler:
--- a/daemon/minttided/host_list_http.py
+++ b/daemon/minttided/peers/host_list_http.py
@@ -6,7 +6,7 @@
 
 from minttide.ids import Address
 from minttide.interfaces import ListedHost
-from minttided.http_client import BrokenError, HttpClient, NotSentError
+from minttided.http.client import BrokenError, HttpClient, NotSentError
 
 TIMEOUT_S = 5.0
 
--- a/daemon/minttided/membership_loop.py
+++ b/daemon/minttided/peers/membership.py
@@ -5,14 +5,14 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
-from minttide.config.settings import Settings
 from minttide.gossip import Gossip, Member, Status
-from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId
+from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
 from minttide.interfaces import MemberView
 from minttide.membership import MemberTable
-from minttided.listing import ENTRY_GROUP, HostListing
-from minttided.peer_link import PeerError, PeerLink, Probe, ProbeAnswer
+from minttided.peers.link import PeerError, PeerLink, Probe, ProbeAnswer
+from minttided.peers.listing import ENTRY_GROUP, HostListing
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -40,12 +40,36 @@
 """Told of the configuration offset of a peer at an address."""
 
 
+class HostSettings(Protocol):
+    """The settings that say which host this is, and whom to ask first."""
+
+    @property
+    def host(self) -> HostId:
+        """Return this host's id."""
+
+    @property
+    def zone(self) -> ZoneId:
+        """Return its availability zone."""
+
+    @property
+    def callers(self) -> Address:
+        """Return the address that callers reach."""
+
+    @property
+    def peer(self) -> Address:
+        """Return the address that peers reach."""
+
+    @property
+    def peers(self) -> Sequence[Address]:
+        """Return addresses of some peers."""
+
+
 class Membership:
     """This host's view of the others, kept fresh by probes. Implements `Members` of the node."""
 
     def __init__(
         self,
-        cfg: Settings,
+        cfg: HostSettings,
         incarnation: Incarnation,
         link: PeerLink,
         listing: HostListing,
--- a/daemon/minttided/relay.py
+++ b/daemon/minttided/peers/relay.py
@@ -15,8 +15,8 @@
 from minttide.gossip import Member
 from minttide.ids import NO_OFFSET, Address, Offset
 from minttide.interfaces import LogRecord
-from minttided.follower import Follower
-from minttided.peer_link import PeerError, PeerLink, Pulled
+from minttided.log.follower import Follower
+from minttided.peers.link import PeerError, PeerLink, Pulled
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/daemon/minttided/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of layers on engines: the lease, the plan and its orders."""
--- a/daemon/minttided/controller.py
+++ b/daemon/minttided/placement/controller.py
@@ -15,11 +15,11 @@
     LogUncertainError,
 )
 from minttide.records import Assignment, Plan
-from minttided.engine_orders import EngineOrders, holds_as_planned
-from minttided.lease_holder import LeaseHolder
+from minttided.engines.engine_orders import EngineOrders, holds_as_planned
 from minttided.node import Node
-from minttided.placement_view import PlacementView
-from minttided.planning import ChangeStep, Planner, StepWait
+from minttided.placement.lease_holder import LeaseHolder
+from minttided.placement.placement_view import PlacementView
+from minttided.placement.planning import ChangeStep, Planner, StepWait
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/lease_holder.py
+++ b/daemon/minttided/placement/lease_holder.py
@@ -8,9 +8,9 @@
 from minttide.lease import LeaseTimer
 from minttide.records import Body, LeaseRelease, LeaseRenewal, LeaseTake
 from minttide.rendezvous import rank_hosts
+from minttided.drafts.streams import seal
 from minttided.node import Node
-from minttided.placement_view import PlacementView
-from minttided.streams import seal
+from minttided.placement.placement_view import PlacementView
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/placement_view.py
+++ b/daemon/minttided/placement/placement_view.py
@@ -10,9 +10,9 @@
 from minttide.ids import Offset, UpstreamId, placement_stream
 from minttide.records import Assignment, Body
 from minttide.steps import EngineState, LoadReport
-from minttided.engine_poll import EnginePoller
+from minttided.drafts.streams import Follow, StreamFollower, seal
+from minttided.engines.engine_poll import EnginePoller
 from minttided.node import Node
-from minttided.streams import Follow, StreamFollower, seal
 
 APPEND_TIMEOUT_S = 3.0
 
--- a/daemon/minttided/site_planner.py
+++ b/daemon/minttided/placement/site_planner.py
@@ -8,7 +8,7 @@
 from minttide.policy.placement import order_changes, plan_in_parts
 from minttide.records import Assignment
 from minttide.steps import EngineState
-from minttided.planning import ChangeStep, StepWait, Wanted
+from minttided.placement.planning import ChangeStep, StepWait, Wanted
 
 
 class SitePlanner:
--- a/daemon/minttided/shutdown.py
+++ b/daemon/minttided/stopping.py
@@ -5,16 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from minttided.node import Node
-
 log = logging.getLogger(__name__)
 
-SPREAD_S = 3.0
-"""How long other hosts may still name this one after it has announced that it is leaving."""
-
-DEFAULT_KEEP_S = 10.0
-"""How long callers keep an answer while no site file is in force."""
-
 CHECK_S = 0.05
 
 
@@ -33,18 +25,24 @@
 
 
 class Drain:
-    """The planned stop of one daemon. `done` is set once no request is left."""
+    """The planned stop of one daemon. `done` is set once no request is left.
+
+    Connections are accepted for `accept_s()` seconds more, so that callers who still have the
+    address are served; then open requests have `limit_s` seconds to end.
+    """
 
     def __init__(
         self,
-        node: Node,
         leave: Callable[[], Awaitable[None]],
         find_listener: Callable[[], Listener | None],
+        accept_s: Callable[[], float],
+        limit_s: float,
     ):
         self.done = asyncio.Event()
-        self._node = node
         self._leave = leave
         self._find_listener = find_listener
+        self._accept_s = accept_s
+        self._limit_s = limit_s
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -72,21 +70,20 @@
             self.done.set()
 
     async def _finish(self) -> None:
-        site = self._node.config.site
-        keep_s = site.answer_keep_s if site else DEFAULT_KEEP_S
-        log.info("leaving", extra={"accepting_s": keep_s + SPREAD_S})
+        accept_s = self._accept_s()
+        log.info("leaving", extra={"accepting_s": accept_s})
         listener = self._find_listener()
         if listener is not None:
             listener.announce_close()
         await self._leave()
-        await asyncio.sleep(keep_s + SPREAD_S)
+        await asyncio.sleep(accept_s)
         if listener is not None:
             listener.stop_accepting()
             await self._wait_finished(listener)
 
     async def _wait_finished(self, listener: Listener) -> None:
         try:
-            async with asyncio.timeout(self._node.cfg.shutdown_limit_s):
+            async with asyncio.timeout(self._limit_s):
                 await _wait_idle(listener)
         except TimeoutError:
             log.warning("requests cut off", extra={"left": listener.open_requests})
--- a/fakes/minttide_fakes/engine_server.py
+++ b/fakes/minttide_fakes/engine_server.py
@@ -7,7 +7,7 @@
 from minttide.steps import Order, StepBatch
 from minttide_fakes.engine import FakeEngine
 from minttide_fakes.routes import ANY_PORT, Answer, RoutedServer, answer, break_off, refuse
-from minttided.http_messages import HttpRequest
+from minttided.http.messages import HttpRequest
 
 _steps = msgspec.json.Decoder(StepBatch)
 _order = msgspec.json.Decoder(Order)
--- a/fakes/minttide_fakes/log_server.py
+++ b/fakes/minttide_fakes/log_server.py
@@ -5,7 +5,7 @@
 from minttide.ids import Address, Offset, StreamName
 from minttide.interfaces import HostList, LogUnavailableError, LogUncertainError, PlatformLog
 from minttide_fakes.routes import ANY_PORT, Answer, RoutedServer, answer, break_off, refuse
-from minttided.http_messages import HttpRequest
+from minttided.http.messages import HttpRequest
 
 RECORDS_PATH = re.compile(r"/v1/streams/([A-Za-z0-9._-]{1,128})/records")
 MAX_WAIT_S = 60.0
--- a/fakes/minttide_fakes/peer_net.py
+++ b/fakes/minttide_fakes/peer_net.py
@@ -5,7 +5,7 @@
 from minttide.ids import Address, Offset
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
-from minttided.peer_link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
 
 
 class MemoryNet:
--- a/fakes/minttide_fakes/plain_server.py
+++ b/fakes/minttide_fakes/plain_server.py
@@ -4,7 +4,7 @@
 from minttide.interfaces import UpstreamBrokenError, UpstreamCall, UpstreamRefusedError
 from minttide_fakes.plain import FakeUpstream
 from minttide_fakes.routes import ANY_PORT, Answer, RoutedServer, break_off
-from minttided.http_messages import HttpRequest, HttpResponse
+from minttided.http.messages import HttpRequest, HttpResponse
 
 
 class PlainServer(RoutedServer):
--- a/fakes/minttide_fakes/routes.py
+++ b/fakes/minttide_fakes/routes.py
@@ -8,8 +8,8 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
-from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse
-from minttided.http_server import HttpServer
+from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.http.server import HttpServer
 
 ANY_PORT = Address("127.0.0.1:0")
 BOUNDS = Bounds(max_body_bytes=4 * 1024 * 1024)
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -13,10 +13,10 @@
 from measure.slopes import Slope, measure_all
 from minttide.ids import Address, ZoneId
 from minttide.interfaces import ListedHost
-from minttided.engine_watch import READS_PER_S
-from minttided.lease_holder import RENEW_S
-from minttided.listing import HostListing
-from minttided.membership_loop import PROBE_PERIOD_S
+from minttided.engines.engine_watch import READS_PER_S
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import PROBE_PERIOD_S
+from minttided.placement.lease_holder import RENEW_S
 
 MB = 1024 * 1024
 KB = 1024
--- a/measure/follow_cost.py
+++ b/measure/follow_cost.py
@@ -11,8 +11,8 @@
 from minttide.ids import CONFIG_STREAM, Offset
 from minttide_fakes.log_server import LogServer
 from minttide_fakes.memory import MemoryLog
-from minttided.follower import Follower
-from minttided.log_http import LogHttp
+from minttided.log.follower import Follower
+from minttided.log.log_http import LogHttp
 
 CHANGES = [100, 200, 400, 800]
 
--- a/measure/keyed.py
+++ b/measure/keyed.py
@@ -28,9 +28,9 @@
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
-from minttided import key_batch, key_shard
-from minttided.follower import Follower
-from minttided.keyed import KeyedCallRunner
+from minttided.keys import key_batch, key_shard
+from minttided.keys.keyed import KeyedCallRunner
+from minttided.log.follower import Follower
 from minttided.node import Node
 
 APPENDS_PER_S = 300.0
--- a/measure/probe_cost.py
+++ b/measure/probe_cost.py
@@ -12,9 +12,9 @@
 from minttide.interfaces import UpstreamReply
 from minttide.membership import MemberTable
 from minttide.outcome import Problem
-from minttided import peer_codec
-from minttided.peer_link import KeyedCall, Probe, ProbeAnswer, Pulled
-from minttided.peers import GrpcPeers, PeerServer
+from minttided.peers import codec as peer_codec
+from minttided.peers.grpc_net import GrpcPeers, PeerServer
+from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
 
 HOSTS = [9, 100, 400, 1600]
 PROBES = 300
--- a/measure/processes.py
+++ b/measure/processes.py
@@ -25,7 +25,7 @@
 from minttide_cli.demo.waiting import wait_until, wait_until_async
 from minttide_cli.platform_log import open_log
 from minttide_fakes.served import ServedSite
-from minttided.publisher import Publisher, find_differences
+from minttided.log.publisher import Publisher, find_differences
 
 EXAMPLES = Path("examples")
 DRAFTS = 30
--- a/measure/publish.py
+++ b/measure/publish.py
@@ -30,11 +30,11 @@
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
-from minttided.follower import Follower
-from minttided.listing import HostListing
-from minttided.membership_loop import Membership
-from minttided.peer_handler import PeerHandler
-from minttided.relay import Relay
+from minttided.log.follower import Follower
+from minttided.peers.handler import PeerHandler
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import Membership
+from minttided.peers.relay import Relay
 from minttided.supervisor import Child, Supervised, Supervisor
 
 HOSTS = [9, 100, 300]
--- a/measure/router_cpu.py
+++ b/measure/router_cpu.py
@@ -49,10 +49,10 @@
 )
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.site import FakeSite
-from minttided.callers import CallerServer
-from minttided.http_messages import split_address
+from minttided.callers.server import CallerServer
+from minttided.callers.upstream_http import HttpClients
+from minttided.http.messages import split_address
 from minttided.node import Node
-from minttided.upstream_http import HttpClients
 
 TARGET_US = 114.0
 """What one loop has for a token at the size to design for: 8,750 tokens a second."""
--- a/measure/soak.py
+++ b/measure/soak.py
@@ -25,7 +25,7 @@
 from minttide_fakes.engine import ReplyFault
 from minttide_fakes.faults import AppendFault
 from minttide_fakes.plain import CallFault
-from minttided.http_client import BrokenError
+from minttided.http.client import BrokenError
 
 EXAMPLES = Path("examples")
 RUN_S = 40.0
--- a/measure/takeover.py
+++ b/measure/takeover.py
@@ -11,10 +11,10 @@
 from minttide.interfaces import MemberView
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
-from minttided.follower import Follower
-from minttided.lease_holder import LEASE_MS, LeaseHolder
+from minttided.log.follower import Follower
 from minttided.node import Node
-from minttided.placement_view import PlacementView
+from minttided.placement.lease_holder import LEASE_MS, LeaseHolder
+from minttided.placement.placement_view import PlacementView
 
 HOSTS = [2, 9, 44]
 DELAYS_S = [0.005, 0.3]
--- a/test/drafting.py
+++ b/test/drafting.py
@@ -41,9 +41,9 @@
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.model import generate
 from minttide_fakes.site import FakeSite
-from minttided.drafts import Drafts
-from minttided.engine_watch import EngineWatch
-from minttided.http_messages import HttpRequest, StreamResponse
+from minttided.drafts.drafts import Drafts
+from minttided.engines.engine_watch import EngineWatch
+from minttided.http.messages import HttpRequest, StreamResponse
 from minttided.node import Node
 
 LAYERS = 6
--- a/test/key_site.py
+++ b/test/key_site.py
@@ -23,8 +23,8 @@
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.memory import HostLog, MemoryLog
-from minttided.follower import Follower
-from minttided.keyed import ForwardError, KeyedCallRunner
+from minttided.keys.keyed import ForwardError, KeyedCallRunner
+from minttided.log.follower import Follower
 from minttided.node import Node
 
 BOOKING = ServiceName("booking")
--- a/test/schedule.py
+++ b/test/schedule.py
@@ -56,10 +56,10 @@
 from minttide_fakes.virtual import run_virtual
 from minttided import app as app_module
 from minttided.app import App
-from minttided.calls import Calls
-from minttided.discovery import Discovery
-from minttided.planning import ChangeStep, StepWait, Wanted
-from minttided.site_planner import SitePlanner
+from minttided.callers.calls import Calls
+from minttided.callers.discovery import Discovery
+from minttided.placement.planning import ChangeStep, StepWait, Wanted
+from minttided.placement.site_planner import SitePlanner
 
 EPOCH_MS = 1_800_000_000_000
 HOSTS = 3
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -9,7 +9,7 @@
 from minttide.ids import AccountId, RequestId, ServiceName
 from minttide.policy.limits import Ticket
 from minttide_fakes.virtual import run_virtual
-from minttided.admission import Admission
+from minttided.drafts.admission import Admission
 
 DRAFTS = ServiceName("drafts")
 PLACES = 20
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -21,7 +21,7 @@
 from minttide_fakes.site import FakeSite
 from minttide_fakes.virtual import run_virtual
 from minttided.app import App
-from minttided.http_client import HttpClient, NotSentError
+from minttided.http.client import HttpClient, NotSentError
 
 HOSTS = 9
 IN_FORCE_S = 3.0
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -8,8 +8,8 @@
 
 from minttide.interfaces import UpstreamReply
 from minttide_fakes.plain import CallFault
-from minttided.callers import CallerServer
-from minttided.http_client import HttpClient
+from minttided.callers.server import CallerServer
+from minttided.http.client import HttpClient
 
 PROMPT = "a band for a wedding"
 DRAFT = "/v1/services/drafts/draft"
--- a/test/test_calls.py
+++ b/test/test_calls.py
@@ -12,9 +12,9 @@
 from minttide_fakes.memory import MemoryHostList
 from minttide_fakes.plain import CallFault
 from minttide_fakes.virtual import run_virtual
-from minttided.calls import Calls, find_call
-from minttided.discovery import Discovery
-from minttided.listing import HostListing
+from minttided.callers.calls import Calls, find_call
+from minttided.callers.discovery import Discovery
+from minttided.peers.listing import HostListing
 
 READ = UpstreamCall("GET", "/dates?month=5", [], b"")
 BOOK = UpstreamCall("POST", "/bookings", [], b"{}")
--- a/test/test_cli.py
+++ b/test/test_cli.py
@@ -17,8 +17,8 @@
 from minttide_fakes.log_server import LogServer
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.routes import RoutedServer, answer
-from minttided.http_messages import StreamResponse
-from minttided.problems import problem_response
+from minttided.http.messages import StreamResponse
+from minttided.http.problems import problem_response
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -38,13 +38,13 @@
 from minttide_fakes.kv import Fabric
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
-from minttided.controller import Controller
-from minttided.follower import Follower
-from minttided.lease_holder import CHECK_S, LEASE_MS, STAGGER_S, LeaseHolder
+from minttided.log.follower import Follower
 from minttided.node import Node
-from minttided.placement_view import PlacementView
-from minttided.planning import ChangeStep, StepWait, Wanted
-from minttided.site_planner import SitePlanner
+from minttided.placement.controller import Controller
+from minttided.placement.lease_holder import CHECK_S, LEASE_MS, STAGGER_S, LeaseHolder
+from minttided.placement.placement_view import PlacementView
+from minttided.placement.planning import ChangeStep, StepWait, Wanted
+from minttided.placement.site_planner import SitePlanner
 
 CAP = 900
 MODEL = ServiceName("draft")
--- a/test/test_drafts.py
+++ b/test/test_drafts.py
@@ -11,7 +11,7 @@
 from minttide.ids import HostId, ModelVersion
 from minttide.outcome import RequestError
 from minttide_fakes.virtual import run_virtual
-from minttided.resume_token import BadResumeTokenError, open_token
+from minttided.drafts.resume_token import BadResumeTokenError, open_token
 
 PROMPT = "fees of the morin khuur players"
 TOKENS = 30
--- a/test/test_engine_http.py
+++ b/test/test_engine_http.py
@@ -8,10 +8,10 @@
 from minttide.ids import Address, ModelVersion, Offset, RequestId, ServiceName
 from minttide.interfaces import EngineError, StaleFencingError
 from minttide.steps import Order, Step, StepBatch
-from minttided.engine_http import EngineHttp
-from minttided.http_client import HttpClient
-from minttided.http_messages import HttpResponse
-from minttided.http_server import HttpServer
+from minttided.engines.engine_http import EngineHttp
+from minttided.http.client import HttpClient
+from minttided.http.messages import HttpResponse
+from minttided.http.server import HttpServer
 
 ORDER = Order(Offset(3), ServiceName("s"), ModelVersion("v"), 0, 2, 300)
 STEP = Step(RequestId("r"), 1, 1, 0, ServiceName("s"), ModelVersion("v"), 0, 2, True, True, [1])
--- a/test/test_engine_poll.py
+++ b/test/test_engine_poll.py
@@ -9,7 +9,7 @@
 from minttide.interfaces import EngineError
 from minttide.steps import EngineState, LoadReport
 from minttide_fakes.virtual import run_virtual
-from minttided.engine_poll import (
+from minttided.engines.engine_poll import (
     FIRST_READS_PER_S,
     READS_PER_S,
     SPARE_READS_PER_S,
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -14,9 +14,9 @@
 from minttide_fakes.faults import AppendFault
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
-from minttided.bootstrap import SCAN_RECORDS, find_checkpoint
-from minttided.checkpointer import CheckpointAge, Checkpointer
-from minttided.follower import POLL_WAIT_S, Follower
+from minttided.log.bootstrap import SCAN_RECORDS, find_checkpoint
+from minttided.log.checkpointer import CheckpointAge, Checkpointer
+from minttided.log.follower import POLL_WAIT_S, Follower
 
 HOURS = 8
 NEWER = b'{"format":2}'
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -5,10 +5,10 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
-from minttided import http_request
-from minttided.http_client import BrokenError, HttpClient, NotSentError
-from minttided.http_messages import HttpRequest, HttpResponse, StreamResponse, split_address
-from minttided.http_server import HttpServer
+from minttided.http import request as http_request
+from minttided.http.client import BrokenError, HttpClient, NotSentError
+from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse, split_address
+from minttided.http.server import HttpServer
 
 BOUNDS = Bounds(
     max_header_bytes=2048, max_body_bytes=1000, max_connections=8, header_timeout_s=0.05
--- a/test/test_listing.py
+++ b/test/test_listing.py
@@ -8,7 +8,7 @@
 from minttide.ids import Address, ZoneId
 from minttide.interfaces import ListedHost
 from minttide_fakes.virtual import run_virtual
-from minttided.listing import ENTRY_BYTES, LIST_BYTES_PER_S, LIST_PERIOD_S, HostListing
+from minttided.peers.listing import ENTRY_BYTES, LIST_BYTES_PER_S, LIST_PERIOD_S, HostListing
 
 RUN_S = 36_000.0
 SPREAD = 1.1
--- a/test/test_logs.py
+++ b/test/test_logs.py
@@ -8,7 +8,7 @@
 
 from minttide.config.settings import LogFormat, LogLevel
 from minttide.ids import HostId
-from minttided.logs import configure_logging
+from minttided.operators.logs import configure_logging
 
 
 @pytest.fixture
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -15,10 +15,10 @@
 from minttide.membership import MemberTable
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
-from minttided.listing import HostListing
-from minttided.membership_loop import Membership
-from minttided.peer_link import Pulled
-from minttided.relay import PULL_TIMEOUT_S, SNAPSHOT_GRACE_S, Relay
+from minttided.peers.link import Pulled
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import Membership
+from minttided.peers.relay import PULL_TIMEOUT_S, SNAPSHOT_GRACE_S, Relay
 
 HOSTS = 9
 
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -20,8 +20,8 @@
 )
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
-from minttided.peer_link import KeyedCall, PeerError, Probe, ProbeAnswer, Pulled
-from minttided.peers import MAX_CHANNELS, GrpcPeers, PeerServer, _listen
+from minttided.peers.grpc_net import MAX_CHANNELS, GrpcPeers, PeerServer, _listen
+from minttided.peers.link import KeyedCall, PeerError, Probe, ProbeAnswer, Pulled
 
 ME = Member(
     HostId("a"),
--- a/test/test_publisher.py
+++ b/test/test_publisher.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-import minttided.publisher as publisher
+import minttided.log.publisher as publisher
 from minttide.config.checks import check_service_files
 from minttide.config.service import Call, PlainService
 from minttide.ids import CONFIG_STREAM
 from minttide_fakes.faults import AppendFault
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
-from minttided.publisher import ConfigUnknownError, Publisher, Settled, find_differences
+from minttided.log.publisher import ConfigUnknownError, Publisher, Settled, find_differences
 
 BUREAU = Path(__file__).parents[1] / "examples" / "bureau"
 FILES = list(
--- a/test/test_stand_in_servers.py
+++ b/test/test_stand_in_servers.py
@@ -12,7 +12,7 @@
 from minttide_fakes.model import next_token
 from minttide_fakes.plain import CallFault
 from minttide_fakes.served import ServedSite
-from minttided.upstream_http import HttpClients
+from minttided.callers.upstream_http import HttpClients
 
 BUREAU = Path(__file__).parents[1] / "examples" / "bureau"
 
--- a/test/test_steps_batcher.py
+++ b/test/test_steps_batcher.py
@@ -8,8 +8,8 @@
 from minttide.interfaces import EngineError
 from minttide.steps import Step, StepReplies, StepReply
 from minttide_fakes.virtual import run_virtual
-from minttided import steps_batcher
-from minttided.steps_batcher import EngineLane
+from minttided.engines import steps_batcher
+from minttided.engines.steps_batcher import EngineLane
 
 ENGINE = UpstreamId("e")
 
