--- /dev/null
+++ b/core/minttide/layers/paths.py
@@ -0,0 +1,193 @@
+"""Chooses the engines that a request passes through, for the least expected time.
+
+Answers many hosts choosing at once without talking to each other: what each host has running
+stands for all of its peers, and a random spread keeps hosts with the same news from all choosing
+the same engine.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Collection, Mapping, Sequence
+
+import msgspec
+
+from minttide.ids import Address, UpstreamId, ZoneId
+from minttide.layers.memory import read_ms, step_ms, stream_tokens, token_capacity
+from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
+
+SPREAD = 0.25
+"""Part of an engine's cost that is drawn at random."""
+
+HOP_MS = 0.25
+"""Time of a token from one engine to the next inside a zone."""
+
+ZONE_HOP_MS = 0.7
+"""The same to another zone."""
+
+ENTRY_MS = 200.0
+"""Cost of a first engine in another zone than the host that the answer passes through."""
+
+CROSSING_WEIGHT = 15.0
+"""A request that crosses a zone's border delays all others on that link as well."""
+
+FULL_SHARE = 0.75
+"""Part of an engine's memory from which on its cost rises steeply."""
+
+FULL_COST = 8.0
+"""Multiple of its cost that an engine reaches when its memory is full."""
+
+MOST_FULL_SHARE = 1.1
+"""Estimated use of an engine's memory above which it takes nothing more."""
+
+BITS_PER_BYTE = 8
+BITS_PER_MS_AND_MBPS = 1000.0
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """One engine's part of a path."""
+
+    engine: UpstreamId
+    address: Address
+    zone: ZoneId
+    layers: LayerRange
+
+
+Path = tuple[Stage, ...]
+
+
+class Work(msgspec.Struct, frozen=True):
+    """The size of a request: tokens of its prompt and expected tokens of its answer."""
+
+    prompt: float
+    answer: float
+
+
+class EngineLoad(msgspec.Struct):
+    """What is believed to run on an engine: streams, the tokens they hold, and how slow it is."""
+
+    streams: float = 0.0
+    tokens: float = 0.0
+    slowdown: float = 1.0
+
+
+class _Reached(msgspec.Struct):
+    cost_ms: float
+    path: Path
+
+
+class PathFinder:
+    """The engines of one model that may be used now."""
+
+    def __init__(
+        self,
+        model: ModelSpec,
+        engines: Sequence[UpstreamEntry],
+        avoid: Collection[UpstreamId] = (),
+    ):
+        self._model = model
+        self._starts: dict[int, list[UpstreamEntry]] = defaultdict(list)
+        for engine in engines:
+            if engine.layers is not None and engine.id not in avoid:
+                self._starts[engine.layers.first].append(engine)
+
+    def choose(
+        self,
+        work: Work,
+        home: ZoneId,
+        loads: Mapping[UpstreamId, EngineLoad],
+        rng: random.Random,
+        first: UpstreamId | None = None,
+    ) -> Path | None:
+        """Return the path of least expected time for a caller in zone `home`.
+
+        With `first`, the path begins with that engine. None means that the layers can't be covered
+        by engines with room.
+        """
+        best: dict[tuple[int, ZoneId], _Reached] = {(0, home): _Reached(0.0, ())}
+        for start in sorted(self._starts):
+            arrived = [(zone, r) for (at, zone), r in best.items() if at == start]
+            if not arrived:
+                continue
+            for engine in self._starts[start]:
+                if start == 0 and first is not None and engine.id != first:
+                    continue
+                self._extend(best, arrived, engine, work, loads, rng)
+        ends = [r for (at, _), r in best.items() if at == self._model.layers]
+        return min(ends, key=lambda r: r.cost_ms).path if ends else None
+
+    def _extend(
+        self,
+        best: dict[tuple[int, ZoneId], _Reached],
+        arrived: Sequence[tuple[ZoneId, _Reached]],
+        engine: UpstreamEntry,
+        work: Work,
+        loads: Mapping[UpstreamId, EngineLoad],
+        rng: random.Random,
+    ) -> None:
+        assert engine.layers is not None
+        own_ms = self._engine_ms(engine, work, loads.get(engine.id))
+        if own_ms is None:
+            return
+        own_ms *= 1.0 + SPREAD * rng.random()
+        stage = Stage(engine.id, engine.address, engine.zone, engine.layers)
+        key = (engine.layers.last, engine.zone)
+        for zone, reached in arrived:
+            cost_ms = reached.cost_ms + own_ms + self._link_ms(zone, engine.zone, work, reached)
+            known = best.get(key)
+            if known is None or cost_ms < known.cost_ms:
+                best[key] = _Reached(cost_ms, (*reached.path, stage))
+
+    def _engine_ms(
+        self, engine: UpstreamEntry, work: Work, load: EngineLoad | None
+    ) -> float | None:
+        """Return the expected time on an engine, or none where it has no room."""
+        kind = self._model.kind(engine.kind)
+        if kind is None or engine.layers is None:
+            return None
+        load = load or EngineLoad()
+        layers = len(engine.layers)
+        capacity = token_capacity(self._model, kind, layers)
+        used = (load.tokens + work.prompt + work.answer) / capacity if capacity > 0 else 2.0
+        if used > MOST_FULL_SHARE or load.streams >= self._model.slots:
+            return None
+        step = step_ms(self._model, kind, layers, load.streams + 1) * work.answer
+        busy_ms = (step + read_ms(self._model, kind, layers, work.prompt)) * load.slowdown
+        return busy_ms * (1.0 + FULL_COST * max(0.0, used - FULL_SHARE) / (1.0 - FULL_SHARE))
+
+    def _link_ms(self, source: ZoneId, target: ZoneId, work: Work, reached: _Reached) -> float:
+        if source == target:
+            return HOP_MS * work.answer
+        if not reached.path:
+            return ENTRY_MS
+        return ZONE_HOP_MS * work.answer + CROSSING_WEIGHT * self._transfer_ms(work)
+
+    def _transfer_ms(self, work: Work) -> float:
+        """Return how long the request's activations hold the link between two zones."""
+        if self._model.zone_link_mbps <= 0:
+            return 0.0
+        bits = (work.prompt + work.answer) * self._model.activation_bytes * BITS_PER_BYTE
+        return bits / self._model.zone_link_mbps / BITS_PER_MS_AND_MBPS
+
+
+def is_whole(path: Path, layers: int) -> bool:
+    """Return whether a path runs every layer once, in order, on engines named once each."""
+    if not path or path[0].layers.first != 0 or path[-1].layers.last != layers:
+        return False
+    joined = all(a.layers.last == b.layers.first for a, b in zip(path, path[1:], strict=False))
+    return joined and len({s.engine for s in path}) == len(path)
+
+
+def spare_streams(
+    model: ModelSpec, engines: Sequence[UpstreamEntry], loads: Mapping[UpstreamId, EngineLoad]
+) -> float:
+    """Return how many more usual requests fit on the engines of the fullest layer."""
+    room = [0.0] * model.layers
+    for engine in engines:
+        kind = model.kind(engine.kind)
+        if engine.layers is None or kind is None:
+            continue
+        load = loads.get(engine.id) or EngineLoad()
+        free = token_capacity(model, kind, len(engine.layers)) - load.tokens
+        for layer in range(engine.layers.first, min(engine.layers.last, model.layers)):
+            room[layer] += max(0.0, free)
+    return min(room, default=0.0) / stream_tokens(model)
--- a/core/minttide/policy/retries.py
+++ b/core/minttide/policy/retries.py
@@ -13,20 +13,28 @@
 class RetryBudget:
     """Retries that one daemon may still send to one service. Times are in seconds."""
 
-    def __init__(self, now_s: float, share: float = RETRY_SHARE):
+    def __init__(
+        self,
+        now_s: float,
+        share: float = RETRY_SHARE,
+        least_per_s: float = LEAST_RETRIES_PER_S,
+        most_saved: float = MOST_SAVED,
+    ):
         self._share = share
-        self._saved = LEAST_RETRIES_PER_S
+        self._least_per_s = least_per_s
+        self._most_saved = most_saved
+        self._saved = least_per_s
         self._filled_s = now_s
 
     def note_first_try(self) -> None:
         """Count a first try, which earns part of a retry."""
-        self._saved = min(MOST_SAVED, self._saved + self._share)
+        self._saved = min(self._most_saved, self._saved + self._share)
 
     def try_spend(self, now_s: float) -> bool:
         """Take one retry out of the budget, or return false where it is used up."""
-        earned = max(0.0, now_s - self._filled_s) * LEAST_RETRIES_PER_S
+        earned = max(0.0, now_s - self._filled_s) * self._least_per_s
         self._filled_s = max(now_s, self._filled_s)
-        self._saved = min(MOST_SAVED, self._saved + earned)
+        self._saved = min(self._most_saved, self._saved + earned)
         if self._saved < 1.0:
             return False
         self._saved -= 1.0
--- /dev/null
+++ b/daemon/minttided/gateway/app.py
@@ -0,0 +1,252 @@
+"""One gateway, assembled as a tree of supervisors."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+from minttide.config.settings import Bounds
+from minttide.ids import NO_OFFSET, Address, Incarnation, Offset
+from minttide.interfaces import UpstreamReply
+from minttide.outcome import Problem, ProblemType, Ran
+from minttide.routing.freshness import Freshness
+from minttide.routing.headers import HeaderNames
+from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
+from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
+from minttided.gateway.following import ConfigFollower, UpstreamFollower
+from minttided.gateway.front import Front
+from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.placer import Placer
+from minttided.gateway.plain import Budgets, PlainCalls
+from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.state import GatewayState
+from minttided.gateway.streams import StreamCalls
+from minttided.http.messages import Handler, HttpRequest, HttpResponse
+from minttided.http.problems import problem
+from minttided.http.server import HttpServer
+from minttided.operators.metrics import CONTENT_TYPE
+from minttided.peers.grpc_net import GrpcNet
+from minttided.peers.link import KeyedCall, PeerNet, Probe, ProbeAnswer, Pulled
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import Membership
+from minttided.stopping import Drain
+from minttided.supervisor import Child, Ready, Supervised, Supervisor
+
+log = logging.getLogger(__name__)
+
+STOP_MARGIN = 0.85
+"""Part of the grace time after which requests still open are left to be cut off."""
+
+SPREAD_S = 1.0
+"""How long other hosts may still name this one after it has announced that it is leaving."""
+
+ASSUMED_HOSTS = 4
+"""Hosts that the budget of repeated sends is divided among at least."""
+
+
+class Wire:
+    """What a deployment calls its headers and paths, and how it writes an answer of addresses."""
+
+    def __init__(
+        self,
+        headers: HeaderNames,
+        resolve_path: str,
+        health_path: str,
+        encode: Callable[[ResolveBody], bytes],
+    ):
+        self.headers = headers
+        self.resolve_path = resolve_path
+        self.health_path = health_path
+        self.encode = encode
+
+
+class GatewayPeers:
+    """Implements `PeerService`: hosts exchange who is up, and nothing else."""
+
+    def __init__(self, membership: Membership):
+        self._membership = membership
+
+    async def on_probe(self, probe: Probe) -> ProbeAnswer:
+        """Take in a peer's news and answer with one's own."""
+        return await self._membership.on_probe(probe)
+
+    async def on_pull(self, start: Offset) -> Pulled:
+        """Return no records: a gateway's configuration comes from its own source only."""
+        return Pulled()
+
+    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+        """Refuse keyed calls, which a gateway doesn't run."""
+        return problem(ProblemType.NOT_FOUND, "no keyed calls here", Ran.NOT_RUN)
+
+
+class Gateway:
+    """One gateway process, running while the context is open."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        wire: Wire,
+        config_source: ConfigSource,
+        upstream_source: UpstreamSource,
+        lease: LeaseSource,
+        engines: PathEngines,
+        net: PeerNet | None = None,
+        seed: int | None = None,
+    ):
+        self.cfg = cfg
+        self._wire = wire
+        self._net = net or GrpcNet()
+        rng = random.Random(time.time_ns() if seed is None else seed)
+        self.state = GatewayState(
+            cfg,
+            wire.headers,
+            config_source,
+            upstream_source,
+            lease,
+            engines,
+            rng,
+            Freshness(cfg.keys_valid_s),
+        )
+        self._suspects = Suspects()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> "Gateway":
+        async with AsyncExitStack() as stack:
+            await self._assemble(stack)
+            self._stack = stack.pop_all()
+        log.info("started", extra={"callers": self.cfg.callers, "zone": self.cfg.zone})
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    async def wait(self) -> None:
+        """Wait until a planned stop is done. Raises the error of a gateway that has failed."""
+        drained = asyncio.create_task(self.drain.done.wait())
+        failed = asyncio.create_task(self._supervised.wait())
+        try:
+            done, _ = await asyncio.wait({drained, failed}, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            drained.cancel()
+            failed.cancel()
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+        self.state.leaving = True
+        self.drain.start()
+
+    # Assembly.
+
+    async def _assemble(self, stack: AsyncExitStack) -> None:
+        cfg = self.cfg
+        link = await stack.enter_async_context(self._net.link(cfg.peer))
+        self.membership = Membership(
+            cfg,
+            Incarnation(time.time_ns() // 1_000_000),
+            link,
+            HostListing(),
+            self._read_vitals,
+            on_superseded=self.start_drain,
+            rng=self.state.rng,
+        )
+        loads = PathLoads(self._count_peers)
+        budgets = Budgets(self.state, max(ASSUMED_HOSTS, len(cfg.peers)))
+        plain = PlainCalls(self.state, self._suspects, budgets)
+        streams = StreamCalls(self.state, self._suspects, budgets, loads)
+        self.front = HttpServer(
+            Front(self.state, plain, streams).handle,
+            cfg.callers,
+            Bounds(max_connections=cfg.max_connections, max_body_bytes=4_194_304),
+        )
+        self._placer = Placer(self.state, self._suspects)
+        self.drain = Drain(
+            self._leave,
+            lambda: self.front,
+            lambda: cfg.answer_keep_s + SPREAD_S,
+            STOP_MARGIN * cfg.stop.grace_s - cfg.answer_keep_s - SPREAD_S,
+        )
+        self._supervised = Supervised(self._make_tree())
+        stack.push_async_callback(self.membership.depart)
+        stack.push_async_callback(self.drain.aclose)
+        await stack.enter_async_context(self._supervised)
+
+    def _make_tree(self) -> Supervisor:
+        platform = [
+            Child("configuration", ConfigFollower(self.state).run),
+            Child("upstreams", UpstreamFollower(self.state).run),
+            Child("placement", self._placer.run),
+        ]
+        peers = [
+            Child("peer listener", self._run_peer_listener),
+            Child("probes", self.membership.run),
+        ]
+        answers = EntryAnswers(
+            self.membership.hosts,
+            self.cfg.answer_keep_s,
+            self._wire.encode,
+            self._wire.resolve_path,
+            self.state.rng,
+        )
+        health = HealthAnswers(self._is_ready, self._wire.health_path)
+        return Supervisor(
+            "root",
+            [
+                Child("platform", Supervisor("platform", platform).run),
+                Child("callers", self._run_front),
+                Child("directory", self._serve(answers.handle, self.cfg.directory)),
+                Child("health", self._serve(health.handle, self.cfg.health)),
+                Child("metrics", self._serve(self._show_metrics, self.cfg.metrics)),
+                Child("peers", Supervisor("peers", peers).run),
+            ],
+        )
+
+    # Children.
+
+    async def _run_front(self, ready: Ready) -> None:
+        async with self.front:
+            await _stay(ready)
+
+    def _serve(self, handler: Handler, address: Address) -> Callable[[Ready], Awaitable[None]]:
+        async def run(ready: Ready) -> None:
+            async with HttpServer(handler, address, Bounds()):
+                await _stay(ready)
+
+        return run
+
+    async def _run_peer_listener(self, ready: Ready) -> None:
+        async with self._net.listen(self.cfg.peer, GatewayPeers(self.membership)):
+            await _stay(ready)
+
+    async def _show_metrics(self, req: HttpRequest) -> HttpResponse:
+        self.state.metrics.set_host(
+            self.state.table is not None, self.state.leaving, self.front.open_requests
+        )
+        return HttpResponse(200, self.state.metrics.render(), CONTENT_TYPE)
+
+    # This host.
+
+    def _is_ready(self) -> bool:
+        return self.state.serving and not self.state.leaving
+
+    def _read_vitals(self) -> tuple[Offset, float]:
+        table = self.state.table
+        serving = self.state.serving and table is not None
+        return (Offset(table.version) if serving and table else NO_OFFSET), 0.0
+
+    def _count_peers(self) -> float:
+        """Return how many hosts use the same engines as this one, itself among them."""
+        hosts = [m for m in self.membership.hosts() if not m.leaving]
+        return float(max(1, sum(m.zone == self.cfg.zone for m in hosts)))
+
+    async def _leave(self) -> None:
+        await asyncio.gather(self.membership.leave(), self._placer.leave())
+
+
+async def _stay(ready: Ready) -> None:
+    """Report that a child is up, and wait until it is cancelled."""
+    ready()
+    await asyncio.Event().wait()
--- /dev/null
+++ b/daemon/minttided/gateway/loads.py
@@ -0,0 +1,80 @@
+"""What this host has running on each upstream, and which upstreams it keeps away from."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
+
+from minttide.ids import UpstreamId
+from minttide.layers.paths import EngineLoad, Path, Work
+
+SUSPECT_S = 2.0
+"""How long an upstream that did not answer is kept away from before it is tried again."""
+
+
+class PathLoads:
+    """Streams that this host has on each engine.
+
+    Hosts don't talk about their load. Callers spread over hosts evenly, so that what this host has
+    running, times the hosts that use the same engines, stands for the whole.
+    """
+
+    def __init__(self, peers: Callable[[], float]):
+        self._peers = peers
+        self._own: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
+        self.slowdown: dict[UpstreamId, float] = {}
+
+    def add(self, path: Path, work: Work, sign: int = 1) -> None:
+        """Count a request on the engines of a path, or with `sign` -1 take it off."""
+        for stage in path:
+            load = self._own[stage.engine]
+            load.streams += sign
+            load.tokens += sign * (work.prompt + work.answer / 2)
+
+    @contextmanager
+    def counted(self, path: Path, work: Work) -> Iterator[None]:
+        """Count a request while the context is open."""
+        self.add(path, work)
+        try:
+            yield
+        finally:
+            self.add(path, work, -1)
+
+    def estimate(self) -> Mapping[UpstreamId, EngineLoad]:
+        """Return the load of all hosts together as far as it can be told from here."""
+        peers = self._peers()
+        engines = set(self._own) | set(self.slowdown)
+        return {
+            e: EngineLoad(
+                self._own[e].streams * peers,
+                self._own[e].tokens * peers,
+                self.slowdown.get(e, 1.0),
+            )
+            for e in engines
+        }
+
+
+class Suspects:
+    """Upstreams that failed lately. Times are in loop seconds."""
+
+    def __init__(self) -> None:
+        self._until: dict[UpstreamId, float] = {}
+
+    def add(self, upstream: UpstreamId, now_s: float, for_s: float = SUSPECT_S) -> bool:
+        """Keep away from an upstream; return whether that is news."""
+        known = self._until.get(upstream, 0.0) > now_s
+        self._until[upstream] = max(self._until.get(upstream, 0.0), now_s + for_s)
+        return not known
+
+    def clear(self, upstream: UpstreamId) -> None:
+        """Trust an upstream again, since it has answered."""
+        self._until.pop(upstream, None)
+
+    def current(self, now_s: float) -> set[UpstreamId]:
+        """Return the upstreams to keep away from."""
+        self._until = {u: t for u, t in self._until.items() if t > now_s}
+        return set(self._until)
+
+    def trusted(self, upstreams: Iterable[UpstreamId], now_s: float) -> Sequence[UpstreamId]:
+        """Return those of `upstreams` that aren't suspected."""
+        suspected = self.current(now_s)
+        return [u for u in upstreams if u not in suspected]
--- /dev/null
+++ b/daemon/minttided/gateway/state.py
@@ -0,0 +1,52 @@
+"""What the parts of one gateway share."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from minttide.ids import ServiceName, UpstreamId
+from minttide.routing.freshness import Freshness
+from minttide.routing.headers import HeaderNames
+from minttide.routing.routes import UpstreamEntry
+from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
+from minttide.routing.table import RouteTable
+from minttided.gateway.settings import GatewaySettings
+from minttided.operators.metrics import Metrics
+
+
+@dataclass
+class GatewayState:
+    """The configuration and upstreams as last read, and where they are read from."""
+
+    cfg: GatewaySettings
+    headers: HeaderNames
+    config_source: ConfigSource
+    upstream_source: UpstreamSource
+    lease: LeaseSource
+    engines: PathEngines
+    rng: random.Random
+    freshness: Freshness
+    metrics: Metrics = field(default_factory=Metrics)
+    table: RouteTable | None = None
+    upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
+    upstreams_known: bool = False
+    upstreams_read_s: float = 0.0
+    leaving: bool = False
+
+    def of_service(self, service: ServiceName) -> list[UpstreamEntry]:
+        """Return the upstreams of a service that aren't leaving."""
+        return [u for u in self.upstreams.values() if u.service == service and not u.leaving]
+
+    @property
+    def serving(self) -> bool:
+        """Return whether requests can be routed: everything is known and keys may be accepted."""
+        return (
+            self.table is not None
+            and self.upstreams_known
+            and (not self.table.needs_key or self.freshness.keys_usable(now_s()))
+        )
+
+
+def now_s() -> float:
+    """Return the loop's time in seconds."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/daemon/minttided/gateway/stream_run.py
@@ -0,0 +1,479 @@
+"""One stream: sent along a path, watched, and moved or resumed when an engine falls out."""
+
+import asyncio
+import logging
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Protocol
+
+import msgspec
+
+from minttide.ids import Address, ServiceName, UpstreamId
+from minttide.layers.paths import Path, Work
+from minttide.outcome import ProblemType, Ran
+from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
+from minttide.routing.routes import ModelSpec
+from minttide.routing.sources import OrderOutcome, SourceError
+from minttided.gateway.events import Event, EventSplitter, EventTooLongError
+from minttided.gateway.exchange import Exchange
+from minttided.gateway.loads import PathLoads
+from minttided.gateway.patience import Patience
+from minttided.gateway.plain import MAX_ANSWER_BYTES, split_content_type, whole_answer
+from minttided.gateway.probes import EngineProbes
+from minttided.gateway.refusals import fail, refuse
+from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest, upstream_headers
+from minttided.gateway.state import GatewayState, now_s
+from minttided.http.client import BrokenError, NotSentError
+from minttided.http.messages import HttpResponse, StreamResponse
+
+log = logging.getLogger(__name__)
+
+MOST_SENDS = 5
+"""Sends of one stream, those that engines rejected among them."""
+
+MOST_REPATHS = 4
+URGENCY_STEP = 2
+MOST_URGENCY = 9
+
+_OK = 200
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """How one send ended. `event` is the first one of a stream that has begun."""
+
+    end: End
+    reason: str
+    event: Event | None = None
+    answer: HttpResponse | None = None
+
+
+class RunOwner(Protocol):
+    """What runs share on one host."""
+
+    state: GatewayState
+    loads: PathLoads
+    probes: EngineProbes
+    patience: Patience
+
+    def choose_path(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        work: Work,
+        avoided: set[UpstreamId],
+        first: UpstreamId | None = None,
+    ) -> Path | None:
+        """Return the path to use now, beginning with engine `first` where it is given."""
+
+    def may_resend(self, service: ServiceName) -> bool:
+        """Take one more send out of the service's budget."""
+
+    def suspect_address(self, address: Address) -> UpstreamId | None:
+        """Suspect the engine at an address; return it where it is known."""
+
+
+class StreamRun:
+    """One stream of one caller. Iterate it once for its events; `aclose` ends its work."""
+
+    def __init__(self, owner: RunOwner, request: GatewayRequest, model: ModelSpec, work: Work):
+        self._owner = owner
+        self._request = request
+        self._model = model
+        self._work = work
+        self._path: Path = ()
+        self._exchange: Exchange | None = None
+        self._splitter = EventSplitter()
+        self._avoided: set[UpstreamId] = set()
+        self._last_id = _read_last_id(request)
+        self._sends = 0
+        self._ran = 0
+        self._repaths = 0
+        self._events = 0
+        self._longest_gap_s = 0.0
+        self._first_s: float | None = None
+        self._last_s = request.received_s
+
+    # The answer.
+
+    async def begin(self) -> HttpResponse | StreamResponse:
+        """Send the request until its first event has come, or return why it did not run.
+
+        Raises `RequestError`.
+        """
+        try:
+            sent = await self._send_until_begun()
+        except BaseException:
+            self._leave_path()
+            raise
+        if sent.event is None or self._exchange is None:
+            self._leave_path()
+            return self._conclude(sent)
+        headers, content_type = split_content_type(self._exchange.headers)
+        return StreamResponse(_Events(self, sent.event), _OK, content_type, headers)
+
+    async def _send_until_begun(self) -> Sent:
+        while True:
+            sent = await self._send()
+            again = (
+                sent.end is not End.ANSWERED
+                and may_send_again(sent.end, self._request.route.repeatable)
+                and self._may_send()
+            )
+            if not again:
+                return sent
+
+    def _may_send(self) -> bool:
+        return (
+            self._ran < self._request.route.max_attempts
+            and self._sends < MOST_SENDS
+            and now_s() < self._request.end_s
+            and self._owner.may_resend(self._request.service)
+        )
+
+    def _conclude(self, sent: Sent) -> HttpResponse:
+        """Return or raise the answer of a stream that has not begun."""
+        metrics = self._owner.state.metrics
+        service = self._request.service
+        if sent.end is End.ANSWERED and sent.answer is not None:
+            metrics.count_request(service, Ran.DONE)
+            return sent.answer
+        if self._ran == 0:
+            metrics.count_request(service, Ran.NOT_RUN)
+            raise refuse(ProblemType.NO_CHAIN, f"no path took it: {sent.reason}")
+        metrics.count_request(service, Ran.UNKNOWN)
+        answer = sent.answer
+        if answer is not None and may_pass_on(answer.status, self._request.route.repeatable):
+            return answer
+        if now_s() >= self._request.end_s:
+            raise fail(ProblemType.DEADLINE, "no whole answer in time")
+        raise fail(ProblemType.UPSTREAM_FAILED, f"the path failed: {sent.reason}")
+
+    # Sending.
+
+    async def _send(self) -> Sent:
+        """Send once along a path of its own and wait for the first event."""
+        path = self._choose(None)
+        if path is None:
+            return Sent(End.REJECTED, "no path with room")
+        self._enter_path(path)
+        self._sends += 1
+        self._splitter = EventSplitter()
+        try:
+            sent = await self._open()
+        except NotSentError as exc:
+            self._avoided.add(path[0].engine)
+            sent = Sent(End.NOT_SENT, str(exc))
+        except (BrokenError, EventTooLongError) as exc:
+            sent = Sent(End.UNKNOWN, str(exc))
+        self._ran += sent.end not in (End.REJECTED, End.NOT_SENT)
+        self._log_sent(sent)
+        if sent.event is None:
+            self._leave_path()
+        return sent
+
+    async def _open(self) -> Sent:
+        opening = asyncio.create_task(self._open_exchange())
+        try:
+            self._exchange = await self._watch(opening)
+        except BaseException:
+            opening.cancel()
+            opening.add_done_callback(_close_result)
+            raise
+        exchange = self._exchange
+        names = self._owner.state.headers
+        if exchange.status != _OK:
+            return await self._read_failure(exchange)
+        echoed = exchange.header(names.attempt)
+        if echoed is not None and echoed != self._request.attempt:
+            raise BrokenError("the answer names another request")
+        event = await self._next_event()
+        if event is None:
+            return Sent(End.ANSWERED, "no events", answer=whole_answer(exchange, b""))
+        return Sent(End.ANSWERED, "begun", event)
+
+    async def _open_exchange(self) -> Exchange:
+        request = self._request
+        names = self._owner.state.headers
+        headers = upstream_headers(request, names, now_s())
+        first = self._path[0]
+        headers = [(n, v) for n, v in headers if n != LAST_EVENT_ID]
+        if self._last_id is not None:
+            headers.append((LAST_EVENT_ID, str(self._last_id)))
+        headers.append((names.expect_instance, first.engine))
+        headers.append((names.path, format_path(self._path)))
+        urgency = min(MOST_URGENCY, URGENCY_STEP * request.priority)
+        headers.append((names.urgency, str(urgency)))
+        req = request.req
+        return await Exchange.open(
+            first.address, req.method, req.target, headers, req.body, request.end_s
+        )
+
+    async def _read_failure(self, exchange: Exchange) -> Sent:
+        """Read an answer that is no stream, and keep away from the engine that it names."""
+        names = self._owner.state.headers
+        body = await exchange.read_body(MAX_ANSWER_BYTES, self._request.end_s)
+        end = classify(exchange.status, exchange.header(names.not_run) is not None)
+        fault = exchange.header(names.fault_address)
+        if fault is not None:
+            named = self._owner.suspect_address(Address(fault))
+            if named is not None:
+                self._avoided.add(named)
+        elif end is End.REJECTED:
+            self._avoided.add(self._path[0].engine)
+        reason = f"{exchange.status} at {fault}" if fault else str(exchange.status)
+        return Sent(end, reason, answer=whole_answer(exchange, body))
+
+    # Events.
+
+    async def events(self, first: Event) -> AsyncGenerator[bytes, None]:
+        """Give the events from `first` on; a stream that breaks off goes on at another path.
+
+        Raises `BrokenError` where it can't go on.
+        """
+        event: Event | None = first
+        while event is not None:
+            if self._is_new(event):
+                self._note(event)
+                yield event.raw
+            try:
+                event = await self._next_event()
+            except (BrokenError, EventTooLongError) as exc:
+                event = await self._resume(str(exc))
+        self._owner.state.metrics.count_request(self._request.service, Ran.DONE)
+
+    def _is_new(self, event: Event) -> bool:
+        return event.id is None or self._last_id is None or event.id > self._last_id
+
+    def _note(self, event: Event) -> None:
+        now = now_s()
+        if self._first_s is None:
+            self._first_s = now - self._request.received_s
+            self._owner.state.metrics.observe_first_token(self._request.service, self._first_s)
+        else:
+            gap_s = now - self._last_s
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+            self._owner.patience.observe(gap_s)
+        self._last_s = now
+        self._events += 1
+        if event.id is not None:
+            self._last_id = event.id
+
+    async def _next_event(self) -> Event | None:
+        """Return the next whole event, none at the end. Raises `BrokenError`."""
+        assert self._exchange is not None
+        while True:
+            event = self._splitter.take()
+            if event is not None:
+                return event
+            piece = await self._read_piece(self._exchange)
+            if piece is None:
+                if self._splitter.rest:
+                    raise BrokenError("the stream ended within an event")
+                return None
+            self._splitter.feed(piece)
+
+    async def _read_piece(self, exchange: Exchange) -> bytes | None:
+        patience_s = self._owner.patience.between_s
+        while True:
+            try:
+                async with asyncio.timeout(min(patience_s, self._left_s())):
+                    return await exchange.read_piece()
+            except TimeoutError:
+                await self._check()
+            patience_s = Patience.grow(patience_s)
+
+    async def _watch(self, opening: "asyncio.Task[Exchange]") -> Exchange:
+        patience_s = self._owner.patience.first_s
+        while True:
+            await asyncio.wait({opening}, timeout=min(patience_s, self._left_s()))
+            if opening.done():
+                return opening.result()
+            await self._check()
+            patience_s = Patience.grow(patience_s)
+
+    def _left_s(self) -> float:
+        left_s = self._request.end_s - now_s()
+        if left_s <= 0:
+            raise BrokenError("the time for the answer is over")
+        return left_s
+
+    # Engines that fall out.
+
+    async def _check(self) -> None:
+        """Ask the engines of a silent stream; move it away from those that don't answer.
+
+        Raises `BrokenError` when the stream has to begin anew on another path.
+        """
+        self._left_s()
+        reports = await self._owner.probes.ask(s.engine for s in self._path)
+        dead = {engine for engine, report in reports.items() if report is None}
+        head = reports.get(self._path[0].engine)
+        if head is not None:
+            for attempt, address in head.stalled:
+                if attempt == self._request.attempt:
+                    named = self._owner.suspect_address(address)
+                    dead |= {named} if named is not None else set()
+        dead &= {s.engine for s in self._path}
+        if not dead:
+            return
+        self._avoided |= dead
+        if self._path[0].engine in dead:
+            raise BrokenError("the first engine doesn't answer")
+        if not await self._move(dead) and self._request.route.repeatable:
+            raise BrokenError("an engine on the path doesn't answer")
+
+    async def _move(self, dead: set[UpstreamId]) -> bool:
+        """Order the first engine to use another path; return whether it does."""
+        first = self._path[0]
+        entry = self._owner.state.upstreams.get(first.engine)
+        path = self._choose(first.engine)
+        if entry is None or path is None or self._repaths >= MOST_REPATHS:
+            return False
+        self._repaths += 1
+        try:
+            outcome = await self._owner.state.engines.repath(
+                entry, self._request.attempt, format_path(path)
+            )
+        except SourceError as exc:
+            outcome = OrderOutcome(False, reason=str(exc))
+        moved = outcome.accepted
+        log.warning(
+            "stream moved" if moved else "stream not moved",
+            extra={
+                "request": self._request.attempt,
+                "dead": sorted(dead),
+                "path": format_path(path),
+                "events": self._events,
+                "reason": outcome.reason,
+            },
+        )
+        self._owner.state.metrics.count_recovery(self._request.service, "repath")
+        if moved:
+            self._owner.loads.add(self._path, self._work, -1)
+            self._path = path
+            self._owner.loads.add(path, self._work)
+        return moved
+
+    async def _resume(self, reason: str) -> Event | None:
+        """Go on after the last event at another path. Raises `BrokenError` where that fails."""
+        self._leave_path()
+        request = self._request
+        log.warning(
+            "stream broke off",
+            extra={
+                "request": request.attempt,
+                "reason": reason,
+                "last_event": self._last_id,
+                "events": self._events,
+                "resumable": request.route.resumable,
+            },
+        )
+        if not request.route.resumable or self._last_id is None:
+            raise BrokenError(reason)
+        while self._sends < MOST_SENDS and now_s() < request.end_s:
+            if not self._owner.may_resend(request.service):
+                raise BrokenError("the budget of repeated sends is used up")
+            sent = await self._send()
+            if sent.event is not None:
+                self._owner.state.metrics.count_recovery(request.service, "resume")
+                return sent.event
+            if sent.end is End.ANSWERED:
+                return None
+        raise BrokenError(f"not resumed: {reason}")
+
+    # Paths.
+
+    def _choose(self, first: UpstreamId | None) -> Path | None:
+        request = self._request
+        return self._owner.choose_path(
+            request.service, self._model, self._work, self._avoided, first
+        )
+
+    def _enter_path(self, path: Path) -> None:
+        self._leave_path()
+        self._path = path
+        self._owner.loads.add(path, self._work)
+
+    def _leave_path(self) -> None:
+        """Stop the work of the present path."""
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+        if self._path:
+            self._owner.loads.add(self._path, self._work, -1)
+            self._path = ()
+
+    def close(self, cut: bool) -> None:
+        """End the stream's work; `cut` when its caller left or it broke off."""
+        self._leave_path()
+        log.info(
+            "stream ended",
+            extra={
+                "request": self._request.attempt,
+                "events": self._events,
+                "last_event": self._last_id,
+                "cut": cut,
+                "sends": self._sends,
+                "repaths": self._repaths,
+                "first_s": self._first_s,
+                "longest_gap_s": self._longest_gap_s,
+            },
+        )
+
+    def _log_sent(self, sent: Sent) -> None:
+        state = self._owner.state
+        log.log(
+            logging.INFO if sent.event is not None and self._sends == 1 else logging.WARNING,
+            "stream sent",
+            extra={
+                "request": self._request.attempt,
+                "route": self._request.route.name,
+                "path": format_path(self._path),
+                "prompt": self._work.prompt,
+                "answer": self._work.answer,
+                "send": self._sends,
+                "end": sent.end.value,
+                "reason": sent.reason,
+                "last_event": self._last_id,
+                "config": state.table.version if state.table else None,
+                "list_age_s": now_s() - state.upstreams_read_s,
+                "left_s": self._request.end_s - now_s(),
+            },
+        )
+
+
+class _Events:
+    """The chunks of one stream's answer."""
+
+    def __init__(self, run: StreamRun, first: Event):
+        self._run = run
+        self._events = run.events(first)
+        self._whole = False
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._give()
+
+    async def _give(self) -> AsyncGenerator[bytes, None]:
+        async for chunk in self._events:
+            yield chunk
+        self._whole = True
+
+    async def aclose(self) -> None:
+        """End the stream's work, whether it was sent whole or not."""
+        await self._events.aclose()
+        self._run.close(cut=not self._whole)
+
+
+def format_path(path: Path) -> str:
+    """Return a path as engines read it."""
+    return ",".join(f"{s.address}={s.layers.first}-{s.layers.last}" for s in path)
+
+
+def _read_last_id(request: GatewayRequest) -> int | None:
+    text = request.req.header(LAST_EVENT_ID) or ""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _close_result(opening: "asyncio.Task[Exchange]") -> None:
+    """Close an exchange that was opened after its run had been given up."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result().close()
--- /dev/null
+++ b/daemon/minttided/gateway/streams.py
@@ -0,0 +1,67 @@
+"""Forwards streams along paths of engines; what all streams of one host share."""
+
+import logging
+from collections.abc import Set
+
+from minttide.ids import Address, ServiceName, UpstreamId
+from minttide.layers.paths import Path, PathFinder, Work, is_whole
+from minttide.routing.routes import ModelSpec
+from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.patience import Patience
+from minttided.gateway.plain import Budgets
+from minttided.gateway.probes import EngineProbes
+from minttided.gateway.request import GatewayRequest, read_work
+from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.stream_run import StreamRun
+from minttided.http.messages import HttpResponse, StreamResponse
+
+log = logging.getLogger(__name__)
+
+
+class StreamCalls:
+    """Runs requests of routes whose service has a model. Implements `RunOwner`."""
+
+    def __init__(self, state: GatewayState, suspects: Suspects, budgets: Budgets, loads: PathLoads):
+        self.state = state
+        self.loads = loads
+        self.probes = EngineProbes(state, suspects)
+        self.patience = Patience()
+        self._suspects = suspects
+        self._budgets = budgets
+
+    async def run(self, request: GatewayRequest, model: ModelSpec) -> HttpResponse | StreamResponse:
+        """Return the answer to a request, whose events follow as they come.
+
+        Raises `RequestError`.
+        """
+        self._budgets.of(request.service).note_first_try()
+        work = read_work(request.req, self.state.headers, model)
+        return await StreamRun(self, request, model, work).begin()
+
+    def choose_path(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        work: Work,
+        avoided: Set[UpstreamId],
+        first: UpstreamId | None = None,
+    ) -> Path | None:
+        """Return the path to use now, beginning with engine `first` where it is given."""
+        avoid = self._suspects.current(now_s()) | avoided
+        finder = PathFinder(model, self.state.of_service(service), avoid - {first})
+        loads = self.loads.estimate()
+        path = finder.choose(work, self.state.cfg.zone, loads, self.state.rng, first)
+        return path if path is not None and is_whole(path, model.layers) else None
+
+    def may_resend(self, service: ServiceName) -> bool:
+        """Take one more send out of the service's budget."""
+        return self._budgets.of(service).try_spend(now_s())
+
+    def suspect_address(self, address: Address) -> UpstreamId | None:
+        """Suspect the engine at an address; return it where it is known."""
+        for entry in self.state.upstreams.values():
+            if entry.address == address:
+                if self._suspects.add(entry.id, now_s()):
+                    log.warning("engine suspected", extra={"engine": entry.id, "reason": "named"})
+                return entry.id
+        return None
