Spread streams by the memory that engines have left; refuse bad framing at its head

Cause: paths were chosen by expected time alone, so that every host took the same few fast cards: the busiest engine had 27.9 times the mean, 10 requests were preempted, first events at p99 557 ms. Two faults of the listener seen by hand: a body announced as too long was waited for, and a request with a length and chunks was taken; h11's bytes stood in error details. Change: the cost of an engine is mostly how full it gets, its speed counts by a quarter; crossing a zone costs more. Bodies over the limit are refused with 413 at their head, double framing with 400. The limits of the configuration apply. Tests of routes, layers and the listener.

--- a/core/minttide/config/settings.py
+++ b/core/minttide/config/settings.py
@@ -32,6 +32,7 @@
     max_streams: int = 800
     max_queue: int = 400
     header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -1,8 +1,9 @@
-"""Chooses the engines that a request passes through, for the least expected time.
+"""Chooses the engines that a request passes through.
 
 Answers many hosts choosing at once without talking to each other: what each host has running
 stands for all of its peers, and a random spread keeps hosts with the same news from all choosing
-the same engine.
+the same engine. Fast engines are preferred only a little, so that streams spread by the memory that
+engines have left and the loss of one breaks few of them.
 """
 
 import random
@@ -24,17 +25,19 @@
 ZONE_HOP_MS = 0.7
 """The same to another zone."""
 
-ENTRY_MS = 200.0
+ENTRY_MS = 500.0
 """Cost of a first engine in another zone than the host that the answer passes through."""
 
-CROSSING_WEIGHT = 15.0
+CROSSING_WEIGHT = 20.0
 """A request that crosses a zone's border delays all others on that link as well."""
 
-FULL_SHARE = 0.75
-"""Part of an engine's memory from which on its cost rises steeply."""
+SPEED_WEIGHT = 0.25
+"""Part of the time on an engine that counts."""
 
-FULL_COST = 8.0
-"""Multiple of its cost that an engine reaches when its memory is full."""
+FULL_MS = 1000.0
+"""Cost of all layers on engines whose memory is half used; it rises as that fills."""
+
+FULLEST = 0.98
 
 MOST_FULL_SHARE = 1.1
 """Estimated use of an engine's memory above which it takes nothing more."""
@@ -152,7 +155,9 @@
             return None
         step = step_ms(self._model, kind, layers, load.streams + 1) * work.answer
         busy_ms = (step + read_ms(self._model, kind, layers, work.prompt)) * load.slowdown
-        return busy_ms * (1.0 + FULL_COST * max(0.0, used - FULL_SHARE) / (1.0 - FULL_SHARE))
+        used = min(used, FULLEST)
+        full_ms = FULL_MS * layers / self._model.layers * used / (1.0 - used)
+        return SPEED_WEIGHT * busy_ms + full_ms
 
     def _link_ms(self, source: ZoneId, target: ZoneId, work: Work, reached: _Reached) -> float:
         if source == target:
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -13,6 +13,7 @@
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide.routing.freshness import Freshness
 from minttide.routing.headers import HeaderNames
+from minttide.routing.routes import ClientLimits
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
@@ -160,7 +161,7 @@
         self.front = HttpServer(
             Front(self.state, plain, streams).handle,
             cfg.callers,
-            Bounds(max_connections=cfg.max_connections, max_body_bytes=4_194_304),
+            Bounds(max_connections=cfg.max_connections),
         )
         self._placer = Placer(self.state, self._suspects)
         self.drain = Drain(
@@ -176,7 +177,7 @@
 
     def _make_tree(self) -> Supervisor:
         platform = [
-            Child("configuration", ConfigFollower(self.state).run),
+            Child("configuration", ConfigFollower(self.state, self._limit_callers).run),
             Child("upstreams", UpstreamFollower(self.state).run),
             Child("placement", self._placer.run),
         ]
@@ -229,6 +230,16 @@
 
     # This host.
 
+    def _limit_callers(self, limits: ClientLimits) -> None:
+        bounds = Bounds(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            max_connections=self.cfg.max_connections,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        self.front.limit(bounds)
+
     def _is_ready(self) -> bool:
         return self.state.serving and not self.state.leaving
 
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from minttide.ids import UpstreamId
-from minttide.routing.routes import UpstreamEntry
+from minttide.routing.routes import ClientLimits, UpstreamEntry
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide.routing.table import RouteTable
 from minttided.backoff import Backoff
@@ -45,8 +46,9 @@
 class ConfigFollower:
     """Keeps the route table at the newest configuration; it never goes back."""
 
-    def __init__(self, state: GatewayState):
+    def __init__(self, state: GatewayState, on_change: Callable[[ClientLimits], None]):
         self._state = state
+        self._on_change = on_change
         self._position: int | None = None
         self._dependency = _Dependency("configuration")
 
@@ -75,6 +77,7 @@
         if config is None or (current is not None and config.version <= current.version):
             return
         self._state.table = RouteTable(config)
+        self._on_change(config.limits)
         log.info(
             "configuration in force",
             extra={
--- a/daemon/minttided/gateway/front.py
+++ b/daemon/minttided/gateway/front.py
@@ -8,7 +8,7 @@
 from minttide.routing.routes import AccountKeys, Route
 from minttide.routing.table import RouteTable
 from minttided.gateway.plain import PlainCalls
-from minttided.gateway.refusals import deny, refuse
+from minttided.gateway.refusals import answer, deny, refuse
 from minttided.gateway.request import MS_PER_S, GatewayRequest
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams import StreamCalls
@@ -31,12 +31,12 @@
         self._streams = streams
 
     async def handle(self, req: HttpRequest) -> HttpResponse | StreamResponse:
-        """Answer one request. Raises `RequestError`."""
+        """Answer one request."""
         try:
             return await self._run(req)
         except RequestError as exc:
             self._log_refused(req, exc)
-            raise
+            return answer(exc.problem)
 
     async def _run(self, req: HttpRequest) -> HttpResponse | StreamResponse:
         received_s = now_s()
--- a/daemon/minttided/gateway/refusals.py
+++ b/daemon/minttided/gateway/refusals.py
@@ -1,7 +1,8 @@
 """Requests that this host ends itself: the problem, the status and the log line in one place."""
 
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
-from minttided.http.problems import problem
+from minttided.http.messages import HttpResponse
+from minttided.http.problems import problem, problem_response
 
 RETRY_AFTER_S = 0.5
 """Time to come back when nothing better is known."""
@@ -22,6 +23,15 @@
     return RequestError(Problem(kind, _FAILURES[kind], Ran.UNKNOWN, detail))
 
 
+def answer(found: Problem) -> HttpResponse:
+    """Return the answer for a problem; the time to come back keeps its fraction of a second."""
+    resp = problem_response(found)
+    headers = [(n, v) for n, v in resp.headers if n != "retry-after"]
+    if found.retry_after_s is not None:
+        headers.append(("retry-after", f"{found.retry_after_s:.2f}"))
+    return HttpResponse(resp.status, resp.body, resp.content_type, headers)
+
+
 _REFUSALS = {
     ProblemType.CONFIG_UNKNOWN: 503,
     ProblemType.NO_UPSTREAM: 503,
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -15,13 +15,14 @@
     BodyBudget,
     BodyShare,
     RefusedError,
+    check_framing,
     check_size,
+    describe,
     make_request,
 )
 
 log = logging.getLogger(__name__)
 
-IDLE_TIMEOUT_S = 60.0
 BODY_TIMEOUT_S = 30.0
 WRITE_STALL_S = 30.0
 CLOSE_GRACE_S = 1.0
@@ -184,13 +185,14 @@
     async def _read_request(self) -> HttpRequest | None:
         """Read one whole request; return none when the connection ends between requests."""
         try:
-            async with asyncio.timeout(IDLE_TIMEOUT_S):
+            async with asyncio.timeout(self._server.bounds.idle_timeout_s):
                 await self._wait_first_byte()
             async with asyncio.timeout(self._server.bounds.header_timeout_s):
                 head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
             check_size(head, self._server.bounds.max_header_bytes)
+            check_framing(head, self._server.bounds.max_body_bytes)
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 body = await self._read_body()
         except TimeoutError:
@@ -199,7 +201,7 @@
             detail = "the request was not sent whole in time"
             raise RefusedError(problem(ProblemType.BAD_REQUEST, detail, status=408)) from None
         except h11.RemoteProtocolError as exc:
-            refused = problem(ProblemType.BAD_REQUEST, str(exc), status=exc.error_status_hint)
+            refused = problem(ProblemType.BAD_REQUEST, describe(exc), status=exc.error_status_hint)
             raise RefusedError(refused) from exc
         return make_request(head, body)
 
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -57,6 +57,28 @@
         self._size = 0
 
 
+def check_framing(head: h11.Request, max_body_bytes: int) -> None:
+    """Raise `RefusedError` for a body that is announced in two ways, or as too long.
+
+    A request with both a length and chunks may hide a second one behind a proxy that reads it the
+    other way.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        detail = "the body is announced both by a length and in chunks"
+        raise RefusedError(problem(ProblemType.BAD_REQUEST, detail))
+    length = next((v for n, v in head.headers if n == b"content-length"), b"0")
+    if int(length) > max_body_bytes:
+        detail = f"the body is longer than {max_body_bytes} bytes"
+        raise RefusedError(problem(ProblemType.TOO_LARGE, detail))
+
+
+def describe(exc: h11.RemoteProtocolError) -> str:
+    """Return why a request doesn't parse, without the caller's bytes that h11 quotes."""
+    text = str(exc)
+    return text.partition(":")[0] if "bytearray(" in text or "b'" in text else text
+
+
 def check_size(head: h11.Request, limit: int) -> None:
     """Raise `RefusedError` for a header above `limit` bytes; h11 bounds only incomplete ones."""
     size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -62,6 +62,11 @@
         """Return the number of open connections."""
         return len(self._conns)
 
+    def limit(self, bounds: Bounds) -> None:
+        """Use other bounds from the next request on."""
+        self.bounds = bounds
+        self.bodies.max_body_bytes = bounds.max_body_bytes
+
     def announce_close(self) -> None:
         """Close each connection after its next answer, while new ones are still accepted."""
         self.closing = True
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -84,6 +84,20 @@
         b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 2000\r\n\r\n" + b"z" * 2000,
         413,
     ),
+    "huge body that never comes": (
+        b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 99999999999\r\n\r\n",
+        413,
+    ),
+    "length and chunks": (
+        b"POST / HTTP/1.1\r\n"
+        + HOST
+        + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    "nonsense in chunks": (
+        b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        400,
+    ),
     "no HTTP at all": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400),
 }
 
@@ -111,6 +125,7 @@
     assert head.split(b" ")[1] == b"%d" % status
     assert b"connection: close" in head.lower()
     assert msgspec.json.decode(body)["ran"] == "not run"
+    assert b"bytearray" not in body and b"\\x" not in body
 
 
 def test_a_slow_request_is_given_up_with_an_answer():
--- /dev/null
+++ b/test/test_layers.py
@@ -0,0 +1,210 @@
+"""Where layers are placed, what is ordered after a loss, and which paths are given out."""
+
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from minttide.ids import Address, ServiceName, UpstreamId, ZoneId
+from minttide.layers.layout import cut_layers, plan_layout
+from minttide.layers.memory import token_capacity
+from minttide.layers.paths import EngineLoad, PathFinder, Work, is_whole
+from minttide.layers.repair import missing_ranges, plan_orders
+from minttide.routing.routes import AcceleratorSpec, LayerRange, ModelSpec, UpstreamEntry
+
+KINDS = (
+    AcceleratorSpec("large", 36_000.0, 3.0, 3.0),
+    AcceleratorSpec("middle", 21_600.0, 16.0, 8.0),
+    AcceleratorSpec("small", 14_400.0, 15.0, 15.0),
+)
+MODEL = ModelSpec(
+    name="m",
+    layers=80,
+    layer_mb=1750.0,
+    kv_token_bytes=852_000.0,
+    step_ms=0.85,
+    stream_ms=0.0055,
+    context_ms_per_k=0.0074,
+    read_tokens_per_s=272_000.0,
+    load_s=14.0,
+    loads_at_once=6,
+    slots=96,
+    usual_prompt=772.0,
+    usual_answer=145.0,
+    activation_bytes=42_600.0,
+    zone_link_mbps=9300.0,
+    kinds=KINDS,
+)
+WORK = Work(800.0, 146.0)
+SITE = {"north": (2, 5, 8), "central": (1, 7, 5), "south": (2, 3, 5)}
+
+
+def engines(site):
+    found = []
+    for zone, counts in site.items():
+        for kind, count in zip(KINDS, counts, strict=True):
+            for i in range(count):
+                name = UpstreamId(f"{zone}-{kind.name}-{i}")
+                address = Address(f"{name}:1")
+                found.append(
+                    UpstreamEntry(
+                        name, ServiceName("s"), address, ZoneId(zone), False, 96, kind=kind.name
+                    )
+                )
+    return found
+
+
+def hold(found, layout):
+    return [msgspec.structs.replace(e, layers=layout.get(e.id, e.layers)) for e in found]
+
+
+def placed(site=SITE):
+    found = engines(site)
+    return hold(found, plan_layout(MODEL, found))
+
+
+def room(entry):
+    return token_capacity(MODEL, MODEL.kind(entry.kind), len(entry.layers))
+
+
+sites = st.dictionaries(
+    st.sampled_from(["north", "central", "south", "west"]),
+    st.tuples(st.integers(0, 4), st.integers(0, 12), st.integers(0, 12)),
+    min_size=1,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(sites)
+def test_a_layout_never_exceeds_a_cards_memory_and_covers_every_layer_or_nothing(site):
+    found = placed(site)
+    holding = [e for e in found if e.layers]
+    assert all(room(e) > 0 for e in holding)
+    if holding:
+        path = PathFinder(MODEL, found).choose(WORK, ZoneId("north"), {}, random.Random(0))
+        assert is_whole(path, MODEL.layers)
+
+
+def test_every_zone_gets_a_path_of_its_own_where_its_engines_allow():
+    found = placed()
+    for zone in SITE:
+        own = [e for e in found if e.zone == zone]
+        path = PathFinder(MODEL, own).choose(WORK, ZoneId(zone), {}, random.Random(0))
+        assert is_whole(path, MODEL.layers)
+    assert not plan_orders(MODEL, found, {})
+
+
+def test_a_layout_has_more_streams_through_its_fullest_layer_than_equal_layers():
+    found = engines(SITE)
+    equal = {}
+    for zone in SITE:
+        members = [e for e in found if e.zone == zone]
+        for e, layers in zip(members, cut_layers(MODEL.layers, len(members)), strict=True):
+            equal[e.id] = layers
+
+    def fullest(holding):
+        sums = Counter()
+        for e in holding:
+            for layer in range(e.layers.first, e.layers.last):
+                sums[layer] += max(0.0, room(e))
+        return min(sums[layer] for layer in range(MODEL.layers))
+
+    ours = fullest([e for e in placed() if e.layers])
+    assert ours > 1.1 * fullest(hold(found, equal))
+
+
+def apply(found, orders):
+    return hold(found, {o.engine: o.layers for o in orders})
+
+
+@pytest.mark.parametrize("lost", range(0, 38, 3))
+def test_the_loss_of_an_engine_leaves_a_path_and_costs_at_most_a_few_orders(lost):
+    found = placed()
+    left = [e for i, e in enumerate(found) if i != lost]
+    orders = plan_orders(MODEL, left, {})
+    assert len(orders) <= 3
+    path = PathFinder(MODEL, apply(left, orders)).choose(
+        WORK, ZoneId("north"), {}, random.Random(0)
+    )
+    assert is_whole(path, MODEL.layers)
+
+
+@pytest.mark.parametrize("zone", SITE)
+def test_the_loss_of_a_zone_leaves_a_path_and_takes_nothing_away(zone):
+    left = [e for e in placed() if e.zone != zone]
+    before = {e.id: e.layers for e in left}
+    orders = plan_orders(MODEL, left, {})
+    counts = Counter(before.values())
+    for order in orders:
+        assert before[order.engine] is None or counts[before[order.engine]] > 1
+    finder = PathFinder(MODEL, left)
+    assert is_whole(finder.choose(WORK, ZoneId(zone), {}, random.Random(0)), MODEL.layers)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.sets(st.integers(0, 37), max_size=12), st.randoms(use_true_random=False))
+def test_orders_never_take_away_the_last_copy_in_a_zone_or_exceed_memory(lost, rng):
+    found = [e for i, e in enumerate(placed()) if i not in lost]
+    for _ in range(3):
+        orders = plan_orders(MODEL, found, {})
+        assert len({o.engine for o in orders}) == len(orders)
+        before = Counter((e.zone, e.layers) for e in found if e.layers)
+        found = apply(found, orders)
+        after = Counter((e.zone, e.layers) for e in found if e.layers)
+        assert all(after[key] for key in before)
+        assert all(room(e) > 0 for e in found if e.layers)
+
+
+def test_an_engine_that_was_ordered_or_is_leaving_gets_no_second_order():
+    found = [e for e in placed() if e.id != "central-middle-4"]
+    orders = plan_orders(MODEL, found, {})
+    assert orders
+    again = plan_orders(MODEL, found, {o.engine: o.layers for o in orders})
+    assert not again
+    leaving = [msgspec.structs.replace(e, leaving=e.id == orders[0].engine) for e in found]
+    assert orders[0].engine not in {o.engine for o in plan_orders(MODEL, leaving, {})}
+
+
+@pytest.mark.parametrize(
+    ("held", "expected"),
+    [
+        ([(0, 80)], []),
+        ([], [(0, 80)]),
+        ([(0, 16), (32, 64), (74, 80)], [(16, 32), (64, 74)]),
+        ([(0, 20), (16, 40), (40, 80)], [(0, 16)]),
+        ([(10, 80)], [(0, 10)]),
+    ],
+)
+def test_missing_ranges_are_the_fewest_layers_that_join_a_path(held, expected):
+    found = missing_ranges(80, {LayerRange(a, b) for a, b in held})
+    assert [(r.first, r.last) for r in found] == expected
+
+
+def test_a_path_begins_with_the_engine_that_is_asked_for_and_avoids_others():
+    found = placed()
+    finder = PathFinder(MODEL, found, {UpstreamId("north-large-0")})
+    first = next(e.id for e in found if e.layers and e.layers.first == 0 and e.zone == "south")
+    path = finder.choose(WORK, ZoneId("north"), {}, random.Random(1), first)
+    assert path[0].engine == first
+    assert "north-large-0" not in {s.engine for s in path}
+
+
+def test_full_engines_take_nothing_more():
+    found = placed()
+    loads = {e.id: EngineLoad(streams=10, tokens=200_000) for e in found}
+    assert PathFinder(MODEL, found).choose(WORK, ZoneId("north"), loads, random.Random(1)) is None
+
+
+def test_hosts_with_the_same_news_spread_over_copies_of_a_range():
+    """Replays 60 streams that start at once on hosts that know nothing of each other."""
+    found = placed()
+    used = Counter()
+    for seed in range(60):
+        path = PathFinder(MODEL, found).choose(WORK, ZoneId("central"), {}, random.Random(seed))
+        used.update(s.engine for s in path)
+    doubled = [e.id for e in found if e.zone == "central" and e.layers == LayerRange(16, 26)]
+    assert len(doubled) == 2
+    assert min(used[e] for e in doubled) >= 15
