--- a/core/minttide/routing/freshness.py
+++ b/core/minttide/routing/freshness.py
@@ -14,6 +14,10 @@
         self._limit_s = KEY_AGE_SHARE * revoke_s
         self._confirmed_s: float | None = None
 
+    def limit(self, revoke_s: float) -> None:
+        """Use another bound for revoked keys."""
+        self._limit_s = KEY_AGE_SHARE * revoke_s
+
     def confirm(self, sent_s: float) -> None:
         """Note a reading that was sent at `sent_s` and succeeded."""
         if self._confirmed_s is None or sent_s > self._confirmed_s:
--- a/core/minttide/routing/routes.py
+++ b/core/minttide/routing/routes.py
@@ -25,9 +25,9 @@
 class Route(msgspec.Struct, frozen=True):
     """Requests of one host name below one path prefix.
 
-    Times are in seconds. `objective_s` is the time to the answer, or to a stream's first event, that
-    counts as on time; `gap_s` the longest pause between events. `max_attempts` bounds the upstreams
-    that may run one request. Priority 0 is the highest.
+    Times are in seconds. `objective_s` is the time to the answer, or to a stream's first event,
+    that counts as on time; `gap_s` the longest pause between events. `max_attempts` bounds the
+    upstreams that may run one request. Priority 0 is the highest.
     """
 
     name: str
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -47,6 +47,9 @@
 """Hosts that the budget of repeated sends is divided among at least."""
 
 
+_ADDRESSES = ("host", "zone", "callers", "directory", "health", "peer", "metrics", "store")
+
+
 class Wire:
     """What a deployment calls its headers and paths, and how it writes an answer of addresses."""
 
@@ -140,6 +143,16 @@
         self.state.leaving = True
         self.drain.start()
 
+    def apply(self, cfg: GatewaySettings) -> None:
+        """Take over settings that may change while the gateway runs; others need a restart."""
+        if cfg == self.state.cfg:
+            return
+        self.membership.seed_with(cfg.peers)
+        self.state.cfg = cfg
+        self.state.freshness.limit(cfg.keys_valid_s)
+        moved = [f for f in _ADDRESSES if getattr(cfg, f) != getattr(self.cfg, f)]
+        log.info("settings reloaded", extra={"peers": cfg.peers, "needs_restart": moved})
+
     # Assembly.
 
     async def _assemble(self, stack: AsyncExitStack) -> None:
--- a/daemon/minttided/gateway/entry.py
+++ b/daemon/minttided/gateway/entry.py
@@ -1,4 +1,4 @@
-"""Answers callers that ask where to connect, and the platform that asks whether this host serves."""
+"""Answers callers that ask where to connect, and the platform that asks for readiness."""
 
 import random
 from collections.abc import Callable, Sequence
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -15,7 +15,7 @@
 log = logging.getLogger(__name__)
 
 CONFIG_WAIT_S = 1.0
-"""How long one read waits for a change. A reading confirms the configuration only as of its start."""
+"""How long one read waits for a change; it confirms the configuration only as of its start."""
 
 LIST_PERIOD_S = 1.0
 RETRY_FIRST_S = 0.1
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -83,6 +83,7 @@
         self._rng = rng or random.Random()
         self.table = MemberTable(me, self._rng)
         self._cfg = cfg
+        self._first = list(cfg.peers)
         self._link = link
         self._listing = listing
         listing.on_read(self._note_listed)
@@ -121,6 +122,10 @@
 
     # Control.
 
+    def seed_with(self, peers: Sequence[Address]) -> None:
+        """Ask these peers first from now on, where they aren't known yet."""
+        self._first = list(peers)
+
     def hurry(self) -> None:
         """Pass news on at once instead of with the next probe."""
         self._urgent.set()
@@ -244,7 +249,7 @@
 
     def _seeds(self) -> list[Address]:
         listed = [h.address for h in self._listing.hosts if h.group == ENTRY_GROUP]
-        return list(dict.fromkeys([*self._cfg.peers, *listed]))
+        return list(dict.fromkeys([*self._first, *listed]))
 
     def _note_listed(self) -> None:
         """Pass on what the list says is leaving, since most hosts read it later."""
