--- a/daemon/minttided/gateway/entry.py
+++ b/daemon/minttided/gateway/entry.py
@@ -18,11 +18,14 @@
 def choose_entries(members: Sequence[MemberView], rng: random.Random) -> list[Address]:
     """Return the addresses of hosts that serve, in random order.
 
-    Suspected hosts are named only where no other is left, leaving ones never.
+    Suspected hosts are named only where no other is left, and so are those that can't serve now:
+    callers that keep their addresses are back at once when an outage of the platform is over.
+    Leaving hosts are never named.
     """
-    serving = [m for m in members if not m.leaving and m.applied != NO_OFFSET]
-    trusted = [m for m in serving if not m.suspect]
-    named = [m.callers for m in trusted or serving]
+    staying = [m for m in members if not m.leaving]
+    trusted = [m for m in staying if not m.suspect]
+    serving = [m for m in trusted if m.applied != NO_OFFSET]
+    named = [m.callers for m in serving or trusted or staying]
     rng.shuffle(named)
     return named[:MOST_ADDRESSES]
 
--- /dev/null
+++ b/test/test_gateway_entry.py
@@ -0,0 +1,67 @@
+"""Which hosts callers are told to use."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from minttide.ids import NO_OFFSET, Address, HostId, Offset, ZoneId
+from minttide.interfaces import MemberView
+from minttided.gateway.entry import EntryAnswers, HealthAnswers, choose_entries
+from minttided.http.messages import HttpRequest
+
+
+def member(name, leaving=False, suspect=False, serving=True):
+    return MemberView(
+        HostId(name),
+        1,
+        ZoneId("z"),
+        Address(f"{name}:1"),
+        Address(f"{name}:2"),
+        leaving,
+        suspect,
+        0.0,
+        Offset(7) if serving else NO_OFFSET,
+    )
+
+
+@pytest.mark.parametrize(
+    ("members", "expected"),
+    [
+        ([member("a"), member("b")], {"a:1", "b:1"}),
+        ([member("a"), member("b", leaving=True)], {"a:1"}),
+        ([member("a"), member("b", suspect=True)], {"a:1"}),
+        ([member("a"), member("b", serving=False)], {"a:1"}),
+        # Nobody serves while the platform is out: callers keep their addresses all the same.
+        ([member("a", serving=False), member("b", serving=False)], {"a:1", "b:1"}),
+        ([member("a", suspect=True), member("b", leaving=True)], {"a:1"}),
+        ([member("a", leaving=True)], set()),
+    ],
+)
+def test_callers_are_sent_to_hosts_that_serve_and_stay(members, expected):
+    assert set(choose_entries(members, random.Random(0))) == expected
+
+
+@pytest.mark.parametrize(
+    ("members", "method", "path", "status"),
+    [
+        ([member("a")], "GET", "/where", 200),
+        ([], "GET", "/where", 503),
+        ([member("a")], "POST", "/where", 404),
+        ([member("a")], "GET", "/other", 404),
+    ],
+)
+def test_answers_to_callers_that_ask_for_addresses(members, method, path, status):
+    answers = EntryAnswers(
+        lambda: members, 1.0, lambda body: msgspec.json.encode(body), "/where", random.Random(0)
+    )
+    resp = asyncio.run(answers.handle(HttpRequest(method, path, "", [], b"")))
+    assert resp.status == status
+
+
+@pytest.mark.parametrize(("ready", "status"), [(True, 200), (False, 503)])
+def test_the_platform_is_told_whether_this_host_is_ready(ready, status):
+    health = HealthAnswers(lambda: ready, "/ready")
+    assert asyncio.run(health.handle(HttpRequest("GET", "/ready", "", [], b""))).status == status
+    assert asyncio.run(health.handle(HttpRequest("GET", "/else", "", [], b""))).status == 404
