Let one host of a zone read the store for the others

Change: the host that rendezvous hashing names for a zone reads the configuration and the list; the others ask it over the peer protocol, which holds the question until something changes and tells the age of what it knows. Whoever's news gets old reads for itself. Only readers seek the lease. A long read that waited in vain confirms the configuration as of its end. Ruled out: one reader a region, whose answers would cross zones, and a relay of two levels, whose ages add up beyond the bound of draining.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -9,8 +9,6 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import NO_OFFSET, Address, Incarnation, Offset
-from minttide.interfaces import UpstreamReply
-from minttide.outcome import Problem, ProblemType, Ran
 from minttide.routing.freshness import Freshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import ClientLimits
@@ -22,14 +20,14 @@
 from minttided.gateway.placer import Placer
 from minttided.gateway.plain import Budgets, PlainCalls
 from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams import StreamCalls
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
-from minttided.http.problems import problem
 from minttided.http.server import HttpServer
 from minttided.operators.metrics import CONTENT_TYPE
 from minttided.peers.grpc_net import GrpcNet
-from minttided.peers.link import KeyedCall, PeerNet, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import PeerNet
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 from minttided.stopping import Drain
@@ -66,25 +64,6 @@
         self.encode = encode
 
 
-class GatewayPeers:
-    """Implements `PeerService`: hosts exchange who is up, and nothing else."""
-
-    def __init__(self, membership: Membership):
-        self._membership = membership
-
-    async def on_probe(self, probe: Probe) -> ProbeAnswer:
-        """Take in a peer's news and answer with one's own."""
-        return await self._membership.on_probe(probe)
-
-    async def on_pull(self, start: Offset) -> Pulled:
-        """Return no records: a gateway's configuration comes from its own source only."""
-        return Pulled()
-
-    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
-        """Refuse keyed calls, which a gateway doesn't run."""
-        return problem(ProblemType.NOT_FOUND, "no keyed calls here", Ran.NOT_RUN)
-
-
 class Gateway:
     """One gateway process, running while the context is open."""
 
@@ -176,7 +155,14 @@
             cfg.callers,
             Bounds(max_connections=cfg.max_connections),
         )
-        self._placer = Placer(self.state, self._suspects)
+        self._config = ConfigFollower(
+            self.state, self._limit_callers, lambda: self._news.reads_config()
+        )
+        self._upstreams = UpstreamFollower(self.state, lambda: self._news.reads_upstreams())
+        self._news = NewsFollower(
+            self.state, link, self.membership.hosts, self._config, self._upstreams
+        )
+        self._placer = Placer(self.state, self._suspects, lambda: self._news.is_reader)
         self.drain = Drain(
             self._leave,
             lambda: self.front,
@@ -190,13 +176,14 @@
 
     def _make_tree(self) -> Supervisor:
         platform = [
-            Child("configuration", ConfigFollower(self.state, self._limit_callers).run),
-            Child("upstreams", UpstreamFollower(self.state).run),
+            Child("configuration", self._config.run),
+            Child("upstreams", self._upstreams.run),
             Child("placement", self._placer.run),
         ]
         peers = [
             Child("peer listener", self._run_peer_listener),
             Child("probes", self.membership.run),
+            Child("news", self._news.run),
         ]
         answers = EntryAnswers(
             self.membership.hosts,
@@ -232,7 +219,7 @@
         return run
 
     async def _run_peer_listener(self, ready: Ready) -> None:
-        async with self._net.listen(self.cfg.peer, GatewayPeers(self.membership)):
+        async with self._net.listen(self.cfg.peer, NewsDesk(self.state, self.membership)):
             await _stay(ready)
 
     async def _show_metrics(self, req: HttpRequest) -> HttpResponse:
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from minttide.ids import UpstreamId
-from minttide.routing.routes import ClientLimits, UpstreamEntry
-from minttide.routing.sources import ConfigReading, SourceError
+from minttide.routing.routes import ClientLimits, RoutingConfig, UpstreamEntry
+from minttide.routing.sources import SourceError
 from minttide.routing.table import RouteTable
 from minttided.backoff import Backoff
 from minttided.gateway.state import GatewayState, now_s
@@ -14,10 +14,13 @@
 
 log = logging.getLogger(__name__)
 
-CONFIG_WAIT_S = 1.0
-"""How long one read waits for a change; it confirms the configuration only as of its start."""
+CONFIG_WAIT_S = 1.4
+"""How long one read waits for a change."""
 
-LIST_PERIOD_S = 1.0
+WAITED_SHARE = 0.9
+
+LIST_PERIOD_S = 0.9
+IDLE_S = 0.2
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 0.5
 
@@ -46,37 +49,60 @@
 class ConfigFollower:
     """Keeps the route table at the newest configuration; it never goes back."""
 
-    def __init__(self, state: GatewayState, on_change: Callable[[ClientLimits], None]):
+    def __init__(
+        self,
+        state: GatewayState,
+        on_change: Callable[[ClientLimits], None],
+        reads: Callable[[], bool],
+    ):
         self._state = state
         self._on_change = on_change
+        self._reads = reads
         self._position: int | None = None
         self._dependency = _Dependency("configuration")
 
     async def run(self, ready: Ready) -> None:
-        """Read on and on, until cancelled."""
+        """Read on and on while it is for this host to read, until cancelled."""
         ready()
         backoff = Backoff(self._state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
         while True:
-            sent_s = now_s()
-            try:
-                reading = await self._state.config_source.read(self._position, CONFIG_WAIT_S)
-            except SourceError as exc:
-                self._dependency.failed(exc)
+            if not self._reads():
                 self._position = None
+                await asyncio.sleep(IDLE_S)
+            elif await self._read():
+                backoff.reset()
+            else:
                 await backoff.wait()
-                continue
-            backoff.reset()
-            self._dependency.answered()
-            self._state.freshness.confirm(sent_s)
-            self._apply(reading)
 
-    def _apply(self, reading: ConfigReading) -> None:
+    async def _read(self) -> bool:
+        sent_s = now_s()
+        try:
+            reading = await self._state.config_source.read(self._position, CONFIG_WAIT_S)
+        except SourceError as exc:
+            self._dependency.failed(exc)
+            self._position = None
+            return False
+        self._dependency.answered()
         self._position = reading.position
-        config = reading.config
+        self._apply(reading.config, "store")
+        # A read that waited in vain says that nothing had come until about the end of its wait.
+        waited_s = WAITED_SHARE * CONFIG_WAIT_S
+        in_vain = reading.config is None and now_s() - sent_s >= waited_s
+        self._state.freshness.confirm(sent_s + waited_s if in_vain else sent_s)
+        return True
+
+    def hear(self, config: RoutingConfig | None, confirmed_s: float) -> None:
+        """Take what a peer knows, which it had confirmed at `confirmed_s`, in loop time."""
+        self._apply(config, "peer")
+        if self._state.table is not None:
+            self._state.freshness.confirm(confirmed_s)
+
+    def _apply(self, config: RoutingConfig | None, source: str) -> None:
         current = self._state.table
         if config is None or (current is not None and config.version <= current.version):
             return
         self._state.table = RouteTable(config)
+        self._state.note_change()
         self._on_change(config.limits)
         log.info(
             "configuration in force",
@@ -85,6 +111,7 @@
                 "before": current.version if current else None,
                 "routes": len(config.routes),
                 "accounts": len(config.accounts),
+                "source": source,
             },
         )
 
@@ -92,29 +119,52 @@
 class UpstreamFollower:
     """Keeps the list of upstreams as the platform last gave it."""
 
-    def __init__(self, state: GatewayState):
+    def __init__(self, state: GatewayState, reads: Callable[[], bool]):
         self._state = state
+        self._reads = reads
         self._dependency = _Dependency("list of upstreams")
 
     async def run(self, ready: Ready) -> None:
-        """Read the list now and then, until cancelled."""
+        """Read the list now and then while it is for this host to read, until cancelled."""
         ready()
         backoff = Backoff(self._state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
         while True:
             sent_s = now_s()
-            try:
-                entries = await self._state.upstream_source.list()
-            except SourceError as exc:
-                self._dependency.failed(exc)
+            if not self._reads():
+                await asyncio.sleep(IDLE_S)
+            elif await self._read(sent_s):
+                backoff.reset()
+                await asyncio.sleep(max(0.0, sent_s + LIST_PERIOD_S - now_s()))
+            else:
                 await backoff.wait()
-                continue
-            backoff.reset()
-            self._dependency.answered()
-            self._take({e.id: e for e in entries}, sent_s)
-            await asyncio.sleep(max(0.0, sent_s + LIST_PERIOD_S - now_s()))
 
-    def _take(self, entries: dict[UpstreamId, UpstreamEntry], sent_s: float) -> None:
+    async def _read(self, sent_s: float) -> bool:
+        try:
+            entries = await self._state.upstream_source.list()
+        except SourceError as exc:
+            self._dependency.failed(exc)
+            return False
+        self._dependency.answered()
+        self.hear(entries, sent_s)
+        return True
+
+    def hear(self, entries: Sequence[UpstreamEntry] | None, read_s: float) -> None:
+        """Take a list that was read at `read_s`, in loop time, unless a newer one is known.
+
+        None stands for the list as it is known, read again.
+        """
+        if read_s <= self._state.upstreams_read_s:
+            return
+        if entries is not None:
+            self._take({e.id: e for e in entries})
+        if self._state.upstreams_known:
+            self._state.upstreams_read_s = read_s
+
+    def _take(self, entries: dict[UpstreamId, UpstreamEntry]) -> None:
         before = self._state.upstreams
+        self._state.upstreams_known = True
+        if before == entries:
+            return
         for upstream, entry in entries.items():
             old = before.get(upstream)
             if old is None or _differs(old, entry):
@@ -123,8 +173,7 @@
             if upstream not in entries:
                 _log_change("upstream gone", entry)
         self._state.upstreams = entries
-        self._state.upstreams_known = True
-        self._state.upstreams_read_s = sent_s
+        self._state.note_change()
 
 
 def _differs(old: UpstreamEntry, new: UpstreamEntry) -> bool:
--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -38,9 +38,14 @@
 
 
 class Placer:
-    """Keeps or seeks the lease and, while it is held, gives the orders that are needed."""
+    """Keeps or seeks the lease and, while it is held, gives the orders that are needed.
 
-    def __init__(self, state: GatewayState, suspects: Suspects):
+    Only hosts of which `stands` is true seek it, so that renewals don't grow with the hosts.
+    """
+
+    def __init__(self, state: GatewayState, suspects: Suspects, stands: Callable[[], bool]):
+        self._stands = stands
+        self._joined = False
         self._state = state
         self._suspects = suspects
         self._grant: LeaseGrant | None = None
@@ -65,6 +70,7 @@
     async def leave(self) -> None:
         """Give the lease up, so that another host need not wait for its end."""
         self._grant = None
+        self._joined = False
         try:
             await self._state.lease.release()
         except SourceError as exc:
@@ -73,8 +79,11 @@
     # The lease.
 
     async def _renew(self) -> None:
-        if self._state.leaving:
+        if self._state.leaving or not self._stands():
+            if self._joined:
+                await self.leave()
             return
+        self._joined = True
         sent_s = now_s()
         try:
             grant = await self._state.lease.renew(LEASE_TTL_S)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -30,8 +30,14 @@
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     upstreams_known: bool = False
-    upstreams_read_s: float = 0.0
+    upstreams_read_s: float = float("-inf")
     leaving: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def note_change(self) -> None:
+        """Wake all that wait for a change of the configuration or the upstreams."""
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def of_service(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service that aren't leaving."""
--- /dev/null
+++ b/test/test_gateway_sharing.py
@@ -0,0 +1,187 @@
+"""One host of a zone reads the platform's store, and the others take its news."""
+
+import asyncio
+import random
+
+import pytest
+from test_gateway_entry import member
+
+from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ServiceName, UpstreamId, ZoneId
+from minttide.routing.freshness import Freshness
+from minttide.routing.readers import rank_readers, reads_itself
+from minttide.routing.routes import RoutingConfig, UpstreamEntry
+from minttide.routing.sources import ConfigReading, SourceError
+from minttide_fakes.peer_net import MemoryNet
+from minttide_fakes.virtual import run_virtual
+from minttided.gateway.following import ConfigFollower, UpstreamFollower
+from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.sharing import NewsDesk, NewsFollower
+from minttided.gateway.state import GatewayState
+from minttided.peers.listing import HostListing
+from minttided.peers.membership import Membership
+
+HOSTS = 6
+
+
+def upstream(name, leaving=False):
+    address = Address(f"{name}:1")
+    return UpstreamEntry(UpstreamId(name), ServiceName("s"), address, ZoneId("z"), leaving, 4)
+
+
+class SharedStore:
+    """The configuration and upstreams of a site. `cut` holds hosts that it doesn't answer."""
+
+    def __init__(self):
+        self.version = 1
+        self.upstreams = [upstream("u1")]
+        self.cut = set()
+        self.calls = 0
+
+
+class StoreView:
+    """The store as one host reaches it."""
+
+    def __init__(self, store, host):
+        self._store = store
+        self._host = host
+
+    async def read(self, position, wait_s):
+        self._store.calls += 1
+        self._check()
+        if position == self._store.version:
+            await asyncio.sleep(wait_s)
+            self._check()
+        config = RoutingConfig(self._store.version, (), ())
+        changed = position != self._store.version
+        return ConfigReading(config if changed else None, self._store.version)
+
+    async def list(self):
+        self._store.calls += 1
+        self._check()
+        await asyncio.sleep(0.004)
+        return list(self._store.upstreams)
+
+    def _check(self):
+        if self._host in self._store.cut:
+            raise SourceError("no answer")
+
+
+class Host:
+    """One host's followers, on a network in memory."""
+
+    def __init__(self, net, store, number):
+        address = Address(f"10.0.0.{number}:1")
+        seeds = [Address("10.0.0.0:1")]
+        self.cfg = GatewaySettings(HostId(f"h{number}"), ZoneId("z"), *([address] * 6), peers=seeds)
+        view = StoreView(store, self.cfg.host)
+        rng = random.Random(number)
+        self.state = GatewayState(self.cfg, None, view, view, None, None, rng, Freshness(5.0))
+        self.net = net
+        link = net.link(address)
+        self.members = Membership(
+            self.cfg,
+            Incarnation(number),
+            link,
+            HostListing(),
+            lambda: (NO_OFFSET, 0.0),
+            rng=rng,
+        )
+        self.config = ConfigFollower(
+            self.state, lambda limits: None, lambda: self.news.reads_config()
+        )
+        self.upstreams = UpstreamFollower(self.state, lambda: self.news.reads_upstreams())
+        self.news = NewsFollower(self.state, link, self.members.hosts, self.config, self.upstreams)
+        net.put(address, NewsDesk(self.state, self.members))
+
+    def start(self):
+        runs = (self.members.run, self.config.run, self.upstreams.run, self.news.run)
+        return [asyncio.ensure_future(run(lambda: None)) for run in runs]
+
+
+def play(check):
+    """Run six hosts for a while, and then `check` with them and the store."""
+
+    async def run():
+        net, store = MemoryNet(), SharedStore()
+        hosts = [Host(net, store, i) for i in range(HOSTS)]
+        tasks = [task for host in hosts for task in host.start()]
+        await asyncio.sleep(6.0)
+        try:
+            await check(hosts, store, net)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_virtual(run())
+
+
+def test_calls_to_the_store_dont_grow_with_the_hosts_of_a_zone():
+    async def check(hosts, store, net):
+        assert sum(h.news.is_reader for h in hosts) == 1
+        store.calls = 0
+        await asyncio.sleep(10.0)
+        assert store.calls <= 2 * 10  # One reader: under two calls a second.
+        now = asyncio.get_running_loop().time()
+        assert all(now - h.state.upstreams_read_s < 1.7 for h in hosts)
+        assert all(h.state.freshness.age_s(now) < 2.7 for h in hosts)
+
+    play(check)
+
+
+def test_a_change_is_in_force_on_every_host_well_within_two_seconds():
+    async def check(hosts, store, net):
+        store.version = 2
+        store.upstreams = [upstream("u1", leaving=True), upstream("u2")]
+        await asyncio.sleep(1.6)
+        assert all(h.state.table.version == 2 for h in hosts)
+        assert all(h.state.upstreams[UpstreamId("u1")].leaving for h in hosts)
+
+    play(check)
+
+
+def test_a_reader_that_is_cut_from_the_store_leaves_the_others_fresh():
+    async def check(hosts, store, net):
+        reader = next(h for h in hosts if h.news.is_reader)
+        store.cut.add(reader.cfg.host)
+        await asyncio.sleep(4.0)
+        store.version = 3
+        store.upstreams = []
+        await asyncio.sleep(2.7)
+        others = [h for h in hosts if h is not reader]
+        assert all(h.state.table.version == 3 for h in others)
+        assert all(not h.state.upstreams for h in others)
+
+    play(check)
+
+
+def test_hosts_read_for_themselves_when_the_reader_falls_silent():
+    async def check(hosts, store, net):
+        reader = next(h for h in hosts if h.news.is_reader)
+        net.silence(reader.cfg.peer)
+        store.upstreams = [upstream("u9")]
+        await asyncio.sleep(4.0)
+        others = [h for h in hosts if h is not reader]
+        assert all(UpstreamId("u9") in h.state.upstreams for h in others)
+
+    play(check)
+
+
+@pytest.mark.parametrize(
+    ("members", "expected"),
+    [
+        ([member("a"), member("b", leaving=True)], ["a"]),
+        ([member("a", suspect=True), member("b")], ["b"]),
+        ([], []),
+    ],
+)
+def test_leaving_and_suspected_hosts_read_for_nobody(members, expected):
+    assert [m.host for m in rank_readers(members, ZoneId("z"))] == expected
+
+
+def test_a_host_with_old_news_reads_itself():
+    ranked = rank_readers([member("a"), member("b")], ZoneId("z"))
+    second = ranked[1].host
+    assert reads_itself(ranked, ranked[0].host, 0.0, 1.0)
+    assert not reads_itself(ranked, second, 0.9, 1.0)
+    assert reads_itself(ranked, second, 1.1, 1.0)
