--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Each target sets up what it needs in .venv, from the package index as configured.
 PY := .venv/bin/python
-SOURCES := core daemon cli fakes spec measure test
+SOURCES := core daemon cli fakes spec measure platform test
 
 .PHONY: demo test lint check-model measure clean
 
--- a/daemon/minttided/gateway/exchange.py
+++ b/daemon/minttided/gateway/exchange.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import h11
 
 from minttide.ids import Address
+from minttide.interfaces import always
 from minttided.http.client import READ_BYTES, BrokenError, NotSentError
 from minttided.http.messages import Headers, split_address
 
@@ -35,13 +36,19 @@
         headers: Sequence[tuple[str, str]],
         body: bytes,
         end_s: float,
+        may_send: Callable[[], bool] = always,
     ) -> "Exchange":
         """Send a request and wait for the head of its answer until `end_s`, in loop time.
 
+        `may_send` is asked on the open connection, just before the first byte is sent.
+
         Raises `NotSentError` or `BrokenError`; a timeout is one or the other.
         """
         request = _make_request(method, target, headers)
         exchange = cls(*await _connect(address, end_s))
+        if not may_send():
+            exchange.close()
+            raise NotSentError("the upstream is leaving")
         try:
             async with asyncio.timeout_at(end_s):
                 await exchange._start(request, body)
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/plain.py
@@ -117,7 +117,13 @@
         headers.append((names.expect_instance, upstream.id))
         req = request.req
         exchange = await Exchange.open(
-            upstream.address, req.method, req.target, headers, req.body, request.end_s
+            upstream.address,
+            req.method,
+            req.target,
+            headers,
+            req.body,
+            request.end_s,
+            lambda: self._state.all_staying([upstream.id]),
         )
         try:
             body = await exchange.read_body(MAX_ANSWER_BYTES, request.end_s)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from minttide.ids import ServiceName, UpstreamId
@@ -43,6 +44,11 @@
         """Return the upstreams of a service that aren't leaving."""
         return [u for u in self.upstreams.values() if u.service == service and not u.leaving]
 
+    def all_staying(self, upstreams: Iterable[UpstreamId]) -> bool:
+        """Return whether all of these upstreams are listed and none is leaving."""
+        found = (self.upstreams.get(u) for u in upstreams)
+        return all(u is not None and not u.leaving for u in found)
+
     @property
     def serving(self) -> bool:
         """Return whether requests can be routed: everything is known and keys may be accepted."""
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -203,8 +203,15 @@
         urgency = min(MOST_URGENCY, URGENCY_STEP * request.priority)
         headers.append((names.urgency, str(urgency)))
         req = request.req
+        engines = [stage.engine for stage in self._path]
         return await Exchange.open(
-            first.address, req.method, req.target, headers, req.body, request.end_s
+            first.address,
+            req.method,
+            req.target,
+            headers,
+            req.body,
+            request.end_s,
+            lambda: self._owner.state.all_staying(engines),
         )
 
     async def _read_failure(self, exchange: Exchange) -> Sent:
--- /dev/null
+++ b/test/gateway_site.py
@@ -0,0 +1,291 @@
+"""One gateway's request path on loopback, before upstreams that a test scripts byte by byte."""
+
+import asyncio
+import random
+import socket
+import struct
+from collections import defaultdict
+from contextlib import AsyncExitStack
+
+from minttide.config.settings import Bounds
+from minttide.ids import AccountId, Address, HostId, ServiceName, UpstreamId, ZoneId
+from minttide.routing.freshness import Freshness
+from minttide.routing.headers import HeaderNames
+from minttide.routing.routes import (
+    AccountKeys,
+    LayerRange,
+    Route,
+    RouteKind,
+    RoutingConfig,
+    ServiceShare,
+    ServiceSpec,
+    UpstreamEntry,
+)
+from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
+from minttide.routing.table import RouteTable
+from minttided.gateway.front import Front
+from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.plain import Budgets, PlainCalls
+from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.state import GatewayState
+from minttided.gateway.streams import StreamCalls
+from minttided.http.messages import join_address, split_address
+from minttided.http.server import HttpServer
+
+NAMES = HeaderNames(
+    attempt="x-attempt",
+    deadline_ms="x-deadline",
+    seal="x-seal",
+    account="x-account",
+    instance="x-instance",
+    expect_instance="x-expect",
+    not_run="x-not-run",
+    fault_address="x-fault",
+    path="x-path",
+    urgency="x-urgency",
+    prompt_tokens="x-tokens",
+    length_hint="x-hint",
+)
+ANYWHERE = Address("127.0.0.1:0")
+KEY = "secret"
+HOST = "a.example"
+
+
+def route(name, kind, service="plain", **more):
+    shares = (ServiceShare(ServiceName(service), 1.0),)
+    times = {"timeout_s": 5.0, "objective_s": 0.5, **more}
+    return Route(name, HOST, f"/{name}/", kind, shares, **times)
+
+
+class ScriptedUpstream:
+    """Answers each request by the next of its scripts; `requests` holds what came.
+
+    A script is a list of bytes to send, `CLOSE`, `RESET`, or a coroutine function to wait for.
+    """
+
+    def __init__(self, name, *scripts):
+        self.name = UpstreamId(name)
+        self.scripts = list(scripts)
+        self.requests = []
+        self.arrived = asyncio.Event()
+        self.left = asyncio.Event()
+        self.address = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = join_address(*self._server.sockets[0].getsockname()[:2])
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+            return
+        length = next(
+            (int(line[15:]) for line in head.split(b"\r\n") if line[:15] == b"content-length:"),
+            0,
+        )
+        self.requests.append((head, await reader.readexactly(length)))
+        self.arrived.set()
+        script = self.scripts.pop(0) if self.scripts else [plain_answer()]
+        try:
+            for step in script:
+                if step is RESET:
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    await asyncio.sleep(0.01)  # What was sent before arrives first.
+                    writer.transport.abort()
+                elif asyncio.iscoroutinefunction(step):
+                    await step()
+                elif callable(step):
+                    writer.write(step())
+                else:
+                    writer.write(step)
+                    await writer.drain()
+            if script[-1] is not RESET:
+                writer.write_eof()
+            await reader.read()
+        except ConnectionError:
+            pass
+        self.left.set()
+        writer.close()
+
+
+RESET = object()
+
+
+def plain_answer(status=200, body=b"ok", attempt=b"1", headers=b""):
+    return b"HTTP/1.1 %d X\r\nx-attempt: %b\r\nx-seal: s1\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        status,
+        attempt,
+        headers,
+        len(body),
+        body,
+    )
+
+
+NOT_RUN = b"x-not-run: 1\r\n"
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-attempt: 1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number):
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def events(*numbers):
+    return b"".join(chunk(event(n)) for n in numbers)
+
+
+END = b"0\r\n\r\n"
+
+
+class FakeEngines:
+    """Reports and repath orders of scripted engines. `dead` ones don't answer."""
+
+    def __init__(self):
+        self.dead = set()
+        self.stalled = {}
+        self.repaths = []
+        self.outcome = OrderOutcome(True)
+        self.moved = asyncio.Event()
+
+    async def report(self, entry, timeout_s):
+        if entry.id in self.dead:
+            raise SourceError("no answer")
+        stalled = self.stalled.get(entry.id, ())
+        return EngineReport(0, False, 0, 0, 0.0, 0.0, 1.0, entry.layers, stalled)
+
+    async def repath(self, entry, attempt, path):
+        self.repaths.append((entry.id, attempt, path))
+        self.moved.set()
+        return self.outcome
+
+    async def place(self, entry, layers, fencing, seq, wait):
+        raise AssertionError("a request places nothing")
+
+
+class GatewaySite:
+    """A gateway before upstreams. Routes: get (idempotent), post, draft and once (streams)."""
+
+    def __init__(self, *plain, engines=(), model=None, accounts=True):
+        self.plain = plain
+        self.path_engines = engines  # (upstream, first layer, last layer, kind)
+        self.engines = FakeEngines()
+        self._model = model
+        self._accounts = accounts
+
+    async def __aenter__(self):
+        self._stack = AsyncExitStack()
+        cfg = GatewaySettings(HostId("h"), ZoneId("z"), *([ANYWHERE] * 6))
+        now = asyncio.get_running_loop().time()
+        self.freshness = Freshness(1000.0)
+        self.freshness.confirm(now)
+        rng = random.Random(1)
+        self.state = GatewayState(cfg, NAMES, None, None, None, self.engines, rng, self.freshness)
+        self.state.table = RouteTable(self._config())
+        self.state.upstreams_known = True
+        self.state.upstreams_read_s = now
+        for upstream in self.plain:
+            await self._stack.enter_async_context(upstream)
+            self._list(upstream, "plain")
+        for upstream, first, last, kind in self.path_engines:
+            await self._stack.enter_async_context(upstream)
+            self._list(upstream, "model", LayerRange(first, last), kind)
+        self.suspects = Suspects()
+        self.loads = PathLoads(lambda: 1.0)
+        budgets = Budgets(self.state, 1)
+        self.streams = StreamCalls(self.state, self.suspects, budgets, self.loads)
+        front = Front(self.state, PlainCalls(self.state, self.suspects, budgets), self.streams)
+        self.server = HttpServer(front.handle, ANYWHERE, Bounds())
+        await self._stack.enter_async_context(self.server)
+        return self
+
+    async def __aexit__(self, *_):
+        await self._stack.aclose()
+
+    def _config(self):
+        services = (
+            ServiceSpec(ServiceName("plain"), 100),
+            ServiceSpec(ServiceName("model"), 100, model=self._model),
+        )
+        routes = (
+            route("get", RouteKind.IDEMPOTENT, max_attempts=2),
+            route("post", RouteKind.NON_IDEMPOTENT),
+            route("open", RouteKind.IDEMPOTENT, public=True),
+            route("draft", RouteKind.STREAM, "model", resumable=True, max_attempts=2),
+            route("once", RouteKind.STREAM, "model"),
+        )
+        accounts = (AccountKeys(AccountId("acme"), (KEY,)),) if self._accounts else ()
+        return RoutingConfig(1, routes, services, accounts)
+
+    def _list(self, upstream, service, layers=None, kind=""):
+        entry = UpstreamEntry(
+            upstream.name,
+            ServiceName(service),
+            upstream.address,
+            ZoneId("z"),
+            False,
+            6,
+            kind=kind,
+            layers=layers,
+        )
+        self.state.upstreams[upstream.name] = entry
+
+    async def ask(self, name, method="GET", body=b"", headers=(), key=KEY, on_data=None):
+        """Send one request; return status, headers (last of each name) and the raw rest."""
+        reader, writer = await asyncio.open_connection(*split_address(self.server.address))
+        lines = [f"{method} /{name}/x HTTP/1.1", f"Host: {HOST}", "x-attempt: 1"]
+        lines += [f"Authorization: Bearer {key}"] if key else []
+        lines += [f"Content-Length: {len(body)}"] if body else []
+        lines += [f"{n}: {v}" for n, v in headers] + ["Connection: close", "", ""]
+        writer.write("\r\n".join(lines).encode() + body)
+        data = b""
+        try:
+            while piece := await reader.read(65536):
+                data += piece
+                if on_data is not None:
+                    on_data(data)
+        except ConnectionError:
+            pass
+        writer.close()
+        return Answer(data)
+
+
+class Answer:
+    """A raw answer, taken apart."""
+
+    def __init__(self, data):
+        head, _, self.rest = data.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        self.status = int(lines[0].split()[1]) if data else None
+        self.headers = defaultdict(str)
+        for line in lines[1:]:
+            name, _, value = line.partition(b": ")
+            self.headers[name.decode().lower()] = value.decode()
+
+    @property
+    def whole(self):
+        """Return whether a chunked body came to its end."""
+        return self.rest.endswith(b"0\r\n\r\n")
+
+    @property
+    def chunks(self):
+        """Return the body of a chunked answer as far as it came."""
+        body, rest = b"", self.rest
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            body += rest[: int(size, 16)]
+            rest = rest[int(size, 16) + 2 :]
+        return body
--- /dev/null
+++ b/test/test_gateway_streams.py
@@ -0,0 +1,284 @@
+"""Streams along paths: whole and in order whatever falls out, and true refusals."""
+
+import asyncio
+
+import pytest
+from gateway_site import (
+    END,
+    NOT_RUN,
+    RESET,
+    STREAM_HEAD,
+    GatewaySite,
+    ScriptedUpstream,
+    chunk,
+    event,
+    events,
+    plain_answer,
+)
+
+from minttide.routing.routes import AcceleratorSpec, ModelSpec
+from minttide.routing.sources import OrderOutcome
+from minttided.gateway.events import EventSplitter
+
+MODEL = ModelSpec(
+    name="m",
+    layers=4,
+    layer_mb=100.0,
+    kv_token_bytes=400.0,
+    step_ms=1.0,
+    stream_ms=0.0,
+    context_ms_per_k=0.0,
+    read_tokens_per_s=1000.0,
+    load_s=1.0,
+    loads_at_once=1,
+    slots=8,
+    usual_prompt=10.0,
+    usual_answer=5.0,
+    activation_bytes=1.0,
+    zone_link_mbps=1000.0,
+    kinds=(AcceleratorSpec("k", 1000.0, 1.0, 1.0),),
+)
+WHOLE = b"".join(event(n) for n in (1, 2, 3))
+
+
+def site_of(**engines):
+    """Return a gateway before engines `name=(first, last, *scripts)`."""
+    found = [
+        (ScriptedUpstream(name, *scripts), first, last, "k")
+        for name, (first, last, *scripts) in engines.items()
+    ]
+    return GatewaySite(engines=found, model=MODEL)
+
+
+def engine(site, name):
+    return next(u for u, *_ in site.path_engines if u.name == name)
+
+
+def play(site, name="draft", check=None, **asked):
+    async def run():
+        async with site:
+            answer = await site.ask(name, "POST", **asked)
+            if check is not None:
+                check(site)
+            assert all(load.streams == 0 for load in site.loads.estimate().values())
+            return answer
+
+    return asyncio.run(run())
+
+
+def test_a_stream_runs_along_a_path_that_holds_every_layer_once():
+    site = site_of(a=(0, 2, [STREAM_HEAD, events(1, 2, 3), END]), b=(2, 4))
+    answer = play(site, headers=[("x-tokens", "12,6"), ("x-path", "forged")])
+    assert (answer.status, answer.chunks, answer.whole) == (200, WHOLE, True)
+    assert answer.headers["x-seal"] == "s1"
+    head = engine(site, "a").requests[0][0].decode()
+    a, b = engine(site, "a").address, engine(site, "b").address
+    assert f"x-path: {a}=0-2,{b}=2-4\r\n" in head
+    assert "forged" not in head and "x-tokens: 12,6" in head and "x-expect: a" in head
+
+
+def test_without_a_whole_path_a_stream_is_refused_at_once():
+    answer = play(site_of(a=(0, 2), b=(3, 4)))
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+
+BREAKS = {
+    "reset between events": [STREAM_HEAD, events(1, 2), RESET],
+    "closed between events": [STREAM_HEAD, events(1, 2)],
+    "cut within an event": [STREAM_HEAD, events(1, 2) + chunk(b"id: 3\nda"), RESET],
+    "ended within an event": [STREAM_HEAD, events(1, 2) + chunk(b"id: 3\nda"), END],
+    "nonsense in the body": [STREAM_HEAD, events(1, 2), b"zz\r\n"],
+}
+
+
+@pytest.mark.parametrize("case", BREAKS)
+def test_a_stream_that_breaks_off_goes_on_after_its_last_event(case):
+    resumed = [STREAM_HEAD.replace(b"s1", b"s2"), events(2, 3), END]
+    site = site_of(a=(0, 4, BREAKS[case], resumed))
+    answer = play(site)
+    assert (answer.chunks, answer.whole) == (WHOLE, True)
+    assert answer.headers["x-seal"] == "s1"
+    assert b"last-event-id: 2\r\n" in engine(site, "a").requests[1][0].lower()
+
+
+@pytest.mark.parametrize("case", BREAKS)
+def test_a_stream_that_may_not_be_repeated_ends_visibly_cut(case):
+    site = site_of(a=(0, 4, BREAKS[case], [STREAM_HEAD, events(1, 2, 3), END]))
+    answer = play(site, "once")
+    assert WHOLE.startswith(answer.chunks) and not answer.whole
+    assert len(engine(site, "a").requests) == 1
+
+
+FAULT = b"x-fault: %b\r\n"
+
+
+@pytest.mark.parametrize("status", [421, 503])
+@pytest.mark.parametrize("name", ["draft", "once"])
+def test_an_engine_at_fault_is_avoided_by_the_next_send(status, name):
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+
+    async def run():
+        async with site:
+            engine(site, "a").scripts = [[reject], [STREAM_HEAD, events(1, 2, 3), END]]
+            return await site.ask(name, "POST")
+
+    def reject():
+        """Name the second engine of the path as the one at fault."""
+        path = engine(site, "a").requests[0][0].split(b"x-path: ")[1].split(b"\r\n")[0]
+        second = path.split(b",")[1].split(b"=")[0]
+        faults.append(second)
+        return plain_answer(status, headers=NOT_RUN + FAULT % second)
+
+    faults = []
+    answer = asyncio.run(run())
+    assert answer.chunks == WHOLE
+    assert faults[0] not in engine(site, "a").requests[1][0]
+
+
+def test_when_every_path_rejects_it_a_stream_is_refused_as_not_run():
+    site = site_of(a=(0, 4, *[[plain_answer(503, headers=NOT_RUN)]] * 9))
+    answer = play(site, "once")
+    assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+
+def test_a_stream_that_may_have_run_is_not_called_not_run():
+    site = site_of(a=(0, 4, [RESET], [plain_answer(503, headers=NOT_RUN)]))
+    assert play(site, "once").status == 502
+
+
+def silent_until(site, signal):
+    """Return a script step that waits for a signal of the site."""
+
+    async def wait():
+        await signal(site).wait()
+
+    return wait
+
+
+def test_a_stream_moves_away_from_an_engine_that_doesnt_answer():
+    """The first engine lives and stalls behind a dead one: it is ordered onto another path."""
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+    wait = silent_until(site, lambda s: s.engines.moved)
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), wait, events(2, 3), END]]
+
+    async def run():
+        async with site:
+            used = []
+
+            def on_data(data):
+                path = engine(site, "a").requests[0][0].decode()
+                dead = "b" if engine(site, "b").address in path else "c"
+                used.append(dead)
+                site.engines.dead.add(engine(site, dead).name)
+
+            answer = await site.ask("draft", "POST", on_data=on_data)
+            return answer, used[0]
+
+    answer, dead = asyncio.run(run())
+    other = "c" if dead == "b" else "b"
+    assert (answer.chunks, answer.whole) == (WHOLE, True)
+    name, attempt, path = site.engines.repaths[0]
+    assert (name, attempt) == ("a", "1")
+    assert engine(site, other).address in path and engine(site, dead).address not in path
+
+
+@pytest.mark.parametrize("name", ["draft", "once"])
+def test_a_stream_whose_engine_names_a_stalled_one_is_moved(name):
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+    wait = silent_until(site, lambda s: s.engines.moved)
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), wait, events(2, 3), END]]
+
+    async def run():
+        async with site:
+
+            def on_data(data):
+                path = engine(site, "a").requests[0][0].decode()
+                at_fault = next(e for e in "bc" if engine(site, e).address in path)
+                site.engines.stalled["a"] = (("1", engine(site, at_fault).address),)
+
+            return await site.ask(name, "POST", on_data=on_data)
+
+    assert asyncio.run(run()).chunks == WHOLE
+
+
+def test_a_stream_resumes_elsewhere_when_its_first_engine_falls_silent():
+    hang = asyncio.Event()
+    site = site_of(a=(0, 4), b=(0, 4))
+    for name in "ab":
+        engine(site, name).scripts = [[STREAM_HEAD, events(1), hang.wait, END]]
+
+    async def run():
+        async with site:
+
+            def on_data(data):
+                used = next(n for n in "ab" if engine(site, n).requests)
+                other = "b" if used == "a" else "a"
+                if engine(site, other).requests:
+                    return
+                site.engines.dead.add(engine(site, used).name)
+                engine(site, other).scripts = [[STREAM_HEAD, events(2, 3), END]]
+
+            answer = await site.ask("draft", "POST", on_data=on_data)
+            hang.set()
+            return answer
+
+    assert asyncio.run(run()).chunks == WHOLE
+
+
+def test_a_stream_that_cant_be_moved_begins_anew_after_its_last_event():
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+    hang = asyncio.Event()
+    engine(site, "a").scripts = [
+        [STREAM_HEAD, events(1), hang.wait, END],
+        [STREAM_HEAD, events(2, 3), END],
+    ]
+    site.engines.outcome = OrderOutcome(False, reason="404")
+
+    async def run():
+        async with site:
+
+            def on_data(data):
+                path = engine(site, "a").requests[0][0].decode()
+                dead = next(e for e in "bc" if engine(site, e).address in path)
+                if len(engine(site, "a").requests) == 1:
+                    site.engines.dead.add(engine(site, dead).name)
+
+            answer = await site.ask("draft", "POST", on_data=on_data)
+            hang.set()
+            return answer
+
+    assert asyncio.run(run()).chunks == WHOLE
+
+
+def test_the_engines_work_stops_when_the_caller_leaves_in_mid_stream():
+    async def run():
+        hang = asyncio.Event()
+        site = site_of(a=(0, 4, [STREAM_HEAD, events(1), hang.wait, END]))
+        async with site:
+            task = asyncio.create_task(site.ask("draft", "POST"))
+            await engine(site, "a").arrived.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            hang.set()
+            await asyncio.wait_for(engine(site, "a").left.wait(), 5)
+
+    asyncio.run(run())
+
+
+def test_a_client_that_resumes_gets_only_what_follows():
+    site = site_of(a=(0, 4, [STREAM_HEAD, events(2, 3), END]))
+    answer = play(site, headers=[("Last-Event-ID", "2")])
+    assert answer.chunks == event(3)
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 1000])
+@pytest.mark.parametrize("ending", [b"\n\n", b"\r\n\r\n"])
+def test_events_are_found_however_the_bytes_arrive(size, ending):
+    data = b"".join(b"id: %d\ndata: x%b" % (n, ending) for n in (1, 2)) + b"data: no id" + ending
+    splitter, found = EventSplitter(), []
+    for at in range(0, len(data), size):
+        splitter.feed(data[at : at + size])
+        while (taken := splitter.take()) is not None:
+            found.append(taken)
+    assert [e.id for e in found] == [1, 2, None]
+    assert b"".join(e.raw for e in found) == data and not splitter.rest
--- /dev/null
+++ b/test/test_platform.py
@@ -0,0 +1,341 @@
+"""The platform's adapter: what its bodies become, and how its store is asked."""
+
+import asyncio
+import base64
+import json
+import re
+import struct
+import sys
+from pathlib import Path
+from urllib.parse import parse_qs
+
+import msgspec
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from minttide.config.settings import Bounds  # noqa: E402
+from minttide.ids import Address, HostId  # noqa: E402
+from minttide.routing.routes import LayerRange, RouteKind  # noqa: E402
+from minttide.routing.sources import SourceError  # noqa: E402
+from minttide_platform.decode import decode_config, decode_entry, decode_report  # noqa: E402
+from minttide_platform.main import encode_addresses  # noqa: E402
+from minttide_platform.sources import StoreConfig, StoreLease, StoreUpstreams  # noqa: E402
+from minttide_platform.store import Store, TrimmedError  # noqa: E402
+from minttided.gateway.entry import ResolveBody  # noqa: E402
+from minttided.gateway.settings import GatewaySettings  # noqa: E402
+from minttided.http.messages import HttpResponse  # noqa: E402
+from minttided.http.server import HttpServer  # noqa: E402
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "pathPrefix": "/d/",
+            "kind": "stream",
+            "timeoutMs": 20000,
+            "sloMs": 500,
+            "priority": 1,
+            "trafficSplit": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "maxAttempts": 2,
+            "resumable": True,
+            "gapAimMs": 200,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "pathPrefix": "/b/",
+            "kind": "non_idempotent",
+            "timeoutMs": 2000,
+            "service": "t",
+            "public": True,
+            "somethingNew": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "s",
+            "healthPath": "/health",
+            "maxConns": 1068,
+            "engine": {
+                "slots": 96,
+                "kvTokenBytes": 852000,
+                "models": [{"name": "m", "loadS": 14.0}],
+                "step_ms": 0.85,
+                "per_seq_ms": 0.005,
+                "read_per_s": 272000.0,
+                "loads_at_once": 6,
+                "usual": {"prompt": 772, "answer": 145},
+                "layers": 80,
+                "layerMb": 1750.0,
+                "actBytes": 42600,
+                "pipeMbps": 9300.0,
+                "kinds": [{"name": "t4", "mb": 14400.0, "pace": 15.0, "readX": 15.0}],
+            },
+        },
+        {"name": "t", "healthPath": "/health", "maxConns": 100},
+    ],
+    "limits": {"maxHeaderBytes": 1000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "acme", "apiKeys": ["k"], "priority": 0}],
+}
+
+
+def test_a_configuration_becomes_the_products_own_types():
+    config = decode_config(json.dumps(CONFIG).encode())
+    draft, book = config.routes
+    assert config.version == 7
+    assert (draft.kind, draft.repeatable, draft.gap_s) == (RouteKind.STREAM, True, 0.2)
+    assert [(s.service, s.weight) for s in draft.shares] == [("s", 90), ("t", 10)]
+    assert (book.kind, book.repeatable, book.public) == (RouteKind.NON_IDEMPOTENT, False, True)
+    model = config.services[0].model
+    assert (model.layers, model.load_s, model.usual_prompt) == (80, 14.0, 772)
+    assert model.kind("t4").memory_mb == 14400.0
+    assert config.services[1].model is None
+    assert config.accounts[0].keys == ("k",) and config.accounts[0].priority == 0
+    assert (config.limits.max_header_bytes, config.limits.idle_timeout_s) == (1000, 15.0)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"version":"x"}', b"\xff\xfe"])
+def test_an_unreadable_configuration_is_an_error_and_never_an_empty_one(data):
+    with pytest.raises(SourceError):
+        decode_config(data)
+
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 4,
+    "born": 12,
+    "kind": "t4",
+    "layers": {"from": 10, "to": 17, "version": 1},
+}
+
+
+def test_an_entry_names_an_upstream_with_its_layers():
+    entry = decode_entry("i-1", json.dumps(ENTRY).encode())
+    assert (entry.id, entry.address, entry.leaving) == ("i-1", "10.0.0.1:80", False)
+    assert (entry.layers, entry.born_ms, entry.kind) == (LayerRange(10, 17), 12, "t4")
+    draining = decode_entry("i-1", json.dumps({**ENTRY, "state": "draining"}).encode())
+    assert draining.leaving
+    assert decode_entry("i-1", json.dumps({**ENTRY, "layers": None}).encode()).layers is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"slots": "many"},
+        {"zone": None},
+        {"born": "x"},
+    ],
+)
+def test_a_foreign_entry_names_no_upstream(change):
+    assert decode_entry("i-1", json.dumps({**ENTRY, **change}).encode()) is None
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00\x01", b"nonsense", b"[1]"])
+def test_an_entry_that_cant_be_read_names_no_upstream(data):
+    assert decode_entry("i-1", data) is None
+
+
+def test_a_report_names_what_is_stalled():
+    report = decode_report(
+        b'{"seq":2,"busy":true,"running":3,"kvUsed":5,"kvTotal":9,"pace":1.5,"born":4,'
+        b'"layers":{"from":0,"to":16},"stalled":[{"id":"a","address":"10.0.0.2:80"}]}'
+    )
+    assert (report.seq, report.busy, report.pace) == (2, True, 1.5)
+    assert report.layers == LayerRange(0, 16)
+    assert report.stalled == (("a", "10.0.0.2:80"),)
+    with pytest.raises(SourceError):
+        decode_report(b"{}")
+
+
+class StoreStandIn:
+    """A keyed log with groups, as far as the adapter uses it."""
+
+    def __init__(self):
+        self.records = {"keyed.op": [], "keyed.servers": []}
+        self.first = 0
+        self.members = []
+        self.status = 200
+        self.calls = []
+
+    def put(self, topic, key, value):
+        self.records[topic].append((key, value))
+
+    async def handle(self, req):
+        self.calls.append(req.path)
+        if self.status != 200:
+            return HttpResponse(self.status)
+        query = {k: v[0] for k, v in parse_qs(req.query).items()}
+        if req.path.endswith("log-newest"):
+            return self._newest(query)
+        if req.path.endswith("log-read"):
+            return self._read(query)
+        return self._group(req.path, json.loads(req.body))
+
+    def _newest(self, query):
+        records = self.records[query["topic"]]
+        newest = {k: (v, i) for i, (k, v) in enumerate(records)}
+        names = sorted(k for k in newest if k > query.get("after", ""))
+        page = [
+            {
+                "key": k,
+                "value": base64.b64encode(newest[k][0]).decode(),
+                "offset": newest[k][1],
+            }
+            for k in names[:2]
+        ]
+        body = {"items": page, "more": len(names) > 2, "end": len(records)}
+        return HttpResponse(200, json.dumps(body).encode())
+
+    def _read(self, query):
+        start = int(query["from"])
+        if start < self.first:
+            return HttpResponse(410, json.dumps({"first": self.first}).encode())
+        records = self.records[query["topic"]]
+        data = struct.pack(">QQ", len(records), self.first)
+        for key, value in records[start:]:
+            record = bytes([len(key)]) + key.encode() + value
+            data += struct.pack(">I", len(record)) + record
+        return HttpResponse(200, data, "application/octet-stream")
+
+    def _group(self, path, body):
+        if path.endswith("log-leave"):
+            self.members.remove(body["member"])
+            return HttpResponse(200)
+        if body["member"] not in self.members:
+            self.members.append(body["member"])
+        parts = [[body["topics"][0], 0, 0]] if self.members[0] == body["member"] else []
+        answer = {"generation": len(self.members), "ttlMs": 1500, "parts": parts}
+        return HttpResponse(200, json.dumps(answer).encode())
+
+
+def with_store(check):
+    async def run():
+        stand_in = StoreStandIn()
+        server = HttpServer(stand_in.handle, Address("127.0.0.1:0"), Bounds())
+        async with server, Store(server.address) as store:
+            return await check(stand_in, store)
+
+    return asyncio.run(run())
+
+
+def encoded(version):
+    return json.dumps({**CONFIG, "version": version}).encode()
+
+
+def test_the_configuration_is_read_whole_once_and_then_as_it_changes():
+    async def check(stand_in, store):
+        source = StoreConfig(store)
+        stand_in.put("keyed.op", "config", encoded(3))
+        first = await source.read(None, 0.0)
+        nothing = await source.read(first.position, 0.0)
+        stand_in.put("keyed.op", "other", b"x")
+        stand_in.put("keyed.op", "config", encoded(5))
+        changed = await source.read(nothing.position, 0.0)
+        return first.config.version, nothing.config, changed.config.version, changed.position
+
+    assert with_store(check) == (3, None, 5, 3)
+
+
+def test_records_that_were_deleted_are_made_up_for_by_the_newest_ones():
+    async def check(stand_in, store):
+        stand_in.put("keyed.op", "config", encoded(3))
+        stand_in.put("keyed.op", "config", encoded(9))
+        stand_in.first = 1
+        with pytest.raises(TrimmedError):
+            await store.read("keyed.op", 0, 0.0)
+        return (await StoreConfig(store).read(0, 0.0)).config.version
+
+    assert with_store(check) == 9
+
+
+def test_upstreams_are_listed_over_several_pages_without_foreign_entries():
+    async def check(stand_in, store):
+        for i in range(5):
+            stand_in.put("keyed.servers", f"i-{i}", json.dumps(ENTRY).encode())
+        stand_in.put("keyed.servers", "i-3", b"\x00")
+        return sorted(e.id for e in await StoreUpstreams(store).list())
+
+    assert with_store(check) == ["i-0", "i-1", "i-2", "i-4"]
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+def test_a_refusal_of_the_store_is_an_error_of_the_source(status):
+    async def check(stand_in, store):
+        stand_in.status = status
+        with pytest.raises(SourceError):
+            await StoreUpstreams(store).list()
+        with pytest.raises(SourceError):
+            await StoreConfig(store).read(None, 0.0)
+        with pytest.raises(SourceError):
+            await StoreLease(store, HostId("a")).renew(1.5)
+
+    with_store(check)
+
+
+def test_one_member_of_the_group_holds_the_lease():
+    async def check(stand_in, store):
+        a, b = StoreLease(store, HostId("a")), StoreLease(store, HostId("b"))
+        held = [(await a.renew(1.5)).held, (await b.renew(1.5)).held]
+        await a.release()
+        return held, (await b.renew(1.5)).held
+
+    assert with_store(check) == ([True, False], True)
+
+
+def test_an_answer_of_addresses_is_in_the_platforms_format():
+    body = ResolveBody([Address("10.0.0.1:1")], 1.0)
+    assert json.loads(encode_addresses(body)) == {"addresses": ["10.0.0.1:1"], "ttlS": 1.0}
+
+
+def test_the_settings_template_names_fields_that_the_gateway_has():
+    template = (ROOT / "deploy" / "settings.json.in").read_text()
+    quoted = re.sub(r'"?\{\{([a-z.A-Z_]+)(\|json)?\}\}[^",\n }]*"?', _sample, template)
+    cfg = msgspec.json.decode(quoted, type=GatewaySettings)
+    assert cfg.stop.grace_s == 1
+
+
+def _sample(match):
+    name = match.group(1)
+    if name == "seeds":
+        return '["10.0.0.1:1"]'
+    numeric = name.startswith("bounds.") or name == "heartbeatMs"
+    return "1" if numeric else '"10.0.0.1:1"'
+
+
+PLATFORM_NAMES = re.compile(
+    r"minttide-(attempt|server|deadline|hop|not-run|expect|token|tenant|instance|prompt|request-u)"
+    r"|at-server|keyed\.(op|servers|status)|log-(append|read|newest|join|leave|commit)"
+    r"|pathPrefix|trafficSplit|coldLeftMs|fencingToken|MINTTIDE_CONFIG\b"
+    r"|/minttide/(ready|resolve|report|order)",
+)
+
+
+def test_no_name_of_the_platform_stands_outside_its_folders():
+    found = []
+    for folder in ("core", "daemon", "cli", "fakes", "measure", "spec"):
+        for path in (ROOT / folder).rglob("*.py"):
+            lines = path.read_text().splitlines()
+            found += [f"{path}:{i}" for i, t in enumerate(lines, 1) if PLATFORM_NAMES.search(t)]
+    assert not found
+
+
+def test_the_adapter_is_under_a_tenth_of_the_products_code():
+    def count(folder):
+        return sum(len(p.read_text().splitlines()) for p in (ROOT / folder).rglob("*.py"))
+
+    product = sum(count(f) for f in ("core", "daemon", "cli"))
+    assert count("platform") < product / 10
