Write log lines without waiting, and bound them

Change: a bounded queue before the descriptor drops and counts, lines of one event beyond 200 a second are left out and summed, both told in lines of their own.

--- /dev/null
+++ b/daemon/minttided/operators/log_writer.py
@@ -0,0 +1,125 @@
+"""Writes log lines to a file descriptor without ever waiting for its reader.
+
+Lines that the reader doesn't take wait in a bounded queue; beyond it they are dropped and counted.
+Lines of one event that come too often are left out and summed. Both are told in lines of their own.
+"""
+
+import errno
+import logging
+import os
+import stat
+import time
+from collections import deque
+from collections.abc import Callable
+
+MAX_QUEUED_BYTES = 262_144
+MAX_EVENT_LINES_PER_S = 200
+"""Lines of one event of one logger in a second, warnings and errors among them."""
+
+
+class EventRate:
+    """Counts the lines of each event in the present second. Times are in seconds."""
+
+    def __init__(self, most_per_s: int = MAX_EVENT_LINES_PER_S):
+        self._most = most_per_s
+        self._second = 0
+        self._counts: dict[tuple[str, str], int] = {}
+
+    def admit(
+        self, event: tuple[str, str], now_s: float
+    ) -> tuple[bool, dict[tuple[str, str], int]]:
+        """Return whether a line may be written, and what earlier seconds left out."""
+        left_out: dict[tuple[str, str], int] = {}
+        if int(now_s) != self._second:
+            left_out = {e: n - self._most for e, n in self._counts.items() if n > self._most}
+            self._second = int(now_s)
+            self._counts = {}
+        count = self._counts.get(event, 0) + 1
+        self._counts[event] = count
+        return count <= self._most, left_out
+
+
+class LineQueue:
+    """Lines on their way to a descriptor that may not take them now."""
+
+    def __init__(self, write: Callable[[bytes], int], max_bytes: int = MAX_QUEUED_BYTES):
+        self._write = write
+        self._max = max_bytes
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self.dropped = 0
+
+    def put(self, line: bytes) -> bool:
+        """Queue a line and write what can be written; return false when it was dropped."""
+        if self._size + len(line) > self._max:
+            self.dropped += 1
+            self.flush()
+            return False
+        self._lines.append(line)
+        self._size += len(line)
+        self.flush()
+        return True
+
+    def flush(self) -> None:
+        """Write as much as the descriptor takes."""
+        while self._lines:
+            line = self._lines[0]
+            try:
+                written = self._write(line)
+            except OSError as exc:
+                if exc.errno not in (errno.EAGAIN, errno.EINTR):
+                    self._lines.clear()
+                    self._size = 0
+                return
+            self._size -= written
+            if written < len(line):
+                self._lines[0] = line[written:]
+                return
+            self._lines.popleft()
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes each record as a line to descriptor `fd`."""
+
+    def __init__(self, fd: int, clock: Callable[[], float] = time.monotonic):
+        super().__init__()
+        _make_non_blocking(fd)
+        self._queue = LineQueue(lambda data: os.write(fd, data))
+        self._rate = EventRate()
+        self._clock = clock
+        self._told_dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it."""
+        try:
+            event = (record.name, record.msg if isinstance(record.msg, str) else "")
+            admitted, left_out = self._rate.admit(event, self._clock())
+            for (name, message), count in left_out.items():
+                self._put(_summary(name, "lines left out", of=message, count=count))
+            if self._queue.dropped > self._told_dropped:
+                self._told_dropped = self._queue.dropped
+                self._put(_summary(__name__, "lines dropped", total=self._queue.dropped))
+            if admitted:
+                self._put(record)
+        except Exception:
+            self.handleError(record)
+
+    def _put(self, record: logging.LogRecord) -> None:
+        self._queue.put(self.format(record).encode("utf-8", "replace") + b"\n")
+
+    def flush(self) -> None:
+        """Write as much as the descriptor takes."""
+        self._queue.flush()
+
+
+def _summary(name: str, message: str, **extra: object) -> logging.LogRecord:
+    record = logging.LogRecord(name, logging.WARNING, "", 0, message, None, None)
+    record.__dict__.update(extra)
+    return record
+
+
+def _make_non_blocking(fd: int) -> None:
+    """Let writes to a pipe or socket fail instead of wait; files and terminals stay as they are."""
+    mode = os.fstat(fd).st_mode
+    if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+        os.set_blocking(fd, False)
--- a/daemon/minttided/operators/logs.py
+++ b/daemon/minttided/operators/logs.py
@@ -11,6 +11,7 @@
 
 from minttide.config.settings import LogFormat, LogLevel
 from minttide.ids import HostId
+from minttided.operators.log_writer import NonBlockingHandler
 
 _FIELDS = ("levelname", "name", "message")
 _NAMES = {"levelname": "level", "name": "logger", "message": "event"}
@@ -68,8 +69,11 @@
 def configure_logging(
     host: HostId, level: LogLevel, log_format: LogFormat, stream: TextIO | None = None
 ) -> logging.Handler:
-    """Let all loggers write to `stream`, standard error by default; return the handler."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    """Let all loggers write to `stream`, standard output by default; return the handler.
+
+    Standard output is written without waiting for its reader.
+    """
+    handler: logging.Handler = logging.StreamHandler(stream) if stream else _standard_output()
     handler.setFormatter(_FORMATTERS[log_format](host))
     root = logging.getLogger()
     root.setLevel(_LEVELS[level])
@@ -79,6 +83,10 @@
     return handler
 
 
+def _standard_output() -> logging.Handler:
+    return NonBlockingHandler(sys.stdout.fileno())
+
+
 def _timestamp(created: float) -> str:
     moment = datetime.fromtimestamp(created, tz=UTC)
     return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
