Find answers that are lost, and tell a full engine from a dead one

(2) At 36 s, just after all hosts had restarted, 65 streams were refused with 'no path with room': each engine that answered 503 for want of memory was kept away from for 2 s like a dead one. (3) A send that broke off went to the same engine again, and one that crashed counted against the route's attempts. Change: a silence of 0.5 s and three times the usual with all engines alive counts as lost and is sent again within the route's attempts, which count engines that still live; a full engine is avoided for 0.3 s, one without its layers for 1 s, and tried again where no path is left; a caller that leaves before the first event leaves a line.

--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -12,10 +12,10 @@
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
-from minttide.routing.sources import OrderOutcome, SourceError
+from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
 from minttided.gateway.events import Event, EventSplitter, EventTooLongError
 from minttided.gateway.exchange import Exchange
-from minttided.gateway.loads import PathLoads
+from minttided.gateway.loads import SUSPECT_S, PathLoads
 from minttided.gateway.patience import Patience
 from minttided.gateway.plain import MAX_ANSWER_BYTES, split_content_type, whole_answer
 from minttided.gateway.probes import EngineProbes
@@ -31,6 +31,21 @@
 """Sends of one stream, those that engines rejected among them."""
 
 MOST_REPATHS = 4
+
+FULL_S = 0.3
+"""How long all streams keep away from an engine that has no room."""
+
+STALE_S = 1.0
+"""How long they keep away from one that doesn't hold the layers that the list says."""
+
+_AVOID_S = {503: FULL_S, 421: STALE_S}
+
+LOST_S = 0.5
+"""Least silence after which an answer counts as lost although all engines live."""
+
+LOST_AFTER = 3.0
+"""The same in multiples of the silence after which engines are asked."""
+
 URGENCY_STEP = 2
 MOST_URGENCY = 9
 
@@ -67,8 +82,8 @@
     def may_resend(self, service: ServiceName) -> bool:
         """Take one more send out of the service's budget."""
 
-    def suspect_address(self, address: Address) -> UpstreamId | None:
-        """Suspect the engine at an address; return it where it is known."""
+    def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
+        """Keep away from the engine at an address for a while; return it where it is known."""
 
 
 class StreamRun:
@@ -85,12 +100,14 @@
         self._avoided: set[UpstreamId] = set()
         self._last_id = _read_last_id(request)
         self._sends = 0
-        self._ran = 0
+        self._ran = False
+        self._lived = 0  # sends that ran on an engine which hasn't ended meanwhile
         self._repaths = 0
         self._events = 0
         self._longest_gap_s = 0.0
         self._first_s: float | None = None
         self._last_s = request.received_s
+        self._sent_s = request.received_s
 
     # The answer.
 
@@ -102,7 +119,7 @@
         try:
             sent = await self._send_until_begun()
         except BaseException:
-            self._leave_path()
+            self.close(cut=True)
             raise
         if sent.event is None or self._exchange is None:
             self._leave_path()
@@ -123,7 +140,7 @@
 
     def _may_send(self) -> bool:
         return (
-            self._ran < self._request.route.max_attempts
+            self._lived < self._request.route.max_attempts
             and self._sends < MOST_SENDS
             and now_s() < self._request.end_s
             and self._owner.may_resend(self._request.service)
@@ -136,7 +153,7 @@
         if sent.end is End.ANSWERED and sent.answer is not None:
             metrics.count_request(service, Ran.DONE)
             return sent.answer
-        if self._ran == 0:
+        if not self._ran:
             metrics.count_request(service, Ran.NOT_RUN)
             raise refuse(ProblemType.NO_CHAIN, f"no path took it: {sent.reason}")
         metrics.count_request(service, Ran.UNKNOWN)
@@ -156,6 +173,7 @@
             return Sent(End.REJECTED, "no path with room")
         self._enter_path(path)
         self._sends += 1
+        self._sent_s = now_s()
         self._splitter = EventSplitter()
         try:
             sent = await self._open()
@@ -163,8 +181,11 @@
             self._avoided.add(path[0].engine)
             sent = Sent(End.NOT_SENT, str(exc))
         except (BrokenError, EventTooLongError) as exc:
+            self._avoided.add(path[0].engine)
             sent = Sent(End.UNKNOWN, str(exc))
-        self._ran += sent.end not in (End.REJECTED, End.NOT_SENT)
+        if sent.end not in (End.REJECTED, End.NOT_SENT):
+            self._ran = True
+            self._lived += sent.event is not None or await self._lives(path[0].engine)
         self._log_sent(sent)
         if sent.event is None:
             self._leave_path()
@@ -220,12 +241,10 @@
         body = await exchange.read_body(MAX_ANSWER_BYTES, self._request.end_s)
         end = classify(exchange.status, exchange.header(names.not_run) is not None)
         fault = exchange.header(names.fault_address)
-        if fault is not None:
-            named = self._owner.suspect_address(Address(fault))
-            if named is not None:
-                self._avoided.add(named)
-        elif end is End.REJECTED:
-            self._avoided.add(self._path[0].engine)
+        if end is End.REJECTED:
+            for_s = _AVOID_S.get(exchange.status, FULL_S)
+            named = self._owner.avoid_address(Address(fault), for_s) if fault else None
+            self._avoided.add(named or self._path[0].engine)
         reason = f"{exchange.status} at {fault}" if fault else str(exchange.status)
         return Sent(end, reason, answer=whole_answer(exchange, body))
 
@@ -317,10 +336,11 @@
         if head is not None:
             for attempt, address in head.stalled:
                 if attempt == self._request.attempt:
-                    named = self._owner.suspect_address(address)
+                    named = self._owner.avoid_address(address, SUSPECT_S)
                     dead |= {named} if named is not None else set()
         dead &= {s.engine for s in self._path}
         if not dead:
+            self._check_lost(head)
             return
         self._avoided |= dead
         if self._path[0].engine in dead:
@@ -328,6 +348,23 @@
         if not await self._move(dead) and self._request.route.repeatable:
             raise BrokenError("an engine on the path doesn't answer")
 
+    def _check_lost(self, head: EngineReport | None) -> None:
+        """Raise `BrokenError` for an answer that seems lost although all engines live.
+
+        A request that waits at its engine is not lost, only late.
+        """
+        silent_s = now_s() - self._silent_since_s()
+        patient = silent_s < LOST_AFTER * self._owner.patience.between_s or silent_s < LOST_S
+        may_repeat = self._request.route.repeatable
+        if patient or not may_repeat or self._lived >= self._request.route.max_attempts:
+            return
+        if head is not None and self._events == 0 and head.waiting > 0:
+            return
+        raise BrokenError("the answer seems lost")
+
+    def _silent_since_s(self) -> float:
+        return max(self._sent_s, self._last_s)
+
     async def _move(self, dead: set[UpstreamId]) -> bool:
         """Order the first engine to use another path; return whether it does."""
         first = self._path[0]
@@ -335,6 +372,8 @@
         path = self._choose(first.engine)
         if entry is None or path is None or self._repaths >= MOST_REPATHS:
             return False
+        if any(stage.engine in dead for stage in path):
+            return False
         self._repaths += 1
         try:
             outcome = await self._owner.state.engines.repath(
@@ -360,9 +399,18 @@
             self._owner.loads.add(path, self._work)
         return moved
 
+    async def _lives(self, engine: UpstreamId) -> bool:
+        """Return whether an engine that broke off still answers."""
+        reports = await self._owner.probes.ask([engine])
+        return reports[engine] is not None
+
     async def _resume(self, reason: str) -> Event | None:
         """Go on after the last event at another path. Raises `BrokenError` where that fails."""
+        first = self._path[0].engine
         self._leave_path()
+        self._avoided.add(first)
+        if not await self._lives(first):
+            self._lived -= 1
         request = self._request
         log.warning(
             "stream broke off",
@@ -376,9 +424,7 @@
         )
         if not request.route.resumable or self._last_id is None:
             raise BrokenError(reason)
-        while self._sends < MOST_SENDS and now_s() < request.end_s:
-            if not self._owner.may_resend(request.service):
-                raise BrokenError("the budget of repeated sends is used up")
+        while self._may_send():
             sent = await self._send()
             if sent.event is not None:
                 self._owner.state.metrics.count_recovery(request.service, "resume")
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -27,6 +27,7 @@
         self.probes = EngineProbes(state, suspects)
         self.patience = Patience()
         self._suspects = suspects
+        self._full = Suspects()
         self._budgets = budgets
 
     async def run(self, request: GatewayRequest, model: ModelSpec) -> HttpResponse | StreamResponse:
@@ -47,21 +48,28 @@
         first: UpstreamId | None = None,
     ) -> Path | None:
         """Return the path to use now, beginning with engine `first` where it is given."""
-        avoid = self._suspects.current(now_s()) | avoided
-        finder = PathFinder(model, self.state.of_service(service), avoid - {first})
+        engines = self.state.of_service(service)
         loads = self.loads.estimate()
-        path = finder.choose(work, self.state.cfg.zone, loads, self.state.rng, first)
-        return path if path is not None and is_whole(path, model.layers) else None
+        silent = self._suspects.current(now_s())
+        full = self._full.current(now_s())
+        # Where no path is left, an engine that may have room again is better than none.
+        for avoid in (silent | full | avoided, silent | avoided, silent):
+            finder = PathFinder(model, engines, avoid - {first})
+            path = finder.choose(work, self.state.cfg.zone, loads, self.state.rng, first)
+            if path is not None and is_whole(path, model.layers):
+                return path
+        return None
 
     def may_resend(self, service: ServiceName) -> bool:
         """Take one more send out of the service's budget."""
         return self._budgets.of(service).try_spend(now_s())
 
-    def suspect_address(self, address: Address) -> UpstreamId | None:
-        """Suspect the engine at an address; return it where it is known."""
+    def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
+        """Keep away from the engine at an address for a while; return it where it is known."""
         for entry in self.state.upstreams.values():
             if entry.address == address:
-                if self._suspects.add(entry.id, now_s()):
-                    log.warning("engine suspected", extra={"engine": entry.id, "reason": "named"})
+                if self._full.add(entry.id, now_s(), for_s):
+                    extra = {"engine": entry.id, "reason": "named by an engine", "for_s": for_s}
+                    log.warning("engine avoided", extra=extra)
                 return entry.id
         return None
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -282,3 +282,57 @@
             found.append(taken)
     assert [e.id for e in found] == [1, 2, None]
     assert b"".join(e.raw for e in found) == data and not splitter.rest
+
+
+def test_an_answer_that_is_lost_while_all_engines_live_is_asked_for_elsewhere():
+    """Replays an engine that runs a request and whose connection then stays silent."""
+    hang = asyncio.Event()
+    site = site_of(a=(0, 4), b=(0, 4))
+    scripts = [[STREAM_HEAD, hang.wait, END], [STREAM_HEAD, events(1, 2, 3), END]]
+    for name in "ab":
+        engine(site, name).scripts = scripts
+
+    async def run():
+        async with site:
+            answer = await site.ask("draft", "POST")
+            hang.set()
+            return answer, len(engine(site, "a").requests), len(engine(site, "b").requests)
+
+    answer, on_a, on_b = asyncio.run(run())
+    assert answer.chunks == WHOLE
+    assert (on_a, on_b) == (1, 1)
+
+
+def test_no_stream_runs_on_more_living_engines_than_its_route_allows():
+    """Replays engines that live and break every answer off."""
+    broken = [STREAM_HEAD, events(1), RESET]
+    site = site_of(a=(0, 4, *[broken] * 9), b=(0, 4, *[broken] * 9), c=(0, 4, *[broken] * 9))
+    answer = play(site)
+    assert not answer.whole
+    assert sum(len(engine(site, name).requests) for name in "abc") == 2
+
+
+def test_a_full_engine_is_no_dead_engine():
+    """Replays a restart in which all engines are full for a moment: streams go on trying them."""
+    full = [plain_answer(503, headers=NOT_RUN)]
+    site = site_of(a=(0, 4, full, full, [STREAM_HEAD, events(1, 2, 3), END]))
+    assert play(site).chunks == WHOLE
+
+
+def test_a_caller_that_leaves_before_the_first_event_leaves_a_line(caplog):
+    caplog.set_level("INFO")
+
+    async def run():
+        hang = asyncio.Event()
+        site = site_of(a=(0, 4, [hang.wait, END]))
+        async with site:
+            task = asyncio.create_task(site.ask("draft", "POST"))
+            await engine(site, "a").arrived.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            hang.set()
+            await asyncio.wait_for(engine(site, "a").left.wait(), 5)
+
+    asyncio.run(run())
+    ended = [r for r in caplog.records if r.message == "stream ended"]
+    assert [(r.request, r.cut, r.events) for r in ended] == [("1", True, 0)]
