Divide the budget of repeated sends among the hosts that are known, and spread refused callers

Cause: each host took a quarter of the slack whatever the number of hosts: seven hosts together could send 1.75 times the bound, nine 2.25 times. Refusals all said the same time to come back. Change: an even part for each known host, half of it saved, half as a rate, half of the saved part at a start; the time to come back grows with refusals over answers and is drawn anew for each caller.

--- a/core/minttide/policy/retries.py
+++ b/core/minttide/policy/retries.py
@@ -19,13 +19,20 @@
         share: float = RETRY_SHARE,
         least_per_s: float = LEAST_RETRIES_PER_S,
         most_saved: float = MOST_SAVED,
+        saved: float | None = None,
     ):
         self._share = share
         self._least_per_s = least_per_s
         self._most_saved = most_saved
-        self._saved = least_per_s
+        self._saved = least_per_s if saved is None else saved
         self._filled_s = now_s
 
+    def resize(self, least_per_s: float, most_saved: float) -> None:
+        """Use other bounds; what is saved beyond them is lost."""
+        self._least_per_s = least_per_s
+        self._most_saved = most_saved
+        self._saved = min(self._saved, most_saved)
+
     def note_first_try(self) -> None:
         """Count a first try, which earns part of a retry."""
         self._saved = min(self._most_saved, self._saved + self._share)
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -13,12 +13,13 @@
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import ClientLimits
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
+from minttided.gateway.budgets import Budgets
 from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.front import Front
 from minttided.gateway.loads import PathLoads, Suspects
 from minttided.gateway.placer import Placer
-from minttided.gateway.plain import Budgets, PlainCalls
+from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
@@ -41,9 +42,6 @@
 SPREAD_S = 1.0
 """How long other hosts may still name this one after it has announced that it is leaving."""
 
-ASSUMED_HOSTS = 4
-"""Hosts that the budget of repeated sends is divided among at least."""
-
 
 _ADDRESSES = ("host", "zone", "callers", "directory", "health", "peer", "metrics", "store")
 
@@ -147,7 +145,7 @@
             rng=self.state.rng,
         )
         loads = PathLoads(self._count_peers)
-        budgets = Budgets(self.state, max(ASSUMED_HOSTS, len(cfg.peers)))
+        budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
         plain = PlainCalls(self.state, self._suspects, budgets)
         streams = StreamCalls(self.state, self._suspects, budgets, loads)
         self.front = HttpServer(
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/plain.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from minttide.ids import ServiceName, UpstreamId, ZoneId
+from minttide.ids import UpstreamId, ZoneId
 from minttide.outcome import ProblemType, Ran
-from minttide.policy.retries import RetryBudget
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import UpstreamEntry
+from minttided.gateway.budgets import Budgets
 from minttided.gateway.exchange import Exchange
 from minttided.gateway.loads import Suspects
 from minttided.gateway.refusals import fail, refuse
@@ -39,25 +39,6 @@
     answer: HttpResponse | None = None
 
 
-class Budgets:
-    """The budget of sends beyond the first, for each service."""
-
-    def __init__(self, state: GatewayState, hosts: int):
-        self._state = state
-        self._hosts = max(1, hosts)
-        self._budgets: dict[ServiceName, RetryBudget] = {}
-
-    def of(self, service: ServiceName) -> RetryBudget:
-        """Return the budget of a service on this host."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            retries = self._state.cfg.retries
-            even = retries.slack / self._hosts
-            budget = RetryBudget(now_s(), retries.share, even / 2 / retries.window_s, even / 2)
-            self._budgets[service] = budget
-        return budget
-
-
 class PlainCalls:
     """Runs requests of routes whose service has no model."""
 
@@ -76,7 +57,9 @@
         while True:
             upstream = self._choose(request, tried)
             if upstream is None:
-                raise refuse(ProblemType.NO_UPSTREAM, f"no upstream of {request.service} is up")
+                detail = f"no upstream of {request.service} is up"
+                retry_s = self._budgets.refuse(request.service)
+                raise refuse(ProblemType.NO_UPSTREAM, detail, retry_s)
             attempt = await self._send(request, upstream)
             tried.append(upstream.id)
             ran += attempt.end not in (End.REJECTED, End.NOT_SENT)
@@ -138,10 +121,15 @@
         metrics = self._state.metrics
         if attempt.end is End.ANSWERED and attempt.answer is not None:
             metrics.count_request(request.service, Ran.DONE)
+            self._budgets.note_served(request.service)
             return attempt.answer
         if ran == 0:
             metrics.count_request(request.service, Ran.NOT_RUN)
-            raise refuse(ProblemType.OVERLOADED, f"upstreams did not take it: {attempt.reason}")
+            raise refuse(
+                ProblemType.OVERLOADED,
+                f"upstreams did not take it: {attempt.reason}",
+                self._budgets.refuse(request.service),
+            )
         metrics.count_request(request.service, Ran.UNKNOWN)
         answer = attempt.answer
         if answer is not None and may_pass_on(answer.status, request.route.repeatable):
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -13,6 +13,7 @@
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
 from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
+from minttided.gateway.budgets import Budgets
 from minttided.gateway.events import Event, EventSplitter, EventTooLongError
 from minttided.gateway.exchange import Exchange
 from minttided.gateway.loads import SUSPECT_S, PathLoads
@@ -65,6 +66,7 @@
     """What runs share on one host."""
 
     state: GatewayState
+    budgets: Budgets
     loads: PathLoads
     probes: EngineProbes
     patience: Patience
@@ -155,7 +157,8 @@
             return sent.answer
         if not self._ran:
             metrics.count_request(service, Ran.NOT_RUN)
-            raise refuse(ProblemType.NO_CHAIN, f"no path took it: {sent.reason}")
+            retry_s = self._owner.budgets.refuse(service)
+            raise refuse(ProblemType.NO_CHAIN, f"no path took it: {sent.reason}", retry_s)
         metrics.count_request(service, Ran.UNKNOWN)
         answer = sent.answer
         if answer is not None and may_pass_on(answer.status, self._request.route.repeatable):
@@ -265,6 +268,7 @@
             except (BrokenError, EventTooLongError) as exc:
                 event = await self._resume(str(exc))
         self._owner.state.metrics.count_request(self._request.service, Ran.DONE)
+        self._owner.budgets.note_served(self._request.service)
 
     def _is_new(self, event: Event) -> bool:
         return event.id is None or self._last_id is None or event.id > self._last_id
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -6,9 +6,9 @@
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, PathFinder, Work, is_whole
 from minttide.routing.routes import ModelSpec
+from minttided.gateway.budgets import Budgets
 from minttided.gateway.loads import PathLoads, Suspects
 from minttided.gateway.patience import Patience
-from minttided.gateway.plain import Budgets
 from minttided.gateway.probes import EngineProbes
 from minttided.gateway.request import GatewayRequest, read_work
 from minttided.gateway.state import GatewayState, now_s
@@ -28,14 +28,14 @@
         self.patience = Patience()
         self._suspects = suspects
         self._full = Suspects()
-        self._budgets = budgets
+        self.budgets = budgets
 
     async def run(self, request: GatewayRequest, model: ModelSpec) -> HttpResponse | StreamResponse:
         """Return the answer to a request, whose events follow as they come.
 
         Raises `RequestError`.
         """
-        self._budgets.of(request.service).note_first_try()
+        self.budgets.of(request.service).note_first_try()
         work = read_work(request.req, self.state.headers, model)
         return await StreamRun(self, request, model, work).begin()
 
@@ -62,7 +62,7 @@
 
     def may_resend(self, service: ServiceName) -> bool:
         """Take one more send out of the service's budget."""
-        return self._budgets.of(service).try_spend(now_s())
+        return self.budgets.of(service).try_spend(now_s())
 
     def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
         """Keep away from the engine at an address for a while; return it where it is known."""
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -23,9 +23,10 @@
 )
 from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
 from minttide.routing.table import RouteTable
+from minttided.gateway.budgets import Budgets
 from minttided.gateway.front import Front
 from minttided.gateway.loads import PathLoads, Suspects
-from minttided.gateway.plain import Budgets, PlainCalls
+from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams import StreamCalls
@@ -205,7 +206,7 @@
             self._list(upstream, "model", LayerRange(first, last), kind)
         self.suspects = Suspects()
         self.loads = PathLoads(lambda: 1.0)
-        budgets = Budgets(self.state, 1)
+        budgets = Budgets(self.state, lambda: 1)
         self.streams = StreamCalls(self.state, self.suspects, budgets, self.loads)
         front = Front(self.state, PlainCalls(self.state, self.suspects, budgets), self.streams)
         self.server = HttpServer(front.handle, ANYWHERE, Bounds())
