Share one client connection between the pooled client and single exchanges

Cause: the gateway's exchange wrote again how a connection is opened, a request sent and a head read. Change: http/client_connection.py holds it once.

--- a/daemon/minttided/gateway/exchange.py
+++ b/daemon/minttided/gateway/exchange.py
@@ -5,25 +5,28 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import h11
 
 from minttide.ids import Address
 from minttide.interfaces import always
-from minttided.http.client import READ_BYTES, BrokenError, NotSentError
-from minttided.http.messages import Headers, split_address
+from minttided.http.client_connection import (
+    BrokenError,
+    ClientConnection,
+    NotSentError,
+    make_request,
+)
+from minttided.http.messages import Headers
 
 CONNECT_TIMEOUT_S = 0.5
 
 
 class Exchange:
-    """An answer whose head has come. `pieces` gives its body; close it when done."""
+    """An answer whose head has come. `read_piece` gives its body; close it when done."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
-        self._reader = reader
-        self._writer = writer
-        self._conn = h11.Connection(h11.CLIENT)
+    def __init__(self, conn: ClientConnection):
+        self._conn = conn
         self.status = 0
         self.headers: Headers = []
 
@@ -44,8 +47,9 @@
 
         Raises `NotSentError` or `BrokenError`; a timeout is one or the other.
         """
-        request = _make_request(method, target, headers)
-        exchange = cls(*await _connect(address, end_s))
+        request = make_request(method, target, headers)
+        limit_s = min(end_s, asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S)
+        exchange = cls(await ClientConnection.open(address, limit_s))
         if not may_send():
             exchange.close()
             raise NotSentError("the upstream is leaving")
@@ -64,18 +68,8 @@
         return exchange
 
     async def _start(self, request: h11.Request, body: bytes) -> None:
-        parts = [self._conn.send(request)]
-        if body:
-            parts.append(self._conn.send(h11.Data(data=body)))
-        parts.append(self._conn.send(h11.EndOfMessage()))
-        self._writer.write(b"".join(p for p in parts if p))
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            raise h11.RemoteProtocolError("the connection closed before an answer")
-        self.status = head.status_code
-        self.headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
+        await self._conn.send(request, body)
+        self.status, self.headers = await self._conn.read_head()
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header of the answer, `name` in lower case."""
@@ -84,22 +78,16 @@
     async def read_piece(self) -> bytes | None:
         """Return the next bytes of the body, none at its end. Raises `BrokenError`."""
         try:
-            event = await self._next_event()
+            return await self._conn.read_data()
         except (OSError, h11.ProtocolError) as exc:
             raise BrokenError(str(exc) or type(exc).__name__) from exc
-        return bytes(event.data) if isinstance(event, h11.Data) else None
-
-    async def pieces(self) -> AsyncIterator[bytes]:
-        """Give the body piece by piece. Raises `BrokenError` when it ends early."""
-        while (piece := await self.read_piece()) is not None:
-            yield piece
 
     async def read_body(self, limit: int, end_s: float) -> bytes:
         """Return the whole body of up to `limit` bytes. Raises `BrokenError`."""
         found = bytearray()
         try:
             async with asyncio.timeout_at(end_s):
-                async for piece in self.pieces():
+                while (piece := await self.read_piece()) is not None:
                     found += piece
                     if len(found) > limit:
                         raise BrokenError(f"the answer is longer than {limit} bytes")
@@ -107,32 +95,6 @@
             raise BrokenError("no whole answer in time") from exc
         return bytes(found)
 
-    async def _next_event(self) -> object:
-        while (event := self._conn.next_event()) is h11.NEED_DATA:
-            self._conn.receive_data(await self._reader.read(READ_BYTES))
-        return event
-
     def close(self) -> None:
         """Close the connection at once, so that the upstream drops what it still does for it."""
-        self._writer.transport.abort()
-
-
-def _make_request(method: str, target: str, headers: Sequence[tuple[str, str]]) -> h11.Request:
-    try:
-        return h11.Request(method=method, target=target, headers=list(headers))
-    except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
-        raise NotSentError(f"not a valid request: {exc}") from exc
-
-
-async def _connect(
-    address: Address, end_s: float
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    host, port = split_address(address)
-    limit_s = min(end_s, asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S)
-    try:
-        async with asyncio.timeout_at(limit_s):
-            return await asyncio.open_connection(host, port, limit=READ_BYTES)
-    except TimeoutError as exc:
-        raise NotSentError("no connection in time") from exc
-    except OSError as exc:
-        raise NotSentError(str(exc)) from exc
+        self._conn.abort()
--- /dev/null
+++ b/daemon/minttided/http/client_connection.py
@@ -0,0 +1,100 @@
+"""One connection of the HTTP client, from its opening to the next request on it."""
+
+import asyncio
+from collections.abc import Sequence
+
+import h11
+
+from minttide.ids import Address
+from minttided.http.messages import Headers, split_address
+
+READ_BYTES = 65_536
+
+
+class NotSentError(Exception):
+    """No byte of the request has left this host, and none will."""
+
+
+class BrokenError(Exception):
+    """The exchange ended without a whole answer after bytes of the request may have left."""
+
+
+def make_request(method: str, target: str, headers: Sequence[tuple[str, str]]) -> h11.Request:
+    """Return a request's head. Raises `NotSentError` for one that HTTP doesn't allow."""
+    try:
+        return h11.Request(method=method, target=target, headers=list(headers))
+    except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
+        raise NotSentError(f"not a valid request: {exc}") from exc
+
+
+class ClientConnection:
+    """A connection to one address. Calls raise `OSError` or `h11.ProtocolError` when it breaks."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._reader = reader
+        self._writer = writer
+        self._conn = h11.Connection(h11.CLIENT)
+        self._idle_since = 0.0
+
+    @classmethod
+    async def open(cls, address: Address, limit_s: float) -> "ClientConnection":
+        """Connect until `limit_s`, in loop time. Raises `NotSentError`."""
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout_at(limit_s):
+                return cls(*await asyncio.open_connection(host, port, limit=READ_BYTES))
+        except TimeoutError as exc:
+            raise NotSentError("no connection in time") from exc
+        except OSError as exc:
+            raise NotSentError(str(exc)) from exc
+
+    async def send(self, request: h11.Request, body: bytes) -> None:
+        """Send a whole request."""
+        parts = [self._conn.send(request)]
+        if body:
+            parts.append(self._conn.send(h11.Data(data=body)))
+        parts.append(self._conn.send(h11.EndOfMessage()))
+        self._writer.write(b"".join(p for p in parts if p))
+        await self._writer.drain()
+
+    async def read_head(self) -> tuple[int, Headers]:
+        """Return the status and the headers of the answer, their names in lower case."""
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        if not isinstance(head, h11.Response):
+            raise h11.RemoteProtocolError("the connection closed before an answer")
+        headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
+        return head.status_code, headers
+
+    async def read_data(self) -> bytes | None:
+        """Return the next bytes of the answer's body, none at its end."""
+        event = await self._next_event()
+        return bytes(event.data) if isinstance(event, h11.Data) else None
+
+    async def _next_event(self) -> object:
+        while (event := self._conn.next_event()) is h11.NEED_DATA:
+            self._conn.receive_data(await self._reader.read(READ_BYTES))
+        return event
+
+    def usable(self, now: float, keep_s: float) -> bool:
+        """Return whether an idle connection may be used again; `now` in loop time, seconds."""
+        stale = now - self._idle_since > keep_s
+        return not stale and not self._reader.at_eof() and not self._writer.is_closing()
+
+    def reset(self, now: float) -> bool:
+        """Make ready for the next request; return false when the connection can't be reused."""
+        states = (self._conn.our_state, self._conn.their_state)
+        if states != (h11.DONE, h11.DONE) or self._reader.at_eof():
+            return False
+        self._conn.start_next_cycle()
+        self._idle_since = now
+        return True
+
+    def close(self) -> None:
+        """Close the connection once what was written has left."""
+        self._writer.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
