--- a/cli/minttide_cli/commands/demo.py
+++ b/cli/minttide_cli/commands/demo.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import sys
 from pathlib import Path
 
 import click
@@ -32,7 +33,7 @@
     from minttide_cli.demo.runner import run_demo
 
     if verbose:
-        configure_logging(HostId("demo"), LogLevel.INFO, LogFormat.KEY_VALUE)
+        configure_logging(HostId("demo"), LogLevel.INFO, LogFormat.KEY_VALUE, sys.stderr)
     else:
         logging.disable(logging.CRITICAL)
     try:
--- /dev/null
+++ b/core/minttide/layers/silence.py
@@ -0,0 +1,82 @@
+"""Judges a stream that has fallen silent, from what the engines of its path answer.
+
+Answers the loss of a stage in mid-stream: engines behind one that has died stall for seconds, while
+a caller counts a pause of a fraction of a second as late.
+"""
+
+from collections.abc import Mapping, Set
+from enum import Enum
+
+import msgspec
+
+from minttide.ids import UpstreamId
+from minttide.layers.paths import Path
+from minttide.routing.sources import EngineReport
+
+LOST_S = 0.5
+"""Least silence after which an answer counts as lost although all engines live."""
+
+LOST_AFTER = 3.0
+"""The same in multiples of the silence after which engines are asked."""
+
+
+class Remedy(Enum):
+    """What to do about a silent stream."""
+
+    WAIT = "wait"
+    MOVE = "move"  # order the first engine onto a path around the dead ones
+    RESTART = "restart"  # begin anew on another path, after the last event
+
+
+class Silence(msgspec.Struct, frozen=True):
+    """A silent stream. `usual_s` is the silence after which engines are asked, in seconds.
+
+    `may_restart` says whether the request may be sent once more to engines that may have run it.
+    """
+
+    silent_s: float
+    usual_s: float
+    begun: bool
+    may_restart: bool
+
+
+class Judgement(msgspec.Struct, frozen=True):
+    """The remedy, the engines of the path that don't answer, and the reason."""
+
+    remedy: Remedy
+    dead: frozenset[UpstreamId] = frozenset()
+    reason: str = ""
+
+
+def judge(
+    path: Path,
+    reports: Mapping[UpstreamId, EngineReport | None],
+    stalled_at: Set[UpstreamId],
+    silence: Silence,
+) -> Judgement:
+    """Judge by the engines' reports, none for one that is silent itself.
+
+    `stalled_at` holds engines that the first engine says the request waits for.
+    """
+    silent = {engine for engine, report in reports.items() if report is None}
+    dead = frozenset(s.engine for s in path if s.engine in silent or s.engine in stalled_at)
+    head = path[0].engine
+    if head in dead:
+        return Judgement(Remedy.RESTART, dead, "the first engine doesn't answer")
+    if dead:
+        return Judgement(Remedy.MOVE, dead, "an engine on the path doesn't answer")
+    if _seems_lost(reports.get(head), silence):
+        return Judgement(Remedy.RESTART, dead, "the answer seems lost")
+    return Judgement(Remedy.WAIT)
+
+
+def _seems_lost(head: EngineReport | None, silence: Silence) -> bool:
+    """Return whether an answer was lost although all engines live.
+
+    A request that waits at its first engine is not lost, only late.
+    """
+    if not silence.may_restart or silence.silent_s < LOST_S:
+        return False
+    if silence.silent_s < LOST_AFTER * silence.usual_s:
+        return False
+    return silence.begun or head is None or head.waiting == 0
--- a/daemon/minttided/app.py
+++ b/daemon/minttided/app.py
@@ -35,7 +35,7 @@
 from minttided.placement.placement_view import PlacementView
 from minttided.placement.site_planner import SitePlanner
 from minttided.stopping import Drain
-from minttided.supervisor import Child, Ready, Restart, Supervised, Supervisor
+from minttided.supervisor import Child, Ready, Restart, Supervised, Supervisor, stay
 
 log = logging.getLogger(__name__)
 
@@ -98,15 +98,7 @@
 
     async def wait(self) -> None:
         """Wait until a planned stop is done. Raises the error of a daemon that has failed."""
-        drained = asyncio.create_task(self.drain.done.wait())
-        failed = asyncio.create_task(self._supervised.wait())
-        try:
-            done, _ = await asyncio.wait({drained, failed}, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
-        finally:
-            drained.cancel()
-            failed.cancel()
+        await self._supervised.wait_or(self.drain.done)
 
     # What operators see and do.
 
@@ -244,7 +236,7 @@
     async def _run_peer_listener(self, ready: Ready) -> None:
         async with self._net.listen(self.cfg.peer, self._peers) as listener:
             self.membership.set_addresses(self.callers_address, listener.address)
-            await _stay(ready)
+            await stay(ready)
 
     async def _run_placement(self, ready: Ready) -> None:
         async with AsyncExitStack() as stack:
@@ -254,24 +246,24 @@
             controller = Controller(self.node, view, lease, SitePlanner())
             await stack.enter_async_context(controller)
             self._view = self.node.placement = view
-            await _stay(ready)
+            await stay(ready)
 
     async def _run_keyed(self, ready: Ready) -> None:
         runner = KeyedCallRunner(self.node, self.streams.follow, self._forwarder)
         async with runner:
             self._keyed = self.node.keyed = runner
-            await _stay(ready)
+            await stay(ready)
 
     async def _run_callers(self, ready: Ready) -> None:
         async with CallerServer(self.node) as server:
             self.callers = server
             self.membership.set_addresses(server.address, self.membership.table.me.peer)
-            await _stay(ready)
+            await stay(ready)
 
     async def _run_operators(self, ready: Ready) -> None:
         async with OperatorServer(self, self.cfg.operators) as server:
             self.operators = server
-            await _stay(ready)
+            await stay(ready)
 
     def _accept_s(self) -> float:
         """Return how long callers may still come after this host has announced that it leaves."""
@@ -296,12 +288,6 @@
         self.membership.hurry()
 
 
-async def _stay(ready: Ready) -> None:
-    """Report that a child is up, and wait until it is cancelled."""
-    ready()
-    await asyncio.Event().wait()
-
-
 def _log_publish(verdict: Verdict, publish: Publish) -> None:
     log.info(
         "configuration in force" if verdict.decision is Decision.ACCEPTED else "publish rejected",
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -32,7 +32,7 @@
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 from minttided.stopping import Drain
-from minttided.supervisor import Child, Ready, Supervised, Supervisor
+from minttided.supervisor import Child, Ready, Supervised, Supervisor, stay
 
 log = logging.getLogger(__name__)
 
@@ -105,15 +105,7 @@
 
     async def wait(self) -> None:
         """Wait until a planned stop is done. Raises the error of a gateway that has failed."""
-        drained = asyncio.create_task(self.drain.done.wait())
-        failed = asyncio.create_task(self._supervised.wait())
-        try:
-            done, _ = await asyncio.wait({drained, failed}, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
-        finally:
-            drained.cancel()
-            failed.cancel()
+        await self._supervised.wait_or(self.drain.done)
 
     def start_drain(self) -> None:
         """Begin a planned stop."""
@@ -207,18 +199,18 @@
 
     async def _run_front(self, ready: Ready) -> None:
         async with self.front:
-            await _stay(ready)
+            await stay(ready)
 
     def _serve(self, handler: Handler, address: Address) -> Callable[[Ready], Awaitable[None]]:
         async def run(ready: Ready) -> None:
             async with HttpServer(handler, address, Bounds()):
-                await _stay(ready)
+                await stay(ready)
 
         return run
 
     async def _run_peer_listener(self, ready: Ready) -> None:
         async with self._net.listen(self.cfg.peer, NewsDesk(self.state, self.membership)):
-            await _stay(ready)
+            await stay(ready)
 
     async def _show_metrics(self, req: HttpRequest) -> HttpResponse:
         self.state.metrics.set_host(
@@ -253,9 +245,3 @@
 
     async def _leave(self) -> None:
         await asyncio.gather(self.membership.leave(), self._placer.leave())
-
-
-async def _stay(ready: Ready) -> None:
-    """Report that a child is up, and wait until it is cancelled."""
-    ready()
-    await asyncio.Event().wait()
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -1,14 +1,14 @@
 """One stream: sent along a path, watched, and moved or resumed when an engine falls out."""
 
 import asyncio
-import logging
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Set
 from typing import Protocol
 
 import msgspec
 
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, Work
+from minttide.layers.silence import Remedy, Silence, judge
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
@@ -23,11 +23,10 @@
 from minttided.gateway.refusals import fail, refuse
 from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest, upstream_headers
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.stream_log import Progress, StreamLog, format_path
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
-log = logging.getLogger(__name__)
-
 MOST_SENDS = 5
 """Sends of one stream, those that engines rejected among them."""
 
@@ -41,12 +40,6 @@
 
 _AVOID_S = {503: FULL_S, 421: STALE_S}
 
-LOST_S = 0.5
-"""Least silence after which an answer counts as lost although all engines live."""
-
-LOST_AFTER = 3.0
-"""The same in multiples of the silence after which engines are asked."""
-
 URGENCY_STEP = 2
 MOST_URGENCY = 9
 
@@ -100,14 +93,10 @@
         self._exchange: Exchange | None = None
         self._splitter = EventSplitter()
         self._avoided: set[UpstreamId] = set()
-        self._last_id = _read_last_id(request)
-        self._sends = 0
+        self._log = StreamLog(owner.state, request, work)
+        self._progress = Progress(last_id=_read_last_id(request))
         self._ran = False
         self._lived = 0  # sends that ran on an engine which hasn't ended meanwhile
-        self._repaths = 0
-        self._events = 0
-        self._longest_gap_s = 0.0
-        self._first_s: float | None = None
         self._last_s = request.received_s
         self._sent_s = request.received_s
 
@@ -143,7 +132,7 @@
     def _may_send(self) -> bool:
         return (
             self._lived < self._request.route.max_attempts
-            and self._sends < MOST_SENDS
+            and self._progress.sends < MOST_SENDS
             and now_s() < self._request.end_s
             and self._owner.may_resend(self._request.service)
         )
@@ -175,7 +164,7 @@
         if path is None:
             return Sent(End.REJECTED, "no path with room")
         self._enter_path(path)
-        self._sends += 1
+        self._progress.sends += 1
         self._sent_s = now_s()
         self._splitter = EventSplitter()
         try:
@@ -189,7 +178,7 @@
         if sent.end not in (End.REJECTED, End.NOT_SENT):
             self._ran = True
             self._lived += sent.event is not None or await self._lives(path[0].engine)
-        self._log_sent(sent)
+        self._log.sent(path, sent.end, sent.reason, self._progress)
         if sent.event is None:
             self._leave_path()
         return sent
@@ -220,8 +209,8 @@
         headers = upstream_headers(request, names, now_s())
         first = self._path[0]
         headers = [(n, v) for n, v in headers if n != LAST_EVENT_ID]
-        if self._last_id is not None:
-            headers.append((LAST_EVENT_ID, str(self._last_id)))
+        if self._progress.last_id is not None:
+            headers.append((LAST_EVENT_ID, str(self._progress.last_id)))
         headers.append((names.expect_instance, first.engine))
         headers.append((names.path, format_path(self._path)))
         urgency = min(MOST_URGENCY, URGENCY_STEP * request.priority)
@@ -271,21 +260,25 @@
         self._owner.budgets.note_served(self._request.service)
 
     def _is_new(self, event: Event) -> bool:
-        return event.id is None or self._last_id is None or event.id > self._last_id
+        return (
+            event.id is None or self._progress.last_id is None or event.id > self._progress.last_id
+        )
 
     def _note(self, event: Event) -> None:
         now = now_s()
-        if self._first_s is None:
-            self._first_s = now - self._request.received_s
-            self._owner.state.metrics.observe_first_token(self._request.service, self._first_s)
+        if self._progress.first_s is None:
+            self._progress.first_s = now - self._request.received_s
+            self._owner.state.metrics.observe_first_token(
+                self._request.service, self._progress.first_s
+            )
         else:
             gap_s = now - self._last_s
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+            self._progress.longest_gap_s = max(self._progress.longest_gap_s, gap_s)
             self._owner.patience.observe(gap_s)
         self._last_s = now
-        self._events += 1
+        self._progress.events += 1
         if event.id is not None:
-            self._last_id = event.id
+            self._progress.last_id = event.id
 
     async def _next_event(self) -> Event | None:
         """Return the next whole event, none at the end. Raises `BrokenError`."""
@@ -329,79 +322,65 @@
     # Engines that fall out.
 
     async def _check(self) -> None:
-        """Ask the engines of a silent stream; move it away from those that don't answer.
+        """Ask the engines of a silent stream and do what their answers call for.
 
         Raises `BrokenError` when the stream has to begin anew on another path.
         """
         self._left_s()
         reports = await self._owner.probes.ask(s.engine for s in self._path)
-        dead = {engine for engine, report in reports.items() if report is None}
-        head = reports.get(self._path[0].engine)
-        if head is not None:
-            for attempt, address in head.stalled:
-                if attempt == self._request.attempt:
-                    named = self._owner.avoid_address(address, SUSPECT_S)
-                    dead |= {named} if named is not None else set()
-        dead &= {s.engine for s in self._path}
-        if not dead:
-            self._check_lost(head)
-            return
-        self._avoided |= dead
-        if self._path[0].engine in dead:
-            raise BrokenError("the first engine doesn't answer")
-        if not await self._move(dead) and self._request.route.repeatable:
-            raise BrokenError("an engine on the path doesn't answer")
-
-    def _check_lost(self, head: EngineReport | None) -> None:
-        """Raise `BrokenError` for an answer that seems lost although all engines live.
-
-        A request that waits at its engine is not lost, only late.
-        """
-        silent_s = now_s() - self._silent_since_s()
-        patient = silent_s < LOST_AFTER * self._owner.patience.between_s or silent_s < LOST_S
-        may_repeat = self._request.route.repeatable
-        if patient or not may_repeat or self._lived >= self._request.route.max_attempts:
+        stalled_at = self._find_stalled(reports.get(self._path[0].engine))
+        judged = judge(self._path, reports, stalled_at, self._silence())
+        self._avoided |= judged.dead
+        if judged.remedy is Remedy.RESTART:
+            raise BrokenError(judged.reason)
+        if judged.remedy is Remedy.WAIT or await self._move(judged.dead):
             return
-        if head is not None and self._events == 0 and head.waiting > 0:
-            return
-        raise BrokenError("the answer seems lost")
-
-    def _silent_since_s(self) -> float:
-        return max(self._sent_s, self._last_s)
+        if self._request.route.repeatable:
+            raise BrokenError(judged.reason)
+
+    def _find_stalled(self, head: EngineReport | None) -> set[UpstreamId]:
+        """Return the engines that the first one says this request waits for."""
+        found: set[UpstreamId] = set()
+        for attempt, address in head.stalled if head is not None else ():
+            named = None
+            if attempt == self._request.attempt:
+                named = self._owner.avoid_address(address, SUSPECT_S)
+            if named is not None:
+                found.add(named)
+        return found
+
+    def _silence(self) -> Silence:
+        may_restart = self._request.route.repeatable
+        return Silence(
+            now_s() - max(self._sent_s, self._last_s),
+            self._owner.patience.between_s,
+            self._progress.events > 0,
+            may_restart and self._lived < self._request.route.max_attempts,
+        )
 
-    async def _move(self, dead: set[UpstreamId]) -> bool:
+    async def _move(self, dead: Set[UpstreamId]) -> bool:
         """Order the first engine to use another path; return whether it does."""
         first = self._path[0]
         entry = self._owner.state.upstreams.get(first.engine)
         path = self._choose(first.engine)
-        if entry is None or path is None or self._repaths >= MOST_REPATHS:
+        if entry is None or path is None or self._progress.repaths >= MOST_REPATHS:
             return False
         if any(stage.engine in dead for stage in path):
             return False
-        self._repaths += 1
+        self._progress.repaths += 1
         try:
             outcome = await self._owner.state.engines.repath(
                 entry, self._request.attempt, format_path(path)
             )
         except SourceError as exc:
             outcome = OrderOutcome(False, reason=str(exc))
-        moved = outcome.accepted
-        log.warning(
-            "stream moved" if moved else "stream not moved",
-            extra={
-                "request": self._request.attempt,
-                "dead": sorted(dead),
-                "path": format_path(path),
-                "events": self._events,
-                "reason": outcome.reason,
-            },
-        )
-        self._owner.state.metrics.count_recovery(self._request.service, "repath")
-        if moved:
+        self._log.moved(outcome.accepted, path, dead, outcome.reason, self._progress)
+        if outcome.accepted:
+            self._owner.state.metrics.count_recovery(self._request.service, "repath")
             self._owner.loads.add(self._path, self._work, -1)
             self._path = path
             self._owner.loads.add(path, self._work)
-        return moved
+        return outcome.accepted
 
     async def _lives(self, engine: UpstreamId) -> bool:
         """Return whether an engine that broke off still answers."""
@@ -416,17 +395,8 @@
         if not await self._lives(first):
             self._lived -= 1
         request = self._request
-        log.warning(
-            "stream broke off",
-            extra={
-                "request": request.attempt,
-                "reason": reason,
-                "last_event": self._last_id,
-                "events": self._events,
-                "resumable": request.route.resumable,
-            },
-        )
-        if not request.route.resumable or self._last_id is None:
+        self._log.broke_off(reason, self._progress)
+        if not request.route.resumable or self._progress.last_id is None:
             raise BrokenError(reason)
         while self._may_send():
             sent = await self._send()
@@ -462,40 +432,7 @@
     def close(self, cut: bool) -> None:
         """End the stream's work; `cut` when its caller left or it broke off."""
         self._leave_path()
-        log.info(
-            "stream ended",
-            extra={
-                "request": self._request.attempt,
-                "events": self._events,
-                "last_event": self._last_id,
-                "cut": cut,
-                "sends": self._sends,
-                "repaths": self._repaths,
-                "first_s": self._first_s,
-                "longest_gap_s": self._longest_gap_s,
-            },
-        )
-
-    def _log_sent(self, sent: Sent) -> None:
-        state = self._owner.state
-        log.log(
-            logging.INFO if sent.event is not None and self._sends == 1 else logging.WARNING,
-            "stream sent",
-            extra={
-                "request": self._request.attempt,
-                "route": self._request.route.name,
-                "path": format_path(self._path),
-                "prompt": self._work.prompt,
-                "answer": self._work.answer,
-                "send": self._sends,
-                "end": sent.end.value,
-                "reason": sent.reason,
-                "last_event": self._last_id,
-                "config": state.table.version if state.table else None,
-                "list_age_s": now_s() - state.upstreams_read_s,
-                "left_s": self._request.end_s - now_s(),
-            },
-        )
+        self._log.ended(cut, self._progress)
 
 
 class _Events:
@@ -520,11 +457,6 @@
         self._run.close(cut=not self._whole)
 
 
-def format_path(path: Path) -> str:
-    """Return a path as engines read it."""
-    return ",".join(f"{s.address}={s.layers.first}-{s.layers.last}" for s in path)
-
-
 def _read_last_id(request: GatewayRequest) -> int | None:
     text = request.req.header(LAST_EVENT_ID) or ""
     return int(text) if text.isascii() and text.isdigit() else None
--- a/daemon/minttided/supervisor.py
+++ b/daemon/minttided/supervisor.py
@@ -49,6 +49,12 @@
     restart: Restart = Restart.PERMANENT
 
 
+async def stay(ready: Ready) -> None:
+    """Report that a child is up, and wait until it is cancelled."""
+    ready()
+    await asyncio.Event().wait()
+
+
 class TooManyRestartsError(Exception):
     """The children of a supervisor failed more often than its intensity allows."""
 
@@ -185,6 +191,18 @@
         if self._task is not None:
             await _stop(self._task)
 
+    async def wait_or(self, done: asyncio.Event) -> None:
+        """Wait until `done` is set or the supervisor ends by itself. Raises its error."""
+        finished = asyncio.create_task(done.wait())
+        failed = asyncio.create_task(self.wait())
+        try:
+            ended, _ = await asyncio.wait({finished, failed}, return_when=asyncio.FIRST_COMPLETED)
+            for task in ended:
+                task.result()
+        finally:
+            finished.cancel()
+            failed.cancel()
+
     async def wait(self) -> None:
         """Wait until the supervisor ends by itself. Raises its error."""
         if self._task is not None:
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -295,10 +295,10 @@
         path.write_bytes(msgspec.json.encode(cfg))
         program = Path(sys.executable).with_name("minttided")
         process = await asyncio.create_subprocess_exec(
-            str(program), "--settings", str(path), stderr=asyncio.subprocess.PIPE
+            str(program), "--settings", str(path), stdout=asyncio.subprocess.PIPE
         )
         for word in (b"event=up", b"event=leaving"):
-            while word not in (line := await process.stderr.readline()):
+            while word not in (line := await process.stdout.readline()):
                 assert line, "the daemon has ended"
             process.send_signal(signal.SIGTERM)
         return await process.wait()
