Notice old news within the bounds of the settings

The store turned some hosts away, the reader of a zone among them, and the others of that zone went on with its news until they were 2.6 s old: version 24, acknowledged at 6.611 s, was not in force at 9.027 s on front-ub-south-2, which reached the store itself. Ruled out: a reader that tells its loss at once, which a silent store doesn't let it know in time.

--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -14,13 +14,11 @@
 
 log = logging.getLogger(__name__)
 
-CONFIG_WAIT_S = 1.4
-"""How long one read waits for a change."""
-
 WAITED_SHARE = 0.9
+"""Part of its wait that a read must have taken to count as one that waited in vain."""
+
 
-LIST_PERIOD_S = 0.9
-IDLE_S = 0.2
+IDLE_S = 0.1
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 0.5
 
@@ -76,8 +74,9 @@
 
     async def _read(self) -> bool:
         sent_s = now_s()
+        wait_s = self._state.pace.config_wait_s
         try:
-            reading = await self._state.config_source.read(self._position, CONFIG_WAIT_S)
+            reading = await self._state.config_source.read(self._position, wait_s)
         except SourceError as exc:
             self._dependency.failed(exc)
             self._position = None
@@ -86,7 +85,7 @@
         self._position = reading.position
         self._apply(reading.config, "store")
         # A read that waited in vain says that nothing had come until about the end of its wait.
-        waited_s = WAITED_SHARE * CONFIG_WAIT_S
+        waited_s = WAITED_SHARE * wait_s
         in_vain = reading.config is None and now_s() - sent_s >= waited_s
         self._state.freshness.confirm(sent_s + waited_s if in_vain else sent_s)
         return True
@@ -134,7 +133,7 @@
                 await asyncio.sleep(IDLE_S)
             elif await self._read(sent_s):
                 backoff.reset()
-                await asyncio.sleep(max(0.0, sent_s + LIST_PERIOD_S - now_s()))
+                await asyncio.sleep(max(0.0, sent_s + self._state.pace.list_period_s - now_s()))
             else:
                 await backoff.wait()
 
--- a/daemon/minttided/gateway/front.py
+++ b/daemon/minttided/gateway/front.py
@@ -18,9 +18,6 @@
 
 BEARER = "bearer"
 
-STALE_S = 1.5
-"""Age of the last confirmed configuration from which on a host denies nothing for good."""
-
 
 class Front:
     """Handles the requests of one host's callers."""
@@ -87,7 +84,7 @@
 
     def _require_fresh(self, detail: str) -> None:
         """Refuse instead of denying where a newer configuration may allow the request."""
-        if self._state.freshness.age_s(now_s()) > STALE_S:
+        if self._state.freshness.age_s(now_s()) > self._state.pace.deny_s:
             raise refuse(ProblemType.CONFIG_UNKNOWN, f"{detail}, and the configuration is stale")
 
     def _read_deadline(self, req: HttpRequest, route: Route) -> float:
--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -27,7 +27,9 @@
     """The settings file of a gateway. Addresses are "<IP number>:<port>", times are in seconds.
 
     `keys_valid_s` is how long a revoked key may still be accepted; `answer_keep_s` is how long
-    callers may keep an answer about addresses. `stall_s` is how long engines wait for one another.
+    callers may keep an answer about addresses. `apply_s` is the time in which a configuration must
+    be in force, `drain_s` that after which a leaving upstream gets nothing more. `stall_s` is how
+    long engines wait for one another.
     """
 
     host: HostId
@@ -42,6 +44,8 @@
     peers: list[Address] = []
     answer_keep_s: float = 1.0
     keys_valid_s: float = 5.0
+    apply_s: float = 2.0
+    drain_s: float = 2.0
     stall_s: float = 3.0
     beat_s: float = 1.2
     stop: StopSettings = StopSettings()
--- a/daemon/minttided/gateway/sharing.py
+++ b/daemon/minttided/gateway/sharing.py
@@ -11,12 +11,7 @@
 from minttide.ids import HostId, Offset
 from minttide.interfaces import MemberView, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
-from minttide.routing.readers import (
-    CONFIG_OLD_S,
-    LIST_OLD_S,
-    rank_readers,
-    reads_itself,
-)
+from minttide.routing.readers import rank_readers, reads_itself
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.state import GatewayState, now_s
@@ -27,11 +22,8 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_S = 0.5
-"""How long a reader holds a question for news before it answers that there is none."""
-
 PULL_TIMEOUT_S = 1.2
-IDLE_S = 0.2
+IDLE_S = 0.1
 NO_NEWS = Offset(-1)
 
 _DIGEST_BYTES = 7
@@ -69,10 +61,11 @@
     async def on_pull(self, start: Offset) -> Pulled:
         """Return what is known once it differs from what `start` stands for, or after a while."""
         asked_s = now_s()
-        while self._digest() == start and now_s() < asked_s + HOLD_S:
+        until_s = asked_s + self._state.pace.hold_s
+        while self._digest() == start and now_s() < until_s:
             changed = self._state.changed
             try:
-                async with asyncio.timeout_at(asked_s + HOLD_S):
+                async with asyncio.timeout_at(until_s):
                     await changed.wait()
             except TimeoutError:
                 break
@@ -137,12 +130,16 @@
     def reads_config(self) -> bool:
         """Return whether this host reads the configuration itself now."""
         age_s = self._state.freshness.age_s(now_s())
-        return reads_itself(self._ranked(), self._state.cfg.host, age_s, CONFIG_OLD_S)
+        return reads_itself(
+            self._ranked(), self._state.cfg.host, age_s, self._state.pace.config_old_s
+        )
 
     def reads_upstreams(self) -> bool:
         """Return whether this host reads the list of upstreams itself now."""
         age_s = now_s() - self._state.upstreams_read_s
-        return reads_itself(self._ranked(), self._state.cfg.host, age_s, LIST_OLD_S)
+        return reads_itself(
+            self._ranked(), self._state.cfg.host, age_s, self._state.pace.list_old_s
+        )
 
     async def run(self, ready: Ready) -> None:
         """Ask on and on, until cancelled."""
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -8,6 +8,7 @@
 from minttide.ids import ServiceName, UpstreamId
 from minttide.routing.freshness import Freshness
 from minttide.routing.headers import HeaderNames
+from minttide.routing.readers import Pace
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttide.routing.table import RouteTable
@@ -49,6 +50,11 @@
         found = (self.upstreams.get(u) for u in upstreams)
         return all(u is not None and not u.leaving for u in found)
 
+    @property
+    def pace(self) -> Pace:
+        """Return how often is read, and when news is old."""
+        return Pace(self.cfg.apply_s, self.cfg.drain_s)
+
     @property
     def serving(self) -> bool:
         """Return whether requests can be routed: everything is known and keys may be accepted."""
