Specify news between hosts and orders to engines

Cause: the platform changed two mechanisms: hosts take the configuration from each other, so that the age of a key's confirmation passes through two of them; and orders come from deciders that follow one another by the group's generation, and may land late or twice. Left out: an engine that starts again under the id that it had, whose count of orders begins anew.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -5,11 +5,13 @@
 
 import sys
 
-from spec import checkpoint, config, keys, lease, power
+from spec import checkpoint, config, keys, lease, news, orders, power
 from spec.common import Result, Spec, check
 
 SPECS: list[Spec] = [
-    spec for module in (config, checkpoint, keys, lease, power) for spec in module.SPECS
+    spec
+    for module in (config, checkpoint, keys, lease, power, news, orders)
+    for spec in module.SPECS
 ]
 
 ROW = "{:<20} {:<26} {:<28} {:>8}  {:<8}  {}"
