--- a/daemon/minttided/gateway/probes.py
+++ b/daemon/minttided/gateway/probes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
@@ -12,7 +12,7 @@
 
 log = logging.getLogger(__name__)
 
-PROBE_TIMEOUT_S = 0.06
+PROBE_TIMEOUT_S = 0.05
 FRESH_S = 0.1
 """How long the answer to a probe serves others that ask."""
 
@@ -20,8 +20,11 @@
 class EngineProbes:
     """Probes engines, each at most once at a time whoever asks."""
 
-    def __init__(self, state: GatewayState, suspects: Suspects):
+    def __init__(
+        self, state: GatewayState, suspects: Suspects, on_silent: Callable[[UpstreamId], None]
+    ):
         self._state = state
+        self._on_silent = on_silent
         self._suspects = suspects
         self._running: dict[UpstreamId, asyncio.Task[EngineReport | None]] = {}
         self._answers: dict[UpstreamId, tuple[float, EngineReport | None]] = {}
@@ -47,17 +50,21 @@
         entry = self._state.upstreams.get(engine)
         report = await self._read(entry) if entry is not None else None
         self._answers[engine] = (now_s(), report)
+        if report is None:
+            self._on_silent(engine)
         return report
 
     async def _read(self, entry: UpstreamEntry) -> EngineReport | None:
         try:
             report = await self._state.engines.report(entry, PROBE_TIMEOUT_S)
         except SourceError as exc:
-            if self._suspects.add(entry.id, now_s()):
-                log.warning("engine suspected", extra={"engine": entry.id, "reason": str(exc)})
+            self._suspect(entry, str(exc))
             return None
         if entry.born_ms and report.born_ms and report.born_ms != entry.born_ms:
-            if self._suspects.add(entry.id, now_s()):
-                log.warning("engine restarted", extra={"engine": entry.id, "born": report.born_ms})
+            self._suspect(entry, f"it started again at {report.born_ms}")
             return None
         return report
+
+    def _suspect(self, entry: UpstreamEntry, reason: str) -> None:
+        if self._suspects.add(entry.id, now_s()):
+            log.warning("engine suspected", extra={"engine": entry.id, "reason": reason})
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -1,8 +1,8 @@
 """One stream: sent along a path, watched, and moved or resumed when an engine falls out."""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Set
-from typing import Protocol
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Set
+from typing import Protocol, TypeVar
 
 import msgspec
 
@@ -27,6 +27,8 @@
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
+T = TypeVar("T")
+
 MOST_SENDS = 5
 """Sends of one stream, those that engines rejected among them."""
 
@@ -63,6 +65,7 @@
     loads: PathLoads
     probes: EngineProbes
     patience: Patience
+    runs: "set[StreamRun]"
 
     def choose_path(
         self,
@@ -96,6 +99,7 @@
         self._log = StreamLog(owner.state, request, work)
         self._progress = Progress(last_id=_read_last_id(request))
         self._ran = False
+        self._limit: asyncio.Timeout | None = None
         self._lived = 0  # sends that ran on an engine which hasn't ended meanwhile
         self._last_s = request.received_s
         self._sent_s = request.received_s
@@ -298,8 +302,7 @@
         patience_s = self._owner.patience.between_s
         while True:
             try:
-                async with asyncio.timeout(min(patience_s, self._left_s())):
-                    return await exchange.read_piece()
+                return await self._wait(exchange.read_piece(), patience_s)
             except TimeoutError:
                 await self._check()
             patience_s = Patience.grow(patience_s)
@@ -307,12 +310,29 @@
     async def _watch(self, opening: "asyncio.Task[Exchange]") -> Exchange:
         patience_s = self._owner.patience.first_s
         while True:
-            await asyncio.wait({opening}, timeout=min(patience_s, self._left_s()))
-            if opening.done():
-                return opening.result()
-            await self._check()
+            try:
+                return await self._wait(asyncio.shield(opening), patience_s)
+            except TimeoutError:
+                await self._check()
             patience_s = Patience.grow(patience_s)
 
+    async def _wait(self, coming: Awaitable[T], patience_s: float) -> T:
+        """Wait for what comes; raises `TimeoutError` after a while, or when woken."""
+        async with asyncio.timeout(min(patience_s, self._left_s())) as limit:
+            self._limit = limit
+            try:
+                return await coming
+            finally:
+                self._limit = None
+
+    def wake(self, engine: UpstreamId) -> None:
+        """Have the stream look at its engines now, if it runs through `engine`."""
+        limit = self._limit
+        if limit is None or limit.expired():
+            return
+        if any(stage.engine == engine for stage in self._path):
+            limit.reschedule(now_s())
+
     def _left_s(self) -> float:
         left_s = self._request.end_s - now_s()
         if left_s <= 0:
@@ -419,6 +439,7 @@
         self._leave_path()
         self._path = path
         self._owner.loads.add(path, self._work)
+        self._owner.runs.add(self)
 
     def _leave_path(self) -> None:
         """Stop the work of the present path."""
@@ -427,6 +448,7 @@
             self._exchange = None
         if self._path:
             self._owner.loads.add(self._path, self._work, -1)
+            self._owner.runs.discard(self)
             self._path = ()
 
     def close(self, cut: bool) -> None:
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -24,7 +24,8 @@
     def __init__(self, state: GatewayState, suspects: Suspects, budgets: Budgets, loads: PathLoads):
         self.state = state
         self.loads = loads
-        self.probes = EngineProbes(state, suspects)
+        self.probes = EngineProbes(state, suspects, self.wake)
+        self.runs: set[StreamRun] = set()
         self.patience = Patience()
         self._suspects = suspects
         self._full = Suspects()
@@ -39,6 +40,11 @@
         work = read_work(request.req, self.state.headers, model)
         return await StreamRun(self, request, model, work).begin()
 
+    def wake(self, engine: UpstreamId) -> None:
+        """Have all streams through an engine that doesn't answer look at once, not in turn."""
+        for run in list(self.runs):
+            run.wake(engine)
+
     def choose_path(
         self,
         service: ServiceName,
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -58,6 +58,12 @@
     return Route(name, HOST, f"/{name}/", kind, shares, **times)
 
 
+async def until(condition):
+    """Wait until a condition on the state of a test holds."""
+    while not condition():  # noqa: ASYNC110 - there is no event for each such state.
+        await asyncio.sleep(0.001)
+
+
 class ScriptedUpstream:
     """Answers each request by the next of its scripts; `requests` holds what came.
 
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -14,6 +14,7 @@
     event,
     events,
     plain_answer,
+    until,
 )
 
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
@@ -336,3 +337,29 @@
     asyncio.run(run())
     ended = [r for r in caplog.records if r.message == "stream ended"]
     assert [(r.request, r.cut, r.events) for r in ended] == [("1", True, 0)]
+
+
+def test_all_streams_through_a_dead_engine_move_as_soon_as_one_has_found_it():
+    """Replays a crash under many streams, of which one has been silent for longest."""
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+    wait = silent_until(site, lambda s: s.engines.moved)
+    count = 6
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), wait, events(2, 3), END]] * count
+
+    async def run():
+        async with site:
+            for _ in range(2000):
+                site.streams.patience.observe(60.0)  # None would look for itself in this test.
+            tasks = [asyncio.create_task(site.ask("draft", "POST")) for _ in range(count)]
+            await until(lambda: sum(r._progress.events for r in site.streams.runs) == count)
+            through_b = [r for r in site.streams.runs if r._path[1].engine == "b"]
+            site.engines.dead.add("b")
+            await site.streams.probes.ask(["b"])
+            await until(lambda: len(site.engines.repaths) == len(through_b))
+            left = [r for r in site.streams.runs if r._path and r._path[1].engine == "b"]
+            answers = await asyncio.gather(*tasks)
+            return through_b, left, answers
+
+    through_b, left, answers = asyncio.run(asyncio.wait_for(run(), 30))
+    assert through_b and not left
+    assert all(a.chunks == WHOLE for a in answers)
