Count suspended time, outlive a clock that was set back, spare engines of other zones

Change: ages count on the clock that includes suspension; a gateway takes a still later incarnation; for the whole site any copy may be spared, most copies first; slow engines cost their pace. Tests replay each; they were not run on the code before.

--- a/core/minttide/layers/repair.py
+++ b/core/minttide/layers/repair.py
@@ -1,12 +1,13 @@
 """Decides what to order so that every layer stays held where engines come and go.
 
 Answers the loss of an engine, of several, or of a zone: a missing range is loaded by engines that
-are empty, else by engines whose own range is held elsewhere in their zone. One order at a time goes
-to an engine, and none takes away the last copy of a range.
+are empty, else by engines whose own range is held elsewhere: in their zone, or, where the whole
+site lacks the range, in any zone. One order at a time goes to an engine, and none takes away the
+last copy of a range.
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -84,11 +85,11 @@
         """Fill gaps of the whole site first, then of single zones, then double what is thin."""
         everyone = list(self._engines)
         for gap in self._gaps(everyone):
-            self._fill(gap, everyone, "no engine holds it")
+            self._fill(gap, everyone, "no engine holds it", self._count_in_site)
         for members in self._zones.values():
             if self._nearly_whole(members):
                 for gap in self._gaps(members):
-                    self._fill(gap, members, "its zone lacks it")
+                    self._fill(gap, members, "its zone lacks it", self._count_in_zone)
         self._use_empty()
         return self._orders
 
@@ -110,54 +111,71 @@
             self._model.layers, {self._held[e] for e in members if e in self._held}
         )
 
-    def _fill(self, gap: LayerRange, members: Sequence[UpstreamId], reason: str) -> None:
-        """Give the layers of a gap out, the fewest engines first; all of them or none."""
+    def _fill(
+        self,
+        gap: LayerRange,
+        members: Sequence[UpstreamId],
+        reason: str,
+        count_copies: Callable[[UpstreamId, Collection[UpstreamId]], int],
+    ) -> None:
+        """Give the layers of a gap out, the fewest engines first; all of them or none.
+
+        `count_copies` says how many engines but some hold what an engine holds, where it counts.
+        """
         taken: dict[UpstreamId, LayerRange] = {}
         first = gap.first
         while first < gap.last:
-            engine = self._find([m for m in members if m not in taken], gap.last - first)
+            engine = self._find(members, taken, gap.last - first, count_copies)
             if engine is None:
                 return
             most = self._most(engine, REPAIR_STREAMS * stream_tokens(self._model))
             taken[engine] = LayerRange(first, min(gap.last, first + most))
             first = taken[engine].last
-        if self._spares_copies(taken):
-            for engine, layers in taken.items():
-                self._order(engine, layers, reason)
-
-    def _spares_copies(self, taken: Collection[UpstreamId]) -> bool:
-        """Return whether the zones of `taken` still hold each range that these give up."""
-        left = {e: r for e, r in self._held.items() if e not in taken}
-        for engine in taken:
-            zone = self._zones[self._engines[engine].zone]
-            own = self._held.get(engine)
-            if own is not None and not any(left.get(e) == own for e in zone):
-                return False
-        return True
-
-    def _find(self, members: Sequence[UpstreamId], layers: int) -> UpstreamId | None:
-        """Return the engine to take up to `layers` layers: the smallest that takes all, if any."""
+        for engine, layers in taken.items():
+            self._order(engine, layers, reason)
+
+    def _find(
+        self,
+        members: Sequence[UpstreamId],
+        taken: Collection[UpstreamId],
+        layers: int,
+        count_copies: Callable[[UpstreamId, Collection[UpstreamId]], int],
+    ) -> UpstreamId | None:
+        """Return the engine to take up to `layers` layers: the smallest that takes all, if any.
+
+        Empty engines come first, then those of whose range most copies are left.
+        """
         tokens = REPAIR_STREAMS * stream_tokens(self._model)
-        empty = [e for e in members if self._is_free(e) and e not in self._held]
-        spare = [e for e in members if self._is_free(e) and self._is_spare(e)]
-        for candidates in (empty, spare):
-            rated = [(self._most(e, tokens), e) for e in candidates]
-            able = [(n, e) for n, e in rated if n > 0]
+        free = [m for m in members if m not in taken and self._is_free(m)]
+        copies = {e: count_copies(e, taken) for e in free if e in self._held}
+        groups = [[e for e in free if e not in self._held]]
+        groups += [[e for e in copies if copies[e] == n] for n in sorted({*copies.values()} - {0})][
+            ::-1
+        ]
+        for candidates in groups:
+            able = [(n, e) for n, e in ((self._most(e, tokens), e) for e in candidates) if n > 0]
             if able:
                 enough = [(n, e) for n, e in able if n >= layers]
                 return min(enough)[1] if enough else max(able)[1]
         return None
 
+    def _count_in_site(self, engine: UpstreamId, taken: Collection[UpstreamId]) -> int:
+        return self._count(engine, taken, self._engines)
+
+    def _count_in_zone(self, engine: UpstreamId, taken: Collection[UpstreamId]) -> int:
+        return self._count(engine, taken, self._zones[self._engines[engine].zone])
+
+    def _count(
+        self, engine: UpstreamId, taken: Collection[UpstreamId], among: Iterable[UpstreamId]
+    ) -> int:
+        """Return how many other engines hold the same range and keep it."""
+        own = self._held[engine]
+        return sum(self._held.get(e) == own for e in among if e != engine and e not in taken)
+
     def _is_free(self, engine: UpstreamId) -> bool:
         ordered = any(o.engine == engine for o in self._orders)
         return not ordered and engine not in self._ordered and not self._engines[engine].busy
 
-    def _is_spare(self, engine: UpstreamId) -> bool:
-        """Return whether the engine's zone holds the same range a second time."""
-        own = self._held.get(engine)
-        zone = self._zones[self._engines[engine].zone]
-        return own is not None and sum(self._held.get(e) == own for e in zone) > 1
-
     def _use_empty(self) -> None:
         """Let engines that hold nothing double what is held least often, in their zone first."""
         counts = Counter(self._held.values())
--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -30,10 +30,16 @@
 
 
 class MemberTable:
-    """What one host believes of all entry hosts, itself among them. Times are in seconds."""
+    """What one host believes of all entry hosts, itself among them. Times are in seconds.
 
-    def __init__(self, me: Member, rng: random.Random):
+    Incarnations come from the wall clock, which may have been set back before a restart. With
+    `outlives`, a host that hears of a later incarnation of its own takes a still later one: the
+    platform never runs two processes of one id. Without it, the host counts as superseded.
+    """
+
+    def __init__(self, me: Member, rng: random.Random, outlives: bool = False):
         self._me = me
+        self._outlives = outlives
         self._rng = rng
         self._members: dict[HostId, Member] = {}
         self._views: dict[HostId, MemberView] = {}
@@ -192,6 +198,11 @@
 
     def _refute(self, member: Member, now: float) -> None:
         if member.incarnation > self._me.incarnation:
+            if self._outlives:
+                self._put(
+                    msgspec.structs.replace(self._me, incarnation=member.incarnation + 1), now
+                )
+                return
             self.superseded = True
             return
         if member.incarnation < self._me.incarnation or member.version < self._me.version:
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -133,8 +133,8 @@
             link,
             HostListing(),
             self._read_vitals,
-            on_superseded=self.start_drain,
             rng=self.state.rng,
+            outlives=True,
         )
         loads = PathLoads(self._count_peers)
         budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -73,7 +73,7 @@
                 await backoff.wait()
 
     async def _read(self) -> bool:
-        sent_s = now_s()
+        sent_s = self._state.clock()
         wait_s = self._state.pace.config_wait_s
         try:
             reading = await self._state.config_source.read(self._position, wait_s)
@@ -86,7 +86,7 @@
         self._apply(reading.config, "store")
         # A read that waited in vain says that nothing had come until about the end of its wait.
         waited_s = WAITED_SHARE * wait_s
-        in_vain = reading.config is None and now_s() - sent_s >= waited_s
+        in_vain = reading.config is None and self._state.clock() - sent_s >= waited_s
         self._state.freshness.confirm(sent_s + waited_s if in_vain else sent_s)
         return True
 
@@ -128,12 +128,14 @@
         ready()
         backoff = Backoff(self._state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
         while True:
-            sent_s = now_s()
+            sent_s = self._state.clock()
             if not self._reads():
                 await asyncio.sleep(IDLE_S)
             elif await self._read(sent_s):
                 backoff.reset()
-                await asyncio.sleep(max(0.0, sent_s + self._state.pace.list_period_s - now_s()))
+                await asyncio.sleep(
+                    max(0.0, sent_s + self._state.pace.list_period_s - self._state.clock())
+                )
             else:
                 await backoff.wait()
 
--- a/daemon/minttided/gateway/front.py
+++ b/daemon/minttided/gateway/front.py
@@ -73,7 +73,7 @@
     ) -> AccountKeys | None:
         if not table.needs_key or route.public:
             return None
-        if not self._state.freshness.keys_usable(now_s()):
+        if not self._state.freshness.keys_usable(self._state.clock()):
             raise refuse(ProblemType.CONFIG_UNKNOWN, "keys can't be confirmed at the moment")
         scheme, _, key = (req.header("authorization") or "").partition(" ")
         account = table.account(key.strip()) if scheme.lower() == BEARER else None
@@ -84,7 +84,7 @@
 
     def _require_fresh(self, detail: str) -> None:
         """Refuse instead of denying where a newer configuration may allow the request."""
-        if self._state.freshness.age_s(now_s()) > self._state.pace.deny_s:
+        if self._state.config_age_s > self._state.pace.deny_s:
             raise refuse(ProblemType.CONFIG_UNKNOWN, f"{detail}, and the configuration is stale")
 
     def _read_deadline(self, req: HttpRequest, route: Route) -> float:
@@ -104,7 +104,7 @@
                 "ran": exc.problem.ran.value,
                 "detail": exc.problem.detail,
                 "config": self._state.table.version if self._state.table else None,
-                "config_age_s": self._state.freshness.age_s(now_s()),
+                "config_age_s": self._state.config_age_s,
             },
         )
 
--- a/daemon/minttided/gateway/loads.py
+++ b/daemon/minttided/gateway/loads.py
@@ -6,6 +6,10 @@
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import EngineLoad, Path, Work
+from minttide.routing.sources import EngineReport
+
+SLOW_PACE = 1.2
+"""Pace from which on an engine counts as slow."""
 
 SUSPECT_S = 2.0
 """How long an upstream that did not answer is kept away from before it is tried again."""
@@ -23,6 +27,13 @@
         self._own: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
         self.slowdown: dict[UpstreamId, float] = {}
 
+    def note_report(self, engine: UpstreamId, report: EngineReport) -> None:
+        """Remember how slow an engine says that it is, until it says otherwise."""
+        if report.pace > SLOW_PACE:
+            self.slowdown[engine] = report.pace
+        else:
+            self.slowdown.pop(engine, None)
+
     def add(self, path: Path, work: Work, sign: int = 1) -> None:
         """Count a request on the engines of a path, or with `sign` -1 take it off."""
         for stage in path:
--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placer.py
@@ -84,7 +84,7 @@
                 await self.leave()
             return
         self._joined = True
-        sent_s = now_s()
+        sent_s = self._state.clock()
         try:
             grant = await self._state.lease.renew(LEASE_TTL_S)
         except SourceError as exc:
@@ -101,7 +101,11 @@
         self._valid_until_s = sent_s + LEASE_MARGIN * LEASE_TTL_S
 
     def _holds(self) -> bool:
-        return self._grant is not None and self._grant.held and now_s() < self._valid_until_s
+        return (
+            self._grant is not None
+            and self._grant.held
+            and self._state.clock() < self._valid_until_s
+        )
 
     # Orders.
 
@@ -172,6 +176,6 @@
                 "fencing": self._grant.fencing if self._grant else None,
                 "outcome": outcome,
                 "reason": reason,
-                "list_age_s": now_s() - self._state.upstreams_read_s,
+                "list_age_s": self._state.list_age_s,
             },
         )
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/plain.py
@@ -152,7 +152,7 @@
                 "end": attempt.end.value,
                 "reason": attempt.reason,
                 "config": self._state.table.version if self._state.table else None,
-                "list_age_s": now_s() - self._state.upstreams_read_s,
+                "list_age_s": self._state.list_age_s,
                 "left_s": request.end_s - now_s(),
             },
         )
--- a/daemon/minttided/gateway/probes.py
+++ b/daemon/minttided/gateway/probes.py
@@ -21,10 +21,15 @@
     """Probes engines, each at most once at a time whoever asks."""
 
     def __init__(
-        self, state: GatewayState, suspects: Suspects, on_silent: Callable[[UpstreamId], None]
+        self,
+        state: GatewayState,
+        suspects: Suspects,
+        on_silent: Callable[[UpstreamId], None],
+        on_report: Callable[[UpstreamId, EngineReport], None],
     ):
         self._state = state
         self._on_silent = on_silent
+        self._on_report = on_report
         self._suspects = suspects
         self._running: dict[UpstreamId, asyncio.Task[EngineReport | None]] = {}
         self._answers: dict[UpstreamId, tuple[float, EngineReport | None]] = {}
@@ -63,6 +68,7 @@
         if entry.born_ms and report.born_ms and report.born_ms != entry.born_ms:
             self._suspect(entry, f"it started again at {report.born_ms}")
             return None
+        self._on_report(entry.id, report)
         return report
 
     def _suspect(self, entry: UpstreamEntry, reason: str) -> None:
--- a/daemon/minttided/gateway/sharing.py
+++ b/daemon/minttided/gateway/sharing.py
@@ -60,8 +60,8 @@
 
     async def on_pull(self, start: Offset) -> Pulled:
         """Return what is known once it differs from what `start` stands for, or after a while."""
-        asked_s = now_s()
-        until_s = asked_s + self._state.pace.hold_s
+        asked_s = self._state.clock()
+        until_s = now_s() + self._state.pace.hold_s
         while self._digest() == start and now_s() < until_s:
             changed = self._state.changed
             try:
@@ -83,8 +83,7 @@
 
     def _answer(self, start: Offset, asked_s: float) -> Checkpoint:
         state = self._state
-        now = now_s()
-        news = News(now - asked_s, state.freshness.age_s(now), now - state.upstreams_read_s)
+        news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s)
         mark = self._digest()
         if mark != start:
             news.config = state.table.config if state.table else None
@@ -129,14 +128,14 @@
 
     def reads_config(self) -> bool:
         """Return whether this host reads the configuration itself now."""
-        age_s = self._state.freshness.age_s(now_s())
+        age_s = self._state.config_age_s
         return reads_itself(
             self._ranked(), self._state.cfg.host, age_s, self._state.pace.config_old_s
         )
 
     def reads_upstreams(self) -> bool:
         """Return whether this host reads the list of upstreams itself now."""
-        age_s = now_s() - self._state.upstreams_read_s
+        age_s = self._state.list_age_s
         return reads_itself(
             self._ranked(), self._state.cfg.host, age_s, self._state.pace.list_old_s
         )
@@ -158,7 +157,7 @@
     async def _ask(self, reader: MemberView) -> bool:
         """Ask one host; return whether it answered."""
         self._note_reader(reader.host)
-        sent_s = now_s()
+        sent_s = self._state.clock()
         try:
             pulled = await self._link.pull(reader.peer, self._mark, PULL_TIMEOUT_S)
             news = _decoder.decode(pulled.snapshot.data) if pulled.snapshot else None
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from minttide.ids import ServiceName, UpstreamId
@@ -16,6 +17,11 @@
 from minttided.operators.metrics import Metrics
 
 
+def read_boot_s() -> float:
+    """Return the seconds since the machine started, those in which it was suspended among them."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass
 class GatewayState:
     """The configuration and upstreams as last read, and where they are read from."""
@@ -34,6 +40,9 @@
     upstreams_known: bool = False
     upstreams_read_s: float = float("-inf")
     leaving: bool = False
+    clock: Callable[[], float] = (
+        read_boot_s  # ages of what is known; tests put the loop's time here
+    )
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note_change(self) -> None:
@@ -50,6 +59,16 @@
         found = (self.upstreams.get(u) for u in upstreams)
         return all(u is not None and not u.leaving for u in found)
 
+    @property
+    def config_age_s(self) -> float:
+        """Return the age of the last confirmed configuration."""
+        return self.freshness.age_s(self.clock())
+
+    @property
+    def list_age_s(self) -> float:
+        """Return the age of the list of upstreams."""
+        return self.clock() - self.upstreams_read_s
+
     @property
     def pace(self) -> Pace:
         """Return how often is read, and when news is old."""
@@ -61,7 +80,7 @@
         return (
             self.table is not None
             and self.upstreams_known
-            and (not self.table.needs_key or self.freshness.keys_usable(now_s()))
+            and (not self.table.needs_key or self.freshness.keys_usable(self.clock()))
         )
 
 
--- a/daemon/minttided/gateway/stream_log.py
+++ b/daemon/minttided/gateway/stream_log.py
@@ -55,7 +55,7 @@
                 "reason": reason,
                 "last_event": progress.last_id,
                 "config": self._state.table.version if self._state.table else None,
-                "list_age_s": now_s() - self._state.upstreams_read_s,
+                "list_age_s": self._state.list_age_s,
                 "left_s": self._request.end_s - now_s(),
             },
         )
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -24,7 +24,7 @@
     def __init__(self, state: GatewayState, suspects: Suspects, budgets: Budgets, loads: PathLoads):
         self.state = state
         self.loads = loads
-        self.probes = EngineProbes(state, suspects, self.wake)
+        self.probes = EngineProbes(state, suspects, self.wake, loads.note_report)
         self.runs: set[StreamRun] = set()
         self.patience = Patience()
         self._suspects = suspects
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -78,10 +78,11 @@
         on_superseded: Callable[[], None] = lambda: None,
         rng: random.Random | None = None,
         wall_ms: Callable[[], int] = lambda: int(time.time() * 1000),
+        outlives: bool = False,
     ):
         me = Member(cfg.host, incarnation, cfg.zone, cfg.callers, cfg.peer)
         self._rng = rng or random.Random()
-        self.table = MemberTable(me, self._rng)
+        self.table = MemberTable(me, self._rng, outlives)
         self._cfg = cfg
         self._first = list(cfg.peers)
         self._link = link
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -201,6 +201,7 @@
         self.freshness.confirm(now)
         rng = random.Random(1)
         self.state = GatewayState(cfg, NAMES, None, None, None, self.engines, rng, self.freshness)
+        self.state.clock = asyncio.get_running_loop().time
         self.state.table = RouteTable(self._config())
         self.state.upstreams_known = True
         self.state.upstreams_read_s = now
--- a/test/test_gateway_plain.py
+++ b/test/test_gateway_plain.py
@@ -116,6 +116,22 @@
     assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
 
 
+def test_a_host_that_was_suspended_trusts_no_key_until_it_has_read_again():
+    """Replays a machine that slept: the loop's clock stood still, the machine's did not."""
+
+    async def run():
+        async with GatewaySite(ScriptedUpstream("u")) as site:
+            loop = asyncio.get_running_loop()
+            site.freshness.limit(5.0)
+            before = await site.ask("get")
+            site.state.clock = lambda: loop.time() + 60.0
+            asleep = await site.ask("get")
+            site.freshness.confirm(loop.time() + 60.0)
+            return before.status, asleep.status, (await site.ask("get")).status
+
+    assert asyncio.run(run()) == (200, 503, 200)
+
+
 def test_the_upstreams_work_stops_when_the_caller_leaves():
     async def run():
         hang = asyncio.Event()
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -78,6 +78,7 @@
         view = StoreView(store, self.cfg.host)
         rng = random.Random(number)
         self.state = GatewayState(self.cfg, None, view, view, None, None, rng, Freshness(5.0))
+        self.state.clock = asyncio.get_running_loop().time
         self.net = net
         link = net.link(address)
         self.members = Membership(
--- a/test/test_layers.py
+++ b/test/test_layers.py
@@ -208,3 +208,26 @@
     doubled = [e.id for e in found if e.zone == "central" and e.layers == LayerRange(16, 26)]
     assert len(doubled) == 2
     assert min(used[e] for e in doubled) >= 15
+
+
+def test_a_range_that_no_engine_holds_is_taken_from_any_zone_that_has_a_copy_to_spare():
+    """Replays the loss of both holders of a range in a site whose zones have no empty engine."""
+    found = placed({"north": (0, 7, 3), "south": (0, 7, 3)})
+    first = min(e.layers for e in found if e.layers)
+    left = [e for e in found if e.layers is not None and e.layers.first != first.first]
+    orders = plan_orders(MODEL, left, {})
+    path = PathFinder(MODEL, apply(left, orders)).choose(
+        WORK, ZoneId("north"), {}, random.Random(0)
+    )
+    assert path is not None and is_whole(path, MODEL.layers)
+
+
+def test_a_slow_engine_is_left_where_a_copy_is_as_good():
+    found = placed()
+    doubled = [e.id for e in found if e.zone == "central" and e.layers == LayerRange(16, 26)]
+    loads = {doubled[0]: EngineLoad(slowdown=12.0)}
+    used = Counter()
+    for seed in range(40):
+        path = PathFinder(MODEL, found).choose(WORK, ZoneId("central"), loads, random.Random(seed))
+        used.update(s.engine for s in path)
+    assert used[doubled[0]] == 0
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -298,3 +298,15 @@
     covered, seconds = run_virtual(scenario())
     assert covered == found
     assert seconds <= (PULL_TIMEOUT_S if found is None else 2 * SNAPSHOT_GRACE_S)
+
+
+def test_a_host_whose_clock_was_set_back_outlives_its_earlier_incarnation():
+    """Replays a restart after a step of the clock: peers know a later incarnation of the host."""
+    restarted = MemberTable(member("a", incarnation=500), random.Random(0), outlives=True)
+    peer = MemberTable(member("b"), random.Random(1))
+    peer.merge(Gossip(member("a", incarnation=900, leaving=True), [], [], []), 0.0)
+    restarted.merge(peer.gossip(HostId("a"), full=True), 1.0)
+    assert not restarted.superseded and restarted.me.incarnation > 900
+    peer.merge(restarted.gossip(), 2.0)
+    believed = peer.find(HostId("a"))
+    assert believed.incarnation == restarted.me.incarnation and not believed.leaving
