Retry the store more slowly; what was tried with callers' zones

Change: the longest delay between two tries is 1 s; whoever reads first again tells its zone. Tried and reverted: naming mostly hosts of the caller's own zone.

--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -20,7 +20,8 @@
 
 IDLE_S = 0.1
 RETRY_FIRST_S = 0.1
-RETRY_LIMIT_S = 0.5
+RETRY_LIMIT_S = 1.0
+"""Longest delay between two tries. Whoever reads first again tells the others of its zone."""
 
 
 class _Dependency:
@@ -62,7 +63,7 @@
     async def run(self, ready: Ready) -> None:
         """Read on and on while it is for this host to read, until cancelled."""
         ready()
-        backoff = Backoff(self._state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
+        backoff = _make_backoff(self._state)
         while True:
             if not self._reads():
                 self._position = None
@@ -126,7 +127,7 @@
     async def run(self, ready: Ready) -> None:
         """Read the list now and then while it is for this host to read, until cancelled."""
         ready()
-        backoff = Backoff(self._state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
+        backoff = _make_backoff(self._state)
         while True:
             sent_s = self._state.clock()
             if not self._reads():
@@ -177,6 +178,10 @@
         self._state.note_change()
 
 
+def _make_backoff(state: GatewayState) -> Backoff:
+    return Backoff(state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
+
+
 def _differs(old: UpstreamEntry, new: UpstreamEntry) -> bool:
     return (old.leaving, old.layers, old.born_ms, old.address) != (
         new.leaving,
