Leave streams that are silent from load where they are; part the stream's module further

Change: a silence beside an engine with requests waiting, or with little memory left, counts as load. The sharing protocol of streams and their headers stand in modules of their own.

--- a/core/minttide/layers/silence.py
+++ b/core/minttide/layers/silence.py
@@ -4,7 +4,7 @@
 a caller counts a pause of a fraction of a second as late.
 """
 
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 from enum import Enum
 
 import msgspec
@@ -16,6 +16,9 @@
 LOST_S = 0.5
 """Least silence after which an answer counts as lost although all engines live."""
 
+BUSY_SHARE = 0.85
+"""Part of its memory from which on an engine counts as busy."""
+
 LOST_AFTER = 3.0
 """The same in multiples of the silence after which engines are asked."""
 
@@ -36,7 +39,6 @@
 
     silent_s: float
     usual_s: float
-    begun: bool
     may_restart: bool
 
 
@@ -65,18 +67,21 @@
         return Judgement(Remedy.RESTART, dead, "the first engine doesn't answer")
     if dead:
         return Judgement(Remedy.MOVE, dead, "an engine on the path doesn't answer")
-    if _seems_lost(reports.get(head), silence):
+    if _seems_lost(silence) and not _is_busy(reports.values()):
         return Judgement(Remedy.RESTART, dead, "the answer seems lost")
     return Judgement(Remedy.WAIT)
 
 
-def _seems_lost(head: EngineReport | None, silence: Silence) -> bool:
-    """Return whether an answer was lost although all engines live.
+def _seems_lost(silence: Silence) -> bool:
+    """Return whether the silence is too long for an answer that is only late."""
+    long_s = max(LOST_S, LOST_AFTER * silence.usual_s)
+    return silence.may_restart and silence.silent_s >= long_s
+
+
+def _is_busy(reports: Iterable[EngineReport | None]) -> bool:
+    """Return whether an engine has requests waiting, or little memory left.
 
-    A request that waits at its first engine is not lost, only late.
+    A silence there comes from load, and sending the request again would add to it.
     """
-    if not silence.may_restart or silence.silent_s < LOST_S:
-        return False
-    if silence.silent_s < LOST_AFTER * silence.usual_s:
-        return False
-    return silence.begun or head is None or head.waiting == 0
+    known = [r for r in reports if r is not None]
+    return any(r.waiting > 0 or r.memory_used > BUSY_SHARE * r.memory_total for r in known)
--- a/daemon/minttided/gateway/request.py
+++ b/daemon/minttided/gateway/request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from minttide.ids import ServiceName
+from minttide.ids import ServiceName, UpstreamId
 from minttide.layers.paths import Work
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import AccountKeys, ModelSpec, Route
@@ -30,6 +30,11 @@
 
 MS_PER_S = 1000.0
 
+URGENCY_STEP = 2
+"""Steps of urgency between two priorities."""
+
+MOST_URGENCY = 9
+
 
 class GatewayRequest(msgspec.Struct, frozen=True):
     """One request with all that decides how it is forwarded. Times are in loop seconds.
@@ -86,6 +91,24 @@
     return headers
 
 
+def stream_headers(
+    request: GatewayRequest,
+    names: HeaderNames,
+    first: UpstreamId,
+    path: str,
+    last_id: int | None,
+    now_s: float,
+) -> Headers:
+    """Return the headers for the first engine of a path, after event `last_id` if there is one."""
+    headers = [(n, v) for n, v in upstream_headers(request, names, now_s) if n != LAST_EVENT_ID]
+    if last_id is not None:
+        headers.append((LAST_EVENT_ID, str(last_id)))
+    headers.append((names.expect_instance, first))
+    headers.append((names.path, path))
+    headers.append((names.urgency, str(min(MOST_URGENCY, URGENCY_STEP * request.priority))))
+    return headers
+
+
 def read_work(req: HttpRequest, names: HeaderNames, model: ModelSpec) -> Work:
     """Return the size of a request from its headers, the usual one where they don't say."""
     prompt, answer = model.usual_prompt, model.usual_answer
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -2,28 +2,27 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Set
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 import msgspec
 
-from minttide.ids import Address, ServiceName, UpstreamId
+from minttide.ids import Address, UpstreamId
 from minttide.layers.paths import Path, Work
 from minttide.layers.silence import Remedy, Silence, judge
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
 from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
-from minttided.gateway.budgets import Budgets
 from minttided.gateway.events import Event, EventSplitter, EventTooLongError
 from minttided.gateway.exchange import Exchange
-from minttided.gateway.loads import SUSPECT_S, PathLoads
+from minttided.gateway.loads import SUSPECT_S
 from minttided.gateway.patience import Patience
 from minttided.gateway.plain import MAX_ANSWER_BYTES, split_content_type, whole_answer
-from minttided.gateway.probes import EngineProbes
 from minttided.gateway.refusals import fail, refuse
-from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest, upstream_headers
-from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest, stream_headers
+from minttided.gateway.state import now_s
 from minttided.gateway.stream_log import Progress, StreamLog, format_path
+from minttided.gateway.stream_owner import RunOwner
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
@@ -42,9 +41,6 @@
 
 _AVOID_S = {503: FULL_S, 421: STALE_S}
 
-URGENCY_STEP = 2
-MOST_URGENCY = 9
-
 _OK = 200
 
 
@@ -57,33 +53,6 @@
     answer: HttpResponse | None = None
 
 
-class RunOwner(Protocol):
-    """What runs share on one host."""
-
-    state: GatewayState
-    budgets: Budgets
-    loads: PathLoads
-    probes: EngineProbes
-    patience: Patience
-    runs: "set[StreamRun]"
-
-    def choose_path(
-        self,
-        service: ServiceName,
-        model: ModelSpec,
-        work: Work,
-        avoided: set[UpstreamId],
-        first: UpstreamId | None = None,
-    ) -> Path | None:
-        """Return the path to use now, beginning with engine `first` where it is given."""
-
-    def may_resend(self, service: ServiceName) -> bool:
-        """Take one more send out of the service's budget."""
-
-    def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
-        """Keep away from the engine at an address for a while; return it where it is known."""
-
-
 class StreamRun:
     """One stream of one caller. Iterate it once for its events; `aclose` ends its work."""
 
@@ -209,16 +178,15 @@
 
     async def _open_exchange(self) -> Exchange:
         request = self._request
-        names = self._owner.state.headers
-        headers = upstream_headers(request, names, now_s())
         first = self._path[0]
-        headers = [(n, v) for n, v in headers if n != LAST_EVENT_ID]
-        if self._progress.last_id is not None:
-            headers.append((LAST_EVENT_ID, str(self._progress.last_id)))
-        headers.append((names.expect_instance, first.engine))
-        headers.append((names.path, format_path(self._path)))
-        urgency = min(MOST_URGENCY, URGENCY_STEP * request.priority)
-        headers.append((names.urgency, str(urgency)))
+        headers = stream_headers(
+            request,
+            self._owner.state.headers,
+            first.engine,
+            format_path(self._path),
+            self._progress.last_id,
+            now_s(),
+        )
         req = request.req
         engines = [stage.engine for stage in self._path]
         return await Exchange.open(
@@ -374,7 +342,6 @@
         return Silence(
             now_s() - max(self._sent_s, self._last_s),
             self._owner.patience.between_s,
-            self._progress.events > 0,
             may_restart and self._lived < self._request.route.max_attempts,
         )
 
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -12,6 +12,7 @@
 from minttided.gateway.probes import EngineProbes
 from minttided.gateway.request import GatewayRequest, read_work
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.stream_owner import Wakeable
 from minttided.gateway.stream_run import StreamRun
 from minttided.http.messages import HttpResponse, StreamResponse
 
@@ -25,7 +26,7 @@
         self.state = state
         self.loads = loads
         self.probes = EngineProbes(state, suspects, self.wake, loads.note_report)
-        self.runs: set[StreamRun] = set()
+        self.runs: set[Wakeable] = set()
         self.patience = Patience()
         self._suspects = suspects
         self._full = Suspects()
