Log a lost lease service, count decisions, time plain answers

Cause: a renewal of the lease that failed while the lease still held left no line; the gateway's decisions and the time of plain answers were in no metric. Change: dependency lost and back for the lease; counters path, order and refuse by type; a histogram.

--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -9,7 +9,8 @@
 from minttide.routing.sources import SourceError
 from minttide.routing.table import RouteTable
 from minttided.backoff import Backoff
-from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.dependency import Dependency
+from minttided.gateway.state import GatewayState
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -24,27 +25,6 @@
 """Longest delay between two tries. Whoever reads first again tells the others of its zone."""
 
 
-class _Dependency:
-    """Logs once when a dependency is lost and once when it is back."""
-
-    def __init__(self, name: str):
-        self._name = name
-        self._lost_s: float | None = None
-
-    def failed(self, exc: SourceError) -> None:
-        """Note a failed call."""
-        if self._lost_s is None:
-            self._lost_s = now_s()
-            log.warning("dependency lost", extra={"dependency": self._name, "reason": str(exc)})
-
-    def answered(self) -> None:
-        """Note a call that succeeded."""
-        if self._lost_s is not None:
-            out_s = now_s() - self._lost_s
-            log.info("dependency back", extra={"dependency": self._name, "out_s": out_s})
-            self._lost_s = None
-
-
 class ConfigFollower:
     """Keeps the route table at the newest configuration; it never goes back."""
 
@@ -58,7 +38,7 @@
         self._on_change = on_change
         self._reads = reads
         self._position: int | None = None
-        self._dependency = _Dependency("configuration")
+        self._dependency = Dependency("configuration")
 
     async def run(self, ready: Ready) -> None:
         """Read on and on while it is for this host to read, until cancelled."""
@@ -122,7 +102,7 @@
     def __init__(self, state: GatewayState, reads: Callable[[], bool]):
         self._state = state
         self._reads = reads
-        self._dependency = _Dependency("list of upstreams")
+        self._dependency = Dependency("list of upstreams")
 
     async def run(self, ready: Ready) -> None:
         """Read the list now and then while it is for this host to read, until cancelled."""
--- a/daemon/minttided/gateway/front.py
+++ b/daemon/minttided/gateway/front.py
@@ -94,6 +94,7 @@
         return route.timeout_s
 
     def _log_refused(self, req: HttpRequest, exc: RequestError) -> None:
+        self._state.metrics.count_decision(f"refuse {exc.problem.type.value}")
         log.warning(
             "request refused",
             extra={
--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placer.py
@@ -10,6 +10,7 @@
 from minttide.layers.repair import PlaceOrder, plan_orders
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 from minttide.routing.sources import LeaseGrant, SourceError
+from minttided.gateway.dependency import Dependency
 from minttided.gateway.loads import Suspects
 from minttided.gateway.state import GatewayState, now_s
 from minttided.supervisor import Ready
@@ -45,6 +46,7 @@
 
     def __init__(self, state: GatewayState, suspects: Suspects, stands: Callable[[], bool]):
         self._stands = stands
+        self._dependency = Dependency("lease")
         self._joined = False
         self._state = state
         self._suspects = suspects
@@ -88,10 +90,12 @@
         try:
             grant = await self._state.lease.renew(LEASE_TTL_S)
         except SourceError as exc:
+            self._dependency.failed(exc)
             if not self._holds() and self._grant is not None:
                 log.warning("lease lapsed", extra={"reason": str(exc)})
                 self._grant = None
             return
+        self._dependency.answered()
         held_before = self._grant is not None and self._grant.held
         if grant.held != held_before:
             event = "lease taken" if grant.held else "lease lost"
@@ -163,6 +167,7 @@
         self._log(entry, order, "accepted" if outcome.accepted else "refused", outcome.reason)
 
     def _log(self, entry: UpstreamEntry, order: PlaceOrder, outcome: str, reason: str) -> None:
+        self._state.metrics.count_decision("order")
         log.info(
             "order given",
             extra={
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/plain.py
@@ -121,6 +121,7 @@
         metrics = self._state.metrics
         if attempt.end is End.ANSWERED and attempt.answer is not None:
             metrics.count_request(request.service, Ran.DONE)
+            metrics.observe_answer(request.service, now_s() - request.received_s)
             self._budgets.note_served(request.service)
             return attempt.answer
         if ran == 0:
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -138,6 +138,7 @@
             return Sent(End.REJECTED, "no path with room")
         self._enter_path(path)
         self._progress.sends += 1
+        self._owner.state.metrics.count_decision("path")
         self._sent_s = now_s()
         self._splitter = EventSplitter()
         try:
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -13,6 +13,7 @@
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.73, 1.0, 2.0, 5.0, 10.0, float("inf"))
 BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.044, 0.07, 0.1, 0.3, 1.0, float("inf"))
+ANSWER_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, float("inf"))
 RECOVERY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, float("inf"))
 
 
@@ -42,6 +43,9 @@
             "Mean time between the tokens of one stream.",
             BETWEEN_TOKENS_BUCKETS_S,
         )
+        self._answer = self._histogram(
+            "minttide_answer_seconds", "Time to the answer of a plain service.", ANSWER_BUCKETS_S
+        )
         self._recovery = self._histogram(
             "minttide_recovery_seconds",
             "Time from a failed step to the next token.",
@@ -87,6 +91,10 @@
         """Record the time to the first token of one stream."""
         self._first_token.observe({"service": service}, seconds)
 
+    def observe_answer(self, service: ServiceName, seconds: float) -> None:
+        """Record the time to the answer of a plain service."""
+        self._answer.observe({"service": service}, seconds)
+
     def observe_between_tokens(self, service: ServiceName, seconds: float) -> None:
         """Record the mean time between the tokens of one stream."""
         self._between_tokens.observe({"service": service}, seconds)
