--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -20,6 +20,9 @@
 
 
 IDLE_S = 0.1
+
+LEAST_PAUSE_S = 0.02
+"""Least time between two reads, should the store not wait as it is asked to."""
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 1.0
 """Longest delay between two tries. Whoever reads first again tells the others of its zone."""
@@ -50,6 +53,7 @@
                 await asyncio.sleep(IDLE_S)
             elif await self._read():
                 backoff.reset()
+                await asyncio.sleep(LEAST_PAUSE_S)
             else:
                 await backoff.wait()
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -182,7 +182,7 @@
         if req.path.endswith("log-newest"):
             return self._newest(query)
         if req.path.endswith("log-read"):
-            return self._read(query)
+            return await self._read(query)
         return self._group(req.path, json.loads(req.body))
 
     def _newest(self, query):
@@ -200,11 +200,13 @@
         body = {"items": page, "more": len(names) > 2, "end": len(records)}
         return HttpResponse(200, json.dumps(body).encode())
 
-    def _read(self, query):
+    async def _read(self, query):
         start = int(query["from"])
         if start < self.first:
             return HttpResponse(410, json.dumps({"first": self.first}).encode())
         records = self.records[query["topic"]]
+        if start >= len(records):
+            await asyncio.sleep(int(query["waitMs"]) / 1000)
         data = struct.pack(">QQ", len(records), self.first)
         for key, value in records[start:]:
             record = bytes([len(key)]) + key.encode() + value
