--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from minttide.ids import Address, UpstreamId, ZoneId
-from minttide.layers.memory import read_ms, step_ms, stream_tokens, token_capacity
+from minttide.layers.memory import read_ms, step_ms, token_capacity
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 
 SPREAD = 0.25
@@ -180,19 +180,3 @@
         return False
     joined = all(a.layers.last == b.layers.first for a, b in zip(path, path[1:], strict=False))
     return joined and len({s.engine for s in path}) == len(path)
-
-
-def spare_streams(
-    model: ModelSpec, engines: Sequence[UpstreamEntry], loads: Mapping[UpstreamId, EngineLoad]
-) -> float:
-    """Return how many more usual requests fit on the engines of the fullest layer."""
-    room = [0.0] * model.layers
-    for engine in engines:
-        kind = model.kind(engine.kind)
-        if engine.layers is None or kind is None:
-            continue
-        load = loads.get(engine.id) or EngineLoad()
-        free = token_capacity(model, kind, len(engine.layers)) - load.tokens
-        for layer in range(engine.layers.first, min(engine.layers.last, model.layers)):
-            room[layer] += max(0.0, free)
-    return min(room, default=0.0) / stream_tokens(model)
--- a/core/minttide/routing/outcome.py
+++ b/core/minttide/routing/outcome.py
@@ -6,7 +6,6 @@
 """Statuses that promise a client that its request has not run and never will."""
 
 MISDIRECTED = 421
-BAD_GATEWAY = 502
 FIRST_FAILURE = 500
 
 
--- a/daemon/minttided/gateway/loads.py
+++ b/daemon/minttided/gateway/loads.py
@@ -1,8 +1,7 @@
 """What this host has running on each upstream, and which upstreams it keeps away from."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import EngineLoad, Path, Work
@@ -41,15 +40,6 @@
             load.streams += sign
             load.tokens += sign * (work.prompt + work.answer / 2)
 
-    @contextmanager
-    def counted(self, path: Path, work: Work) -> Iterator[None]:
-        """Count a request while the context is open."""
-        self.add(path, work)
-        try:
-            yield
-        finally:
-            self.add(path, work, -1)
-
     def estimate(self) -> Mapping[UpstreamId, EngineLoad]:
         """Return the load of all hosts together as far as it can be told from here."""
         peers = self._peers()
@@ -84,8 +74,3 @@
         """Return the upstreams to keep away from."""
         self._until = {u: t for u, t in self._until.items() if t > now_s}
         return set(self._until)
-
-    def trusted(self, upstreams: Iterable[UpstreamId], now_s: float) -> Sequence[UpstreamId]:
-        """Return those of `upstreams` that aren't suspected."""
-        suspected = self.current(now_s)
-        return [u for u in upstreams if u not in suspected]
--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from minttide.config.settings import LogFormat, LogLevel
-from minttide.ids import Address, HostId, RegionId, ZoneId
+from minttide.ids import Address, HostId, ZoneId
 
 
 class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -28,8 +28,7 @@
 
     `keys_valid_s` is how long a revoked key may still be accepted; `answer_keep_s` is how long
     callers may keep an answer about addresses. `apply_s` is the time in which a configuration must
-    be in force, `drain_s` that after which a leaving upstream gets nothing more. `stall_s` is how
-    long engines wait for one another.
+    be in force, `drain_s` that after which a leaving upstream gets nothing more.
     """
 
     host: HostId
@@ -40,14 +39,11 @@
     peer: Address
     metrics: Address
     store: Address
-    region: RegionId = RegionId("local")
     peers: list[Address] = []
     answer_keep_s: float = 1.0
     keys_valid_s: float = 5.0
     apply_s: float = 2.0
     drain_s: float = 2.0
-    stall_s: float = 3.0
-    beat_s: float = 1.2
     stop: StopSettings = StopSettings()
     retries: RetrySettings = RetrySettings()
     max_connections: int = 2_000
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -36,9 +36,7 @@
 NAMES = HeaderNames(
     attempt="x-attempt",
     deadline_ms="x-deadline",
-    seal="x-seal",
     account="x-account",
-    instance="x-instance",
     expect_instance="x-expect",
     not_run="x-not-run",
     fault_address="x-fault",
