End no answer for an engine's silence alone

Change: a silent answer is given up only where the request may go on elsewhere. The test failed before (draft and once) and passes; a coroutine that was never awaited at the deadline is gone too.

--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -1,7 +1,7 @@
 """One stream: sent along a path, watched, and moved or resumed when an engine falls out."""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Set
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Set
 from typing import TypeVar
 
 import msgspec
@@ -271,7 +271,7 @@
         patience_s = self._owner.patience.between_s
         while True:
             try:
-                return await self._wait(exchange.read_piece(), patience_s)
+                return await self._wait(exchange.read_piece, patience_s)
             except TimeoutError:
                 await self._check()
             patience_s = Patience.grow(patience_s)
@@ -280,17 +280,17 @@
         patience_s = self._owner.patience.first_s
         while True:
             try:
-                return await self._wait(asyncio.shield(opening), patience_s)
+                return await self._wait(lambda: asyncio.shield(opening), patience_s)
             except TimeoutError:
                 await self._check()
             patience_s = Patience.grow(patience_s)
 
-    async def _wait(self, coming: Awaitable[T], patience_s: float) -> T:
+    async def _wait(self, read: Callable[[], Awaitable[T]], patience_s: float) -> T:
         """Wait for what comes; raises `TimeoutError` after a while, or when woken."""
         async with asyncio.timeout(min(patience_s, self._left_s())) as limit:
             self._limit = limit
             try:
-                return await coming
+                return await read()
             finally:
                 self._limit = None
 
@@ -320,13 +320,20 @@
         stalled_at = self._find_stalled(reports.get(self._path[0].engine))
         judged = judge(self._path, reports, stalled_at, self._silence())
         self._avoided |= judged.dead
-        if judged.remedy is Remedy.RESTART:
-            raise BrokenError(judged.reason)
-        if judged.remedy is Remedy.WAIT or await self._move(judged.dead):
+        if judged.remedy is Remedy.WAIT:
+            return
+        if judged.remedy is Remedy.MOVE and await self._move(judged.dead):
             return
-        if self._request.route.repeatable:
+        if self._may_restart():
             raise BrokenError(judged.reason)
 
+    def _may_restart(self) -> bool:
+        """Return whether a silent answer may be given up for another.
+
+        An engine's silence alone is no reason to end an answer that can't go on elsewhere.
+        """
+        return self._request.route.repeatable and self._choose(None) is not None
+
     def _find_stalled(self, head: EngineReport | None) -> set[UpstreamId]:
         """Return the engines that the first one says this request waits for."""
         found: set[UpstreamId] = set()
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -363,3 +363,27 @@
     through_b, left, answers = asyncio.run(asyncio.wait_for(run(), 30))
     assert through_b and not left
     assert all(a.chunks == WHOLE for a in answers)
+
+
+@pytest.mark.parametrize("name", ["draft", "once"])
+def test_silence_alone_ends_no_answer_that_cant_go_on_elsewhere(name):
+    """Replays engines that don't answer probes for a while and go on with the stream then."""
+    asked = asyncio.Event()
+    site = site_of(a=(0, 2), b=(2, 4))
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), asked.wait, events(2, 3), END]]
+
+    async def run():
+        async with site:
+            site.engines.dead |= {"a", "b"}
+            report = site.engines.report
+
+            async def count_and_report(entry, timeout_s):
+                asked.set()
+                return await report(entry, timeout_s)
+
+            site.engines.report = count_and_report
+            return await site.ask(name, "POST")
+
+    answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert (answer.chunks, answer.whole) == (WHOLE, True)
+    assert len(engine(site, "a").requests) == 1
