Log requests that can't be read

Cause: a request refused while it was read (too long, framed twice, nonsense, too slow) was answered and left no line; the issue asks for both. Change: one line with status and detail. The table of bad input checks it now; it was not run without the change.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -162,6 +162,9 @@
             req = await self._read_request()
         except RefusedError as exc:
             self._body.give_back()
+            log.info(
+                "bad request", extra={"status": exc.problem.status, "detail": exc.problem.detail}
+            )
             await self._refuse(exc.problem)
             return False
         if req is None:
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -103,7 +103,8 @@
 
 
 @pytest.mark.parametrize("case", BAD)
-def test_bad_input_is_answered_as_not_run_and_leaves_others_alone(case):
+def test_bad_input_is_answered_as_not_run_and_leaves_others_alone(case, caplog):
+    caplog.set_level("INFO")
     sent, status = BAD[case]
 
     async def run():
@@ -126,6 +127,7 @@
     assert b"connection: close" in head.lower()
     assert msgspec.json.decode(body)["ran"] == "not run"
     assert b"bytearray" not in body and b"\\x" not in body
+    assert [r.status for r in caplog.records if r.message == "bad request"] == [status]
 
 
 def test_a_slow_request_is_given_up_with_an_answer():
