Remove a method of suspects that nothing calls

Change: it is gone. No behaviour changes; lint of the folder, types, and 65 tests of the gateway's request path pass.

--- a/daemon/minttided/gateway/loads.py
+++ b/daemon/minttided/gateway/loads.py
@@ -66,10 +66,6 @@
         self._until[upstream] = max(self._until.get(upstream, 0.0), now_s + for_s)
         return not known
 
-    def clear(self, upstream: UpstreamId) -> None:
-        """Trust an upstream again, since it has answered."""
-        self._until.pop(upstream, None)
-
     def current(self, now_s: float) -> set[UpstreamId]:
         """Return the upstreams to keep away from."""
         self._until = {u: t for u, t in self._until.items() if t > now_s}
