Pass keyed calls as one message

A KeyedCall holds them now; what goes to a peer, with the time that is left instead of a deadline, is a ForwardedCall.

--- a/core/minttide/interfaces.py
+++ b/core/minttide/interfaces.py
@@ -5,7 +5,18 @@
 
 import msgspec
 
-from minttide.ids import Address, HostId, Offset, RequestId, StreamName, UpstreamId, ZoneId
+from minttide.ids import (
+    AccountId,
+    Address,
+    HostId,
+    IdempotencyKey,
+    Offset,
+    RequestId,
+    ServiceName,
+    StreamName,
+    UpstreamId,
+    ZoneId,
+)
 from minttide.steps import (
     CacheEvent,
     EngineState,
@@ -145,6 +156,16 @@
     body: bytes
 
 
+class KeyedCall(msgspec.Struct, frozen=True):
+    """A call with an idempotency key, for one account. `deadline` is in loop time, seconds."""
+
+    account: AccountId
+    service: ServiceName
+    key: IdempotencyKey
+    call: UpstreamCall
+    deadline: float
+
+
 class UpstreamClient(Protocol):
     """A process of a plain service."""
 
--- a/daemon/minttided/callers/calls.py
+++ b/daemon/minttided/callers/calls.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from minttide.config.service import Account, Call, PlainService, Upstream
-from minttide.ids import AccountId, IdempotencyKey, RequestId, ServiceName, UpstreamId
+from minttide.ids import IdempotencyKey, RequestId, ServiceName, UpstreamId
 from minttide.interfaces import (
+    KeyedCall,
     UpstreamBrokenError,
     UpstreamCall,
     UpstreamRefusedError,
@@ -72,25 +73,18 @@
         limit_ms = min(spec.timeout_ms, file.deadline_ms)
         deadline = asyncio.get_running_loop().time() + limit_ms / 1000.0
         if key is not None and not spec.idempotent:
-            return await self._run_keyed(account.name, file.service, key, call, deadline)
+            return await self._run_keyed(KeyedCall(account.name, file.service, key, call, deadline))
         if spec.idempotent:
             return await self._run_idempotent(file.service, call, deadline)
         request = self._new_id()
         return await self._detach(self.dispatch(request, file.service, call, deadline))
 
-    async def _run_keyed(
-        self,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
+    async def _run_keyed(self, call: KeyedCall) -> UpstreamReply:
         keyed = self._node.keyed
         if keyed is None:
             detail = "this host can't take calls with an idempotency key yet"
             raise refusal(ProblemType.LOG_UNAVAILABLE, detail, NO_UPSTREAM_RETRY_S)
-        return await self._detach(keyed.run(account, service, key, call, deadline))
+        return await self._detach(keyed.run(call))
 
     async def _detach(self, work: Coroutine[Any, Any, UpstreamReply]) -> UpstreamReply:
         """Await work that goes on when the caller leaves, since it may not be broken off."""
--- a/daemon/minttided/gateway/sharing.py
+++ b/daemon/minttided/gateway/sharing.py
@@ -16,7 +16,7 @@
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.state import GatewayState, now_s
 from minttided.http.problems import problem
-from minttided.peers.link import KeyedCall, PeerError, PeerLink, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, PeerError, PeerLink, Probe, ProbeAnswer, Pulled
 from minttided.peers.membership import Membership
 from minttided.supervisor import Ready
 
@@ -71,7 +71,7 @@
                 break
         return Pulled(snapshot=self._answer(start, asked_s))
 
-    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+    async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Refuse keyed calls, which a gateway doesn't run."""
         return problem(ProblemType.NOT_FOUND, "no keyed calls here", Ran.NOT_RUN)
 
--- a/daemon/minttided/keys/keyed.py
+++ b/daemon/minttided/keys/keyed.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from minttide.config.service import PlainService, Site
-from minttide.ids import AccountId, HostId, IdempotencyKey, RequestId, ServiceName
-from minttide.interfaces import UpstreamCall, UpstreamReply
+from minttide.ids import HostId, RequestId
+from minttide.interfaces import KeyedCall, UpstreamReply
 from minttide.outcome import Ran, RequestError
 from minttide.rendezvous import OwnerTable, shard_of
 from minttided.drafts.streams import Follow
@@ -48,16 +48,8 @@
 class Forwarder(Protocol):
     """Passes a keyed call to the host that looks after its key."""
 
-    async def forward(
-        self,
-        host: HostId,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
-        """Have `host` run the call. `deadline` is in loop time, seconds.
+    async def forward(self, host: HostId, call: KeyedCall) -> UpstreamReply:
+        """Have `host` run the call.
 
         Raises `RequestError` with the owner's problem, or `ForwardError`.
         """
@@ -92,20 +84,13 @@
         """Return the open shards by number."""
         return self._shards
 
-    async def run(
-        self,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
+    async def run(self, call: KeyedCall) -> UpstreamReply:
         """Run the call at most once over all hosts, here or on the key's owner.
 
         Raises `RequestError`, whose problem says whether the call ran.
         """
-        req = self._check(account, service, key, call, deadline)
-        shard = shard_of(req.scope, key, self._site().key_shards)
+        req = self._check(call)
+        shard = shard_of(req.scope, req.key, self._site().key_shards)
         owners = self.owners_of(shard)
         asked = False
         if self._node.cfg.host not in owners and self._forwarder is not None:
@@ -128,10 +113,7 @@
     async def _forward(self, owner: HostId, req: KeyedRequest) -> UpstreamReply:
         """Have `owner` run the call, as long as it is believed to be up."""
         assert self._forwarder is not None
-        call = self._forwarder.forward(
-            owner, req.account, req.service, req.key, req.call, req.deadline
-        )
-        task = asyncio.ensure_future(call)
+        task = asyncio.ensure_future(self._forwarder.forward(owner, req))
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=OWNER_CHECK_S)
@@ -141,20 +123,13 @@
         finally:
             task.cancel()
 
-    async def run_as_owner(
-        self,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
+    async def run_as_owner(self, call: KeyedCall) -> UpstreamReply:
         """Run a call that another host has passed on; it is not passed on again.
 
         Raises `RequestError`.
         """
-        req = self._check(account, service, key, call, deadline)
-        shard = shard_of(req.scope, key, self._site().key_shards)
+        req = self._check(call)
+        shard = shard_of(req.scope, req.key, self._site().key_shards)
         return await self._run_here(shard, req)
 
     async def _run_here(self, number: int, req: KeyedRequest) -> UpstreamReply:
@@ -185,24 +160,16 @@
             raise problems.config_unknown()
         return site
 
-    def _check(
-        self,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> KeyedRequest:
+    def _check(self, call: KeyedCall) -> KeyedRequest:
         site = self._site()
-        plain = self._node.config.plain(service)
+        plain = self._node.config.plain(call.service)
         if not isinstance(plain, PlainService):
-            raise problems.not_found(f"no plain service {service}")
+            raise problems.not_found(f"no plain service {call.service}")
+        key = call.key
         if not 0 < len(key) <= MAX_KEY_CHARS or not key.isascii() or not key.isprintable():
             raise problems.bad_key("an idempotency key is 1 to 255 printable ASCII characters")
         remember_ms = site.key_memory_s * _MS
-        req = KeyedRequest(
-            account, service, key, call, deadline, remember_ms, plain.rejects_duplicates
-        )
+        req = KeyedRequest.of(call, remember_ms, plain.rejects_duplicates)
         if req.is_older_than_memory(self._node.wall_ms()):
             raise problems.key_too_old()
         return req
--- a/daemon/minttided/keys/keyed_request.py
+++ b/daemon/minttided/keys/keyed_request.py
@@ -2,29 +2,28 @@
 
 import hashlib
 import uuid
-from dataclasses import dataclass
 
 import msgspec
 
-from minttide.ids import AccountId, IdempotencyKey, ServiceName
-from minttide.interfaces import UpstreamCall
+from minttide.ids import IdempotencyKey
+from minttide.interfaces import KeyedCall
 
 _UUID_TIME_SHIFT = 80  # a version 7 UUID opens with 48 bits of milliseconds
 _UUID_TIME_VERSION = 7
 
 
-@dataclass(frozen=True)
-class KeyedRequest:
-    """One call that carries an idempotency key. `deadline` is in loop time, seconds."""
+class KeyedRequest(KeyedCall, frozen=True):
+    """A keyed call with what its site and its service say about keys."""
 
-    account: AccountId
-    service: ServiceName
-    key: IdempotencyKey
-    call: UpstreamCall
-    deadline: float
     remember_ms: int
     rejects_duplicates: bool
 
+    @classmethod
+    def of(cls, call: KeyedCall, remember_ms: int, rejects_duplicates: bool) -> "KeyedRequest":
+        """Return the request for a call."""
+        parts = (call.account, call.service, call.key, call.call, call.deadline)
+        return cls(*parts, remember_ms, rejects_duplicates)
+
     @property
     def scope(self) -> str:
         """Return the scope that the key is unique in."""
--- a/daemon/minttided/node.py
+++ b/daemon/minttided/node.py
@@ -8,17 +8,10 @@
 
 from minttide.agree.config import ConfigFold
 from minttide.config.settings import Settings
-from minttide.ids import (
-    AccountId,
-    IdempotencyKey,
-    Incarnation,
-    Offset,
-    RequestId,
-    ServiceName,
-    UpstreamId,
-)
+from minttide.ids import Incarnation, Offset, RequestId, ServiceName, UpstreamId
 from minttide.interfaces import (
     Clients,
+    KeyedCall,
     MemberView,
     PlatformLog,
     UpstreamCall,
@@ -70,15 +63,8 @@
 class KeyedCalls(Protocol):
     """Runs calls that carry an idempotency key at most once over all hosts."""
 
-    async def run(
-        self,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
-        """Run the call, or return the recorded answer. `deadline` is in loop time, seconds.
+    async def run(self, call: KeyedCall) -> UpstreamReply:
+        """Run the call, or return the recorded answer.
 
         Raises `RequestError`, whose problem says whether the call ran.
         """
--- a/daemon/minttided/peers/codec.py
+++ b/daemon/minttided/peers/codec.py
@@ -15,7 +15,7 @@
 )
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
-from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pulled
 from minttided.proto import peer_pb2 as pb
 
 _STATUS_OUT = {
@@ -141,7 +141,7 @@
 # Keyed calls.
 
 
-def call_out(call: KeyedCall) -> pb.CallRequest:
+def call_out(call: ForwardedCall) -> pb.CallRequest:
     """Encode a keyed call."""
     return pb.CallRequest(
         account=call.account,
@@ -155,10 +155,10 @@
     )
 
 
-def call_in(msg: pb.CallRequest) -> KeyedCall:
+def call_in(msg: pb.CallRequest) -> ForwardedCall:
     """Decode a keyed call."""
     headers = [(h.name, h.value) for h in msg.headers]
-    return KeyedCall(
+    return ForwardedCall(
         AccountId(msg.account),
         ServiceName(msg.service),
         IdempotencyKey(msg.key),
--- a/daemon/minttided/peers/forwarder.py
+++ b/daemon/minttided/peers/forwarder.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from minttide.ids import AccountId, HostId, IdempotencyKey, ServiceName
-from minttide.interfaces import UpstreamCall, UpstreamReply
+from minttide.ids import HostId
+from minttide.interfaces import KeyedCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, RequestError
 from minttided.http.problems import problem
 from minttided.keys.keyed import ForwardError, KeyedCallRunner
 from minttided.node import Node
-from minttided.peers.link import KeyedCall, PeerError, PeerLink
+from minttided.peers.link import ForwardedCall, PeerError, PeerLink
 
 RETRY_AFTER_S = 1.0
 
@@ -20,16 +20,8 @@
         self._node = node
         self._link = link
 
-    async def forward(
-        self,
-        host: HostId,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
-        """Have `host` run the call. `deadline` is in loop time, seconds.
+    async def forward(self, host: HostId, call: KeyedCall) -> UpstreamReply:
+        """Have `host` run the call.
 
         Raises `RequestError` with the owner's problem, or `ForwardError`.
         """
@@ -37,11 +29,10 @@
         owner = next((m for m in members if m.host == host), None)
         if owner is None:
             raise ForwardError(f"{host} is not known", sent=False)
-        remaining_s = deadline - asyncio.get_running_loop().time()
+        remaining_s = call.deadline - asyncio.get_running_loop().time()
+        message = ForwardedCall(call.account, call.service, call.key, call.call, remaining_s)
         try:
-            outcome = await self._link.call(
-                owner.peer, KeyedCall(account, service, key, call, remaining_s)
-            )
+            outcome = await self._link.call(owner.peer, message)
         except PeerError as exc:
             raise ForwardError(str(exc)) from exc
         if isinstance(outcome, Problem):
@@ -49,14 +40,17 @@
         return outcome
 
 
-async def run_forwarded(runner: KeyedCallRunner | None, call: KeyedCall) -> UpstreamReply | Problem:
+async def run_forwarded(
+    runner: KeyedCallRunner | None, message: ForwardedCall
+) -> UpstreamReply | Problem:
     """Run a keyed call that a peer has passed on, and return how it ended."""
     if runner is None:
         return problem(
             ProblemType.CONFIG_UNKNOWN, "this host is not ready", retry_after_s=RETRY_AFTER_S
         )
-    deadline = asyncio.get_running_loop().time() + call.remaining_s
+    deadline = asyncio.get_running_loop().time() + message.remaining_s
+    call = KeyedCall(message.account, message.service, message.key, message.call, deadline)
     try:
-        return await runner.run_as_owner(call.account, call.service, call.key, call.call, deadline)
+        return await runner.run_as_owner(call)
     except RequestError as exc:
         return exc.problem
--- a/daemon/minttided/peers/grpc_net.py
+++ b/daemon/minttided/peers/grpc_net.py
@@ -18,7 +18,7 @@
 from minttide.outcome import Problem
 from minttided.http.messages import join_address, split_address
 from minttided.peers import codec as codec
-from minttided.peers.link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
 from minttided.proto import peer_pb2 as pb
 from minttided.proto.peer_grpc import PeerBase, PeerStub
 
@@ -71,7 +71,7 @@
         msg = await self._ask(address, lambda stub: stub.Pull(req, timeout=timeout_s), timeout_s)
         return codec.pulled_in(msg)
 
-    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+    async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Have a peer run a keyed call. Raises `PeerError`."""
         req = codec.call_out(call)
         timeout_s = call.remaining_s + CALL_MARGIN_S
--- a/daemon/minttided/peers/handler.py
+++ b/daemon/minttided/peers/handler.py
@@ -7,7 +7,7 @@
 from minttide.outcome import Problem
 from minttided.keys.keyed import KeyedCallRunner
 from minttided.peers.forwarder import run_forwarded
-from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pulled
 from minttided.peers.membership import Membership
 from minttided.peers.relay import Relay
 
@@ -33,6 +33,6 @@
         """Return configuration records from `start` on."""
         return await self._relay.on_pull(start)
 
-    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+    async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
         return await run_forwarded(self._find_runner(), call)
--- a/daemon/minttided/peers/link.py
+++ b/daemon/minttided/peers/link.py
@@ -42,8 +42,8 @@
     snapshot: Checkpoint | None = None
 
 
-class KeyedCall(msgspec.Struct, frozen=True):
-    """A call with an idempotency key for the host that owns the key."""
+class ForwardedCall(msgspec.Struct, frozen=True):
+    """A keyed call for the host that owns its key, with the time that is left for it in seconds."""
 
     account: AccountId
     service: ServiceName
@@ -61,7 +61,7 @@
     async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
         """Ask a peer for configuration records from `start` on."""
 
-    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+    async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Have a peer run a keyed call."""
 
 
@@ -74,7 +74,7 @@
     async def on_pull(self, start: Offset) -> Pulled:
         """Return configuration records from `start` on."""
 
-    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+    async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
 
 
--- a/fakes/minttide_fakes/peer_net.py
+++ b/fakes/minttide_fakes/peer_net.py
@@ -5,7 +5,7 @@
 from minttide.ids import Address, Offset
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
-from minttided.peers.link import KeyedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
 
 
 class MemoryNet:
@@ -91,7 +91,7 @@
         service = await self._net.reach(self._source, address, timeout_s)
         return await service.on_pull(start)
 
-    async def call(self, address: Address, call: KeyedCall) -> UpstreamReply | Problem:
+    async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Have a peer run a keyed call."""
         service = await self._net.reach(self._source, address, call.remaining_s)
         outcome = await service.on_call(call)
--- a/measure/keyed.py
+++ b/measure/keyed.py
@@ -23,7 +23,7 @@
     ServiceName,
     ZoneId,
 )
-from minttide.interfaces import MemberView, UpstreamCall, UpstreamReply
+from minttide.interfaces import KeyedCall, MemberView, UpstreamCall, UpstreamReply
 from minttide.outcome import RequestError
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.memory import MemoryLog
@@ -83,18 +83,10 @@
             for h in self.runners
         ]
 
-    async def forward(
-        self,
-        host: HostId,
-        account: AccountId,
-        service: ServiceName,
-        key: IdempotencyKey,
-        call: UpstreamCall,
-        deadline: float,
-    ) -> UpstreamReply:
+    async def forward(self, host: HostId, call: KeyedCall) -> UpstreamReply:
         """Have a host run a call, after the time of two messages."""
         await asyncio.sleep(2 * MESSAGE_S)
-        return await self.runners[host].run_as_owner(account, service, key, call, deadline)
+        return await self.runners[host].run_as_owner(call)
 
 
 def _runner(log: MemoryLog, name: str, peers: _Peers) -> KeyedCallRunner:
@@ -121,7 +113,7 @@
         key = IdempotencyKey(f"{caller}-{number}")
         try:
             call = UpstreamCall("POST", "/book", [], b"{}")
-            await runner.run(ANN, BOOKING, key, call, start + 10.0)
+            await runner.run(KeyedCall(ANN, BOOKING, key, call, start + 10.0))
         except RequestError:
             continue
         if loop.time() <= until:
--- a/measure/probe_cost.py
+++ b/measure/probe_cost.py
@@ -14,7 +14,7 @@
 from minttide.outcome import Problem
 from minttided.peers import codec as peer_codec
 from minttided.peers.grpc_net import GrpcPeers, PeerServer
-from minttided.peers.link import KeyedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pulled
 
 HOSTS = [9, 100, 400, 1600]
 PROBES = 300
@@ -62,7 +62,7 @@
         """Return nothing; not asked here."""
         return Pulled()
 
-    async def on_call(self, call: KeyedCall) -> UpstreamReply | Problem:
+    async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Refuse; not asked here."""
         raise NotImplementedError
 
--- a/test/key_site.py
+++ b/test/key_site.py
@@ -19,7 +19,7 @@
     ServiceName,
     ZoneId,
 )
-from minttide.interfaces import MemberView, UpstreamCall
+from minttide.interfaces import KeyedCall, MemberView, UpstreamCall
 from minttide.outcome import Problem, ProblemType, Ran, RequestError
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.memory import HostLog, MemoryLog
@@ -126,7 +126,9 @@
         call = UpstreamCall("POST", path, [("x-attempt", attempt)], b"{}")
         deadline = asyncio.get_running_loop().time() + limit_s
         try:
-            reply = await self.runner.run(ANN, service, IdempotencyKey(key), call, deadline)
+            reply = await self.runner.run(
+                KeyedCall(ANN, service, IdempotencyKey(key), call, deadline)
+            )
         except RequestError as exc:
             return exc.problem.ran, exc.problem.type
         return Ran.DONE, reply.status
@@ -189,11 +191,11 @@
             if h.alive
         ]
 
-    async def forward(self, host, account, service, key, call, deadline):
+    async def forward(self, host, call):
         target = self.hosts_by_name[host]
         if not self.forwarding or not target.alive:
             raise ForwardError("no route", sent=False)
-        reply = await target.runner.run_as_owner(account, service, key, call, deadline)
+        reply = await target.runner.run_as_owner(call)
         if self.answers_lost:
             raise ForwardError("the answer was lost")
         return reply
--- a/test/schedule.py
+++ b/test/schedule.py
@@ -45,7 +45,7 @@
     key_stream,
     placement_stream,
 )
-from minttide.interfaces import EngineError, UpstreamCall
+from minttide.interfaces import EngineError, KeyedCall, UpstreamCall
 from minttide.outcome import Ran, RequestError
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.faults import AppendFault
@@ -304,7 +304,8 @@
         call = UpstreamCall("POST", f"/book/{key}", headers, b"")
         deadline = asyncio.get_running_loop().time() + self.rng.choice((0.5, 2.0, 5.0))
         try:
-            await app.node.keyed.run(ANN, BOOKING, IdempotencyKey(f"key-{key}"), call, deadline)
+            keyed = KeyedCall(ANN, BOOKING, IdempotencyKey(f"key-{key}"), call, deadline)
+            await app.node.keyed.run(keyed)
             told = Ran.DONE
         except RequestError as exc:
             told = exc.problem.ran
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -21,7 +21,7 @@
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
 from minttided.peers.grpc_net import MAX_CHANNELS, GrpcPeers, PeerServer, _listen
-from minttided.peers.link import KeyedCall, PeerError, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, PeerError, Probe, ProbeAnswer, Pulled
 
 ME = Member(
     HostId("a"),
@@ -40,7 +40,7 @@
     [LeavingUpstream(UpstreamId("e"), 10**12)],
 )
 PROBE = Probe(GOSSIP, Address("127.0.0.1:9"), True, 2**64 - 1)
-CALL = KeyedCall(
+CALL = ForwardedCall(
     AccountId("acc"),
     ServiceName("booking"),
     IdempotencyKey("k"),
@@ -72,7 +72,7 @@
 async def ask(link, address, msg):
     if isinstance(msg, Probe):
         return await link.probe(address, msg, 0.3)
-    if isinstance(msg, KeyedCall):
+    if isinstance(msg, ForwardedCall):
         return await link.call(address, msg)
     return await link.pull(address, msg, 0.3)
 
