Wait in a test until the gateway says that it has started

Cause: the test took the line 'upstream listed' for the start's end, and the followers run while listeners are still opened. The gateway is as it should be, as nobody is told of it before it answers. The test waits for both lines; what it asserts is the same.

--- a/test/test_gateway_process.py
+++ b/test/test_gateway_process.py
@@ -61,6 +61,8 @@
         )
         self.lines = []
         self._reading = asyncio.create_task(self._read_lines())
+        # The list may be read before the last listener is up, which `started` tells.
+        await self.wait_line("event=started")
         await self.wait_line("upstream listed")
         return self
 
