Ask engines that others name as dead, and try suspects with a probe

Requests through them were answered 503 with the dead engine's address. That engine was left for 0.3 s as if it were full, by each of 71 hosts, again and again: 1,151 times 'engine avoided', about 90 a second, and 53 requests a second refused after five sends. Engines that a probe had found silent came back into use after 2 s without an answer.

Change: an engine that another names is asked by a probe. Suspects are on trial after their time, and streams use them again once a probe was answered, each silence doubling the time up to 8 s. A suspect that starts anew is trusted at once. An order to move a stream that is refused because of a third engine is given again around that one, and waits 0.25 s instead of 1 s (14 streams waited that second in vain). Reports are read on fresh connections, since a kept one may be silent or closed and would make a living engine look dead.

--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -74,11 +74,15 @@
 
 
 class OrderOutcome(msgspec.Struct, frozen=True):
-    """How an order ended: accepted, already so, or refused with a reason."""
+    """How an order ended: accepted, already so, or refused with a reason.
+
+    `fault` is the address of another engine because of which it was refused, where one is named.
+    """
 
     accepted: bool
     stale_fencing: bool = False
     reason: str = ""
+    fault: Address | None = None
 
 
 class PathEngines(Protocol):
@@ -96,7 +100,9 @@
         `SourceError` when the outcome is unknown.
         """
 
-    async def repath(self, entry: UpstreamEntry, attempt: str, path: str) -> OrderOutcome:
+    async def repath(
+        self, entry: UpstreamEntry, attempt: str, path: str, timeout_s: float
+    ) -> OrderOutcome:
         """Move a running request, whose first engine is `entry`, to another path from there.
 
         Raises `SourceError` when the outcome is unknown.
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -17,7 +17,7 @@
 from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.loads import PathLoads
 from minttided.gateway.placer import Placer
 from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
@@ -90,7 +90,6 @@
             rng,
             Freshness(cfg.keys_valid_s),
         )
-        self._suspects = Suspects()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> "Gateway":
@@ -138,8 +137,8 @@
         )
         loads = PathLoads(self._count_peers)
         budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
-        plain = PlainCalls(self.state, self._suspects, budgets)
-        streams = StreamCalls(self.state, self._suspects, budgets, loads)
+        plain = PlainCalls(self.state, budgets)
+        streams = StreamCalls(self.state, budgets, loads)
         self.front = HttpServer(
             Front(self.state, plain, streams).handle,
             cfg.callers,
@@ -152,7 +151,7 @@
         self._news = NewsFollower(
             self.state, link, self.membership.hosts, self._config, self._upstreams
         )
-        self._placer = Placer(self.state, self._suspects, lambda: self._news.is_reader)
+        self._placer = Placer(self.state, streams.probes, lambda: self._news.is_reader)
         self.drain = Drain(
             self._leave,
             lambda: self.front,
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -155,8 +155,11 @@
             old = before.get(upstream)
             if old is None or _differs(old, entry):
                 _log_change("upstream listed", entry)
+            if old is not None and (old.born_ms, old.address) != (entry.born_ms, entry.address):
+                self._state.suspects.clear(upstream)
         for upstream, entry in before.items():
             if upstream not in entries:
+                self._state.suspects.clear(upstream)
                 _log_change("upstream gone", entry)
         self._state.upstreams = entries
         self._state.note_change()
--- a/daemon/minttided/gateway/loads.py
+++ b/daemon/minttided/gateway/loads.py
@@ -1,4 +1,4 @@
-"""What this host has running on each upstream, and which upstreams it keeps away from."""
+"""What this host has running on each engine."""
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping
@@ -10,9 +10,6 @@
 SLOW_PACE = 1.2
 """Pace from which on an engine counts as slow."""
 
-SUSPECT_S = 2.0
-"""How long an upstream that did not answer is kept away from before it is tried again."""
-
 
 class PathLoads:
     """Streams that this host has on each engine.
@@ -52,21 +49,3 @@
             )
             for e in engines
         }
-
-
-class Suspects:
-    """Upstreams that failed lately. Times are in loop seconds."""
-
-    def __init__(self) -> None:
-        self._until: dict[UpstreamId, float] = {}
-
-    def add(self, upstream: UpstreamId, now_s: float, for_s: float = SUSPECT_S) -> bool:
-        """Keep away from an upstream; return whether that is news."""
-        known = self._until.get(upstream, 0.0) > now_s
-        self._until[upstream] = max(self._until.get(upstream, 0.0), now_s + for_s)
-        return not known
-
-    def current(self, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams to keep away from."""
-        self._until = {u: t for u, t in self._until.items() if t > now_s}
-        return set(self._until)
--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placer.py
@@ -11,7 +11,7 @@
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 from minttide.routing.sources import LeaseGrant, SourceError
 from minttided.gateway.dependency import Dependency
-from minttided.gateway.loads import Suspects
+from minttided.gateway.probes import EngineProbes
 from minttided.gateway.state import GatewayState, now_s
 from minttided.supervisor import Ready
 
@@ -44,12 +44,12 @@
     Only hosts of which `stands` is true seek it, so that renewals don't grow with the hosts.
     """
 
-    def __init__(self, state: GatewayState, suspects: Suspects, stands: Callable[[], bool]):
+    def __init__(self, state: GatewayState, probes: EngineProbes, stands: Callable[[], bool]):
         self._stands = stands
         self._dependency = Dependency("lease")
         self._joined = False
         self._state = state
-        self._suspects = suspects
+        self._probes = probes
         self._grant: LeaseGrant | None = None
         self._valid_until_s = 0.0
         self._given: dict[UpstreamId, _Given] = {}
@@ -127,7 +127,8 @@
         if not any(e.layers for e in engines) and not self._settled(engines):
             return
         ordered = {e: g.layers for e, g in self._given.items()}
-        orders = plan_orders(model, engines, ordered, self._suspects.current(now_s()))
+        self._probes.try_again(engines)
+        orders = plan_orders(model, engines, ordered, self._state.suspects.untrusted())
         by_id = {e.id: e for e in engines}
         await asyncio.gather(*(self._give(model, by_id[o.engine], o) for o in orders))
 
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/plain.py
@@ -13,7 +13,6 @@
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.budgets import Budgets
 from minttided.gateway.exchange import Exchange
-from minttided.gateway.loads import Suspects
 from minttided.gateway.refusals import fail, refuse
 from minttided.gateway.request import GatewayRequest, end_to_end, upstream_headers
 from minttided.gateway.state import GatewayState, now_s
@@ -42,9 +41,8 @@
 class PlainCalls:
     """Runs requests of routes whose service has no model."""
 
-    def __init__(self, state: GatewayState, suspects: Suspects, budgets: Budgets):
+    def __init__(self, state: GatewayState, budgets: Budgets):
         self._state = state
-        self._suspects = suspects
         self._budgets = budgets
         self._running: Counter[UpstreamId] = Counter()
 
@@ -77,7 +75,7 @@
     def _choose(self, request: GatewayRequest, tried: Sequence[UpstreamId]) -> UpstreamEntry | None:
         found = self._state.of_service(request.service)
         fresh = [u for u in found if u.id not in tried] or found
-        suspected = self._suspects.current(now_s())
+        suspected = self._state.suspects.avoided(now_s())
         trusted = [u for u in fresh if u.id not in suspected] or fresh
         return choose_upstream(trusted, self._running, self._state.cfg.zone, self._state.rng)
 
@@ -86,10 +84,10 @@
         try:
             return await self._exchange(request, upstream)
         except NotSentError as exc:
-            self._suspects.add(upstream.id, now_s())
+            self._state.suspects.add(upstream.id, now_s())
             return Attempt(End.NOT_SENT, upstream.id, str(exc))
         except BrokenError as exc:
-            self._suspects.add(upstream.id, now_s(), CLEARLY_FAILED_S)
+            self._state.suspects.add_for(upstream.id, now_s(), CLEARLY_FAILED_S)
             return Attempt(End.UNKNOWN, upstream.id, str(exc))
         finally:
             self._running[upstream.id] -= 1
@@ -112,6 +110,7 @@
             body = await exchange.read_body(MAX_ANSWER_BYTES, request.end_s)
         finally:
             exchange.close()
+        self._state.suspects.clear(upstream.id)
         end = classify(exchange.status, exchange.header(names.not_run) is not None)
         if end is not End.REJECTED and not _is_answer_to(exchange, request, names.attempt):
             raise BrokenError("the answer names another request")
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from minttide.ids import ServiceName, UpstreamId
+from minttide.policy.suspects import Suspects
 from minttide.routing.freshness import Freshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.readers import Pace
@@ -35,6 +36,7 @@
     rng: random.Random
     freshness: Freshness
     metrics: Metrics = field(default_factory=Metrics)
+    suspects: Suspects = field(default_factory=Suspects)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     upstreams_known: bool = False
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -11,11 +11,10 @@
 from minttide.layers.silence import Remedy, Silence, judge
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
-from minttide.routing.routes import ModelSpec
+from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
 from minttided.gateway.events import Event, EventSplitter, EventTooLongError
 from minttided.gateway.exchange import Exchange
-from minttided.gateway.loads import SUSPECT_S
 from minttided.gateway.patience import Patience
 from minttided.gateway.plain import MAX_ANSWER_BYTES, split_content_type, whole_answer
 from minttided.gateway.refusals import fail, refuse
@@ -33,9 +32,15 @@
 
 MOST_REPATHS = 4
 
+REPATH_TIMEOUT_S = 0.25
+"""Time for an engine to take an order to move a stream, after which it is resumed elsewhere."""
+
 FULL_S = 0.3
 """How long all streams keep away from an engine that has no room."""
 
+STALLED_S = 2.0
+"""How long they keep away from one that requests wait for in vain."""
+
 STALE_S = 1.0
 """How long they keep away from one that doesn't hold the layers that the list says."""
 
@@ -208,8 +213,8 @@
         fault = exchange.header(names.fault_address)
         if end is End.REJECTED:
             for_s = _AVOID_S.get(exchange.status, FULL_S)
-            named = self._owner.avoid_address(Address(fault), for_s) if fault else None
-            self._avoided.add(named or self._path[0].engine)
+            if not self._avoid_fault(Address(fault) if fault else None, for_s):
+                self._avoided.add(self._path[0].engine)
         reason = f"{exchange.status} at {fault}" if fault else str(exchange.status)
         return Sent(end, reason, answer=whole_answer(exchange, body))
 
@@ -340,7 +345,7 @@
         for attempt, address in head.stalled if head is not None else ():
             named = None
             if attempt == self._request.attempt:
-                named = self._owner.avoid_address(address, SUSPECT_S)
+                named = self._owner.avoid_address(address, STALLED_S)
             if named is not None:
                 found.add(named)
         return found
@@ -354,28 +359,43 @@
         )
 
     async def _move(self, dead: Set[UpstreamId]) -> bool:
-        """Order the first engine to use another path; return whether it does."""
+        """Order the first engine to use another path; return whether it does.
+
+        An order that is refused because of another engine is given again around that one too.
+        """
         first = self._path[0]
-        entry = self._owner.state.upstreams.get(first.engine)
-        path = self._choose(first.engine)
-        if entry is None or path is None or self._progress.repaths >= MOST_REPATHS:
-            return False
-        if any(stage.engine in dead for stage in path):
-            return False
-        self._progress.repaths += 1
+        while self._progress.repaths < MOST_REPATHS:
+            entry = self._owner.state.upstreams.get(first.engine)
+            path = self._choose(first.engine)
+            if entry is None or path is None or any(s.engine in dead for s in path):
+                return False
+            self._progress.repaths += 1
+            outcome = await self._order(entry, path)
+            self._log.moved(outcome.accepted, path, dead, outcome.reason, self._progress)
+            if outcome.accepted:
+                self._owner.state.metrics.count_recovery(self._request.service, "repath")
+                self._owner.loads.add(self._path, self._work, -1)
+                self._path = path
+                self._owner.loads.add(path, self._work)
+                return True
+            if not self._avoid_fault(outcome.fault, FULL_S):
+                return False
+        return False
+
+    async def _order(self, entry: UpstreamEntry, path: Path) -> OrderOutcome:
         try:
-            outcome = await self._owner.state.engines.repath(
-                entry, self._request.attempt, format_path(path)
+            return await self._owner.state.engines.repath(
+                entry, self._request.attempt, format_path(path), REPATH_TIMEOUT_S
             )
         except SourceError as exc:
-            outcome = OrderOutcome(False, reason=str(exc))
-        self._log.moved(outcome.accepted, path, dead, outcome.reason, self._progress)
-        if outcome.accepted:
-            self._owner.state.metrics.count_recovery(self._request.service, "repath")
-            self._owner.loads.add(self._path, self._work, -1)
-            self._path = path
-            self._owner.loads.add(path, self._work)
-        return outcome.accepted
+            return OrderOutcome(False, reason=str(exc))
+
+    def _avoid_fault(self, address: Address | None, for_s: float) -> bool:
+        """Keep away from an engine that another has named; return whether it is known."""
+        named = self._owner.avoid_address(address, for_s) if address is not None else None
+        if named is not None:
+            self._avoided.add(named)
+        return named is not None
 
     async def _lives(self, engine: UpstreamId) -> bool:
         """Return whether an engine that broke off still answers."""
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -5,9 +5,10 @@
 
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, PathFinder, Work, is_whole
+from minttide.policy.suspects import Suspects
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.budgets import Budgets
-from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.loads import PathLoads
 from minttided.gateway.patience import Patience
 from minttided.gateway.probes import EngineProbes
 from minttided.gateway.request import GatewayRequest, read_work
@@ -22,13 +23,12 @@
 class StreamCalls:
     """Runs requests of routes whose service has a model. Implements `RunOwner`."""
 
-    def __init__(self, state: GatewayState, suspects: Suspects, budgets: Budgets, loads: PathLoads):
+    def __init__(self, state: GatewayState, budgets: Budgets, loads: PathLoads):
         self.state = state
         self.loads = loads
-        self.probes = EngineProbes(state, suspects, self.wake, loads.note_report)
+        self.probes = EngineProbes(state, self.wake, loads.note_report)
         self.runs: set[Wakeable] = set()
         self.patience = Patience()
-        self._suspects = suspects
         self._full = Suspects()
         self.budgets = budgets
 
@@ -57,10 +57,12 @@
         """Return the path to use now, beginning with engine `first` where it is given."""
         engines = self.state.of_service(service)
         loads = self.loads.estimate()
-        silent = self._suspects.current(now_s())
-        full = self._full.current(now_s())
-        # Where no path is left, an engine that may have room again is better than none.
-        for avoid in (silent | full | avoided, silent | avoided, silent):
+        self.probes.try_again(engines)
+        untrusted = self.state.suspects.untrusted()
+        silent = self.state.suspects.avoided(now_s())
+        full = self._full.avoided(now_s())
+        # Where no path is left, an engine that may have room or live again is better than none.
+        for avoid in (untrusted | full | avoided, untrusted | avoided, silent | avoided, silent):
             finder = PathFinder(model, engines, avoid - {first})
             path = finder.choose(work, self.state.cfg.zone, loads, self.state.rng, first)
             if path is not None and is_whole(path, model.layers):
@@ -75,8 +77,9 @@
         """Keep away from the engine at an address for a while; return it where it is known."""
         for entry in self.state.upstreams.values():
             if entry.address == address:
-                if self._full.add(entry.id, now_s(), for_s):
+                if self._full.add_for(entry.id, now_s(), for_s):
                     extra = {"engine": entry.id, "reason": "named by an engine", "for_s": for_s}
                     log.warning("engine avoided", extra=extra)
+                self.probes.check(entry.id)
                 return entry.id
         return None
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -25,7 +25,7 @@
 from minttide.routing.table import RouteTable
 from minttided.gateway.budgets import Budgets
 from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads, Suspects
+from minttided.gateway.loads import PathLoads
 from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
@@ -172,7 +172,7 @@
         stalled = self.stalled.get(entry.id, ())
         return EngineReport(0, False, 0, 0, 0.0, 0.0, 1.0, entry.layers, stalled)
 
-    async def repath(self, entry, attempt, path):
+    async def repath(self, entry, attempt, path, timeout_s):
         self.repaths.append((entry.id, attempt, path))
         self.moved.set()
         return self.outcome
@@ -209,11 +209,10 @@
         for upstream, first, last, kind in self.path_engines:
             await self._stack.enter_async_context(upstream)
             self._list(upstream, "model", LayerRange(first, last), kind)
-        self.suspects = Suspects()
         self.loads = PathLoads(lambda: 1.0)
         budgets = Budgets(self.state, lambda: 1)
-        self.streams = StreamCalls(self.state, self.suspects, budgets, self.loads)
-        front = Front(self.state, PlainCalls(self.state, self.suspects, budgets), self.streams)
+        self.streams = StreamCalls(self.state, budgets, self.loads)
+        front = Front(self.state, PlainCalls(self.state, budgets), self.streams)
         self.server = HttpServer(front.handle, ANYWHERE, Bounds())
         await self._stack.enter_async_context(self.server)
         return self
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -17,6 +17,7 @@
     until,
 )
 
+from minttide.policy.suspects import Suspects
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
 from minttide.routing.sources import OrderOutcome
 from minttided.gateway.events import EventSplitter
@@ -387,3 +388,85 @@
     answer = asyncio.run(asyncio.wait_for(run(), 30))
     assert (answer.chunks, answer.whole) == (WHOLE, True)
     assert len(engine(site, "a").requests) == 1
+
+
+@pytest.mark.parametrize("dead", [True, False])
+def test_an_engine_that_another_names_is_asked_and_left_while_it_is_dead(dead):
+    """Replays a dead engine that stays listed: engines before it name it as the one at fault."""
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4))
+
+    async def run():
+        async with site:
+            named = plain_answer(503, headers=NOT_RUN + FAULT % engine(site, "b").address.encode())
+            whole = [STREAM_HEAD, events(1, 2, 3), END]
+            engine(site, "a").scripts = [[named], whole, *[whole] * 20]
+            if dead:
+                site.engines.dead.add("b")
+            await site.ask("draft", "POST")
+            await until(lambda: not site.streams.probes._running)
+            untrusted = set(site.state.suspects.untrusted())
+            site.streams._full = Suspects()  # As when the time for a full engine is over.
+            for _ in range(20):
+                await site.ask("draft", "POST")
+            paths = [head.decode() for head, _ in engine(site, "a").requests[2:]]
+            return untrusted, sum(engine(site, "b").address in p for p in paths)
+
+    untrusted, through_b = asyncio.run(asyncio.wait_for(run(), 30))
+    assert untrusted == ({"b"} if dead else set())
+    assert (through_b == 0) is dead
+
+
+def test_an_engine_on_trial_is_used_once_it_has_answered():
+    site = site_of(a=(0, 4, *[[STREAM_HEAD, events(1, 2, 3), END]] * 9), b=(0, 4))
+    engine(site, "b").scripts = [[STREAM_HEAD, events(1, 2, 3), END]] * 9
+
+    async def run():
+        async with site:
+            suspects = site.state.suspects
+            suspects.add("b", asyncio.get_running_loop().time() - 60.0)
+            site.engines.dead.add("b")
+            for _ in range(4):
+                await site.ask("draft", "POST")
+            await until(lambda: not site.streams.probes._running)
+            silent = len(engine(site, "b").requests)
+            site.engines.dead.clear()
+            suspects.clear("b")
+            suspects.add("b", asyncio.get_running_loop().time() - 60.0)
+            await site.ask("draft", "POST")
+            await until(lambda: "b" not in suspects.untrusted())
+            return silent
+
+    assert asyncio.run(asyncio.wait_for(run(), 30)) == 0
+
+
+def test_a_stream_is_moved_around_an_engine_that_refuses_to_take_it_over():
+    """Replays a crash under load: the engine that takes over has no room and is named."""
+    site = site_of(a=(0, 2), b=(2, 4), c=(2, 4), d=(2, 4))
+    wait = silent_until(site, lambda s: s.engines.moved)
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), wait, events(2, 3), END]]
+
+    async def run():
+        async with site:
+            refused = []
+
+            async def repath(entry, attempt, path, timeout_s):
+                if not refused:
+                    refused.append(path.split(",")[1].split("=")[0])
+                    return OrderOutcome(False, reason="409", fault=refused[0])
+                site.engines.repaths.append(path)
+                site.engines.moved.set()
+                return OrderOutcome(True)
+
+            site.engines.repath = repath
+
+            def on_data(data):
+                path = engine(site, "a").requests[0][0].decode()
+                dead = next(e for e in "bcd" if engine(site, e).address in path)
+                site.engines.dead.add(dead)
+
+            answer = await site.ask("draft", "POST", on_data=on_data)
+            return answer, refused[0]
+
+    answer, refused = asyncio.run(asyncio.wait_for(run(), 30))
+    assert answer.chunks == WHOLE and len(engine(site, "a").requests) == 1
+    assert len(site.engines.repaths) == 1 and refused not in site.engines.repaths[0]
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -19,9 +19,19 @@
 from minttide.ids import Address, HostId  # noqa: E402
 from minttide.routing.routes import LayerRange, RouteKind  # noqa: E402
 from minttide.routing.sources import SourceError  # noqa: E402
-from minttide_platform.decode import decode_config, decode_entry, decode_report  # noqa: E402
+from minttide_platform.decode import (  # noqa: E402
+    decode_config,
+    decode_entry,
+    decode_fault,
+    decode_report,
+)
 from minttide_platform.main import encode_addresses  # noqa: E402
-from minttide_platform.sources import StoreConfig, StoreLease, StoreUpstreams  # noqa: E402
+from minttide_platform.sources import (  # noqa: E402
+    HttpPathEngines,
+    StoreConfig,
+    StoreLease,
+    StoreUpstreams,
+)
 from minttide_platform.store import Store, TrimmedError  # noqa: E402
 from minttided.gateway.entry import ResolveBody  # noqa: E402
 from minttided.gateway.settings import GatewaySettings  # noqa: E402
@@ -341,3 +351,41 @@
 
     product = sum(count(f) for f in ("core", "daemon", "cli"))
     assert count("platform") < product / 10
+
+
+@pytest.mark.parametrize(
+    ("body", "fault"),
+    [
+        (b'{"address":"10.0.0.1:80"}', "10.0.0.1:80"),
+        (b'{"address":null}', None),
+        (b'{"reason":"busy"}', None),
+        (b"", None),
+        (b"[1", None),
+    ],
+)
+def test_a_refused_order_names_the_engine_at_fault_or_none(body, fault):
+    assert decode_fault(body) == fault
+
+
+def test_each_report_is_read_on_a_connection_of_its_own():
+    """Replays an engine whose kept connections go silent without being closed."""
+    body = b'{"seq":3}'
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    async def check():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            entry = msgspec.structs.replace(
+                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
+            )
+            engines = HttpPathEngines()
+            return [(await engines.report(entry, 5.0)).seq for _ in range(3)]
+
+    assert asyncio.run(check()) == [3, 3, 3]
