Let hosts tell each other what they have running on engines

Cause (grown Bureau): with 24 hosts a zone and three streams each, own streams times the hosts stand for the whole: two own streams on an engine count as 48 and fill it. Paths were taken across zones, whose link carries 25 prompts a second, and streams refused with room left.

Change: the question for news carries what its host has running, the answer the sum of all others; readers exchange the sums of their zones.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -1,9 +1,9 @@
 """Chooses the engines that a request passes through.
 
-Answers many hosts choosing at once without talking to each other: what each host has running
-stands for all of its peers, and a random spread keeps hosts with the same news from all choosing
-the same engine. Fast engines are preferred only a little, so that streams spread by the memory that
-engines have left and the loss of one breaks few of them.
+Answers many hosts choosing at once, with news of each other that is some hundred ms old: a host
+takes its own streams for a sign of what the others did meanwhile, and a random spread keeps hosts
+with the same news from all choosing the same engine. Fast engines are preferred only a little, so
+that streams spread by the memory that engines have left and the loss of one breaks few of them.
 """
 
 import random
@@ -66,11 +66,15 @@
 
 
 class EngineLoad(msgspec.Struct):
-    """What is believed to run on an engine: streams, the tokens they hold, and how slow it is."""
+    """What is believed to run on an engine: streams, the tokens they hold, and how slow it is.
+
+    `compared_tokens` stands for `tokens` where engines are compared; none for the same.
+    """
 
     streams: float = 0.0
     tokens: float = 0.0
     slowdown: float = 1.0
+    compared_tokens: float | None = None
 
 
 class _Reached(msgspec.Struct):
@@ -150,12 +154,14 @@
         load = load or EngineLoad()
         layers = len(engine.layers)
         capacity = token_capacity(self._model, kind, layers)
-        used = (load.tokens + work.prompt + work.answer) / capacity if capacity > 0 else 2.0
-        if used > MOST_FULL_SHARE or load.streams >= self._model.slots:
+        needed = work.prompt + work.answer
+        most = MOST_FULL_SHARE * capacity
+        if load.tokens + needed > most or load.streams >= self._model.slots:
             return None
+        compared = load.tokens if load.compared_tokens is None else load.compared_tokens
         step = step_ms(self._model, kind, layers, load.streams + 1) * work.answer
         busy_ms = (step + read_ms(self._model, kind, layers, work.prompt)) * load.slowdown
-        used = min(used, FULLEST)
+        used = min((compared + needed) / capacity, FULLEST)
         full_ms = FULL_MS * layers / self._model.layers * used / (1.0 - used)
         return SPEED_WEIGHT * busy_ms + full_ms
 
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -17,13 +17,14 @@
 from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads
+from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.placer import Placer
 from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams import StreamCalls
+from minttided.gateway.zone_loads import ZoneLoads
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
 from minttided.http.server import HttpServer
 from minttided.operators.metrics import CONTENT_TYPE
@@ -135,7 +136,8 @@
             rng=self.state.rng,
             outlives=True,
         )
-        loads = PathLoads(self._count_peers)
+        shared = SharedLoads()
+        loads = PathLoads(self._count_peers, shared)
         budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
         plain = PlainCalls(self.state, budgets)
         streams = StreamCalls(self.state, budgets, loads)
@@ -149,7 +151,16 @@
         )
         self._upstreams = UpstreamFollower(self.state, lambda: self._news.reads_upstreams())
         self._news = NewsFollower(
-            self.state, link, self.membership.hosts, self._config, self._upstreams
+            self.state, link, self.membership.hosts, self._config, self._upstreams, loads, shared
+        )
+        self._desk = NewsDesk(self.state, self.membership, loads, shared)
+        self._zone_loads = ZoneLoads(
+            self.state,
+            link,
+            self.membership.hosts,
+            loads,
+            shared,
+            lambda: self._news.is_reader,
         )
         self._placer = Placer(self.state, streams.probes, lambda: self._news.is_reader)
         self.drain = Drain(
@@ -173,6 +184,7 @@
             Child("peer listener", self._run_peer_listener),
             Child("probes", self.membership.run),
             Child("news", self._news.run),
+            Child("loads of zones", self._zone_loads.run),
         ]
         answers = EntryAnswers(
             self.membership.hosts,
@@ -208,7 +220,7 @@
         return run
 
     async def _run_peer_listener(self, ready: Ready) -> None:
-        async with self._net.listen(self.cfg.peer, NewsDesk(self.state, self.membership)):
+        async with self._net.listen(self.cfg.peer, self._desk):
             await stay(ready)
 
     async def _show_metrics(self, req: HttpRequest) -> HttpResponse:
--- a/daemon/minttided/gateway/loads.py
+++ b/daemon/minttided/gateway/loads.py
@@ -1,25 +1,65 @@
-"""What this host has running on each engine."""
+"""What runs on each engine: this host's streams, and those that other hosts tell of."""
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 
-from minttide.ids import UpstreamId
+from minttide.ids import HostId, UpstreamId, ZoneId
 from minttide.layers.paths import EngineLoad, Path, Work
+from minttide.layers.usage import FRESH_S, Usage, UsageBoard, Usages, add_usages
 from minttide.routing.sources import EngineReport
+from minttided.gateway.state import now_s
 
 SLOW_PACE = 1.2
 """Pace from which on an engine counts as slow."""
 
+OWN_WEIGHT = 0.5
+"""Weight of a host's own streams, times the hosts, where it compares engines by news of others.
+
+Hosts that compare by news alone all choose what was empty when they last heard of each other.
+"""
+
+KNOWN_SHARE = 0.5
+"""Part of the other hosts that must have told a host lately, for what it was told to count."""
+
+
+class SharedLoads:
+    """What other hosts have running, as they told this one or a reader told of them."""
+
+    def __init__(self) -> None:
+        self.hosts: UsageBoard[HostId] = UsageBoard()
+        self.zones: UsageBoard[ZoneId] = UsageBoard()
+        self._heard: Usages = {}
+        self._heard_s = float("-inf")
+
+    def hear(self, others: Usages) -> None:
+        """Take what a reader says of all other hosts together."""
+        self._heard = others
+        self._heard_s = now_s()
+
+    def others(self, peers: float) -> Usages | None:
+        """Return what all other hosts have running, none where too little is known.
+
+        `peers` is the number of hosts of this zone, this one among them.
+        """
+        now = now_s()
+        told = self.hosts.sources(now)
+        if told and told >= KNOWN_SHARE * (peers - 1):
+            return add_usages([self.hosts.total(now), self.zones.total(now)])
+        if now - self._heard_s <= FRESH_S:
+            return self._heard
+        return None
+
 
 class PathLoads:
-    """Streams that this host has on each engine.
+    """Streams on each engine.
 
-    Hosts don't talk about their load. Callers spread over hosts evenly, so that what this host has
-    running, times the hosts that use the same engines, stands for the whole.
+    Without news of other hosts, what this host has running, times the hosts that use the same
+    engines, stands for the whole, since callers spread over hosts evenly.
     """
 
-    def __init__(self, peers: Callable[[], float]):
+    def __init__(self, peers: Callable[[], float], shared: SharedLoads):
         self._peers = peers
+        self._shared = shared
         self._own: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
         self.slowdown: dict[UpstreamId, float] = {}
 
@@ -37,15 +77,31 @@
             load.streams += sign
             load.tokens += sign * (work.prompt + work.answer / 2)
 
+    def own(self) -> dict[UpstreamId, Usage]:
+        """Return what this host has running."""
+        return {
+            e: Usage(int(load.streams), int(load.tokens))
+            for e, load in self._own.items()
+            if load.streams > 0
+        }
+
     def estimate(self) -> Mapping[UpstreamId, EngineLoad]:
         """Return the load of all hosts together as far as it can be told from here."""
         peers = self._peers()
-        engines = set(self._own) | set(self.slowdown)
-        return {
-            e: EngineLoad(
-                self._own[e].streams * peers,
-                self._own[e].tokens * peers,
-                self.slowdown.get(e, 1.0),
-            )
-            for e in engines
-        }
+        others = self._shared.others(peers)
+        engines = {*self._own, *self.slowdown, *(others or ())}
+        if others is None:
+            return {e: self._extrapolate(e, peers) for e in engines}
+        return {e: self._add(e, peers, others.get(e, Usage())) for e in engines}
+
+    def _extrapolate(self, engine: UpstreamId, peers: float) -> EngineLoad:
+        own = self._own.get(engine) or EngineLoad()
+        slowdown = self.slowdown.get(engine, 1.0)
+        return EngineLoad(own.streams * peers, own.tokens * peers, slowdown)
+
+    def _add(self, engine: UpstreamId, peers: float, others: Usage) -> EngineLoad:
+        own = self._own.get(engine) or EngineLoad()
+        tokens = own.tokens + others.tokens
+        compared = OWN_WEIGHT * own.tokens * peers + (1.0 - OWN_WEIGHT) * tokens
+        slowdown = self.slowdown.get(engine, 1.0)
+        return EngineLoad(own.streams + others.streams, tokens, slowdown, compared)
--- a/daemon/minttided/gateway/sharing.py
+++ b/daemon/minttided/gateway/sharing.py
@@ -1,7 +1,6 @@
 """Passes the configuration and the list of upstreams on inside an availability zone."""
 
 import asyncio
-import hashlib
 import logging
 from collections.abc import Callable, Sequence
 
@@ -10,13 +9,33 @@
 from minttide.agree.checkpoint import Checkpoint
 from minttide.ids import HostId, Offset
 from minttide.interfaces import MemberView, UpstreamReply
+from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide.routing.readers import rank_readers, reads_itself
-from minttide.routing.routes import RoutingConfig, UpstreamEntry
+from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
+from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.news import (
+    LOADS_ONLY,
+    NO_NEWS,
+    News,
+    Note,
+    decode_news,
+    decode_note,
+    digest,
+    encode,
+)
 from minttided.gateway.state import GatewayState, now_s
 from minttided.http.problems import problem
-from minttided.peers.link import ForwardedCall, PeerError, PeerLink, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import (
+    ForwardedCall,
+    PeerError,
+    PeerLink,
+    Probe,
+    ProbeAnswer,
+    Pull,
+    Pulled,
+)
 from minttided.peers.membership import Membership
 from minttided.supervisor import Ready
 
@@ -24,43 +43,34 @@
 
 PULL_TIMEOUT_S = 1.2
 IDLE_S = 0.1
-NO_NEWS = Offset(-1)
-
-_DIGEST_BYTES = 7
-
-
-class News(msgspec.Struct):
-    """What a reader knows. The ages are in seconds, as of the answer.
-
-    `held_s` is how long the question was held. `config` and `upstreams` are absent when the asking
-    host has them.
-    """
-
-    held_s: float
-    config_age_s: float
-    upstreams_age_s: float
-    config: RoutingConfig | None = None
-    upstreams: list[UpstreamEntry] | None = None
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(News)
 
 
 class NewsDesk:
     """Answers peers that ask for news. Implements `PeerService` together with the membership."""
 
-    def __init__(self, state: GatewayState, membership: Membership):
+    def __init__(
+        self,
+        state: GatewayState,
+        membership: Membership,
+        loads: PathLoads,
+        shared: SharedLoads,
+    ):
         self._state = state
         self._membership = membership
+        self._loads = loads
+        self._shared = shared
 
     async def on_probe(self, probe: Probe) -> ProbeAnswer:
         """Take in a peer's news and answer with one's own."""
         return await self._membership.on_probe(probe)
 
-    async def on_pull(self, start: Offset) -> Pulled:
-        """Return what is known once it differs from what `start` stands for, or after a while."""
+    async def on_pull(self, pull: Pull) -> Pulled:
+        """Return what is known once it differs from what the asking host has, or after a while."""
         asked_s = self._state.clock()
+        note = self._take_note(pull.note)
+        if pull.start == LOADS_ONLY:
+            return Pulled(snapshot=self._answer_loads())
+        start = pull.start
         until_s = now_s() + self._state.pace.hold_s
         while self._digest() == start and now_s() < until_s:
             changed = self._state.changed
@@ -69,7 +79,7 @@
                     await changed.wait()
             except TimeoutError:
                 break
-        return Pulled(snapshot=self._answer(start, asked_s))
+        return Pulled(snapshot=self._answer(start, asked_s, note))
 
     async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Refuse keyed calls, which a gateway doesn't run."""
@@ -81,24 +91,37 @@
     def _known(self) -> Sequence[UpstreamEntry] | None:
         return list(self._state.upstreams.values()) if self._state.upstreams_known else None
 
-    def _answer(self, start: Offset, asked_s: float) -> Checkpoint:
+    def _take_note(self, data: bytes) -> Note | None:
+        """Take what the asking host, or its zone, has running."""
+        try:
+            note = decode_note(data) if data else None
+        except msgspec.DecodeError as exc:
+            log.info("note not read", extra={"reason": str(exc)})
+            return None
+        if note is not None and note.zone == self._state.cfg.zone:
+            self._shared.hosts.note(note.host, note.usages, now_s())
+        elif note is not None:
+            self._shared.zones.note(note.zone, note.usages, now_s())
+        return note
+
+    def _answer_loads(self) -> Checkpoint:
+        """Return what runs in this zone."""
+        here = add_usages([self._loads.own(), self._shared.hosts.total(now_s())])
+        news = News(0.0, self._state.config_age_s, self._state.list_age_s, usages=here)
+        return Checkpoint(LOADS_ONLY, encode(news))
+
+    def _answer(self, start: Offset, asked_s: float, note: Note | None) -> Checkpoint:
         state = self._state
         news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s)
+        asking = note.host if note is not None else None
+        others = self._shared.hosts.total(now_s(), without=asking)
+        news.usages = add_usages([self._loads.own(), others, self._shared.zones.total(now_s())])
         mark = self._digest()
         if mark != start:
             news.config = state.table.config if state.table else None
             known = self._known()
             news.upstreams = list(known) if known is not None else None
-        return Checkpoint(mark, _encoder.encode(news))
-
-
-def digest(config: RoutingConfig | None, upstreams: Sequence[UpstreamEntry] | None) -> Offset:
-    """Return a number that stands for a configuration and a list of upstreams."""
-    found = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    found.update(str(config.version if config else None).encode())
-    if upstreams is not None:
-        found.update(_encoder.encode(sorted(upstreams, key=lambda u: u.id)))
-    return Offset(int.from_bytes(found.digest(), "big"))
+        return Checkpoint(mark, encode(news))
 
 
 class NewsFollower:
@@ -111,12 +134,16 @@
         members: Callable[[], Sequence[MemberView]],
         config: ConfigFollower,
         upstreams: UpstreamFollower,
+        loads: PathLoads,
+        shared: SharedLoads,
     ):
         self._state = state
         self._link = link
         self._members = members
         self._config = config
         self._upstreams = upstreams
+        self._loads = loads
+        self._shared = shared
         self._mark = NO_NEWS
         self._reader: HostId | None = None
 
@@ -158,15 +185,18 @@
         """Ask one host; return whether it answered."""
         self._note_reader(reader.host)
         sent_s = self._state.clock()
+        cfg = self._state.cfg
+        question = Pull(self._mark, encode(Note(cfg.host, cfg.zone, self._loads.own())))
         try:
-            pulled = await self._link.pull(reader.peer, self._mark, PULL_TIMEOUT_S)
-            news = _decoder.decode(pulled.snapshot.data) if pulled.snapshot else None
+            pulled = await self._link.pull(reader.peer, question, PULL_TIMEOUT_S)
+            news = decode_news(pulled.snapshot.data) if pulled.snapshot else None
         except (PeerError, msgspec.DecodeError) as exc:
             log.info("no news", extra={"reader": reader.host, "reason": str(exc)})
             return False
         if news is None or pulled.snapshot is None:
             return False
         self._mark = pulled.snapshot.covers
+        self._shared.hear(news.usages)
         answered_s = sent_s + news.held_s
         self._config.hear(news.config, answered_s - news.config_age_s)
         self._upstreams.hear(news.upstreams, answered_s - news.upstreams_age_s)
--- a/daemon/minttided/peers/grpc_net.py
+++ b/daemon/minttided/peers/grpc_net.py
@@ -18,7 +18,15 @@
 from minttide.outcome import Problem
 from minttided.http.messages import join_address, split_address
 from minttided.peers import codec as codec
-from minttided.peers.link import ForwardedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import (
+    ForwardedCall,
+    PeerError,
+    PeerService,
+    Probe,
+    ProbeAnswer,
+    Pull,
+    Pulled,
+)
 from minttided.proto import peer_pb2 as pb
 from minttided.proto.peer_grpc import PeerBase, PeerStub
 
@@ -65,9 +73,9 @@
         msg = await self._ask(address, lambda stub: stub.Probe(req, timeout=timeout_s), timeout_s)
         return codec.answer_in(msg)
 
-    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
-        """Ask a peer for configuration records from `start` on. Raises `PeerError`."""
-        req = pb.PullRequest(start=start)
+    async def pull(self, address: Address, pull: Pull, timeout_s: float) -> Pulled:
+        """Ask a peer for configuration records from an offset on. Raises `PeerError`."""
+        req = pb.PullRequest(start=pull.start, note=pull.note)
         msg = await self._ask(address, lambda stub: stub.Pull(req, timeout=timeout_s), timeout_s)
         return codec.pulled_in(msg)
 
@@ -140,7 +148,7 @@
     async def Pull(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
         msg = await stream.recv_message()
         if msg is not None:
-            pulled = await self._service.on_pull(Offset(msg.start))
+            pulled = await self._service.on_pull(Pull(Offset(msg.start), msg.note))
             await stream.send_message(codec.pulled_out(pulled))
 
     async def Call(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
--- a/daemon/minttided/peers/handler.py
+++ b/daemon/minttided/peers/handler.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 
-from minttide.ids import Offset
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
 from minttided.keys.keyed import KeyedCallRunner
 from minttided.peers.forwarder import run_forwarded
-from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pull, Pulled
 from minttided.peers.membership import Membership
 from minttided.peers.relay import Relay
 
@@ -29,9 +28,9 @@
         """Take in a peer's news and answer with one's own."""
         return await self._membership.on_probe(probe)
 
-    async def on_pull(self, start: Offset) -> Pulled:
-        """Return configuration records from `start` on."""
-        return await self._relay.on_pull(start)
+    async def on_pull(self, pull: Pull) -> Pulled:
+        """Return configuration records from an offset on."""
+        return await self._relay.on_pull(pull)
 
     async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
--- a/daemon/minttided/peers/link.py
+++ b/daemon/minttided/peers/link.py
@@ -35,6 +35,13 @@
     reached: bool = True
 
 
+class Pull(msgspec.Struct, frozen=True):
+    """Asks for what follows `start`. `note` is what the asking host tells of itself."""
+
+    start: Offset
+    note: bytes = b""
+
+
 class Pulled(msgspec.Struct, frozen=True):
     """Configuration records in offset order, or the folded state where those are not kept."""
 
@@ -58,8 +65,8 @@
     async def probe(self, address: Address, probe: Probe, timeout_s: float) -> ProbeAnswer:
         """Exchange news with a peer."""
 
-    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
-        """Ask a peer for configuration records from `start` on."""
+    async def pull(self, address: Address, pull: Pull, timeout_s: float) -> Pulled:
+        """Ask a peer for configuration records from an offset on."""
 
     async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Have a peer run a keyed call."""
@@ -71,8 +78,8 @@
     async def on_probe(self, probe: Probe) -> ProbeAnswer:
         """Take in a peer's news and answer with one's own."""
 
-    async def on_pull(self, start: Offset) -> Pulled:
-        """Return configuration records from `start` on."""
+    async def on_pull(self, pull: Pull) -> Pulled:
+        """Return configuration records from an offset on."""
 
     async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
--- a/daemon/minttided/peers/relay.py
+++ b/daemon/minttided/peers/relay.py
@@ -16,7 +16,7 @@
 from minttide.ids import NO_OFFSET, Address, Offset
 from minttide.interfaces import LogRecord
 from minttided.log.follower import Follower
-from minttided.peers.link import PeerError, PeerLink, Pulled
+from minttided.peers.link import PeerError, PeerLink, Pull, Pulled
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -107,7 +107,7 @@
         before = follower.applied
         start = Offset(before + 1) if follower.known else Offset(0)
         try:
-            pulled = await self._link.pull(address, start, PULL_TIMEOUT_S)
+            pulled = await self._link.pull(address, Pull(start), PULL_TIMEOUT_S)
         except PeerError as exc:
             log.info("records not pulled", extra={"address": address, "reason": str(exc)})
             return
@@ -147,17 +147,17 @@
 
     async def _ask_snapshot(self, member: Member) -> Checkpoint | None:
         try:
-            pulled = await self._link.pull(member.peer, Offset(0), PULL_TIMEOUT_S)
+            pulled = await self._link.pull(member.peer, Pull(Offset(0)), PULL_TIMEOUT_S)
         except PeerError:
             return None
         return pulled.snapshot
 
-    async def on_pull(self, start: Offset) -> Pulled:
-        """Return records from `start` on; the folded state for 0 or where records are gone."""
+    async def on_pull(self, pull: Pull) -> Pulled:
+        """Return records from an offset on; the folded state for 0 or where records are gone."""
         follower = self._follower
         if follower is None or not follower.known or follower.applied == NO_OFFSET:
             return Pulled()
-        records = self.tail.since(start) if start > 0 else None
+        records = self.tail.since(pull.start) if pull.start > 0 else None
         if records is not None:
             return Pulled(records)
         if follower.stopped:
--- a/fakes/minttide_fakes/peer_net.py
+++ b/fakes/minttide_fakes/peer_net.py
@@ -2,10 +2,18 @@
 
 import asyncio
 
-from minttide.ids import Address, Offset
+from minttide.ids import Address
 from minttide.interfaces import UpstreamReply
 from minttide.outcome import Problem
-from minttided.peers.link import ForwardedCall, PeerError, PeerService, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import (
+    ForwardedCall,
+    PeerError,
+    PeerService,
+    Probe,
+    ProbeAnswer,
+    Pull,
+    Pulled,
+)
 
 
 class MemoryNet:
@@ -86,10 +94,10 @@
         except TimeoutError as exc:
             raise PeerError(f"{address}: no answer") from exc
 
-    async def pull(self, address: Address, start: Offset, timeout_s: float) -> Pulled:
+    async def pull(self, address: Address, pull: Pull, timeout_s: float) -> Pulled:
         """Ask a peer for configuration records."""
         service = await self._net.reach(self._source, address, timeout_s)
-        return await service.on_pull(start)
+        return await service.on_pull(pull)
 
     async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Have a peer run a keyed call."""
--- a/measure/probe_cost.py
+++ b/measure/probe_cost.py
@@ -14,7 +14,7 @@
 from minttide.outcome import Problem
 from minttided.peers import codec as peer_codec
 from minttided.peers.grpc_net import GrpcPeers, PeerServer
-from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pull, Pulled
 
 HOSTS = [9, 100, 400, 1600]
 PROBES = 300
@@ -58,7 +58,7 @@
         self._table.beat(Offset(1), 0.5)
         return ProbeAnswer(self._table.gossip(probe.gossip.sender.host))
 
-    async def on_pull(self, start: Offset) -> Pulled:
+    async def on_pull(self, pull: Pull) -> Pulled:
         """Return nothing; not asked here."""
         return Pulled()
 
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -25,7 +25,7 @@
 from minttide.routing.table import RouteTable
 from minttided.gateway.budgets import Budgets
 from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads
+from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
@@ -209,7 +209,7 @@
         for upstream, first, last, kind in self.path_engines:
             await self._stack.enter_async_context(upstream)
             self._list(upstream, "model", LayerRange(first, last), kind)
-        self.loads = PathLoads(lambda: 1.0)
+        self.loads = PathLoads(lambda: 1.0, SharedLoads())
         budgets = Budgets(self.state, lambda: 1)
         self.streams = StreamCalls(self.state, budgets, self.loads)
         front = Front(self.state, PlainCalls(self.state, budgets), self.streams)
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -7,16 +7,19 @@
 from test_gateway_entry import member
 
 from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ServiceName, UpstreamId, ZoneId
+from minttide.layers.paths import Stage, Work
 from minttide.routing.freshness import Freshness
 from minttide.routing.readers import Pace, rank_readers, reads_itself
-from minttide.routing.routes import RoutingConfig, UpstreamEntry
+from minttide.routing.routes import LayerRange, RoutingConfig, UpstreamEntry
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
+from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
+from minttided.gateway.zone_loads import ZoneLoads
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 
@@ -71,10 +74,11 @@
 class Host:
     """One host's followers, on a network in memory."""
 
-    def __init__(self, net, store, number):
+    def __init__(self, net, store, number, zone="z", peers=HOSTS):
         address = Address(f"10.0.0.{number}:1")
         seeds = [Address("10.0.0.0:1")]
-        self.cfg = GatewaySettings(HostId(f"h{number}"), ZoneId("z"), *([address] * 6), peers=seeds)
+        addresses = [address] * 6
+        self.cfg = GatewaySettings(HostId(f"h{number}"), ZoneId(zone), *addresses, peers=seeds)
         view = StoreView(store, self.cfg.host)
         rng = random.Random(number)
         self.state = GatewayState(self.cfg, None, view, view, None, None, rng, Freshness(5.0))
@@ -93,20 +97,40 @@
             self.state, lambda limits: None, lambda: self.news.reads_config()
         )
         self.upstreams = UpstreamFollower(self.state, lambda: self.news.reads_upstreams())
-        self.news = NewsFollower(self.state, link, self.members.hosts, self.config, self.upstreams)
-        net.put(address, NewsDesk(self.state, self.members))
+        shared = SharedLoads()
+        self.loads = PathLoads(lambda: float(peers), shared)
+        self.news = NewsFollower(
+            self.state,
+            link,
+            self.members.hosts,
+            self.config,
+            self.upstreams,
+            self.loads,
+            shared,
+        )
+        self.zone_loads = ZoneLoads(
+            self.state,
+            link,
+            self.members.hosts,
+            self.loads,
+            shared,
+            lambda: self.news.is_reader,
+        )
+        net.put(address, NewsDesk(self.state, self.members, self.loads, shared))
 
     def start(self):
-        runs = (self.members.run, self.config.run, self.upstreams.run, self.news.run)
+        parts = (self.members, self.config, self.upstreams, self.news, self.zone_loads)
+        runs = [part.run for part in parts]
         return [asyncio.ensure_future(run(lambda: None)) for run in runs]
 
 
-def play(check):
-    """Run six hosts for a while, and then `check` with them and the store."""
+def play(check, zones=("z",)):
+    """Run six hosts, of these zones in turn, for a while; then `check` with them and the store."""
 
     async def run():
         net, store = MemoryNet(), SharedStore()
-        hosts = [Host(net, store, i) for i in range(HOSTS)]
+        peers = HOSTS // len(zones)
+        hosts = [Host(net, store, i, zones[i % len(zones)], peers) for i in range(HOSTS)]
         tasks = [task for host in hosts for task in host.start()]
         await asyncio.sleep(6.0)
         try:
@@ -219,3 +243,51 @@
     assert reads_itself(ranked, ranked[0].host, 0.0, 1.0)
     assert not reads_itself(ranked, second, 0.9, 1.0)
     assert reads_itself(ranked, second, 1.1, 1.0)
+
+
+def run_streams(host, engine, count):
+    """Put streams of 100 tokens each on an engine, as they would run through a host."""
+    stage = Stage(UpstreamId(engine), Address(f"{engine}:1"), ZoneId("z"), LayerRange(0, 1))
+    for _ in range(count):
+        host.loads.add((stage,), Work(100.0, 0.0))
+
+
+@pytest.mark.parametrize("zones", [("z",), ("y", "z"), ("x", "y", "z")])
+def test_every_host_soon_knows_what_all_hosts_have_running(zones):
+    async def check(hosts, store, net):
+        for number, host in enumerate(hosts):
+            run_streams(host, "e", number + 1)
+        await asyncio.sleep(1.5)
+        running = sum(range(1, HOSTS + 1))
+        for host in hosts:
+            load = host.loads.estimate()[UpstreamId("e")]
+            assert (load.streams, load.tokens) == (running, 100 * running)
+        run_streams(hosts[0], "e", 1)
+        assert hosts[0].loads.estimate()[UpstreamId("e")].streams == running + 1
+
+    play(check, zones)
+
+
+def test_what_a_silent_host_had_running_is_forgotten():
+    async def check(hosts, store, net):
+        for host in hosts:
+            run_streams(host, "e", 1)
+        await asyncio.sleep(1.5)
+        silent = next(h for h in hosts if not h.news.is_reader)
+        net.silence(silent.cfg.peer)
+        await asyncio.sleep(3.0)
+        others = [h for h in hosts if h is not silent]
+        assert {h.loads.estimate()[UpstreamId("e")].streams for h in others} == {HOSTS - 1}
+
+    play(check)
+
+
+def test_without_news_a_host_takes_its_own_streams_for_its_share():
+    async def check(hosts, store, net):
+        for host in hosts:
+            net.silence(host.cfg.peer)
+        await asyncio.sleep(3.0)
+        run_streams(hosts[0], "e", 2)
+        assert hosts[0].loads.estimate()[UpstreamId("e")].streams == 2 * HOSTS
+
+    play(check)
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -269,7 +269,7 @@
     def __init__(self, covers):
         self.covers = covers
 
-    async def on_pull(self, start):
+    async def on_pull(self, pull):
         return Pulled(snapshot=Checkpoint(Offset(self.covers), b"{}"))
 
 
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -21,7 +21,7 @@
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.outcome import Problem, ProblemType, Ran
 from minttided.peers.grpc_net import MAX_CHANNELS, GrpcPeers, PeerServer, _listen
-from minttided.peers.link import ForwardedCall, PeerError, Probe, ProbeAnswer, Pulled
+from minttided.peers.link import ForwardedCall, PeerError, Probe, ProbeAnswer, Pull, Pulled
 
 ME = Member(
     HostId("a"),
@@ -81,8 +81,8 @@
     ("msg", "answer"),
     [
         (PROBE, ProbeAnswer(GOSSIP, False)),
-        (Offset(5), PULLED),
-        (Offset(-1), Pulled()),
+        (Pull(Offset(5), b"\x00note"), PULLED),
+        (Pull(Offset(-1)), Pulled()),
         (CALL, REPLY),
         (CALL, PROBLEM),
     ],
@@ -105,7 +105,7 @@
             with pytest.raises(PeerError):
                 await ask(link, address, PROBE)
             peer.answer = PULLED
-            return await ask(link, server.address, Offset(1))
+            return await ask(link, server.address, Pull(Offset(1)))
 
     assert asyncio.run(scenario()) == PULLED
 
@@ -115,7 +115,7 @@
         async with GrpcPeers() as link:
             for _ in range(MAX_CHANNELS + 4):
                 async with PeerServer(Address("127.0.0.1:0"), Peer(PULLED)) as server:
-                    await ask(link, server.address, Offset(0))
+                    await ask(link, server.address, Pull(Offset(0)))
             return len(link._channels)
 
     assert asyncio.run(scenario()) <= MAX_CHANNELS
