Let only a reader and two deputies of a zone press a store that is out

Change: where a reader's news is old, two deputies read, and the others ask these; only where they fail too do all others read, from 0.85 of the bound on and the more slowly the more they are. An answer without fresh news sends the asking host to the next deputy, and a question waits 0.4 s at most beyond the time it may be held.

--- a/core/minttide/routing/readers.py
+++ b/core/minttide/routing/readers.py
@@ -1,8 +1,9 @@
 """Which hosts read the platform's store for the others of their availability zone.
 
 Answers the growth of a site: with every host reading by itself, calls to the store grow with the
-hosts. One reader a zone keeps them constant, and all others take its news, with its age. No host
-depends on a reader: one whose news gets old reads for itself.
+hosts. One reader a zone keeps them constant, and all others take its news, with its age. Where news
+gets old, two deputies read as well, and only where these fail do all others, the more slowly the
+more they are. So an outage of the store costs no more calls on a larger site.
 """
 
 from collections.abc import Sequence
@@ -18,8 +19,12 @@
 OLD_SHARE = 0.7
 PERIOD_SHARE = 0.42
 LIST_OLD_SHARE = 0.72
+LATE_SHARE = 0.85
 DENY_SHARE = 0.85
 
+DEPUTIES = 2
+"""Hosts of a zone that read as soon as the reader's news are old."""
+
 
 class Pace(msgspec.Struct, frozen=True):
     """How often is read and when news is old, in seconds, from the bounds that hold.
@@ -57,6 +62,16 @@
         """Return the age of the list from which on a host reads it itself."""
         return LIST_OLD_SHARE * self.drain_s
 
+    @property
+    def config_late_s(self) -> float:
+        """Return the age from which on hosts that are no deputies read the configuration too."""
+        return LATE_SHARE * self.apply_s
+
+    @property
+    def list_late_s(self) -> float:
+        """Return the age from which on hosts that are no deputies read the list too."""
+        return LATE_SHARE * self.drain_s
+
     @property
     def deny_s(self) -> float:
         """Return the age of the configuration from which on nothing is denied for good."""
@@ -69,6 +84,33 @@
     return [able[host] for host in rank_hosts(f"reader-{zone}", able)]
 
 
-def reads_itself(ranked: Sequence[MemberView], host: HostId, age_s: float, old_s: float) -> bool:
-    """Return whether `host` reads the store itself now, with news of that age in seconds."""
-    return not ranked or ranked[0].host == host or age_s > old_s
+class Age(msgspec.Struct, frozen=True):
+    """The age of some news, and from which age on deputies and then all others read themselves."""
+
+    age_s: float
+    old_s: float
+    late_s: float
+
+
+def reads_itself(ranked: Sequence[MemberView], host: HostId, age: Age) -> bool:
+    """Return whether `host` reads the store itself now."""
+    if not ranked or ranked[0].host == host:
+        return True
+    return age.age_s > (age.old_s if _is_deputy(ranked, host) else age.late_s)
+
+
+def retry_factor(ranked: Sequence[MemberView], host: HostId) -> float:
+    """Return how many times more slowly than a reader `host` tries again at a store that is out."""
+    if _is_deputy(ranked, host):
+        return 1.0
+    return max(1.0, len(ranked) / (1 + DEPUTIES))
+
+
+def choose_source(ranked: Sequence[MemberView], host: HostId, failures: int) -> MemberView | None:
+    """Return the host to ask for news, after so many that had none in a row."""
+    sources = [m for m in ranked[: 1 + DEPUTIES] if m.host != host]
+    return sources[failures % len(sources)] if sources else None
+
+
+def _is_deputy(ranked: Sequence[MemberView], host: HostId) -> bool:
+    return any(m.host == host for m in ranked[: 1 + DEPUTIES])
--- a/daemon/minttided/backoff.py
+++ b/daemon/minttided/backoff.py
@@ -28,6 +28,10 @@
         self._next_s = min(delay_s * FACTOR, self._limit_s)
         return delay_s * (0.5 + 0.5 * self._rng.random())
 
+    def skip_to_limit(self) -> None:
+        """Use the longest delay from now on."""
+        self._next_s = self._limit_s
+
     def reset(self) -> None:
         """Start again from the shortest delay."""
         self._next_s = self._first_s
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -15,7 +15,7 @@
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttided.gateway.budgets import Budgets
 from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
-from minttided.gateway.following import ConfigFollower, UpstreamFollower
+from minttided.gateway.following import ConfigFollower, ReadTurn, UpstreamFollower
 from minttided.gateway.front import Front
 from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.placer import Placer
@@ -78,6 +78,7 @@
         seed: int | None = None,
     ):
         self.cfg = cfg
+        self._news: NewsFollower
         self._wire = wire
         self._net = net or GrpcNet()
         rng = random.Random(time.time_ns() if seed is None else seed)
@@ -146,10 +147,12 @@
             cfg.callers,
             Bounds(max_connections=cfg.max_connections),
         )
-        self._config = ConfigFollower(
-            self.state, self._limit_callers, lambda: self._news.reads_config()
+        config_turn = ReadTurn(lambda: self._news.reads_config(), lambda: self._news.retry_factor())
+        list_turn = ReadTurn(
+            lambda: self._news.reads_upstreams(), lambda: self._news.retry_factor()
         )
-        self._upstreams = UpstreamFollower(self.state, lambda: self._news.reads_upstreams())
+        self._config = ConfigFollower(self.state, self._limit_callers, config_turn)
+        self._upstreams = UpstreamFollower(self.state, list_turn)
         self._news = NewsFollower(
             self.state, link, self.membership.hosts, self._config, self._upstreams, loads, shared
         )
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import ClientLimits, RoutingConfig, UpstreamEntry
@@ -10,7 +11,7 @@
 from minttide.routing.table import RouteTable
 from minttided.backoff import Backoff
 from minttided.gateway.dependency import Dependency
-from minttided.gateway.state import GatewayState
+from minttided.gateway.state import GatewayState, now_s
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -28,6 +29,40 @@
 """Longest delay between two tries. Whoever reads first again tells the others of its zone."""
 
 
+@dataclass(frozen=True)
+class ReadTurn:
+    """Whether this host reads now, and how much more slowly than a reader it tries again."""
+
+    reads: Callable[[], bool]
+    retry_factor: Callable[[], float] = lambda: 1.0
+
+
+class _Retries:
+    """Waits between tries at a store that is out; a host that becomes a reader waits no longer.
+
+    Hosts that try more slowly than a reader do so from the first try on.
+    """
+
+    def __init__(self, state: GatewayState, turn: ReadTurn):
+        self._backoff = Backoff(state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
+        self._turn = turn
+
+    def reset(self) -> None:
+        """Start again from the shortest delay."""
+        self._backoff.reset()
+
+    async def wait(self) -> None:
+        """Sleep for the next delay."""
+        started_s = now_s()
+        if self._turn.retry_factor() > 1.0:
+            self._backoff.skip_to_limit()
+        delay_s = self._backoff.next_delay_s()
+        left_s = delay_s
+        while left_s > 0:
+            await asyncio.sleep(min(IDLE_S, left_s))
+            left_s = started_s + delay_s * self._turn.retry_factor() - now_s()
+
+
 class ConfigFollower:
     """Keeps the route table at the newest configuration; it never goes back."""
 
@@ -35,27 +70,27 @@
         self,
         state: GatewayState,
         on_change: Callable[[ClientLimits], None],
-        reads: Callable[[], bool],
+        turn: ReadTurn,
     ):
         self._state = state
         self._on_change = on_change
-        self._reads = reads
+        self._turn = turn
         self._position: int | None = None
         self._dependency = Dependency("configuration")
 
     async def run(self, ready: Ready) -> None:
         """Read on and on while it is for this host to read, until cancelled."""
         ready()
-        backoff = _make_backoff(self._state)
+        retries = _Retries(self._state, self._turn)
         while True:
-            if not self._reads():
+            if not self._turn.reads():
                 self._position = None
                 await asyncio.sleep(IDLE_S)
             elif await self._read():
-                backoff.reset()
+                retries.reset()
                 await asyncio.sleep(LEAST_PAUSE_S)
             else:
-                await backoff.wait()
+                await retries.wait()
 
     async def _read(self) -> bool:
         sent_s = self._state.clock()
@@ -103,26 +138,26 @@
 class UpstreamFollower:
     """Keeps the list of upstreams as the platform last gave it."""
 
-    def __init__(self, state: GatewayState, reads: Callable[[], bool]):
+    def __init__(self, state: GatewayState, turn: ReadTurn):
         self._state = state
-        self._reads = reads
+        self._turn = turn
         self._dependency = Dependency("list of upstreams")
 
     async def run(self, ready: Ready) -> None:
         """Read the list now and then while it is for this host to read, until cancelled."""
         ready()
-        backoff = _make_backoff(self._state)
+        retries = _Retries(self._state, self._turn)
         while True:
             sent_s = self._state.clock()
-            if not self._reads():
+            if not self._turn.reads():
                 await asyncio.sleep(IDLE_S)
             elif await self._read(sent_s):
-                backoff.reset()
+                retries.reset()
                 await asyncio.sleep(
                     max(0.0, sent_s + self._state.pace.list_period_s - self._state.clock())
                 )
             else:
-                await backoff.wait()
+                await retries.wait()
 
     async def _read(self, sent_s: float) -> bool:
         try:
@@ -165,10 +200,6 @@
         self._state.note_change()
 
 
-def _make_backoff(state: GatewayState) -> Backoff:
-    return Backoff(state.rng, RETRY_FIRST_S, RETRY_LIMIT_S)
-
-
 def _differs(old: UpstreamEntry, new: UpstreamEntry) -> bool:
     return (old.leaving, old.layers, old.born_ms, old.address) != (
         new.leaving,
--- a/daemon/minttided/gateway/sharing.py
+++ b/daemon/minttided/gateway/sharing.py
@@ -11,7 +11,7 @@
 from minttide.interfaces import MemberView, UpstreamReply
 from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
-from minttide.routing.readers import rank_readers, reads_itself
+from minttide.routing.readers import Age, choose_source, rank_readers, reads_itself, retry_factor
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.loads import PathLoads, SharedLoads
@@ -41,7 +41,12 @@
 
 log = logging.getLogger(__name__)
 
-PULL_TIMEOUT_S = 1.2
+PULL_MARGIN_S = 0.4
+"""How much longer than it may be held an answer may take."""
+
+RETURN_S = 2.0
+"""How long a deputy is asked after the reader had no fresh news."""
+
 IDLE_S = 0.1
 
 
@@ -146,6 +151,8 @@
         self._shared = shared
         self._mark = NO_NEWS
         self._reader: HostId | None = None
+        self._failures = 0
+        self._failed_s = float("-inf")
 
     @property
     def is_reader(self) -> bool:
@@ -155,40 +162,50 @@
 
     def reads_config(self) -> bool:
         """Return whether this host reads the configuration itself now."""
-        age_s = self._state.config_age_s
-        return reads_itself(
-            self._ranked(), self._state.cfg.host, age_s, self._state.pace.config_old_s
-        )
+        pace = self._state.pace
+        age = Age(self._state.config_age_s, pace.config_old_s, pace.config_late_s)
+        return reads_itself(self._ranked(), self._state.cfg.host, age)
 
     def reads_upstreams(self) -> bool:
         """Return whether this host reads the list of upstreams itself now."""
-        age_s = self._state.list_age_s
-        return reads_itself(
-            self._ranked(), self._state.cfg.host, age_s, self._state.pace.list_old_s
-        )
+        pace = self._state.pace
+        age = Age(self._state.list_age_s, pace.list_old_s, pace.list_late_s)
+        return reads_itself(self._ranked(), self._state.cfg.host, age)
+
+    def retry_factor(self) -> float:
+        """Return how many times more slowly than a reader this host tries a store that is out."""
+        return retry_factor(self._ranked(), self._state.cfg.host)
 
     async def run(self, ready: Ready) -> None:
         """Ask on and on, until cancelled."""
         ready()
         while True:
-            others = [m for m in self._ranked()[:2] if m.host != self._state.cfg.host]
-            if self.is_reader or not others:
+            source = self._choose_source()
+            if self.is_reader or source is None:
                 await asyncio.sleep(IDLE_S)
-                continue
-            if not await self._ask(others[0]):
+            elif not await self._ask(source):
+                self._failures += 1
+                self._failed_s = now_s()
                 await asyncio.sleep(IDLE_S)
 
+    def _choose_source(self) -> MemberView | None:
+        """Return the reader, or a deputy for a while after the reader had no fresh news."""
+        if now_s() - self._failed_s > RETURN_S:
+            self._failures = 0
+        return choose_source(self._ranked(), self._state.cfg.host, self._failures)
+
     def _ranked(self) -> list[MemberView]:
         return rank_readers(self._members(), self._state.cfg.zone)
 
     async def _ask(self, reader: MemberView) -> bool:
-        """Ask one host; return whether it answered."""
+        """Ask one host; return whether it answered and its news are fresh."""
         self._note_reader(reader.host)
         sent_s = self._state.clock()
         cfg = self._state.cfg
+        timeout_s = self._state.pace.hold_s + PULL_MARGIN_S
         question = Pull(self._mark, encode(Note(cfg.host, cfg.zone, self._loads.own())))
         try:
-            pulled = await self._link.pull(reader.peer, question, PULL_TIMEOUT_S)
+            pulled = await self._link.pull(reader.peer, question, timeout_s)
             news = decode_news(pulled.snapshot.data) if pulled.snapshot else None
         except (PeerError, msgspec.DecodeError) as exc:
             log.info("no news", extra={"reader": reader.host, "reason": str(exc)})
@@ -200,7 +217,8 @@
         answered_s = sent_s + news.held_s
         self._config.hear(news.config, answered_s - news.config_age_s)
         self._upstreams.hear(news.upstreams, answered_s - news.upstreams_age_s)
-        return True
+        pace = self._state.pace
+        return news.config_age_s <= pace.config_old_s and news.upstreams_age_s <= pace.list_old_s
 
     def _note_reader(self, reader: HostId) -> None:
         if reader != self._reader:
