--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placer.py
@@ -153,10 +153,12 @@
             grant = self._grant
             if grant is None or not self._holds() or report.busy:
                 return
+            if report.layers is not None and report.layers != entry.layers:
+                # It took an order that the list doesn't show yet, of this host or one before it.
+                self._given[entry.id] = _Given(report.layers, now_s() + ORDER_KEEP_S)
+                return
             load_s = model.load_s * len(order.layers) / model.layers
             self._given[entry.id] = _Given(order.layers, now_s() + load_s + ORDER_KEEP_S)
-            if report.layers == order.layers:
-                return
             outcome = await self._state.engines.place(
                 entry, order.layers, grant.fencing, report.seq, wait=True
             )
