--- a/core/minttide/layers/memory.py
+++ b/core/minttide/layers/memory.py
@@ -1,8 +1,10 @@
-"""What an engine's memory holds beside the weights of its layers."""
+"""Sizes and times of requests on engines: memory beside the weights, steps, prompts, links."""
 
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
 
 BYTES_PER_MB = 1e6
+BITS_PER_BYTE = 8
+BITS_PER_MS_AND_MBPS = 1000.0
 
 
 def token_capacity(model: ModelSpec, kind: AcceleratorSpec, layers: int) -> float:
@@ -37,3 +39,11 @@
     """Return the time to read a prompt of `tokens` tokens through `layers` layers."""
     whole_ms = tokens / model.read_tokens_per_s * 1000.0
     return whole_ms * kind.read_factor * layers / model.layers
+
+
+def transfer_ms(model: ModelSpec, tokens: float) -> float:
+    """Return how long the activations of `tokens` tokens hold the link between two zones."""
+    if model.zone_link_mbps <= 0:
+        return 0.0
+    bits = tokens * model.activation_bytes * BITS_PER_BYTE
+    return bits / model.zone_link_mbps / BITS_PER_MS_AND_MBPS
--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from minttide.ids import Address, UpstreamId, ZoneId
-from minttide.layers.memory import read_ms, step_ms, token_capacity
+from minttide.layers.memory import read_ms, step_ms, token_capacity, transfer_ms
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 
 SPREAD = 0.25
@@ -42,9 +42,6 @@
 MOST_FULL_SHARE = 1.1
 """Estimated use of an engine's memory above which it takes nothing more."""
 
-BITS_PER_BYTE = 8
-BITS_PER_MS_AND_MBPS = 1000.0
-
 
 class Stage(msgspec.Struct, frozen=True):
     """One engine's part of a path."""
@@ -53,6 +50,7 @@
     address: Address
     zone: ZoneId
     layers: LayerRange
+    kind: str = ""
 
 
 Path = tuple[Stage, ...]
@@ -136,7 +134,7 @@
         if own_ms is None:
             return
         own_ms *= 1.0 + SPREAD * rng.random()
-        stage = Stage(engine.id, engine.address, engine.zone, engine.layers)
+        stage = Stage(engine.id, engine.address, engine.zone, engine.layers, engine.kind)
         key = (engine.layers.last, engine.zone)
         for zone, reached in arrived:
             cost_ms = reached.cost_ms + own_ms + self._link_ms(zone, engine.zone, work, reached)
@@ -170,14 +168,8 @@
             return HOP_MS * work.answer
         if not reached.path:
             return ENTRY_MS
-        return ZONE_HOP_MS * work.answer + CROSSING_WEIGHT * self._transfer_ms(work)
-
-    def _transfer_ms(self, work: Work) -> float:
-        """Return how long the request's activations hold the link between two zones."""
-        if self._model.zone_link_mbps <= 0:
-            return 0.0
-        bits = (work.prompt + work.answer) * self._model.activation_bytes * BITS_PER_BYTE
-        return bits / self._model.zone_link_mbps / BITS_PER_MS_AND_MBPS
+        crossing_ms = transfer_ms(self._model, work.prompt + work.answer)
+        return ZONE_HOP_MS * work.answer + CROSSING_WEIGHT * crossing_ms
 
 
 def is_whole(path: Path, layers: int) -> bool:
--- a/core/minttide/routing/routes.py
+++ b/core/minttide/routing/routes.py
@@ -70,6 +70,7 @@
     thousand tokens of context; a prompt is read at `read_tokens_per_s`. All of these are for the
     whole model. `kv_token_bytes` is a token's memory over all layers. `load_s` is the time to load
     the whole model, `loads_at_once` how many loads share the weight store without slowing down.
+    One event of a stream holds `event_tokens` tokens.
     """
 
     name: str
@@ -88,6 +89,7 @@
     activation_bytes: float
     zone_link_mbps: float
     kinds: tuple[AcceleratorSpec, ...]
+    event_tokens: int = 1
 
     def kind(self, name: str) -> AcceleratorSpec | None:
         """Return a kind of accelerator by its name."""
--- a/daemon/minttided/gateway/stream_log.py
+++ b/daemon/minttided/gateway/stream_log.py
@@ -18,7 +18,7 @@
     """How far a stream has come. Times are in seconds."""
 
     sends: int = 0
-    repaths: int = 0
+    moves: int = 0
     events: int = 0
     last_id: int | None = None
     first_s: float | None = None
@@ -98,7 +98,7 @@
                 "last_event": progress.last_id,
                 "cut": cut,
                 "sends": progress.sends,
-                "repaths": progress.repaths,
+                "moves": progress.moves,
                 "first_s": progress.first_s,
                 "longest_gap_s": progress.longest_gap_s,
             },
--- a/daemon/minttided/gateway/stream_owner.py
+++ b/daemon/minttided/gateway/stream_owner.py
@@ -40,8 +40,5 @@
     ) -> Path | None:
         """Return the path to use now, beginning with engine `first` where it is given."""
 
-    def may_resend(self, service: ServiceName) -> bool:
-        """Take one more send out of the service's budget."""
-
     def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
         """Keep away from the engine at an address for a while; return it where it is known."""
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams.py
@@ -69,10 +69,6 @@
                 return path
         return None
 
-    def may_resend(self, service: ServiceName) -> bool:
-        """Take one more send out of the service's budget."""
-        return self.budgets.of(service).try_spend(now_s())
-
     def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
         """Keep away from the engine at an address for a while; return it where it is known."""
         for entry in self.state.upstreams.values():
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from gateway_site import (
     END,
@@ -352,12 +353,12 @@
             for _ in range(2000):
                 site.streams.patience.observe(60.0)  # None would look for itself in this test.
             tasks = [asyncio.create_task(site.ask("draft", "POST")) for _ in range(count)]
-            await until(lambda: sum(r._progress.events for r in site.streams.runs) == count)
-            through_b = [r for r in site.streams.runs if r._path[1].engine == "b"]
+            await until(lambda: sum(r.progress.events for r in site.streams.runs) == count)
+            through_b = [r for r in site.streams.runs if r.attempt.path[1].engine == "b"]
             site.engines.dead.add("b")
             await site.streams.probes.ask(["b"])
             await until(lambda: len(site.engines.repaths) == len(through_b))
-            left = [r for r in site.streams.runs if r._path and r._path[1].engine == "b"]
+            left = [r for r in site.streams.runs if r.attempt and r.attempt.path[1].engine == "b"]
             answers = await asyncio.gather(*tasks)
             return through_b, left, answers
 
@@ -470,3 +471,37 @@
     answer, refused = asyncio.run(asyncio.wait_for(run(), 30))
     assert answer.chunks == WHOLE and len(engine(site, "a").requests) == 1
     assert len(site.engines.repaths) == 1 and refused not in site.engines.repaths[0]
+
+
+@pytest.mark.parametrize("budget", [True, False])
+def test_a_stream_is_resumed_in_another_zone_where_its_own_has_no_spare_engine(budget):
+    """Replays a loss after which every path from the same first engine crosses a slow link."""
+    model = msgspec.structs.replace(MODEL, zone_link_mbps=0.001)
+    engines = [
+        (ScriptedUpstream("a"), 0, 2, "k"),
+        (ScriptedUpstream("b"), 2, 4, "k"),
+        (ScriptedUpstream("c", [STREAM_HEAD, events(2, 3), END]), 0, 2, "k"),
+        (ScriptedUpstream("d"), 2, 4, "k"),
+    ]
+    site = GatewaySite(engines=engines, model=model)
+    wait = silent_until(site, lambda s: s.engines.moved)
+    engine(site, "a").scripts = [[STREAM_HEAD, events(1), wait, events(2, 3), END]]
+
+    async def run():
+        async with site:
+            for name in "cd":
+                entry = site.state.upstreams[name]
+                site.state.upstreams[name] = msgspec.structs.replace(entry, zone="elsewhere")
+            spent = site.streams.budgets.of("model")
+            while not budget and spent.try_spend(asyncio.get_running_loop().time()):
+                pass
+
+            def on_data(data):
+                site.engines.dead.add("b")
+
+            answer = await site.ask("draft", "POST", on_data=on_data)
+            return answer, len(engine(site, "c").requests), len(site.engines.repaths)
+
+    answer, anew, moves = asyncio.run(asyncio.wait_for(run(), 30))
+    assert answer.chunks == WHOLE
+    assert (anew, moves) == ((1, 0) if budget else (0, 1))
