Have a first engine asked that could not be connected to

Each stream found it out for itself, and the budget for sending again was used up by that. Change: the engine is asked by a probe, and left by all streams of the host when it is silent. Test: test_a_first_engine_that_refuses_connections_is_left_by_all_streams (fails before).

--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/stream_run.py
@@ -139,6 +139,7 @@
             return
         if sent.end is End.NOT_SENT:
             self._paths.avoid([first])
+            self._owner.probes.check(first)
             return
         if sent.end is End.UNKNOWN:
             self._paths.avoid([first])
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -505,3 +505,23 @@
     answer, anew, moves = asyncio.run(asyncio.wait_for(run(), 30))
     assert answer.chunks == WHOLE
     assert (anew, moves) == ((1, 0) if budget else (0, 1))
+
+
+def test_a_first_engine_that_refuses_connections_is_left_by_all_streams():
+    """Replays a crash of an engine that stays listed: only the first stream finds it out."""
+    site = site_of(a=(0, 4), b=(0, 4))
+    engine(site, "b").scripts = [[STREAM_HEAD, events(1, 2, 3), END]] * 12
+
+    async def run():
+        async with site:
+            site.engines.dead.add("a")
+            entry = site.state.upstreams["a"]
+            site.state.upstreams["a"] = msgspec.structs.replace(entry, address="127.0.0.1:1")
+            for _ in range(12):
+                await site.ask("draft", "POST")
+            budget = site.streams.budgets.of("model")
+            spent = budget._most_saved - budget._saved
+            return site.state.suspects.untrusted(), spent
+
+    untrusted, spent = asyncio.run(asyncio.wait_for(run(), 30))
+    assert untrusted == {"a"} and spent <= 2.0
