Refuse at arrival what can't start in time, with 503 and a spread time to come back

Change: the rate is read from tokens that were served while requests wait; a request that arrives is refused when no place can be free before its latest start, by the ends that are expected of what runs. What has not run is answered 503 also where its deadline is the reason, in calls and keyed calls too. Test: test_in_a_burst_what_cant_start_in_time_is_refused_as_it_comes, three rows, in virtual time.

--- a/core/minttide/policy/advice.py
+++ b/core/minttide/policy/advice.py
@@ -30,12 +30,15 @@
         self._fade(now_s)
         self._served += 1.0
 
-    def refuse(self, now_s: float) -> float:
-        """Count a refusal and return the time after which its caller may come back."""
+    def refuse(self, now_s: float, least_s: float = 0.0) -> float:
+        """Count a refusal and return the time after which its caller may come back.
+
+        `least_s` is the time before which it would be refused again.
+        """
         self._fade(now_s)
         self._refused += 1.0
         pressure = self._refused / (self._served + 1.0)
-        base_s = min(MOST_S, LEAST_S * (1.0 + pressure))
+        base_s = max(least_s, min(MOST_S, LEAST_S * (1.0 + pressure)))
         return base_s * (1.0 + SPREAD * self._rng.random())
 
     def _fade(self, now_s: float) -> None:
--- a/core/minttide/policy/limits.py
+++ b/core/minttide/policy/limits.py
@@ -2,8 +2,12 @@
 
 Each daemon shares its own capacity out by weight, without agreement: start-time fair queueing over
 the accounts that wait here. Capacity that an account leaves unused goes to the others.
+
+Answers a moment in which many requests come at once: those for which no place can be free in time
+are refused as they come, by when the streams that run now are expected to end.
 """
 
+import heapq
 from collections import deque
 from collections.abc import Mapping
 
@@ -16,6 +20,9 @@
 """How far ahead of its share a higher priority may put an account, in tokens over weight."""
 
 RATE_SMOOTHING = 0.2
+RATE_WINDOW_S = 0.5
+"""Time over which served tokens are summed for one reading of the rate."""
+
 LEAST_RATE = 1.0
 """Tokens a second assumed while nothing has been served yet."""
 
@@ -78,27 +85,54 @@
         self._lines: dict[AccountId, _Line] = {}
         self._count = 0
         self._virtual = 0.0
-        self._served_s: float | None = None
+        self._ends_s: dict[RequestId, float] = {}  # when running requests are expected to end
+        self._capacity = 0
+        self._window_s: float | None = None  # the start of the present reading of the rate
+        self._window_cost = 0.0
 
     def __len__(self) -> int:
         return self._count
 
-    def expected_wait_s(self, account: AccountId, weight: float) -> float:
+    def expected_wait_s(self, account: AccountId, weight: float, now_s: float) -> float:
         """Return how long a new request of `account` would wait, in seconds."""
+        ahead = self._cost_ahead(account, weight)
+        waiting_cost = sum(line.waiting_cost for line in self._lines.values())
+        share = ahead / waiting_cost if waiting_cost > 0 else 0.0
+        place_s = self._place_free_s(round(share * self._count), now_s) - now_s
+        return max(ahead / max(self._rate, LEAST_RATE), place_s)
+
+    def _place_free_s(self, ahead: int, now_s: float) -> float:
+        """Return when a place is expected to be free behind `ahead` waiting requests."""
+        running = len(self._ends_s)
+        turn = running + ahead - self._capacity
+        if not running or not self._capacity or turn < 0:
+            return now_s
+        # Each place is free again when its present request has ended, then after each waiting one.
+        later, first = divmod(turn, running)
+        free_s = heapq.nsmallest(first + 1, self._ends_s.values())[-1]
+        return max(now_s, free_s) + later * self._place_s()
+
+    def _place_s(self) -> float:
+        """Return how long a waiting request will hold its place, on average."""
+        waiting_cost = sum(line.waiting_cost for line in self._lines.values())
+        mean_cost = waiting_cost / self._count if self._count else 0.0
+        return mean_cost * self._capacity / max(self._rate, LEAST_RATE)
+
+    def _cost_ahead(self, account: AccountId, weight: float) -> float:
+        """Return the tokens that are served before a new request of `account`."""
         waiting = {a: line for a, line in self._lines.items() if line.tickets}
         if not waiting:
             return 0.0
         own = waiting.pop(account, None)
         own_cost = own.waiting_cost if own else 0.0
         share_time = own_cost / weight
-        ahead = own_cost + sum(
+        return own_cost + sum(
             min(line.waiting_cost, share_time * line.weight) for line in waiting.values()
         )
-        return ahead / max(self._rate, LEAST_RATE)
 
     def offer(self, ticket: Ticket, weight: float, now_s: float) -> Problem | None:
         """Queue a request, or return why it is refused; a refused request was not run."""
-        wait_s = self.expected_wait_s(ticket.account, weight)
+        wait_s = self.expected_wait_s(ticket.account, weight, now_s)
         if now_s + wait_s > ticket.latest_s:
             return _refuse(ProblemType.DEADLINE, "it can't be started in time", wait_s)
         if self._count >= self._most and not self._has_room_by_share(ticket.account, weight):
@@ -152,26 +186,42 @@
         self._count -= 1
         self._virtual = max(self._virtual, least)
         line.tag += ticket.cost / line.weight
-        self._observe(ticket.cost, now_s)
+        self._expect_end(ticket, now_s, capacity)
         return ticket
 
+    def _expect_end(self, ticket: Ticket, now_s: float, capacity: int) -> None:
+        """Note when a request that runs now will leave its place, at this host's rated speed."""
+        self._capacity = capacity
+        if capacity and self._rate > 0:
+            self._ends_s[ticket.request] = now_s + ticket.cost * capacity / self._rate
+
     def _is_below_share(self, account: AccountId, capacity: int) -> bool:
         active = [line for line in self._lines.values() if line.tickets or line.running]
         line = self._lines[account]
         share = capacity * line.weight / sum(other.weight for other in active)
         return line.running < share
 
-    def finish(self, account: AccountId) -> None:
-        """Note that a request that `take` returned has ended."""
+    def finish(self, request: RequestId, account: AccountId, served: float, now_s: float) -> None:
+        """Note that a request that `take` returned has ended after `served` tokens."""
+        self._ends_s.pop(request, None)
         line = self._lines.get(account)
         if line is not None:
             line.running = max(0, line.running - 1)
-
-    def _observe(self, cost: float, now_s: float) -> None:
-        if self._served_s is not None and now_s > self._served_s:
-            seen = cost / (now_s - self._served_s)
-            self._rate += RATE_SMOOTHING * (seen - self._rate)
-        self._served_s = now_s
+        self._observe(served, now_s)
+
+    def _observe(self, served: float, now_s: float) -> None:
+        """Read the rate from what has ended, while requests wait: else it shows only the demand."""
+        if not self._count:
+            self._window_s = None
+            return
+        if self._window_s is None:
+            self._window_s, self._window_cost = now_s, 0.0
+            return
+        self._window_cost += served
+        span_s = now_s - self._window_s
+        if span_s >= RATE_WINDOW_S:
+            self._rate += RATE_SMOOTHING * (self._window_cost / span_s - self._rate)
+            self._window_s, self._window_cost = now_s, 0.0
 
     def correct(self, account: AccountId, expected: float, used: float) -> None:
         """Charge an account for what its request really used instead of what was expected."""
--- a/daemon/minttided/drafts/admission.py
+++ b/daemon/minttided/drafts/admission.py
@@ -3,15 +3,19 @@
 import asyncio
 import logging
 import math
+import random
 from collections import Counter
 from types import TracebackType
 from typing import Protocol, Self
 
+import msgspec
+
 from minttide.config.service import Account
 from minttide.ids import AccountId, RequestId, ServiceName
-from minttide.outcome import ProblemType, RequestError
+from minttide.outcome import Problem, ProblemType, RequestError
+from minttide.policy.advice import RetryAdvice
 from minttide.policy.limits import FairQueue, RateLimit, Ticket, host_share
-from minttided.http.problems import refusal
+from minttided.http.problems import problem, refusal
 from minttided.node import Node
 
 log = logging.getLogger(__name__)
@@ -69,6 +73,8 @@
         self._waiting: dict[RequestId, asyncio.Future[None]] = {}
         self._open: Counter[AccountId] = Counter()
         self._running: Counter[ServiceName] = Counter()
+        self._advice: dict[ServiceName, RetryAdvice] = {}
+        self._rng = random.Random()
         self._checker: asyncio.Task[None] | None = None
 
     @property
@@ -133,7 +139,7 @@
         loop = asyncio.get_running_loop()
         refused = queue.offer(ticket, account.weight, loop.time())
         if refused is not None:
-            raise RequestError(refused)
+            raise self._refuse(service, refused)
         fut: asyncio.Future[None] = loop.create_future()
         self._waiting[ticket.request] = fut
         self._pump(service, queue)
@@ -165,13 +171,15 @@
         self._open[ticket.account] -= 1
         self._running[service] -= 1
         queue = self._queues[service]
-        queue.finish(ticket.account)
+        now_s = asyncio.get_running_loop().time()
+        queue.finish(ticket.request, ticket.account, float(used_tokens), now_s)
+        self._advise(service).note_served(now_s)
         queue.correct(ticket.account, ticket.cost, float(used_tokens))
         self._pump(service, queue)
 
     def _pump(self, service: ServiceName, queue: FairQueue) -> None:
         loop = asyncio.get_running_loop()
-        self._expire(queue, loop.time())
+        self._expire(service, queue, loop.time())
         while len(queue) and self._may_start(service):
             streams = self._capacity.streams(service)
             ticket = queue.take(loop.time(), self._running[service], streams)
@@ -179,7 +187,7 @@
                 return
             fut = self._waiting.get(ticket.request)
             if fut is None or fut.done():
-                queue.finish(ticket.account)
+                queue.finish(ticket.request, ticket.account, 0.0, loop.time())
                 continue
             self._open[ticket.account] += 1
             self._running[service] += 1
@@ -190,12 +198,22 @@
             service
         )
 
-    def _expire(self, queue: FairQueue, now: float) -> None:
+    def _refuse(self, service: ServiceName, found: Problem) -> RequestError:
+        """Return the error of a request that is refused, with its own time to come back."""
+        now_s = asyncio.get_running_loop().time()
+        retry_s = self._advise(service).refuse(now_s, found.retry_after_s or 0.0)
+        return RequestError(msgspec.structs.replace(found, retry_after_s=retry_s))
+
+    def _advise(self, service: ServiceName) -> RetryAdvice:
+        return self._advice.setdefault(service, RetryAdvice(self._rng))
+
+    def _expire(self, service: ServiceName, queue: FairQueue, now: float) -> None:
         for ticket in queue.drop_expired(now):
             fut = self._waiting.get(ticket.request)
             if fut is not None and not fut.done():
-                detail = "the deadline passed while the request waited"
-                fut.set_exception(refusal(ProblemType.DEADLINE, detail, RETRY_AFTER_S))
+                detail = "no place was free in time"
+                late = problem(ProblemType.DEADLINE, detail)
+                fut.set_exception(self._refuse(service, late))
 
     async def _check_regularly(self) -> None:
         while True:
--- a/daemon/minttided/http/problems.py
+++ b/daemon/minttided/http/problems.py
@@ -27,6 +27,7 @@
     ProblemType.INTERNAL: 500,
 }
 _UNAVAILABLE = 503
+_OPEN = frozenset({502, 504})
 
 
 class _Body(msgspec.Struct, omit_defaults=True):
@@ -45,8 +46,14 @@
     retry_after_s: float | None = None,
     status: int | None = None,
 ) -> Problem:
-    """Return a problem with the status that belongs to its type unless `status` is given."""
-    return Problem(kind, status or _STATUS.get(kind, _UNAVAILABLE), ran, detail, retry_after_s)
+    """Return a problem with the status that belongs to its type unless `status` is given.
+
+    A 502 or 504 promises nothing to a caller, so that what has not run is answered 503 instead.
+    """
+    usual = _STATUS.get(kind, _UNAVAILABLE)
+    if ran is Ran.NOT_RUN and usual in _OPEN:
+        usual = _UNAVAILABLE
+    return Problem(kind, status or usual, ran, detail, retry_after_s)
 
 
 def refusal(kind: ProblemType, detail: str, retry_after_s: float | None = None) -> RequestError:
--- a/daemon/minttided/keys/key_problems.py
+++ b/daemon/minttided/keys/key_problems.py
@@ -25,7 +25,7 @@
 
 def deadline(detail: str) -> RequestError:
     """Return the refusal of a call whose deadline passed before it was sent."""
-    return _error(ProblemType.DEADLINE, 504, Ran.NOT_RUN, detail, _BUSY_RETRY_S)
+    return _error(ProblemType.DEADLINE, 503, Ran.NOT_RUN, detail, _BUSY_RETRY_S)
 
 
 def key_in_use() -> RequestError:
--- a/measure/router.py
+++ b/measure/router.py
@@ -209,7 +209,7 @@
             stream = self._waiting.pop(ticket.request)
             chain = self._choose(open_to, stream)
             if self._is_late(stream, chain):
-                self.queue.finish(ticket.account)
+                self.queue.finish(ticket.request, ticket.account, 0.0, now_s)
                 self.world.refused += 1
             else:
                 self.begin(stream, chain)
@@ -269,7 +269,9 @@
         if stream.finished:
             self.leave(stream)
             self.streams.discard(stream)
-            self.queue.finish(self._account(stream))
+            served, now_s = float(EXPECTED_ANSWER), self.world.sim.now / 1000.0
+            request = RequestId(stream.name)
+            self.queue.finish(request, self._account(stream), served, now_s)
             self.world.finished.append(stream)
             self.pump()
 
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -7,6 +7,7 @@
 
 from minttide.config.service import Account
 from minttide.ids import AccountId, RequestId, ServiceName
+from minttide.outcome import Ran, RequestError
 from minttide.policy.limits import Ticket
 from minttide_fakes.virtual import run_virtual
 from minttided.drafts.admission import Admission
@@ -14,7 +15,7 @@
 DRAFTS = ServiceName("drafts")
 PLACES = 20
 LATEST_S = 1_000.0
-LARGE, SMALL = (Account(AccountId(n), "", max_streams=100) for n in ("large", "small"))
+LARGE, SMALL = (Account(AccountId(n), "", max_streams=1_000) for n in ("large", "small"))
 
 
 class Places:
@@ -59,3 +60,52 @@
             return large
 
     assert run_virtual(scenario()) >= PLACES // 2
+
+
+DRAFT_TOKENS = 40.0
+DRAFT_S = DRAFT_TOKENS * PLACES / 1_000.0
+"""How long a draft holds its place at the rated output."""
+
+
+@pytest.mark.parametrize(
+    ("latest_s", "served"),
+    [(0.9 * DRAFT_S, PLACES), (1.1 * DRAFT_S, 2 * PLACES), (2.2 * DRAFT_S, 3 * PLACES)],
+)
+def test_in_a_burst_what_cant_start_in_time_is_refused_as_it_comes(latest_s, served):
+    """Replays many drafts at once: who gets no place in time is told so at once, not later.
+
+    The baseline, which knew only the rate at which drafts were taken, held most of them to the end.
+    """
+
+    async def one(admission, number, refusals):
+        began_s = asyncio.get_running_loop().time()
+        ticket = Ticket(RequestId(str(number)), LARGE.name, DRAFT_TOKENS, began_s + latest_s)
+        try:
+            slot = await admission.enter(DRAFTS, LARGE, ticket)
+        except RequestError as exc:
+            waited_s = asyncio.get_running_loop().time() - began_s
+            refusals.append((waited_s, exc.problem))
+            return
+        await asyncio.sleep(DRAFT_S)
+        slot.release(int(DRAFT_TOKENS))
+
+    async def scenario():
+        bounds = SimpleNamespace(max_streams=1_000, max_queue=1_000)
+        places = Places()
+        admission = Admission(
+            SimpleNamespace(cfg=SimpleNamespace(bounds=bounds), members=None), places
+        )
+        places.admission = admission
+        refusals = []
+        async with admission:
+            await asyncio.gather(*(one(admission, i, refusals) for i in range(100)))
+        return refusals
+
+    refusals = run_virtual(scenario())
+    assert 100 - len(refusals) == pytest.approx(served, abs=0.2 * PLACES)
+    assert max(waited for waited, _ in refusals) == 0.0
+    problems = [p for _, p in refusals]
+    assert {(p.status, p.ran) for p in problems} == {(503, Ran.NOT_RUN)}
+    times = sorted(p.retry_after_s for p in problems)
+    assert times[-1] > 1.5 * times[0] > 0
+    assert len(set(times)) == len(times)
--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -155,8 +155,10 @@
     class Keyed:
         seen = []
 
-        async def run(self, account, service, key, call, deadline):
-            self.seen.append((account, service, key, call.path, dict(call.headers)))
+        async def run(self, keyed):
+            call = keyed.call
+            seen = (keyed.account, keyed.service, keyed.key, call.path, dict(call.headers))
+            self.seen.append(seen)
             return UpstreamReply(201, "application/json", b"{}")
 
     async def job(site):
