--- a/test/test_gateway_process.py
+++ b/test/test_gateway_process.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 from gateway_site import ScriptedUpstream, plain_answer, until
-from test_platform import CONFIG, ENTRY, ROOT, StoreStandIn
+from platform_store import StoreStandIn
+from test_platform import CONFIG, ENTRY, ROOT
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -1,16 +1,14 @@
 """The platform's adapter: what its bodies become, and how its store is asked."""
 
 import asyncio
-import base64
 import json
 import re
-import struct
 import sys
 from pathlib import Path
-from urllib.parse import parse_qs
 
 import msgspec
 import pytest
+from platform_store import StoreStandIn
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
@@ -35,7 +33,6 @@
 from minttide_platform.store import Store, TrimmedError  # noqa: E402
 from minttided.gateway.entry import ResolveBody  # noqa: E402
 from minttided.gateway.settings import GatewaySettings  # noqa: E402
-from minttided.http.messages import HttpResponse  # noqa: E402
 from minttided.http.server import HttpServer  # noqa: E402
 
 CONFIG = {
@@ -171,69 +168,6 @@
         decode_report(b"{}")
 
 
-class StoreStandIn:
-    """A keyed log with groups, as far as the adapter uses it."""
-
-    def __init__(self):
-        self.records = {"keyed.op": [], "keyed.servers": []}
-        self.first = 0
-        self.members = []
-        self.status = 200
-        self.calls = []
-
-    def put(self, topic, key, value):
-        self.records[topic].append((key, value))
-
-    async def handle(self, req):
-        self.calls.append(req.path)
-        if self.status != 200:
-            return HttpResponse(self.status)
-        query = {k: v[0] for k, v in parse_qs(req.query).items()}
-        if req.path.endswith("log-newest"):
-            return self._newest(query)
-        if req.path.endswith("log-read"):
-            return await self._read(query)
-        return self._group(req.path, json.loads(req.body))
-
-    def _newest(self, query):
-        records = self.records[query["topic"]]
-        newest = {k: (v, i) for i, (k, v) in enumerate(records)}
-        names = sorted(k for k in newest if k > query.get("after", ""))
-        page = [
-            {
-                "key": k,
-                "value": base64.b64encode(newest[k][0]).decode(),
-                "offset": newest[k][1],
-            }
-            for k in names[:2]
-        ]
-        body = {"items": page, "more": len(names) > 2, "end": len(records)}
-        return HttpResponse(200, json.dumps(body).encode())
-
-    async def _read(self, query):
-        start = int(query["from"])
-        if start < self.first:
-            return HttpResponse(410, json.dumps({"first": self.first}).encode())
-        records = self.records[query["topic"]]
-        if start >= len(records):
-            await asyncio.sleep(int(query["waitMs"]) / 1000)
-        data = struct.pack(">QQ", len(records), self.first)
-        for key, value in records[start:]:
-            record = bytes([len(key)]) + key.encode() + value
-            data += struct.pack(">I", len(record)) + record
-        return HttpResponse(200, data, "application/octet-stream")
-
-    def _group(self, path, body):
-        if path.endswith("log-leave"):
-            self.members.remove(body["member"])
-            return HttpResponse(200)
-        if body["member"] not in self.members:
-            self.members.append(body["member"])
-        parts = [[body["topics"][0], 0, 0]] if self.members[0] == body["member"] else []
-        answer = {"generation": len(self.members), "ttlMs": 1500, "parts": parts}
-        return HttpResponse(200, json.dumps(answer).encode())
-
-
 def with_store(check):
     async def run():
         stand_in = StoreStandIn()
