Tell peers what has changed of the list, and send the configuration only where it is lacking

Links there carry 10 to 100 Mbit/s, and each change of the list, or of one entry in it, sent the whole list and the whole configuration of 1,000 routes to each host of the zone. Change: a question says which configuration and which version of the list its host has. The answer holds the entries that changed since and those that went; the list as a whole, packed, only to who has none of this reader's, and the configuration, packed once a version, only to who has an older one. The modules of news have a room of their own.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -18,13 +18,14 @@
 from minttided.gateway.following import ConfigFollower, ReadTurn, UpstreamFollower
 from minttided.gateway.front import Front
 from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.news.desk import NewsDesk
+from minttided.gateway.news.follower import NewsFollower
+from minttided.gateway.news.zones import ZoneLoads
 from minttided.gateway.placer import Placer
 from minttided.gateway.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
-from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams import StreamCalls
-from minttided.gateway.zone_loads import ZoneLoads
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
 from minttided.http.server import HttpServer
 from minttided.operators.metrics import CONTENT_TYPE
--- a/daemon/minttided/gateway/following.py
+++ b/daemon/minttided/gateway/following.py
@@ -169,17 +169,12 @@
         self.hear(entries, sent_s)
         return True
 
-    def hear(self, entries: Sequence[UpstreamEntry] | None, read_s: float) -> None:
-        """Take a list that was read at `read_s`, in loop time, unless a newer one is known.
-
-        None stands for the list as it is known, read again.
-        """
+    def hear(self, entries: Sequence[UpstreamEntry], read_s: float) -> None:
+        """Take a list that was read at `read_s`, in loop time, unless a newer one is known."""
         if read_s <= self._state.upstreams_read_s:
             return
-        if entries is not None:
-            self._take({e.id: e for e in entries})
-        if self._state.upstreams_known:
-            self._state.upstreams_read_s = read_s
+        self._take({e.id: e for e in entries})
+        self._state.upstreams_read_s = read_s
 
     def _take(self, entries: dict[UpstreamId, UpstreamEntry]) -> None:
         before = self._state.upstreams
@@ -197,6 +192,7 @@
                 self._state.suspects.clear(upstream)
                 _log_change("upstream gone", entry)
         self._state.upstreams = entries
+        self._state.list_history.note(before, entries)
         self._state.note_change()
 
 
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -10,6 +11,7 @@
 from minttide.policy.suspects import Suspects
 from minttide.routing.freshness import Freshness
 from minttide.routing.headers import HeaderNames
+from minttide.routing.list_history import ListHistory
 from minttide.routing.readers import Pace
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
@@ -17,6 +19,12 @@
 from minttided.gateway.settings import GatewaySettings
 from minttided.operators.metrics import Metrics
 
+_EPOCH_BITS = 63
+
+
+def _new_history() -> ListHistory:
+    return ListHistory(secrets.randbits(_EPOCH_BITS))
+
 
 def read_boot_s() -> float:
     """Return the seconds since the machine started, those in which it was suspended among them."""
@@ -37,6 +45,7 @@
     freshness: Freshness
     metrics: Metrics = field(default_factory=Metrics)
     suspects: Suspects = field(default_factory=Suspects)
+    list_history: ListHistory = field(default_factory=_new_history)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     upstreams_known: bool = False
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import sys
 
 import pytest
 from test_gateway_entry import member
@@ -17,16 +18,24 @@
     reads_itself,
     retry_factor,
 )
-from minttide.routing.routes import LayerRange, RoutingConfig, UpstreamEntry
+from minttide.routing.routes import (
+    LayerRange,
+    Route,
+    RouteKind,
+    RoutingConfig,
+    ServiceShare,
+    UpstreamEntry,
+)
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
 from minttided.gateway.following import ConfigFollower, ReadTurn, UpstreamFollower
 from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.news.desk import NewsDesk
+from minttided.gateway.news.follower import NewsFollower
+from minttided.gateway.news.zones import ZoneLoads
 from minttided.gateway.settings import GatewaySettings
-from minttided.gateway.sharing import NewsDesk, NewsFollower
 from minttided.gateway.state import GatewayState
-from minttided.gateway.zone_loads import ZoneLoads
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 
@@ -48,6 +57,7 @@
         self.upstreams = [upstream("u1")]
         self.cut = set()
         self.calls = 0
+        self.routes = ()
 
 
 class StoreView:
@@ -63,7 +73,7 @@
         if position == self._store.version:
             await asyncio.sleep(wait_s)
             self._check()
-        config = RoutingConfig(self._store.version, (), ())
+        config = RoutingConfig(self._store.version, self._store.routes, ())
         changed = position != self._store.version
         return ConfigReading(config if changed else None, self._store.version)
 
@@ -340,3 +350,46 @@
         assert all(list(h.state.upstreams) == ["later"] for h in others)
 
     play(check)
+
+
+LINK_BYTES_PER_S = 10e6 / 8
+
+
+class CountingDesk(NewsDesk):
+    """Counts the bytes of the answers."""
+
+    sent = 0
+
+    async def on_pull(self, pull):
+        pulled = await super().on_pull(pull)
+        CountingDesk.sent += len(pulled.snapshot.data)
+        return pulled
+
+
+def test_what_a_reader_sends_follows_what_changes_and_not_the_size_of_the_site(monkeypatch):
+    """Replays a site of 100 engines and 1,000 routes whose reader has a link of 10 Mbit/s.
+
+    The baseline sent the whole configuration and list to each of 23 hosts when anything changed.
+    """
+    monkeypatch.setattr(sys.modules[__name__], "NewsDesk", CountingDesk)
+    shares = (ServiceShare(ServiceName("s"), 1.0),)
+
+    async def check(hosts, store, net):
+        names = [f"i-{n:08x}" for n in range(100)]
+        kind = RouteKind.IDEMPOTENT
+        store.routes = tuple(
+            Route(f"r-{n}", f"host{n}.example", f"/path{n}/", kind, shares, 2.0, 0.3)
+            for n in range(1_000)
+        )
+        store.version += 1
+        store.upstreams = [upstream(name) for name in names]
+        await asyncio.sleep(3.0)
+        assert all(len(h.state.table.config.routes) == 1_000 for h in hosts)
+        CountingDesk.sent = 0
+        for number in range(10):
+            store.upstreams = [upstream(name, leaving=i == number) for i, name in enumerate(names)]
+            await asyncio.sleep(1.0)
+        assert all(h.state.upstreams[UpstreamId(names[9])].leaving for h in hosts)
+        assert CountingDesk.sent / 10.0 < 0.02 * LINK_BYTES_PER_S
+
+    play(check, count=24)
