Test that a silent answer isn't given up without a budget for another

The closing of the engine's connection first, the caller's 5 ms later fits one way through the code only: a silent answer was given up for another, and the budget had none.

--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -22,6 +22,7 @@
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
 from minttide.routing.sources import OrderOutcome
 from minttided.gateway.events import EventSplitter
+from minttided.gateway.settings import RetrySettings
 
 MODEL = ModelSpec(
     name="m",
@@ -525,3 +526,36 @@
 
     untrusted, spent = asyncio.run(asyncio.wait_for(run(), 30))
     assert untrusted == {"a"} and spent <= 2.0
+
+
+def test_a_silent_answer_isnt_given_up_while_the_budget_allows_no_other():
+    """Replays engines that look dead for a moment, on a host whose budget is used up."""
+    asked = asyncio.Event()
+    site = site_of(a=(0, 2), b=(2, 4), c=(0, 2), d=(2, 4))
+    script = [STREAM_HEAD, events(1), asked.wait, events(2, 3), END]
+    engine(site, "a").scripts = [script]
+    engine(site, "c").scripts = [script]
+
+    async def run():
+        async with site:
+            budget = site.streams.budgets.of("model")
+            while budget.try_spend(asyncio.get_running_loop().time()):
+                pass
+            budget.resize(0.0, 0.0)
+            site.state.cfg = msgspec.structs.replace(
+                site.state.cfg, retries=RetrySettings(share=0.0, slack=0.0)
+            )
+            site.engines.dead |= set("abcd")
+            report = site.engines.report
+
+            async def count_and_report(entry, timeout_s):
+                if len(site.streams.runs):
+                    asked.set()
+                return await report(entry, timeout_s)
+
+            site.engines.report = count_and_report
+            return await site.ask("draft", "POST")
+
+    answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert (answer.chunks, answer.whole) == (WHOLE, True)
+    assert len(engine(site, "a").requests) + len(engine(site, "c").requests) == 1
