--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -13,19 +13,19 @@
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import ClientLimits
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
-from minttided.gateway.budgets import Budgets
-from minttided.gateway.entry import EntryAnswers, HealthAnswers, ResolveBody
-from minttided.gateway.following import ConfigFollower, ReadTurn, UpstreamFollower
-from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.callers.budgets import Budgets
+from minttided.gateway.callers.entry import EntryAnswers, HealthAnswers, ResolveBody
+from minttided.gateway.callers.front import Front
+from minttided.gateway.callers.plain import PlainCalls
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.follower import NewsFollower
+from minttided.gateway.news.following import ConfigFollower, ReadTurn, UpstreamFollower
 from minttided.gateway.news.zones import ZoneLoads
-from minttided.gateway.placer import Placer
-from minttided.gateway.plain import PlainCalls
+from minttided.gateway.placement.placer import Placer
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
-from minttided.gateway.streams import StreamCalls
+from minttided.gateway.streams.calls import StreamCalls
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
 from minttided.http.server import HttpServer
 from minttided.operators.metrics import CONTENT_TYPE
--- /dev/null
+++ b/daemon/minttided/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, plain services behind them, and the answers about addresses."""
--- a/daemon/minttided/gateway/front.py
+++ b/daemon/minttided/gateway/callers/front.py
@@ -7,11 +7,11 @@
 from minttide.outcome import ProblemType, RequestError
 from minttide.routing.routes import AccountKeys, Route
 from minttide.routing.table import RouteTable
-from minttided.gateway.plain import PlainCalls
-from minttided.gateway.refusals import answer, deny, refuse
-from minttided.gateway.request import MS_PER_S, GatewayRequest
+from minttided.gateway.callers.plain import PlainCalls
+from minttided.gateway.callers.refusals import answer, deny, refuse
+from minttided.gateway.callers.request import MS_PER_S, GatewayRequest
 from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.streams import StreamCalls
+from minttided.gateway.streams.calls import StreamCalls
 from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/gateway/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -11,10 +11,10 @@
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, classify, may_pass_on, may_send_again
 from minttide.routing.routes import UpstreamEntry
-from minttided.gateway.budgets import Budgets
-from minttided.gateway.exchange import Exchange
-from minttided.gateway.refusals import fail, refuse
-from minttided.gateway.request import GatewayRequest, end_to_end, upstream_headers
+from minttided.gateway.callers.budgets import Budgets
+from minttided.gateway.callers.exchange import Exchange
+from minttided.gateway.callers.refusals import fail, refuse
+from minttided.gateway.callers.request import GatewayRequest, end_to_end, upstream_headers
 from minttided.gateway.state import GatewayState, now_s
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import Headers, HttpResponse
--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -10,7 +10,6 @@
 from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide.routing.list_history import ListVersion
-from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.news.messages import (
     LOADS_ONLY,
     NEWS,
@@ -22,6 +21,7 @@
     pack,
 )
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.http.problems import problem
 from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pull, Pulled
 from minttided.peers.membership import Membership
--- a/daemon/minttided/gateway/news/follower.py
+++ b/daemon/minttided/gateway/news/follower.py
@@ -12,8 +12,7 @@
 from minttide.routing.list_history import UNKNOWN, ListChanges
 from minttide.routing.readers import Age, choose_source, rank_readers, reads_itself, retry_factor
 from minttide.routing.routes import UpstreamEntry
-from minttided.gateway.following import ConfigFollower, UpstreamFollower
-from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.news.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.news.messages import (
     NEWS,
     NO_VERSION,
@@ -25,6 +24,7 @@
     unpack_entries,
 )
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.peers.link import PeerError, PeerLink, Pull
 from minttided.supervisor import Ready
 
--- a/daemon/minttided/gateway/news/zones.py
+++ b/daemon/minttided/gateway/news/zones.py
@@ -10,9 +10,9 @@
 from minttide.interfaces import MemberView
 from minttide.layers.usage import add_usages
 from minttide.routing.readers import rank_readers
-from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.news.messages import LOADS_ONLY, Note, decode_news, encode
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.peers.link import PeerError, PeerLink, Pull
 from minttided.supervisor import Ready
 
--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -11,8 +11,8 @@
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 from minttide.routing.sources import LeaseGrant, SourceError
 from minttided.gateway.dependency import Dependency
-from minttided.gateway.probes import EngineProbes
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.streams.probes import EngineProbes
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/daemon/minttided/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams through paths of engines: sent, watched, moved and resumed."""
--- a/daemon/minttided/gateway/stream_attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -9,14 +9,14 @@
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Path, Work
 from minttide.routing.outcome import End, classify
-from minttided.gateway.events import Event, EventSplitter
-from minttided.gateway.exchange import Exchange
-from minttided.gateway.patience import Patience
-from minttided.gateway.plain import MAX_ANSWER_BYTES, whole_answer
-from minttided.gateway.request import GatewayRequest, stream_headers
+from minttided.gateway.callers.exchange import Exchange
+from minttided.gateway.callers.plain import MAX_ANSWER_BYTES, whole_answer
+from minttided.gateway.callers.request import GatewayRequest, stream_headers
 from minttided.gateway.state import now_s
-from minttided.gateway.stream_log import format_path
-from minttided.gateway.stream_owner import RunOwner
+from minttided.gateway.streams.events import Event, EventSplitter
+from minttided.gateway.streams.log import format_path
+from minttided.gateway.streams.owner import RunOwner
+from minttided.gateway.streams.patience import Patience
 from minttided.http.client import BrokenError
 from minttided.http.messages import Headers, HttpResponse
 
--- a/daemon/minttided/gateway/streams.py
+++ b/daemon/minttided/gateway/streams/calls.py
@@ -7,14 +7,14 @@
 from minttide.layers.paths import Path, PathFinder, Work, is_whole
 from minttide.policy.suspects import Suspects
 from minttide.routing.routes import ModelSpec
-from minttided.gateway.budgets import Budgets
-from minttided.gateway.loads import PathLoads
-from minttided.gateway.patience import Patience
-from minttided.gateway.probes import EngineProbes
-from minttided.gateway.request import GatewayRequest, read_work
+from minttided.gateway.callers.budgets import Budgets
+from minttided.gateway.callers.request import GatewayRequest, read_work
 from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.stream_owner import Wakeable
-from minttided.gateway.stream_run import StreamRun
+from minttided.gateway.streams.loads import PathLoads
+from minttided.gateway.streams.owner import Wakeable
+from minttided.gateway.streams.patience import Patience
+from minttided.gateway.streams.probes import EngineProbes
+from minttided.gateway.streams.run import StreamRun
 from minttided.http.messages import HttpResponse, StreamResponse
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/gateway/stream_log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -8,7 +8,7 @@
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Path, Work
 from minttide.routing.outcome import End
-from minttided.gateway.request import GatewayRequest
+from minttided.gateway.callers.request import GatewayRequest
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
--- a/daemon/minttided/gateway/stream_owner.py
+++ b/daemon/minttided/gateway/streams/owner.py
@@ -6,11 +6,11 @@
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, Work
 from minttide.routing.routes import ModelSpec
-from minttided.gateway.budgets import Budgets
-from minttided.gateway.loads import PathLoads
-from minttided.gateway.patience import Patience
-from minttided.gateway.probes import EngineProbes
+from minttided.gateway.callers.budgets import Budgets
 from minttided.gateway.state import GatewayState
+from minttided.gateway.streams.loads import PathLoads
+from minttided.gateway.streams.patience import Patience
+from minttided.gateway.streams.probes import EngineProbes
 
 
 class Wakeable(Protocol):
--- a/daemon/minttided/gateway/stream_paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -6,10 +6,10 @@
 from minttide.layers.paths import Path, Work
 from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttide.routing.sources import OrderOutcome, SourceError
-from minttided.gateway.request import GatewayRequest
-from minttided.gateway.stream_attempt import StreamAttempt
-from minttided.gateway.stream_log import Progress, StreamLog, format_path
-from minttided.gateway.stream_owner import RunOwner
+from minttided.gateway.callers.request import GatewayRequest
+from minttided.gateway.streams.attempt import StreamAttempt
+from minttided.gateway.streams.log import Progress, StreamLog, format_path
+from minttided.gateway.streams.owner import RunOwner
 
 MOST_MOVES = 4
 """Orders to go on along another path, in one stream."""
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -9,15 +9,15 @@
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
-from minttided.gateway.events import Event, EventTooLongError
-from minttided.gateway.plain import split_content_type
-from minttided.gateway.refusals import fail, refuse
-from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest
+from minttided.gateway.callers.plain import split_content_type
+from minttided.gateway.callers.refusals import fail, refuse
+from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
 from minttided.gateway.state import now_s
-from minttided.gateway.stream_attempt import OK, Sent, StreamAttempt
-from minttided.gateway.stream_log import Progress, StreamLog
-from minttided.gateway.stream_owner import RunOwner
-from minttided.gateway.stream_paths import StreamPaths
+from minttided.gateway.streams.attempt import OK, Sent, StreamAttempt
+from minttided.gateway.streams.events import Event, EventTooLongError
+from minttided.gateway.streams.log import Progress, StreamLog
+from minttided.gateway.streams.owner import RunOwner
+from minttided.gateway.streams.paths import StreamPaths
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -23,13 +23,13 @@
 )
 from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
 from minttide.routing.table import RouteTable
-from minttided.gateway.budgets import Budgets
-from minttided.gateway.front import Front
-from minttided.gateway.loads import PathLoads, SharedLoads
-from minttided.gateway.plain import PlainCalls
+from minttided.gateway.callers.budgets import Budgets
+from minttided.gateway.callers.front import Front
+from minttided.gateway.callers.plain import PlainCalls
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
-from minttided.gateway.streams import StreamCalls
+from minttided.gateway.streams.calls import StreamCalls
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.http.messages import join_address, split_address
 from minttided.http.server import HttpServer
 
--- a/test/test_gateway_budgets.py
+++ b/test/test_gateway_budgets.py
@@ -10,7 +10,7 @@
 from minttide.policy.advice import RetryAdvice
 from minttide.routing.freshness import Freshness
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.budgets import Budgets
+from minttided.gateway.callers.budgets import Budgets
 from minttided.gateway.settings import GatewaySettings, RetrySettings
 from minttided.gateway.state import GatewayState
 
--- a/test/test_gateway_entry.py
+++ b/test/test_gateway_entry.py
@@ -8,7 +8,7 @@
 
 from minttide.ids import NO_OFFSET, Address, HostId, Offset, ZoneId
 from minttide.interfaces import MemberView
-from minttided.gateway.entry import EntryAnswers, HealthAnswers, choose_entries
+from minttided.gateway.callers.entry import EntryAnswers, HealthAnswers, choose_entries
 from minttided.http.messages import HttpRequest
 
 
--- a/test/test_gateway_placer.py
+++ b/test/test_gateway_placer.py
@@ -14,10 +14,10 @@
 from minttide.routing.sources import EngineReport, LeaseGrant, OrderOutcome, SourceError
 from minttide.routing.table import RouteTable
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.placer import Placer
-from minttided.gateway.probes import EngineProbes
+from minttided.gateway.placement.placer import Placer
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
+from minttided.gateway.streams.probes import EngineProbes
 
 SERVICE = ServiceName("s")
 
--- a/test/test_gateway_process.py
+++ b/test/test_gateway_process.py
@@ -14,7 +14,7 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
-from minttided.gateway.exchange import Exchange
+from minttided.gateway.callers.exchange import Exchange
 from minttided.http.client import HttpClient, NotSentError
 from minttided.http.server import HttpServer
 
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -29,13 +29,13 @@
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.following import ConfigFollower, ReadTurn, UpstreamFollower
-from minttided.gateway.loads import PathLoads, SharedLoads
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.follower import NewsFollower
+from minttided.gateway.news.following import ConfigFollower, ReadTurn, UpstreamFollower
 from minttided.gateway.news.zones import ZoneLoads
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -21,8 +21,8 @@
 from minttide.policy.suspects import Suspects
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
 from minttide.routing.sources import OrderOutcome
-from minttided.gateway.events import EventSplitter
 from minttided.gateway.settings import RetrySettings
+from minttided.gateway.streams.events import EventSplitter
 
 MODEL = ModelSpec(
     name="m",
--- a/test/test_loads_replay.py
+++ b/test/test_loads_replay.py
@@ -13,7 +13,7 @@
 from minttide.layers.paths import PathFinder, Work
 from minttide.layers.usage import add_usages
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.loads import PathLoads, SharedLoads
+from minttided.gateway.streams.loads import PathLoads, SharedLoads
 
 HOSTS = 24
 ZONE = ZoneId("north")
