Connect to the engines of a silent stream before asking for their reports, and sooner

Cause (grown sites): a stream that lost an engine was moved 0.10 to 0.15 s after the loss and has its next event after 0.25 s, against 0.2 to 0.25 s that count as on time. Change: a short silence calls for a connection to each engine and the report of the first alone; a silence of three times the usual one for all reports. Test: test_a_short_silence_costs_one_report_and_a_longer_one_those_of_all.

--- a/core/minttide/layers/silence.py
+++ b/core/minttide/layers/silence.py
@@ -4,7 +4,7 @@
 a caller counts a pause of a fraction of a second as late.
 """
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Set
 from enum import Enum
 
 import msgspec
@@ -19,6 +19,9 @@
 BUSY_SHARE = 0.85
 """Part of its memory from which on an engine counts as busy."""
 
+LONG_AFTER = 3.0
+"""Silence after which all engines are asked for reports, in multiples of the usual one."""
+
 LOST_AFTER = 3.0
 """The same in multiples of the silence after which engines are asked."""
 
@@ -41,6 +44,11 @@
     usual_s: float
     may_restart: bool
 
+    @property
+    def is_long(self) -> bool:
+        """Return whether the engines' own reports are worth asking for."""
+        return self.silent_s >= LONG_AFTER * self.usual_s
+
 
 class Judgement(msgspec.Struct, frozen=True):
     """The remedy, the engines of the path that don't answer, and the reason."""
@@ -52,22 +60,22 @@
 
 def judge(
     path: Path,
-    reports: Mapping[UpstreamId, EngineReport | None],
+    silent: Set[UpstreamId],
+    reports: Collection[EngineReport],
     stalled_at: Set[UpstreamId],
     silence: Silence,
 ) -> Judgement:
-    """Judge by the engines' reports, none for one that is silent itself.
+    """Judge by the engines that are silent themselves and the reports of others.
 
     `stalled_at` holds engines that the first engine says the request waits for.
     """
-    silent = {engine for engine, report in reports.items() if report is None}
     dead = frozenset(s.engine for s in path if s.engine in silent or s.engine in stalled_at)
     head = path[0].engine
     if head in dead:
         return Judgement(Remedy.RESTART, dead, "the first engine doesn't answer")
     if dead:
         return Judgement(Remedy.MOVE, dead, "an engine on the path doesn't answer")
-    if _seems_lost(silence) and not _is_busy(reports.values()):
+    if _seems_lost(silence) and not _is_busy(reports):
         return Judgement(Remedy.RESTART, dead, "the answer seems lost")
     return Judgement(Remedy.WAIT)
 
@@ -78,10 +86,9 @@
     return silence.may_restart and silence.silent_s >= long_s
 
 
-def _is_busy(reports: Iterable[EngineReport | None]) -> bool:
+def _is_busy(reports: Iterable[EngineReport]) -> bool:
     """Return whether an engine has requests waiting, or little memory left.
 
     A silence there comes from load, and sending the request again would add to it.
     """
-    known = [r for r in reports if r is not None]
-    return any(r.waiting > 0 or r.memory_used > BUSY_SHARE * r.memory_total for r in known)
+    return any(r.waiting > 0 or r.memory_used > BUSY_SHARE * r.memory_total for r in reports)
--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -88,6 +88,9 @@
 class PathEngines(Protocol):
     """Engines that run a whole path of stages themselves."""
 
+    async def reach(self, entry: UpstreamEntry, timeout_s: float) -> None:
+        """Connect to an engine and leave it again. Raises `SourceError` where that fails."""
+
     async def report(self, entry: UpstreamEntry, timeout_s: float) -> EngineReport:
         """Read an engine's report. Raises `SourceError`."""
 
--- a/daemon/minttided/gateway/streams/patience.py
+++ b/daemon/minttided/gateway/streams/patience.py
@@ -8,9 +8,9 @@
 FIRST_S = 0.2
 """Silence before the first event."""
 
-LEAST_BETWEEN_S = 0.065
+LEAST_BETWEEN_S = 0.06
 MOST_BETWEEN_S = 0.6
-GAPS = 4.0
+GAPS = 3.0
 """Multiples of the mean pause between events."""
 
 SMOOTHING = 0.02
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -1,6 +1,7 @@
 """One stream: sent along a path, and moved or resumed when an engine falls out."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Work
@@ -9,6 +10,7 @@
 from minttide.outcome import ProblemType, Ran
 from minttide.routing.outcome import End, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
+from minttide.routing.sources import EngineReport
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.refusals import fail, refuse
 from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
@@ -227,10 +229,11 @@
         assert attempt is not None
         attempt.left_s()
         path = attempt.path
-        reports = await self._owner.probes.ask(s.engine for s in path)
+        silence = self._silence(attempt)
+        silent, reports = await self._ask_engines([s.engine for s in path], silence)
         head = reports.get(path[0].engine)
         stalled_at = self._paths.find_stalled(head.stalled if head is not None else ())
-        judged = judge(path, reports, stalled_at, self._silence(attempt))
+        judged = judge(path, silent, list(reports.values()), stalled_at, silence)
         self._paths.avoid(judged.dead)
         if judged.remedy is Remedy.WAIT:
             return
@@ -240,6 +243,23 @@
         if self._may_restart():
             raise BrokenError(judged.reason)
 
+    async def _ask_engines(
+        self, engines: Sequence[UpstreamId], silence: Silence
+    ) -> tuple[set[UpstreamId], dict[UpstreamId, EngineReport]]:
+        """Return the engines that don't answer, and reports of others.
+
+        A short silence only calls for a connection to each and the report of the first; a longer
+        one for the reports of all.
+        """
+        probes = self._owner.probes
+        if silence.is_long:
+            found = await probes.ask(engines)
+        else:
+            silent, found = await asyncio.gather(probes.reach(engines), probes.ask(engines[:1]))
+            found.update(dict.fromkeys(silent))
+        reports = {engine: report for engine, report in found.items() if report is not None}
+        return {engine for engine, report in found.items() if report is None}, reports
+
     def _silence(self, attempt: StreamAttempt) -> Silence:
         return Silence(
             now_s() - max(attempt.sent_s, self._last_s),
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -166,6 +166,10 @@
         self.outcome = OrderOutcome(True)
         self.moved = asyncio.Event()
 
+    async def reach(self, entry, timeout_s):
+        if entry.id in self.dead:
+            raise SourceError("no connection")
+
     async def report(self, entry, timeout_s):
         if entry.id in self.dead:
             raise SourceError("no answer")
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -405,7 +405,7 @@
             if dead:
                 site.engines.dead.add("b")
             await site.ask("draft", "POST")
-            await until(lambda: not site.streams.probes._running)
+            await until(lambda: site.streams.probes.idle)
             untrusted = set(site.state.suspects.untrusted())
             site.streams._full = Suspects()  # As when the time for a full engine is over.
             for _ in range(20):
@@ -429,7 +429,7 @@
             site.engines.dead.add("b")
             for _ in range(4):
                 await site.ask("draft", "POST")
-            await until(lambda: not site.streams.probes._running)
+            await until(lambda: site.streams.probes.idle)
             silent = len(engine(site, "b").requests)
             site.engines.dead.clear()
             suspects.clear("b")
@@ -559,3 +559,37 @@
     answer = asyncio.run(asyncio.wait_for(run(), 30))
     assert (answer.chunks, answer.whole) == (WHOLE, True)
     assert len(engine(site, "a").requests) + len(engine(site, "c").requests) == 1
+
+
+def test_a_short_silence_costs_one_report_and_a_longer_one_those_of_all():
+    """Replays a stream that pauses twice: probes are priced, connections are cheap."""
+    asked = {"reach": [], "report": []}
+    seen = [asyncio.Event(), asyncio.Event()]
+    script = [STREAM_HEAD, events(1), seen[0].wait, events(2), seen[1].wait, events(3), END]
+    site = site_of(a=(0, 2, script), b=(2, 4))
+
+    async def run():
+        async with site:
+            reach, report = site.engines.reach, site.engines.report
+
+            async def note_reach(entry, timeout_s):
+                asked["reach"].append(entry.id)
+                await reach(entry, timeout_s)
+
+            async def note_report(entry, timeout_s):
+                asked["report"].append(entry.id)
+                if "b" in asked["report"]:
+                    seen[1].set()
+                return await report(entry, timeout_s)
+
+            site.engines.reach, site.engines.report = note_reach, note_report
+            task = asyncio.create_task(site.ask("draft", "POST"))
+            await until(lambda: asked["report"])
+            await until(lambda: site.streams.probes.idle)
+            first = {kind: sorted(names) for kind, names in asked.items()}
+            seen[0].set()
+            return first, await task
+
+    first, answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert first == {"reach": ["a", "b"], "report": ["a"]}
+    assert "b" in asked["report"] and answer.chunks == WHOLE
--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -48,5 +48,7 @@
     ],
 )
 def test_the_remedy_follows_from_what_engines_answer(reports, stalled_at, seen, remedy, dead):
-    judged = judge(PATH, reports, stalled_at, seen)
+    silent = {engine for engine, found in reports.items() if found is None}
+    answers = [found for found in reports.values() if found is not None]
+    judged = judge(PATH, silent, answers, stalled_at, seen)
     assert (judged.remedy, set(judged.dead)) == (remedy, dead)
