Try a slow engine again after a while

An engine that a report had called slow counted as slow until another report, which none asked for since it was left. Now it counts so for five seconds. Test: test_a_slow_engine_is_tried_again_after_a_while.

--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -3,6 +3,8 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from minttide.ids import HostId, UpstreamId, ZoneId
 from minttide.layers.paths import EngineLoad, Path, Work
 from minttide.layers.usage import FRESH_S, Usage, UsageBoard, Usages, add_usages
@@ -18,6 +20,9 @@
 Hosts that compare by news alone all choose what was empty when they last heard of each other.
 """
 
+SLOW_S = 5.0
+"""How long an engine counts as slow after its report, since one that is left shows no other."""
+
 KNOWN_SHARE = 0.5
 """Part of the other hosts that must have told a host lately, for what it was told to count."""
 
@@ -50,6 +55,11 @@
         return None
 
 
+class _Slowness(msgspec.Struct, frozen=True):
+    pace: float
+    until_s: float
+
+
 class PathLoads:
     """Streams on each engine.
 
@@ -61,14 +71,14 @@
         self._peers = peers
         self._shared = shared
         self._own: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
-        self.slowdown: dict[UpstreamId, float] = {}
+        self._slow: dict[UpstreamId, _Slowness] = {}
 
     def note_report(self, engine: UpstreamId, report: EngineReport) -> None:
-        """Remember how slow an engine says that it is, until it says otherwise."""
+        """Remember for a while how slow an engine says that it is."""
         if report.pace > SLOW_PACE:
-            self.slowdown[engine] = report.pace
+            self._slow[engine] = _Slowness(report.pace, now_s() + SLOW_S)
         else:
-            self.slowdown.pop(engine, None)
+            self._slow.pop(engine, None)
 
     def add(self, path: Path, work: Work, sign: int = 1) -> None:
         """Count a request on the engines of a path, or with `sign` -1 take it off."""
@@ -89,19 +99,23 @@
         """Return the load of all hosts together as far as it can be told from here."""
         peers = self._peers()
         others = self._shared.others(peers)
-        engines = {*self._own, *self.slowdown, *(others or ())}
+        now = now_s()
+        self._slow = {e: s for e, s in self._slow.items() if s.until_s > now}
+        engines = {*self._own, *self._slow, *(others or ())}
         if others is None:
             return {e: self._extrapolate(e, peers) for e in engines}
         return {e: self._add(e, peers, others.get(e, Usage())) for e in engines}
 
     def _extrapolate(self, engine: UpstreamId, peers: float) -> EngineLoad:
         own = self._own.get(engine) or EngineLoad()
-        slowdown = self.slowdown.get(engine, 1.0)
-        return EngineLoad(own.streams * peers, own.tokens * peers, slowdown)
+        return EngineLoad(own.streams * peers, own.tokens * peers, self._pace(engine))
 
     def _add(self, engine: UpstreamId, peers: float, others: Usage) -> EngineLoad:
         own = self._own.get(engine) or EngineLoad()
         tokens = own.tokens + others.tokens
         compared = OWN_WEIGHT * own.tokens * peers + (1.0 - OWN_WEIGHT) * tokens
-        slowdown = self.slowdown.get(engine, 1.0)
-        return EngineLoad(own.streams + others.streams, tokens, slowdown, compared)
+        return EngineLoad(own.streams + others.streams, tokens, self._pace(engine), compared)
+
+    def _pace(self, engine: UpstreamId) -> float:
+        found = self._slow.get(engine)
+        return found.pace if found is not None else 1.0
--- a/test/test_loads_replay.py
+++ b/test/test_loads_replay.py
@@ -7,13 +7,14 @@
 import pytest
 from test_layers import MODEL, engines, hold
 
-from minttide.ids import ZoneId
+from minttide.ids import UpstreamId, ZoneId
 from minttide.layers.layout import plan_layout
 from minttide.layers.memory import token_capacity
-from minttide.layers.paths import PathFinder, Work
+from minttide.layers.paths import EngineLoad, PathFinder, Work
 from minttide.layers.usage import add_usages
+from minttide.routing.sources import EngineReport
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
+from minttided.gateway.streams.loads import SLOW_S, PathLoads, SharedLoads
 
 HOSTS = 24
 ZONE = ZoneId("north")
@@ -91,3 +92,22 @@
     alone, together = play(False, seed), play(True, seed)
     assert together.fullest < 1.0 and together.refused == 0
     assert alone.refused > 0
+
+
+def report(pace):
+    return EngineReport(0, False, 0, 0, 0.0, 0.0, pace, None)
+
+
+def test_a_slow_engine_is_tried_again_after_a_while():
+    async def run():
+        loads = PathLoads(lambda: 1.0, SharedLoads())
+        slow, well = UpstreamId("slow"), UpstreamId("well")
+        loads.note_report(slow, report(12.0))
+        loads.note_report(well, report(12.0))
+        loads.note_report(well, report(1.0))
+        seen = [loads.estimate().get(slow, EngineLoad()).slowdown]
+        assert well not in loads.estimate()
+        await asyncio.sleep(SLOW_S + 0.1)
+        return [*seen, loads.estimate().get(slow, EngineLoad()).slowdown]
+
+    assert run_virtual(run()) == [12.0, 1.0]
