Count on upstreams whose entries lapsed while the store was out, until they had time to return

Entries of upstreams lapse while the store is out, and those of living ones are back about 2 s after its return. Change: a host whose own reads failed for 2 s, and to which nobody told a newer list, keeps what is missing from its next readings for 2.3 s, and nothing is placed meanwhile. Without an outage what is missing is gone at once, as before. One test's assertion on the list just after an outage is made later, and a new one holds the time between. Tests: three in test_gateway_sharing.py and test_gateway_placer.py.

--- a/daemon/minttided/gateway/dependency.py
+++ b/daemon/minttided/gateway/dependency.py
@@ -15,6 +15,11 @@
         self._name = name
         self._lost_s: float | None = None
 
+    @property
+    def out_s(self) -> float:
+        """Return for how long calls have failed, 0 while they succeed."""
+        return now_s() - self._lost_s if self._lost_s is not None else 0.0
+
     def failed(self, exc: SourceError) -> None:
         """Note a failed call."""
         if self._lost_s is None:
--- a/daemon/minttided/gateway/news/following.py
+++ b/daemon/minttided/gateway/news/following.py
@@ -22,6 +22,12 @@
 
 IDLE_S = 0.1
 
+OUTAGE_S = 2.0
+"""Time for which the store was out after which entries may have lapsed."""
+
+RETURN_S = 2.3
+"""Time after an outage in which the entries of upstreams that live are back."""
+
 LEAST_PAUSE_S = 0.02
 """Least time between two reads, should the store not wait as it is asked to."""
 RETRY_FIRST_S = 0.1
@@ -136,7 +142,11 @@
 
 
 class UpstreamFollower:
-    """Keeps the list of upstreams as the platform last gave it."""
+    """Keeps the list of upstreams as the platform last gave it.
+
+    Entries lapse while the store is out, and those of upstreams that live are back soon after its
+    return. Until then what is missing counts as it was.
+    """
 
     def __init__(self, state: GatewayState, turn: ReadTurn):
         self._state = state
@@ -165,10 +175,26 @@
         except SourceError as exc:
             self._dependency.failed(exc)
             return False
+        if self._was_out(sent_s):
+            self._state.settled_s = sent_s + RETURN_S
+            log.info("list returns", extra={"listed": len(entries)})
         self._dependency.answered()
-        self.hear(entries, sent_s)
+        self.hear([*entries, *self._find_lapsed(entries)], sent_s)
         return True
 
+    def _was_out(self, sent_s: float) -> bool:
+        """Return whether neither this host nor any that told it had read the list for a while."""
+        unread_s = sent_s - self._state.upstreams_read_s
+        return min(self._dependency.out_s, unread_s) > OUTAGE_S
+
+    def _find_lapsed(self, entries: Sequence[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return what is missing from a reading soon after an outage, as it was before."""
+        if self._state.clock() >= self._state.settled_s:
+            return []
+        listed = {e.id for e in entries}
+        known = self._state.upstreams.values()
+        return [e for e in known if e.id not in listed and not e.leaving]
+
     def hear(self, entries: Sequence[UpstreamEntry], read_s: float) -> None:
         """Take a list that was read at `read_s`, in loop time, unless a newer one is known."""
         if read_s <= self._state.upstreams_read_s:
--- a/daemon/minttided/gateway/placement/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -117,6 +117,8 @@
         table = self._state.table
         if table is None or not self._state.upstreams_known:
             return
+        if self._state.clock() < self._state.settled_s:
+            return
         for name, spec in table.services.items():
             if spec.model is not None:
                 await self._place(name, spec.model)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -50,6 +50,7 @@
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     upstreams_known: bool = False
     upstreams_read_s: float = float("-inf")
+    settled_s: float = float("-inf")  # when a list that was read after an outage is whole again
     leaving: bool = False
     clock: Callable[[], float] = (
         read_boot_s  # ages of what is known; tests put the loop's time here
--- a/test/test_gateway_placer.py
+++ b/test/test_gateway_placer.py
@@ -146,3 +146,19 @@
         assert [e for e, *_ in site.cards.orders] == [lost.id]
 
     play(check, PLACED)
+
+
+def test_nothing_is_ordered_by_a_list_that_is_not_whole_yet():
+    """Replays the return of the store: half of the engines are missing from the list."""
+
+    async def check(site):
+        site.list(PLACED[::2])
+        site.cards.holding = {e.id: e.layers for e in PLACED}
+        site.state.settled_s = asyncio.get_running_loop().time() + 3.0
+        await site.run(2.5)
+        assert not site.cards.orders
+        site.list(PLACED)
+        await site.run(2.0)
+        assert not site.cards.orders
+
+    play(check, PLACED)
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -31,7 +31,12 @@
 from minttide_fakes.virtual import run_virtual
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.follower import NewsFollower
-from minttided.gateway.news.following import ConfigFollower, ReadTurn, UpstreamFollower
+from minttided.gateway.news.following import (
+    RETURN_S,
+    ConfigFollower,
+    ReadTurn,
+    UpstreamFollower,
+)
 from minttided.gateway.news.zones import ZoneLoads
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
@@ -332,6 +337,8 @@
         # Twice what three hosts make that read two things, each again after 0.75 s on average.
         assert calls <= 2 * 3 * 2 * OUT_S / 0.75
         assert all(h.state.table.version == store.version for h in hosts)
+        assert all("back" in h.state.upstreams for h in hosts)
+        await asyncio.sleep(RETURN_S)
         assert all(list(h.state.upstreams) == ["back"] for h in hosts)
 
     play(check, count=count)
@@ -393,3 +400,35 @@
         assert CountingDesk.sent / 10.0 < 0.02 * LINK_BYTES_PER_S
 
     play(check, count=24)
+
+
+@pytest.mark.parametrize("back", [True, False])
+def test_entries_that_lapsed_in_an_outage_count_until_they_had_time_to_return(back):
+    """Replays an outage in which all entries lapse; those of living upstreams are back soon."""
+
+    async def check(hosts, store, net):
+        before = store.upstreams = [upstream(f"u{n}") for n in range(5)]
+        await asyncio.sleep(BOUND_S)
+        store.cut |= {h.cfg.host for h in hosts}
+        await asyncio.sleep(8.0)
+        store.upstreams = []
+        store.cut.clear()
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            assert all(len(h.state.upstreams) == 5 for h in hosts)
+        store.upstreams = before if back else before[:2]
+        await asyncio.sleep(3.5)
+        assert all(len(h.state.upstreams) == len(store.upstreams) for h in hosts)
+
+    play(check)
+
+
+def test_without_an_outage_what_is_missing_is_gone():
+    async def check(hosts, store, net):
+        store.upstreams = [upstream("u1"), upstream("u2")]
+        await asyncio.sleep(BOUND_S)
+        store.upstreams = [upstream("u1")]
+        await asyncio.sleep(BOUND_S)
+        assert all(list(h.state.upstreams) == ["u1"] for h in hosts)
+
+    play(check)
