Pay for a new send when a stream is given up, and count what links between zones carry

Change: a stream takes its new send out of the budget when it is given up, not after, and is given up for one that is only sooner while two are left. Hosts count the prompts that they send over each link in the last second and tell each other like what they run; a link that is used for 0.8 of a second takes no more, and costs the more the more it is used. Tests: test_a_loss_under_many_streams_cuts_none_when_the_budget_is_small, three on links.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -14,6 +14,7 @@
 
 from minttide.ids import Address, UpstreamId, ZoneId
 from minttide.layers.memory import read_ms, step_ms, token_capacity, transfer_ms
+from minttide.layers.usage import link_name
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 
 SPREAD = 0.25
@@ -22,6 +23,8 @@
 HOP_MS = 0.25
 """Time of a token from one engine to the next inside a zone."""
 
+MS_PER_S = 1000.0
+
 ZONE_HOP_MS = 0.7
 """The same to another zone."""
 
@@ -39,6 +42,9 @@
 
 FULLEST = 0.98
 
+MOST_LINK_SHARE = 0.8
+"""Share of a second that transfers may take of a link between zones; it takes no more then."""
+
 MOST_FULL_SHARE = 1.1
 """Estimated use of an engine's memory above which it takes nothing more."""
 
@@ -99,7 +105,7 @@
         self,
         work: Work,
         home: ZoneId,
-        loads: Mapping[UpstreamId, EngineLoad],
+        loads: Mapping[str, EngineLoad],
         rng: random.Random,
         first: UpstreamId | None = None,
     ) -> Path | None:
@@ -126,7 +132,7 @@
         arrived: Sequence[tuple[ZoneId, _Reached]],
         engine: UpstreamEntry,
         work: Work,
-        loads: Mapping[UpstreamId, EngineLoad],
+        loads: Mapping[str, EngineLoad],
         rng: random.Random,
     ) -> None:
         assert engine.layers is not None
@@ -137,7 +143,10 @@
         stage = Stage(engine.id, engine.address, engine.zone, engine.layers, engine.kind)
         key = (engine.layers.last, engine.zone)
         for zone, reached in arrived:
-            cost_ms = reached.cost_ms + own_ms + self._link_ms(zone, engine.zone, work, reached)
+            link_ms = self._link_ms(zone, engine.zone, work, reached, loads)
+            if link_ms is None:
+                continue
+            cost_ms = reached.cost_ms + own_ms + link_ms
             known = best.get(key)
             if known is None or cost_ms < known.cost_ms:
                 best[key] = _Reached(cost_ms, (*reached.path, stage))
@@ -163,12 +172,26 @@
         full_ms = FULL_MS * layers / self._model.layers * used / (1.0 - used)
         return SPEED_WEIGHT * busy_ms + full_ms
 
-    def _link_ms(self, source: ZoneId, target: ZoneId, work: Work, reached: _Reached) -> float:
+    def _link_ms(
+        self,
+        source: ZoneId,
+        target: ZoneId,
+        work: Work,
+        reached: _Reached,
+        loads: Mapping[str, EngineLoad],
+    ) -> float | None:
+        """Return the cost of a link between engines, none where it has no room for the prompt."""
         if source == target:
             return HOP_MS * work.answer
         if not reached.path:
             return ENTRY_MS
-        crossing_ms = transfer_ms(self._model, work.prompt + work.answer)
+        crossing_ms = transfer_ms(self._model, work.prompt)
+        load = loads.get(link_name(source, target))
+        busy_ms = transfer_ms(self._model, load.tokens) if load is not None else 0.0
+        share = (busy_ms + crossing_ms) / MS_PER_S
+        if busy_ms > 0.0 and share > MOST_LINK_SHARE:
+            return None
+        crossing_ms /= 1.0 - min(share, MOST_LINK_SHARE)
         return ZONE_HOP_MS * work.answer + CROSSING_WEIGHT * crossing_ms
 
 
--- a/core/minttide/policy/retries.py
+++ b/core/minttide/policy/retries.py
@@ -37,16 +37,16 @@
         """Count a first try, which earns part of a retry."""
         self._saved = min(self._most_saved, self._saved + self._share)
 
-    def may_spend(self, now_s: float) -> bool:
-        """Return whether a retry is left."""
+    def left(self, now_s: float) -> float:
+        """Return how many retries are left."""
         earned = max(0.0, now_s - self._filled_s) * self._least_per_s
         self._filled_s = max(now_s, self._filled_s)
         self._saved = min(self._most_saved, self._saved + earned)
-        return self._saved >= 1.0
+        return self._saved
 
     def try_spend(self, now_s: float) -> bool:
         """Take one retry out of the budget, or return false where it is used up."""
-        if not self.may_spend(now_s):
+        if self.left(now_s) < 1.0:
             return False
         self._saved -= 1.0
         return True
--- a/daemon/minttided/gateway/news/messages.py
+++ b/daemon/minttided/gateway/news/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from minttide.ids import HostId, Offset, UpstreamId, ZoneId
+from minttide.ids import HostId, Offset, ZoneId
 from minttide.layers.usage import Usage
 from minttide.routing.list_history import UNKNOWN, ListChanges, ListVersion
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
@@ -33,7 +33,7 @@
 
     host: HostId
     zone: ZoneId
-    usages: dict[UpstreamId, Usage] = {}
+    usages: dict[str, Usage] = {}
     config_version: int = NO_VERSION
     list_version: ListVersion = UNKNOWN
 
@@ -49,7 +49,7 @@
     held_s: float
     config_age_s: float
     upstreams_age_s: float
-    usages: dict[UpstreamId, Usage] = {}
+    usages: dict[str, Usage] = {}
     config: bytes | None = None
     list_version: ListVersion = UNKNOWN
     changes: ListChanges | None = None
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -80,16 +80,16 @@
 
     def follow(self, path: Path) -> None:
         """Take note that the first engine uses another path from now on."""
-        self._owner.loads.add(self._path, self._work, -1)
+        self._owner.loads.remove(self._path, self._work)
+        self._owner.loads.add(path, self._work, self._path)
         self._path = path
-        self._owner.loads.add(path, self._work)
 
     def close(self) -> None:
         """Stop the work on this path."""
         if self._closed:
             return
         self._closed = True
-        self._owner.loads.add(self._path, self._work, -1)
+        self._owner.loads.remove(self._path, self._work)
         if self._exchange is not None:
             self._exchange.close()
 
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -1,13 +1,13 @@
 """What runs on each engine: this host's streams, and those that other hosts tell of."""
 
-from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections import defaultdict, deque
+from collections.abc import Callable, Collection, Mapping
 
 import msgspec
 
 from minttide.ids import HostId, UpstreamId, ZoneId
-from minttide.layers.paths import EngineLoad, Path, Work
-from minttide.layers.usage import FRESH_S, Usage, UsageBoard, Usages, add_usages
+from minttide.layers.paths import EngineLoad, Path, Stage, Work
+from minttide.layers.usage import FRESH_S, Usage, UsageBoard, Usages, add_usages, link_name
 from minttide.routing.sources import EngineReport
 from minttided.gateway.state import now_s
 
@@ -23,6 +23,9 @@
 SLOW_S = 5.0
 """How long an engine counts as slow after its report, since one that is left shows no other."""
 
+LINK_WINDOW_S = 1.0
+"""Time over which prompts that pass a link are summed."""
+
 KNOWN_SHARE = 0.5
 """Part of the other hosts that must have told a host lately, for what it was told to count."""
 
@@ -71,7 +74,8 @@
         self._peers = peers
         self._shared = shared
         self._own: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
-        self._slow: dict[UpstreamId, _Slowness] = {}
+        self._slow: dict[str, _Slowness] = {}
+        self._crossed: deque[tuple[float, str, float]] = deque()  # when, link, tokens
 
     def note_report(self, engine: UpstreamId, report: EngineReport) -> None:
         """Remember for a while how slow an engine says that it is."""
@@ -80,42 +84,61 @@
         else:
             self._slow.pop(engine, None)
 
-    def add(self, path: Path, work: Work, sign: int = 1) -> None:
-        """Count a request on the engines of a path, or with `sign` -1 take it off."""
+    def add(self, path: Path, work: Work, kept: Collection[Stage] = ()) -> None:
+        """Count a request on the engines of a path, and its prompt on links to new ones.
+
+        The stages in `kept` hold the prompt already.
+        """
+        self._count(path, work, 1)
+        for before, stage in zip(path, path[1:], strict=False):
+            if before.zone != stage.zone and stage not in kept:
+                self._crossed.append((now_s(), link_name(before.zone, stage.zone), work.prompt))
+
+    def remove(self, path: Path, work: Work) -> None:
+        """Take a request off the engines of its path."""
+        self._count(path, work, -1)
+
+    def _count(self, path: Path, work: Work, sign: int) -> None:
         for stage in path:
             load = self._own[stage.engine]
             load.streams += sign
             load.tokens += sign * (work.prompt + work.answer / 2)
 
-    def own(self) -> dict[UpstreamId, Usage]:
-        """Return what this host has running."""
-        return {
+    def own(self) -> dict[str, Usage]:
+        """Return what this host has running, and what it has sent over links in the last second."""
+        running: Usages = {
             e: Usage(int(load.streams), int(load.tokens))
             for e, load in self._own.items()
             if load.streams > 0
         }
+        return add_usages([running, self._links()])
+
+    def _links(self) -> dict[str, Usage]:
+        since_s = now_s() - LINK_WINDOW_S
+        while self._crossed and self._crossed[0][0] < since_s:
+            self._crossed.popleft()
+        return add_usages({name: Usage(1, int(tokens))} for _, name, tokens in self._crossed)
 
-    def estimate(self) -> Mapping[UpstreamId, EngineLoad]:
+    def estimate(self) -> Mapping[str, EngineLoad]:
         """Return the load of all hosts together as far as it can be told from here."""
         peers = self._peers()
         others = self._shared.others(peers)
         now = now_s()
         self._slow = {e: s for e, s in self._slow.items() if s.until_s > now}
-        engines = {*self._own, *self._slow, *(others or ())}
+        own = self.own()
+        names = {*own, *self._slow, *(others or ())}
         if others is None:
-            return {e: self._extrapolate(e, peers) for e in engines}
-        return {e: self._add(e, peers, others.get(e, Usage())) for e in engines}
+            return {n: self._extrapolate(n, own.get(n, Usage()), peers) for n in names}
+        return {n: self._add(n, own.get(n, Usage()), others.get(n, Usage()), peers) for n in names}
 
-    def _extrapolate(self, engine: UpstreamId, peers: float) -> EngineLoad:
-        own = self._own.get(engine) or EngineLoad()
-        return EngineLoad(own.streams * peers, own.tokens * peers, self._pace(engine))
+    def _extrapolate(self, name: str, own: Usage, peers: float) -> EngineLoad:
+        return EngineLoad(own.streams * peers, own.tokens * peers, self._pace(name))
 
-    def _add(self, engine: UpstreamId, peers: float, others: Usage) -> EngineLoad:
-        own = self._own.get(engine) or EngineLoad()
+    def _add(self, name: str, own: Usage, others: Usage, peers: float) -> EngineLoad:
         tokens = own.tokens + others.tokens
         compared = OWN_WEIGHT * own.tokens * peers + (1.0 - OWN_WEIGHT) * tokens
-        return EngineLoad(own.streams + others.streams, tokens, self._pace(engine), compared)
+        return EngineLoad(own.streams + others.streams, tokens, self._pace(name), compared)
 
-    def _pace(self, engine: UpstreamId) -> float:
-        found = self._slow.get(engine)
+    def _pace(self, name: str) -> float:
+        found = self._slow.get(name)
         return found.pace if found is not None else 1.0
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -8,6 +8,7 @@
 from minttide.layers.silence import Remedy, Silence, judge
 from minttide.layers.takeover import takeover_ms
 from minttide.outcome import ProblemType, Ran
+from minttide.policy.retries import RetryBudget
 from minttide.routing.outcome import End, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
 from minttide.routing.sources import EngineReport
@@ -23,6 +24,9 @@
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
+ANEW_LEFT = 2.0
+"""Sends that the budget must have left for a stream to begin anew that could be moved."""
+
 MOST_SENDS = 5
 """Sends of one stream, those that engines rejected among them."""
 
@@ -40,6 +44,7 @@
         self.progress = Progress(last_id=_read_last_id(request))
         self._paths = StreamPaths(owner, request, model, work, self._log, self.progress)
         self._ran = False
+        self._paid = False  # whether the next send is taken out of the budget already
         self._lived = 0  # sends that ran on an engine which hasn't ended meanwhile
         self._last_s = request.received_s
 
@@ -73,7 +78,7 @@
                 sent.end is not End.ANSWERED
                 and may_send_again(sent.end, self._request.route.repeatable)
                 and self._may_send()
-                and self._spend_send()
+                and self._pay_send()
             )
             if not again:
                 return sent
@@ -86,8 +91,16 @@
             and now_s() < self._request.end_s
         )
 
-    def _spend_send(self) -> bool:
-        return self._owner.budgets.of(self._request.service).try_spend(now_s())
+    def _pay_send(self) -> bool:
+        """Take the next send out of the budget, unless it has been already."""
+        if self._paid:
+            self._paid = False
+            return True
+        return self._budget.try_spend(now_s())
+
+    @property
+    def _budget(self) -> RetryBudget:
+        return self._owner.budgets.of(self._request.service)
 
     def _conclude(self, sent: Sent) -> HttpResponse:
         """Return or raise the answer of a stream that has not begun."""
@@ -204,7 +217,7 @@
         self._log.broke_off(reason, self.progress)
         if not self._request.route.resumable or self.progress.last_id is None:
             raise BrokenError(reason)
-        while self._may_send() and self._spend_send():
+        while self._may_send() and self._pay_send():
             sent = await self._send()
             if sent.event is not None:
                 self._owner.state.metrics.count_recovery(self._request.service, "resume")
@@ -240,7 +253,9 @@
         moves = judged.remedy is Remedy.MOVE and not self._is_sooner_anew(attempt)
         if moves and await self._paths.move(attempt, judged.dead):
             return
-        if self._may_restart():
+        if self._may_restart() and self._pay_send():
+            # Paid for now, since other streams of this host may look at the same moment.
+            self._paid = True
             raise BrokenError(judged.reason)
 
     async def _ask_engines(
@@ -272,17 +287,13 @@
 
         An engine's silence alone is no reason to end an answer that can't go on elsewhere.
         """
-        budget = self._owner.budgets.of(self._request.service)
         return (
-            self._request.route.repeatable
-            and self._may_send()
-            and budget.may_spend(now_s())
-            and self._paths.choose() is not None
+            self._request.route.repeatable and self._may_send() and self._paths.choose() is not None
         )
 
     def _is_sooner_anew(self, attempt: StreamAttempt) -> bool:
         """Return whether a path from its first engine on has the next event before a moved one."""
-        if not self._may_restart():
+        if self._budget.left(now_s()) < ANEW_LEFT or not self._may_restart():
             return False
         moved = self._paths.choose(attempt.path[0].engine)
         anew = self._paths.choose()
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -593,3 +593,45 @@
     first, answer = asyncio.run(asyncio.wait_for(run(), 30))
     assert first == {"reach": ["a", "b"], "report": ["a"]}
     assert "b" in asked["report"] and answer.chunks == WHOLE
+
+
+def test_a_loss_under_many_streams_cuts_none_when_the_budget_is_small():
+    """Replays a loss whose streams would all be sooner anew, with sends for two of them."""
+    count = 6
+    model = msgspec.structs.replace(MODEL, zone_link_mbps=0.001, slots=64)
+    moved = asyncio.Event()
+    stalled = [STREAM_HEAD, events(1), moved.wait, events(2, 3), END]
+    engines = [
+        (ScriptedUpstream("a", *[stalled] * count), 0, 2, "k"),
+        (ScriptedUpstream("b"), 2, 4, "k"),
+        (ScriptedUpstream("c", *[[STREAM_HEAD, events(2, 3), END]] * count), 0, 2, "k"),
+        (ScriptedUpstream("d"), 2, 4, "k"),
+    ]
+    site = GatewaySite(engines=engines, model=model)
+
+    async def run():
+        async with site:
+            for name in "cd":
+                entry = site.state.upstreams[name]
+                site.state.upstreams[name] = msgspec.structs.replace(entry, zone="elsewhere")
+            budget = site.streams.budgets.of("model")
+            site.state.cfg = msgspec.structs.replace(
+                site.state.cfg, retries=RetrySettings(share=0.0, slack=0.0)
+            )
+            asks = [asyncio.create_task(site.ask("draft", "POST")) for _ in range(count)]
+            await until(lambda: sum(r.progress.events for r in site.streams.runs) == count)
+            site.streams.budgets.of = lambda service: budget
+            budget.resize(0.0, 3.0)
+            budget._saved = 3.0
+            site.engines.dead.add("b")
+            await site.streams.probes.reach(["b"])
+            await until(lambda: len(site.engines.repaths) + anew() == count)
+            moved.set()
+            return await asyncio.gather(*asks)
+
+    def anew():
+        return len(engine(site, "c").requests)
+
+    answers = asyncio.run(asyncio.wait_for(run(), 30))
+    assert all(a.chunks == WHOLE and a.whole for a in answers)
+    assert anew() == 2
--- a/test/test_layers.py
+++ b/test/test_layers.py
@@ -13,6 +13,7 @@
 from minttide.layers.memory import token_capacity
 from minttide.layers.paths import EngineLoad, PathFinder, Work, is_whole
 from minttide.layers.repair import missing_ranges, plan_orders
+from minttide.layers.usage import link_name
 from minttide.routing.routes import AcceleratorSpec, LayerRange, ModelSpec, UpstreamEntry
 
 KINDS = (
@@ -231,3 +232,37 @@
         path = PathFinder(MODEL, found).choose(WORK, ZoneId("central"), loads, random.Random(seed))
         used.update(s.engine for s in path)
     assert used[doubled[0]] == 0
+
+
+SLOW_LINKS = msgspec.structs.replace(MODEL, zone_link_mbps=3_440.0)
+"""A prompt of 800 tokens holds the link between two zones for 79 ms."""
+
+
+def without(found, zone, first):
+    """Leave out the engines of a zone that hold layers from `first` on."""
+    return [e for e in found if not (e.layers and e.zone == zone and e.layers.first == first)]
+
+
+def zones_of(path):
+    return [s.zone for s in path]
+
+
+@pytest.mark.parametrize("busy_tokens", [0.0, 4_000.0, 100_000.0])
+def test_a_link_that_is_busy_takes_nothing_more(busy_tokens):
+    """Replays a zone that lacks a block: its streams would all pass one link."""
+    found = [e for e in placed() if e.layers and e.zone != "south"]
+    left = without(without(found, "north", 16), "central", 32)
+    loads = {link_name("north", "central"): EngineLoad(tokens=busy_tokens)}
+    path = PathFinder(SLOW_LINKS, left).choose(WORK, ZoneId("north"), loads, random.Random(0))
+    if busy_tokens > 10_000.0:
+        assert path is None
+    else:
+        assert is_whole(path, MODEL.layers) and len(set(zones_of(path))) == 2
+
+
+def test_a_whole_path_in_another_zone_is_better_than_a_busy_link():
+    left = without([e for e in placed() if e.layers], "north", 16)
+    loads = {link_name("north", z): EngineLoad(tokens=4_000.0) for z in ("central", "south")}
+    path = PathFinder(SLOW_LINKS, left).choose(WORK, ZoneId("north"), loads, random.Random(0))
+    assert is_whole(path, MODEL.layers)
+    assert len(set(zones_of(path))) == 1 and path[0].zone != "north"
--- a/test/test_loads_replay.py
+++ b/test/test_loads_replay.py
@@ -7,11 +7,12 @@
 import pytest
 from test_layers import MODEL, engines, hold
 
-from minttide.ids import UpstreamId, ZoneId
+from minttide.ids import Address, UpstreamId, ZoneId
 from minttide.layers.layout import plan_layout
 from minttide.layers.memory import token_capacity
-from minttide.layers.paths import EngineLoad, PathFinder, Work
-from minttide.layers.usage import add_usages
+from minttide.layers.paths import EngineLoad, PathFinder, Stage, Work
+from minttide.layers.usage import add_usages, link_name
+from minttide.routing.routes import LayerRange
 from minttide.routing.sources import EngineReport
 from minttide_fakes.virtual import run_virtual
 from minttided.gateway.streams.loads import SLOW_S, PathLoads, SharedLoads
@@ -64,7 +65,7 @@
         )
         await asyncio.sleep(STREAM_S)
         self._used.subtract({s.engine: tokens for s in path})
-        loads.add(path, work, -1)
+        loads.remove(path, work)
 
     async def play(self, streams_per_s, seconds):
         exchange = asyncio.create_task(self.exchange())
@@ -111,3 +112,21 @@
         return [*seen, loads.estimate().get(slow, EngineLoad()).slowdown]
 
     assert run_virtual(run()) == [12.0, 1.0]
+
+
+def test_prompts_on_a_link_count_for_a_second_and_only_on_the_way_to_new_engines():
+    here, there = (
+        Stage(UpstreamId(z), Address(f"{z}:1"), ZoneId(z), LayerRange(0, 1)) for z in ("y", "z")
+    )
+    name = link_name("z", "y")
+
+    async def run():
+        loads = PathLoads(lambda: 1.0, SharedLoads())
+        loads.add((here, there), Work(500.0, 10.0))
+        loads.add((here, there), Work(500.0, 10.0), kept=(there,))
+        loads.add((here, here), Work(500.0, 10.0))
+        seen = [loads.own()[name].tokens, loads.estimate()[name].tokens]
+        await asyncio.sleep(1.1)
+        return [*seen, name in loads.own()]
+
+    assert run_virtual(run()) == [500, 500.0, False]
