--- a/daemon/minttided/gateway/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -11,8 +11,8 @@
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 from minttide.routing.sources import LeaseGrant, SourceError
 from minttided.gateway.dependency import Dependency
-from minttided.gateway.probes import EngineProbes
 from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.streams.probes import EngineProbes
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -117,6 +117,8 @@
         table = self._state.table
         if table is None or not self._state.upstreams_known:
             return
+        if self._state.clock() < self._state.settled_s:
+            return
         for name, spec in table.services.items():
             if spec.model is not None:
                 await self._place(name, spec.model)
--- a/daemon/minttided/gateway/stream_run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -1,26 +1,32 @@
 """One stream: sent along a path, and moved or resumed when an engine falls out."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Work
 from minttide.layers.silence import Remedy, Silence, judge
 from minttide.layers.takeover import takeover_ms
 from minttide.outcome import ProblemType, Ran
+from minttide.policy.retries import RetryBudget
 from minttide.routing.outcome import End, may_pass_on, may_send_again
 from minttide.routing.routes import ModelSpec
-from minttided.gateway.events import Event, EventTooLongError
-from minttided.gateway.plain import split_content_type
-from minttided.gateway.refusals import fail, refuse
-from minttided.gateway.request import LAST_EVENT_ID, GatewayRequest
+from minttide.routing.sources import EngineReport
+from minttided.gateway.callers.plain import split_content_type
+from minttided.gateway.callers.refusals import fail, refuse
+from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
 from minttided.gateway.state import now_s
-from minttided.gateway.stream_attempt import OK, Sent, StreamAttempt
-from minttided.gateway.stream_log import Progress, StreamLog
-from minttided.gateway.stream_owner import RunOwner
-from minttided.gateway.stream_paths import StreamPaths
+from minttided.gateway.streams.attempt import OK, Sent, StreamAttempt
+from minttided.gateway.streams.events import Event, EventTooLongError
+from minttided.gateway.streams.log import Progress, StreamLog
+from minttided.gateway.streams.owner import RunOwner
+from minttided.gateway.streams.paths import StreamPaths
 from minttided.http.client import BrokenError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
+ANEW_LEFT = 2.0
+"""Sends that the budget must have left for a stream to begin anew that could be moved."""
+
 MOST_SENDS = 5
 """Sends of one stream, those that engines rejected among them."""
 
@@ -38,6 +44,7 @@
         self.progress = Progress(last_id=_read_last_id(request))
         self._paths = StreamPaths(owner, request, model, work, self._log, self.progress)
         self._ran = False
+        self._paid = False  # whether the next send is taken out of the budget already
         self._lived = 0  # sends that ran on an engine which hasn't ended meanwhile
         self._last_s = request.received_s
 
@@ -71,7 +78,7 @@
                 sent.end is not End.ANSWERED
                 and may_send_again(sent.end, self._request.route.repeatable)
                 and self._may_send()
-                and self._spend_send()
+                and self._pay_send()
             )
             if not again:
                 return sent
@@ -84,8 +91,16 @@
             and now_s() < self._request.end_s
         )
 
-    def _spend_send(self) -> bool:
-        return self._owner.budgets.of(self._request.service).try_spend(now_s())
+    def _pay_send(self) -> bool:
+        """Take the next send out of the budget, unless it has been already."""
+        if self._paid:
+            self._paid = False
+            return True
+        return self._budget.try_spend(now_s())
+
+    @property
+    def _budget(self) -> RetryBudget:
+        return self._owner.budgets.of(self._request.service)
 
     def _conclude(self, sent: Sent) -> HttpResponse:
         """Return or raise the answer of a stream that has not begun."""
@@ -202,7 +217,7 @@
         self._log.broke_off(reason, self.progress)
         if not self._request.route.resumable or self.progress.last_id is None:
             raise BrokenError(reason)
-        while self._may_send() and self._spend_send():
+        while self._may_send() and self._pay_send():
             sent = await self._send()
             if sent.event is not None:
                 self._owner.state.metrics.count_recovery(self._request.service, "resume")
@@ -227,19 +242,39 @@
         assert attempt is not None
         attempt.left_s()
         path = attempt.path
-        reports = await self._owner.probes.ask(s.engine for s in path)
+        silence = self._silence(attempt)
+        silent, reports = await self._ask_engines([s.engine for s in path], silence)
         head = reports.get(path[0].engine)
         stalled_at = self._paths.find_stalled(head.stalled if head is not None else ())
-        judged = judge(path, reports, stalled_at, self._silence(attempt))
+        judged = judge(path, silent, list(reports.values()), stalled_at, silence)
         self._paths.avoid(judged.dead)
         if judged.remedy is Remedy.WAIT:
             return
         moves = judged.remedy is Remedy.MOVE and not self._is_sooner_anew(attempt)
         if moves and await self._paths.move(attempt, judged.dead):
             return
-        if self._may_restart():
+        if self._may_restart() and self._pay_send():
+            # Paid for now, since other streams of this host may look at the same moment.
+            self._paid = True
             raise BrokenError(judged.reason)
 
+    async def _ask_engines(
+        self, engines: Sequence[UpstreamId], silence: Silence
+    ) -> tuple[set[UpstreamId], dict[UpstreamId, EngineReport]]:
+        """Return the engines that don't answer, and reports of others.
+
+        A short silence only calls for a connection to each and the report of the first; a longer
+        one for the reports of all.
+        """
+        probes = self._owner.probes
+        if silence.is_long:
+            found = await probes.ask(engines)
+        else:
+            silent, found = await asyncio.gather(probes.reach(engines), probes.ask(engines[:1]))
+            found.update(dict.fromkeys(silent))
+        reports = {engine: report for engine, report in found.items() if report is not None}
+        return {engine for engine, report in found.items() if report is None}, reports
+
     def _silence(self, attempt: StreamAttempt) -> Silence:
         return Silence(
             now_s() - max(attempt.sent_s, self._last_s),
@@ -252,17 +287,13 @@
 
         An engine's silence alone is no reason to end an answer that can't go on elsewhere.
         """
-        budget = self._owner.budgets.of(self._request.service)
         return (
-            self._request.route.repeatable
-            and self._may_send()
-            and budget.may_spend(now_s())
-            and self._paths.choose() is not None
+            self._request.route.repeatable and self._may_send() and self._paths.choose() is not None
         )
 
     def _is_sooner_anew(self, attempt: StreamAttempt) -> bool:
         """Return whether a path from its first engine on has the next event before a moved one."""
-        if not self._may_restart():
+        if self._budget.left(now_s()) < ANEW_LEFT or not self._may_restart():
             return False
         moved = self._paths.choose(attempt.path[0].engine)
         anew = self._paths.choose()
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -21,7 +21,8 @@
 from minttide.policy.suspects import Suspects
 from minttide.routing.routes import AcceleratorSpec, ModelSpec
 from minttide.routing.sources import OrderOutcome
-from minttided.gateway.events import EventSplitter
+from minttided.gateway.settings import RetrySettings
+from minttided.gateway.streams.events import EventSplitter
 
 MODEL = ModelSpec(
     name="m",
@@ -404,7 +405,7 @@
             if dead:
                 site.engines.dead.add("b")
             await site.ask("draft", "POST")
-            await until(lambda: not site.streams.probes._running)
+            await until(lambda: site.streams.probes.idle)
             untrusted = set(site.state.suspects.untrusted())
             site.streams._full = Suspects()  # As when the time for a full engine is over.
             for _ in range(20):
@@ -428,7 +429,7 @@
             site.engines.dead.add("b")
             for _ in range(4):
                 await site.ask("draft", "POST")
-            await until(lambda: not site.streams.probes._running)
+            await until(lambda: site.streams.probes.idle)
             silent = len(engine(site, "b").requests)
             site.engines.dead.clear()
             suspects.clear("b")
@@ -525,3 +526,112 @@
 
     untrusted, spent = asyncio.run(asyncio.wait_for(run(), 30))
     assert untrusted == {"a"} and spent <= 2.0
+
+
+def test_a_silent_answer_isnt_given_up_while_the_budget_allows_no_other():
+    """Replays engines that look dead for a moment, on a host whose budget is used up."""
+    asked = asyncio.Event()
+    site = site_of(a=(0, 2), b=(2, 4), c=(0, 2), d=(2, 4))
+    script = [STREAM_HEAD, events(1), asked.wait, events(2, 3), END]
+    engine(site, "a").scripts = [script]
+    engine(site, "c").scripts = [script]
+
+    async def run():
+        async with site:
+            budget = site.streams.budgets.of("model")
+            while budget.try_spend(asyncio.get_running_loop().time()):
+                pass
+            budget.resize(0.0, 0.0)
+            site.state.cfg = msgspec.structs.replace(
+                site.state.cfg, retries=RetrySettings(share=0.0, slack=0.0)
+            )
+            site.engines.dead |= set("abcd")
+            report = site.engines.report
+
+            async def count_and_report(entry, timeout_s):
+                if len(site.streams.runs):
+                    asked.set()
+                return await report(entry, timeout_s)
+
+            site.engines.report = count_and_report
+            return await site.ask("draft", "POST")
+
+    answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert (answer.chunks, answer.whole) == (WHOLE, True)
+    assert len(engine(site, "a").requests) + len(engine(site, "c").requests) == 1
+
+
+def test_a_short_silence_costs_one_report_and_a_longer_one_those_of_all():
+    """Replays a stream that pauses twice: probes are priced, connections are cheap."""
+    asked = {"reach": [], "report": []}
+    seen = [asyncio.Event(), asyncio.Event()]
+    script = [STREAM_HEAD, events(1), seen[0].wait, events(2), seen[1].wait, events(3), END]
+    site = site_of(a=(0, 2, script), b=(2, 4))
+
+    async def run():
+        async with site:
+            reach, report = site.engines.reach, site.engines.report
+
+            async def note_reach(entry, timeout_s):
+                asked["reach"].append(entry.id)
+                await reach(entry, timeout_s)
+
+            async def note_report(entry, timeout_s):
+                asked["report"].append(entry.id)
+                if "b" in asked["report"]:
+                    seen[1].set()
+                return await report(entry, timeout_s)
+
+            site.engines.reach, site.engines.report = note_reach, note_report
+            task = asyncio.create_task(site.ask("draft", "POST"))
+            await until(lambda: asked["report"])
+            await until(lambda: site.streams.probes.idle)
+            first = {kind: sorted(names) for kind, names in asked.items()}
+            seen[0].set()
+            return first, await task
+
+    first, answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert first == {"reach": ["a", "b"], "report": ["a"]}
+    assert "b" in asked["report"] and answer.chunks == WHOLE
+
+
+def test_a_loss_under_many_streams_cuts_none_when_the_budget_is_small():
+    """Replays a loss whose streams would all be sooner anew, with sends for two of them."""
+    count = 6
+    model = msgspec.structs.replace(MODEL, zone_link_mbps=0.001, slots=64)
+    moved = asyncio.Event()
+    stalled = [STREAM_HEAD, events(1), moved.wait, events(2, 3), END]
+    engines = [
+        (ScriptedUpstream("a", *[stalled] * count), 0, 2, "k"),
+        (ScriptedUpstream("b"), 2, 4, "k"),
+        (ScriptedUpstream("c", *[[STREAM_HEAD, events(2, 3), END]] * count), 0, 2, "k"),
+        (ScriptedUpstream("d"), 2, 4, "k"),
+    ]
+    site = GatewaySite(engines=engines, model=model)
+
+    async def run():
+        async with site:
+            for name in "cd":
+                entry = site.state.upstreams[name]
+                site.state.upstreams[name] = msgspec.structs.replace(entry, zone="elsewhere")
+            budget = site.streams.budgets.of("model")
+            site.state.cfg = msgspec.structs.replace(
+                site.state.cfg, retries=RetrySettings(share=0.0, slack=0.0)
+            )
+            asks = [asyncio.create_task(site.ask("draft", "POST")) for _ in range(count)]
+            await until(lambda: sum(r.progress.events for r in site.streams.runs) == count)
+            site.streams.budgets.of = lambda service: budget
+            budget.resize(0.0, 3.0)
+            budget._saved = 3.0
+            site.engines.dead.add("b")
+            await site.streams.probes.reach(["b"])
+            await until(lambda: len(site.engines.repaths) + anew() == count)
+            moved.set()
+            return await asyncio.gather(*asks)
+
+    def anew():
+        return len(engine(site, "c").requests)
+
+    answers = asyncio.run(asyncio.wait_for(run(), 30))
+    assert all(a.chunks == WHOLE and a.whole for a in answers)
+    assert anew() == 2
