Tell a zone which engines several of its hosts can't reach

Change: questions for news name the upstreams that their host avoids; what two hosts name is told to all, and each connects to it, and leaves it when that fails. Tests: three in test_gateway_sharing.py and test_gateway_streams.py.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -155,9 +155,16 @@
         self._config = ConfigFollower(self.state, self._limit_callers, config_turn)
         self._upstreams = UpstreamFollower(self.state, list_turn)
         self._news = NewsFollower(
-            self.state, link, self.membership.hosts, self._config, self._upstreams, loads, shared
+            self.state,
+            link,
+            self.membership.hosts,
+            self._config,
+            self._upstreams,
+            loads,
+            shared,
+            streams.probes.look_at,
         )
-        self._desk = NewsDesk(self.state, self.membership, loads, shared)
+        self._desk = NewsDesk(self.state, self.membership, loads, shared, streams.probes.look_at)
         self._zone_loads = ZoneLoads(
             self.state,
             link,
--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import logging
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from minttide.agree.checkpoint import Checkpoint
+from minttide.ids import HostId, UpstreamId
 from minttide.interfaces import UpstreamReply
 from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
+from minttide.policy.reports import SilenceBoard
 from minttide.routing.list_history import ListVersion
 from minttided.gateway.news.messages import (
     LOADS_ONLY,
@@ -38,11 +41,14 @@
         membership: Membership,
         loads: PathLoads,
         shared: SharedLoads,
+        on_silent: Callable[[Sequence[UpstreamId]], None],
     ):
         self._state = state
         self._membership = membership
         self._loads = loads
         self._shared = shared
+        self._on_silent = on_silent
+        self._silences: SilenceBoard[HostId] = SilenceBoard()
         self._packed_config: tuple[int, bytes] | None = None
         self._packed_list: tuple[ListVersion, bytes] | None = None
 
@@ -71,6 +77,7 @@
     def _take_usages(self, note: Note) -> None:
         if note.zone == self._state.cfg.zone:
             self._shared.hosts.note(note.host, note.usages, now_s())
+            self._silences.note(note.host, note.silent, now_s())
         else:
             self._shared.zones.note(note.zone, note.usages, now_s())
 
@@ -96,6 +103,12 @@
         history = self._state.list_history
         return self._state.upstreams_known and note.list_version != history.version
 
+    def _find_silent(self) -> list[UpstreamId]:
+        """Return the upstreams that several hosts of this zone can't reach."""
+        silent = self._state.suspects.avoided(now_s())
+        self._silences.note(self._state.cfg.host, silent, now_s())
+        return self._silences.agreed(now_s())
+
     # Answers.
 
     def _answer_loads(self) -> Checkpoint:
@@ -109,6 +122,8 @@
         others = self._shared.hosts.total(now_s(), without=note.host)
         usages = add_usages([self._loads.own(), others, self._shared.zones.total(now_s())])
         news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s, usages)
+        news.silent = self._find_silent()
+        self._on_silent(news.silent)
         if self._lacks_config(note):
             news.config = self._pack_config()
         if self._state.upstreams_known:
--- a/daemon/minttided/gateway/news/follower.py
+++ b/daemon/minttided/gateway/news/follower.py
@@ -51,6 +51,7 @@
         upstreams: UpstreamFollower,
         loads: PathLoads,
         shared: SharedLoads,
+        on_silent: Callable[[Sequence[UpstreamId]], None],
     ):
         self._state = state
         self._link = link
@@ -59,6 +60,7 @@
         self._upstreams = upstreams
         self._loads = loads
         self._shared = shared
+        self._on_silent = on_silent
         self._list: dict[UpstreamId, UpstreamEntry] = {}  # as the reader has it
         self._list_version = UNKNOWN
         self._reader: HostId | None = None
@@ -134,6 +136,7 @@
             self._loads.own(),
             table.version if table is not None else NO_VERSION,
             self._list_version,
+            sorted(self._state.suspects.avoided(now_s())),
         )
         return Pull(NEWS, encode(note))
 
@@ -143,6 +146,7 @@
         Raises `msgspec.DecodeError` or `zlib.error`.
         """
         self._shared.hear(news.usages)
+        self._on_silent(news.silent)
         config = unpack_config(news.config) if news.config is not None else None
         self._config.hear(config, answered_s - news.config_age_s)
         if news.upstreams is not None:
--- a/daemon/minttided/gateway/news/messages.py
+++ b/daemon/minttided/gateway/news/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from minttide.ids import HostId, Offset, ZoneId
+from minttide.ids import HostId, Offset, UpstreamId, ZoneId
 from minttide.layers.usage import Usage
 from minttide.routing.list_history import UNKNOWN, ListChanges, ListVersion
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
@@ -28,7 +28,8 @@
 class Note(msgspec.Struct, frozen=True):
     """What a question says of its host, or of its whole zone in a question of `LOADS_ONLY`.
 
-    `list_version` is that of the answering host's list which the asking host has.
+    `list_version` is that of the answering host's list which the asking host has. `silent` are
+    upstreams that the asking host can't reach.
     """
 
     host: HostId
@@ -36,6 +37,7 @@
     usages: dict[str, Usage] = {}
     config_version: int = NO_VERSION
     list_version: ListVersion = UNKNOWN
+    silent: list[UpstreamId] = []
 
 
 class News(msgspec.Struct):
@@ -43,7 +45,7 @@
 
     `held_s` is how long the question was held. `config` is packed, and absent when the asking host
     has it. The list comes as its changes, or whole and packed. `usages` is what all hosts but the
-    asking one have running.
+    asking one have running, `silent` the upstreams that several hosts can't reach.
     """
 
     held_s: float
@@ -54,6 +56,7 @@
     list_version: ListVersion = UNKNOWN
     changes: ListChanges | None = None
     upstreams: bytes | None = None
+    silent: list[UpstreamId] = []
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -54,6 +54,14 @@
         """Return the report of each engine, none for one that doesn't answer."""
         return await self._reports.ask(engines)
 
+    def look_at(self, engines: Iterable[UpstreamId]) -> None:
+        """Have engines connected to that other hosts can't reach."""
+        untrusted = self._state.suspects.untrusted()
+        for engine in engines:
+            is_new = engine in self._state.upstreams and engine not in untrusted
+            if is_new and self._reaches.age_s(engine) >= CHECK_SPACING_S:
+                self._reaches.start(engine)
+
     def check(self, engine: UpstreamId) -> None:
         """Have an engine asked that another names as the one at fault: it may be full or dead."""
         if self._reports.age_s(engine) >= CHECK_SPACING_S:
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -120,6 +120,7 @@
         self.config = ConfigFollower(self.state, lambda limits: None, config_turn)
         self.upstreams = UpstreamFollower(self.state, list_turn)
         shared = SharedLoads()
+        self.told_silent = set()
         self.loads = PathLoads(lambda: float(peers), shared)
         self.news = NewsFollower(
             self.state,
@@ -129,6 +130,7 @@
             self.upstreams,
             self.loads,
             shared,
+            self.told_silent.update,
         )
         self.zone_loads = ZoneLoads(
             self.state,
@@ -138,7 +140,9 @@
             shared,
             lambda: self.news.is_reader,
         )
-        net.put(address, NewsDesk(self.state, self.members, self.loads, shared))
+        net.put(
+            address, NewsDesk(self.state, self.members, self.loads, shared, self.told_silent.update)
+        )
 
     def start(self):
         parts = (self.members, self.config, self.upstreams, self.news, self.zone_loads)
@@ -432,3 +436,17 @@
         assert all(list(h.state.upstreams) == ["u1"] for h in hosts)
 
     play(check)
+
+
+@pytest.mark.parametrize("finders", [1, 2])
+def test_what_several_hosts_cant_reach_is_told_to_all(finders):
+    """A single host that reaches nothing may be cut off itself."""
+
+    async def check(hosts, store, net):
+        now_s = asyncio.get_running_loop().time()
+        for host in [h for h in hosts if not h.news.is_reader][:finders]:
+            host.state.suspects.add(UpstreamId("u1"), now_s)
+        await asyncio.sleep(1.0)
+        assert all(("u1" in h.told_silent) is (finders > 1) for h in hosts)
+
+    play(check)
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -635,3 +635,16 @@
     answers = asyncio.run(asyncio.wait_for(run(), 30))
     assert all(a.chunks == WHOLE and a.whole for a in answers)
     assert anew() == 2
+
+
+def test_an_engine_that_others_cant_reach_is_connected_to_before_it_is_left():
+    site = site_of(a=(0, 4), b=(0, 4))
+
+    async def run():
+        async with site:
+            site.engines.dead.add("a")
+            site.streams.probes.look_at(["a", "b", "unknown"])
+            await until(lambda: site.streams.probes.idle)
+            return site.state.suspects.untrusted()
+
+    assert asyncio.run(run()) == {"a"}
