Measure what news between hosts cost a reader

python -m measure news_cost: bytes of questions and answers and processor time, for the Bureau, the grown Bureau and one zone of the size to design for.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -13,6 +13,7 @@
     "keyed",
     "takeover",
     "limit_error",
+    "news_cost",
 ]
 
 
