--- a/test/schedule.py
+++ b/test/schedule.py
@@ -13,151 +13,48 @@
 from dataclasses import dataclass, field
 
 import msgspec
-
-from minttide.config.service import (
-    SITE_NAME,
-    AcceleratorKind,
-    Account,
-    Call,
-    Engine,
-    Model,
-    ModelService,
-    PlainService,
-    PowerLevel,
-    Site,
-    Upstream,
-    Zone,
+from schedule_faults import FAULT_KINDS
+from schedule_site import (
+    ANN,
+    BOOKING,
+    CAP_WATTS,
+    HOSTS,
+    KEEP_S,
+    LateClients,
+    ShiftingPlanner,
+    site_files,
 )
+
 from minttide.config.settings import Settings
 from minttide.ids import (
     CONFIG_STREAM,
     NO_OFFSET,
-    AccountId,
     Address,
     HostId,
     IdempotencyKey,
     Incarnation,
-    ModelVersion,
     PublishId,
-    ServiceName,
-    UpstreamId,
     ZoneId,
-    key_stream,
-    placement_stream,
 )
-from minttide.interfaces import EngineError, KeyedCall, UpstreamCall
+from minttide.interfaces import KeyedCall, UpstreamCall
 from minttide.outcome import Ran, RequestError
 from minttide.records import FORMAT, Envelope, Publish, ServiceChange, encode
-from minttide_fakes.faults import AppendFault
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.peer_net import MemoryNet
-from minttide_fakes.plain import CallFault
-from minttide_fakes.site import FakeClients, FakeSite
+from minttide_fakes.site import FakeSite
 from minttide_fakes.virtual import run_virtual
 from minttided import app as app_module
 from minttided.app import App
 from minttided.callers.calls import Calls
 from minttided.callers.discovery import Discovery
-from minttided.placement.planning import ChangeStep, StepWait, Wanted
 from minttided.placement.site_planner import SitePlanner
 
 EPOCH_MS = 1_800_000_000_000
-HOSTS = 3
 KEYS = 5
-CAP_WATTS = 1_300
-SHARDS = 2
-KEEP_S = 30.0
 WARM_UP_S = 7.0
 FAULTS_S = 16.0
 SETTLE_S = 15.0
 FAULTS = 12
-BOOKING = ServiceName("booking")
-DRAFTS = ServiceName("drafts")
-EXTRA = ServiceName("extra")
-ANN = AccountId("ann")
-STREAMS = [CONFIG_STREAM, placement_stream("site"), *(key_stream(n) for n in range(SHARDS))]
-
-
-def model_file(version="v1"):
-    engines = [
-        Engine(UpstreamId(f"e{n}"), Address(f"e{n}"), ZoneId("z"), "k", checks_fencing=n > 0)
-        for n in range(4)
-    ]
-    model = Model(4, 10.0, 1.0, 1.0)
-    return ModelService(DRAFTS, model, ModelVersion(version), engines)
-
-
-def site_files():
-    levels = [PowerLevel(w, w / 400) for w in (200, 300, 400)]
-    kind = AcceleratorKind("k", 1000, 100.0, 10.0, 10.0, levels)
-    upstreams = [Upstream(UpstreamId(f"b{n}"), Address(f"b{n}"), ZoneId("z")) for n in range(2)]
-    site = Site(
-        SITE_NAME, CAP_WATTS, [Zone(ZoneId("z"))], [], [kind], [Account(ANN, "")], key_shards=SHARDS
-    )
-    return [site, model_file(), PlainService(BOOKING, [Call("POST", "/")], upstreams)]
-
-
-class ShiftingPlanner(SitePlanner):
-    """The policy's layers, with power that moves between engines from version to version.
-
-    The way to v3 raises at once, which the fold has to refuse.
-    """
-
-    levels = {"v1": (400, 300, 200), "v2": (200, 400, 300), "v3": (300, 200, 400)}
-
-    async def plan(self, site, services, states, previous, lost):
-        wanted = await super().plan(site, services, states, previous, lost)
-        rows = sorted(wanted.assignments, key=lambda a: a.engine)
-        watts = (400, *self.levels[services[0].version])
-        rows = [msgspec.structs.replace(a, watts=w) for a, w in zip(rows, watts, strict=True)]
-        return Wanted(tuple(rows), wanted.reason)
-
-    def steps(self, previous, wanted, cap_watts):
-        now = {a.engine: a.watts for a in previous}
-        lowered = [
-            msgspec.structs.replace(a, watts=min(a.watts, now.get(a.engine, 200))) for a in wanted
-        ]
-        careful = ChangeStep(tuple(lowered), StepWait.CONFIRMED, "lower")
-        raising = ChangeStep(tuple(wanted), StepWait.LOADED, "raise")
-        return [raising] if wanted[0].version == "v3" else [careful, raising]
-
-
-class LateClients(FakeClients):
-    """Clients whose orders may reach an engine late, after their sender has given them up.
-
-    An order doesn't outlive the engine's process: its connection ends with it.
-    """
-
-    late_s = 0.0
-    rng = random.Random(0)
-
-    def engine(self, engine, address):
-        linked = super().engine(engine, address)
-        if self.late_s:
-            late_s = self.rng.uniform(0.0, self.late_s)
-            linked = LateEngine(linked, self._site.engines[engine], late_s)
-        return linked
-
-
-class LateEngine:
-    """An engine that takes orders only after a delay."""
-
-    def __init__(self, linked, fake, late_s):
-        self._fake = fake
-        self._late_s = late_s
-        self.read_state, self.report = linked.read_state, linked.report
-        self.cache_events = linked.cache_events
-
-    async def order(self, order, may_send):
-        started = getattr(self._fake, "starts", 0)
-        task = asyncio.create_task(self._deliver(order, started))
-        task.add_done_callback(lambda t: t.cancelled() or t.exception())
-        raise EngineError("no answer")
-
-    async def _deliver(self, order, started):
-        await asyncio.sleep(self._late_s)
-        if getattr(self._fake, "starts", 0) == started:
-            await self._fake.order(order)
 
 
 @dataclass
@@ -370,128 +267,6 @@
         return EPOCH_MS
 
 
-# Faults.
-
-
-def for_a_while(begin, end):
-    async def fault(run):
-        undo = begin(run)
-
-        async def restore():
-            await asyncio.sleep(run.rng.choice((0.5, 2.0, 8.0)))
-            end(run, undo)
-
-        run.spawn(restore())
-
-    return fault
-
-
-def set_down(run):
-    run.log.down = True
-
-
-def set_slow(run):
-    run.log.delay_s = run.rng.choice((0.3, 1.5))
-
-
-def cut_log(run):
-    number = run.pick()
-    run.views[number].cut = True
-    return number
-
-
-def silence(run):
-    address = Address(f"h{run.pick()}:1")
-    run.net.silence(address)
-    return address
-
-
-def delay_orders(run):
-    number = run.pick()
-    run.clients[number].late_s = run.rng.choice((1.0, 9.0))
-    return number
-
-
-def cut_engine(run):
-    engine = run.rng.choice(sorted(run.site.engines))
-    for clients in run.clients.values():
-        clients.cut.add(engine)
-    return engine
-
-
-def join_engine(run, engine):
-    for clients in run.clients.values():
-        clients.cut.discard(engine)
-
-
-async def part_peers(run):
-    run.net.cut(Address(f"h{run.pick()}:1"), Address(f"h{run.pick()}:1"))
-
-
-async def spoil_appends(run):
-    fault = run.rng.choice(list(AppendFault))
-    source = run.rng.choice([run.log.faults, run.views[run.pick()].faults])
-    source.order(fault, times=run.rng.choice((1, 3, 6)), delay_s=run.rng.choice((0.2, 4.0)))
-
-
-async def repeat_old_record(run):
-    stream = run.rng.choice(STREAMS)
-    records = run.log.records(stream)
-    if records:
-        run.log.put(stream, run.rng.choice(records).payload)
-
-
-async def replace_host(run):
-    run.spawn(run.crash(run.pick()))
-
-
-async def trouble_upstream(run):
-    upstream = run.rng.choice(sorted(run.site.upstreams))
-    run.site.upstreams[upstream].order_fault(run.rng.choice(list(CallFault)), 2)
-
-
-async def slow_upstreams(run):
-    for upstream in run.site.upstreams.values():
-        upstream.service_s = run.rng.choice((0.002, 0.8, 3.0))
-
-
-async def restart_engine(run):
-    engine = run.site.engines[run.rng.choice(sorted(run.site.engines))]
-    engine.die()
-    engine.starts = getattr(engine, "starts", 0) + 1
-    await asyncio.sleep(run.rng.uniform(0.0, 0.5))
-    engine.restart()
-
-
-async def race_publishes(run):
-    version = run.rng.choice(("v1", "v2", "v3"))
-    run.publish(model_file(version), "cli0")
-    run.publish(model_file(run.rng.choice(("v1", "v2"))), "cli1")
-    run.publish(PlainService(EXTRA, [Call("POST", f"/{version}")]), "cli1")
-
-
-FAULT_KINDS = {
-    "log out": for_a_while(set_down, lambda run, _: setattr(run.log, "down", False)),
-    "log slow": for_a_while(set_slow, lambda run, _: setattr(run.log, "delay_s", 0.0)),
-    "host cut from the log": for_a_while(
-        cut_log, lambda run, number: setattr(run.views[number], "cut", False)
-    ),
-    "host silent": for_a_while(silence, lambda run, address: run.net.silence(address, False)),
-    "orders late": for_a_while(
-        delay_orders, lambda run, number: setattr(run.clients[number], "late_s", 0.0)
-    ),
-    "engine cut off": for_a_while(cut_engine, join_engine),
-    "peers parted": part_peers,
-    "appends spoilt": spoil_appends,
-    "old record repeated": repeat_old_record,
-    "host replaced": replace_host,
-    "upstream in trouble": trouble_upstream,
-    "upstreams slow": slow_upstreams,
-    "engine restarted": restart_engine,
-    "publishes race": race_publishes,
-}
-
-
 def run_schedule(seed):
     """Run the schedule of one seed and return its report."""
 
--- /dev/null
+++ b/test/schedule_site.py
@@ -0,0 +1,128 @@
+"""The site of the random schedules: its files, a planner that shifts layers, and late orders."""
+
+import asyncio
+import random
+
+import msgspec
+
+from minttide.config.service import (
+    SITE_NAME,
+    AcceleratorKind,
+    Account,
+    Call,
+    Engine,
+    Model,
+    ModelService,
+    PlainService,
+    PowerLevel,
+    Site,
+    Upstream,
+    Zone,
+)
+from minttide.ids import (
+    CONFIG_STREAM,
+    AccountId,
+    Address,
+    ModelVersion,
+    ServiceName,
+    UpstreamId,
+    ZoneId,
+    key_stream,
+    placement_stream,
+)
+from minttide.interfaces import EngineError
+from minttide_fakes.site import FakeClients
+from minttided.placement.planning import ChangeStep, StepWait, Wanted
+from minttided.placement.site_planner import SitePlanner
+
+HOSTS = 3
+CAP_WATTS = 1_300
+SHARDS = 2
+KEEP_S = 30.0
+BOOKING = ServiceName("booking")
+DRAFTS = ServiceName("drafts")
+EXTRA = ServiceName("extra")
+ANN = AccountId("ann")
+STREAMS = [CONFIG_STREAM, placement_stream("site"), *(key_stream(n) for n in range(SHARDS))]
+
+
+def model_file(version="v1"):
+    engines = [
+        Engine(UpstreamId(f"e{n}"), Address(f"e{n}"), ZoneId("z"), "k", checks_fencing=n > 0)
+        for n in range(4)
+    ]
+    model = Model(4, 10.0, 1.0, 1.0)
+    return ModelService(DRAFTS, model, ModelVersion(version), engines)
+
+
+def site_files():
+    levels = [PowerLevel(w, w / 400) for w in (200, 300, 400)]
+    kind = AcceleratorKind("k", 1000, 100.0, 10.0, 10.0, levels)
+    upstreams = [Upstream(UpstreamId(f"b{n}"), Address(f"b{n}"), ZoneId("z")) for n in range(2)]
+    site = Site(
+        SITE_NAME, CAP_WATTS, [Zone(ZoneId("z"))], [], [kind], [Account(ANN, "")], key_shards=SHARDS
+    )
+    return [site, model_file(), PlainService(BOOKING, [Call("POST", "/")], upstreams)]
+
+
+class ShiftingPlanner(SitePlanner):
+    """The policy's layers, with power that moves between engines from version to version.
+
+    The way to v3 raises at once, which the fold has to refuse.
+    """
+
+    levels = {"v1": (400, 300, 200), "v2": (200, 400, 300), "v3": (300, 200, 400)}
+
+    async def plan(self, site, services, states, previous, lost):
+        wanted = await super().plan(site, services, states, previous, lost)
+        rows = sorted(wanted.assignments, key=lambda a: a.engine)
+        watts = (400, *self.levels[services[0].version])
+        rows = [msgspec.structs.replace(a, watts=w) for a, w in zip(rows, watts, strict=True)]
+        return Wanted(tuple(rows), wanted.reason)
+
+    def steps(self, previous, wanted, cap_watts):
+        now = {a.engine: a.watts for a in previous}
+        lowered = [
+            msgspec.structs.replace(a, watts=min(a.watts, now.get(a.engine, 200))) for a in wanted
+        ]
+        careful = ChangeStep(tuple(lowered), StepWait.CONFIRMED, "lower")
+        raising = ChangeStep(tuple(wanted), StepWait.LOADED, "raise")
+        return [raising] if wanted[0].version == "v3" else [careful, raising]
+
+
+class LateClients(FakeClients):
+    """Clients whose orders may reach an engine late, after their sender has given them up.
+
+    An order doesn't outlive the engine's process: its connection ends with it.
+    """
+
+    late_s = 0.0
+    rng = random.Random(0)
+
+    def engine(self, engine, address):
+        linked = super().engine(engine, address)
+        if self.late_s:
+            late_s = self.rng.uniform(0.0, self.late_s)
+            linked = LateEngine(linked, self._site.engines[engine], late_s)
+        return linked
+
+
+class LateEngine:
+    """An engine that takes orders only after a delay."""
+
+    def __init__(self, linked, fake, late_s):
+        self._fake = fake
+        self._late_s = late_s
+        self.read_state, self.report = linked.read_state, linked.report
+        self.cache_events = linked.cache_events
+
+    async def order(self, order, may_send):
+        started = getattr(self._fake, "starts", 0)
+        task = asyncio.create_task(self._deliver(order, started))
+        task.add_done_callback(lambda t: t.cancelled() or t.exception())
+        raise EngineError("no answer")
+
+    async def _deliver(self, order, started):
+        await asyncio.sleep(self._late_s)
+        if getattr(self._fake, "starts", 0) == started:
+            await self._fake.order(order)
