--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -17,6 +17,7 @@
 from minttided.gateway.callers.entry import EntryAnswers, HealthAnswers, ResolveBody
 from minttided.gateway.callers.front import Front
 from minttided.gateway.callers.plain import PlainCalls
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.follower import NewsFollower
 from minttided.gateway.news.following import ConfigFollower, ReadTurn, UpstreamFollower
@@ -30,7 +31,7 @@
 from minttided.http.server import HttpServer
 from minttided.operators.metrics import CONTENT_TYPE
 from minttided.peers.grpc_net import GrpcNet
-from minttided.peers.link import PeerNet
+from minttided.peers.link import PeerLink, PeerNet
 from minttided.peers.listing import HostListing
 from minttided.peers.membership import Membership
 from minttided.stopping import Drain
@@ -138,41 +139,8 @@
             rng=self.state.rng,
             outlives=True,
         )
-        shared = SharedLoads()
-        loads = PathLoads(self._count_peers, shared)
-        budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
-        plain = PlainCalls(self.state, budgets)
-        streams = StreamCalls(self.state, budgets, loads)
-        self.front = HttpServer(
-            Front(self.state, plain, streams).handle,
-            cfg.callers,
-            Bounds(max_connections=cfg.max_connections),
-        )
-        config_turn = ReadTurn(lambda: self._news.reads_config(), lambda: self._news.retry_factor())
-        list_turn = ReadTurn(
-            lambda: self._news.reads_upstreams(), lambda: self._news.retry_factor()
-        )
-        self._config = ConfigFollower(self.state, self._limit_callers, config_turn)
-        self._upstreams = UpstreamFollower(self.state, list_turn)
-        self._news = NewsFollower(
-            self.state,
-            link,
-            self.membership.hosts,
-            self._config,
-            self._upstreams,
-            loads,
-            shared,
-            streams.probes.look_at,
-        )
-        self._desk = NewsDesk(self.state, self.membership, loads, shared, streams.probes.look_at)
-        self._zone_loads = ZoneLoads(
-            self.state,
-            link,
-            self.membership.hosts,
-            loads,
-            shared,
-            lambda: self._news.is_reader,
-        )
+        streams = self._make_requests()
+        self._make_news(link, streams)
         self._placer = Placer(self.state, streams.probes, lambda: self._news.is_reader)
         self.drain = Drain(
             self._leave,
@@ -185,6 +153,40 @@
         stack.push_async_callback(self.drain.aclose)
         await stack.enter_async_context(self._supervised)
 
+    def _make_requests(self) -> StreamCalls:
+        """Make what takes and forwards the requests of callers."""
+        self._shared = SharedLoads()
+        self._loads = PathLoads(self._count_peers, self._shared)
+        budgets = Budgets(self.state, lambda: len(self.membership.hosts()))
+        plain = PlainCalls(self.state, budgets)
+        streams = StreamCalls(self.state, budgets, self._loads)
+        self.front = HttpServer(
+            Front(self.state, plain, streams).handle,
+            self.cfg.callers,
+            Bounds(max_connections=self.cfg.max_connections),
+        )
+        return streams
+
+    def _make_news(self, link: PeerLink, streams: StreamCalls) -> None:
+        """Make what follows the store, by itself or by other hosts, and answers those."""
+        context = NewsContext(
+            self.state,
+            link,
+            self.membership.hosts,
+            self._loads,
+            self._shared,
+            streams.probes.look_at,
+        )
+        config_turn = ReadTurn(lambda: self._news.reads_config(), lambda: self._news.retry_factor())
+        list_turn = ReadTurn(
+            lambda: self._news.reads_upstreams(), lambda: self._news.retry_factor()
+        )
+        self._config = ConfigFollower(self.state, self._limit_callers, config_turn)
+        self._upstreams = UpstreamFollower(self.state, list_turn)
+        self._news = NewsFollower(context, self._config, self._upstreams)
+        self._desk = NewsDesk(context, self.membership)
+        self._zone_loads = ZoneLoads(context, lambda: self._news.is_reader)
+
     def _make_tree(self) -> Supervisor:
         platform = [
             Child("configuration", self._config.run),
--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -13,6 +12,7 @@
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide.policy.reports import SilenceBoard
 from minttide.routing.list_history import ListVersion
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.messages import (
     LOADS_ONLY,
     NEWS,
@@ -23,8 +23,7 @@
     encode,
     pack,
 )
-from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
+from minttided.gateway.state import now_s
 from minttided.http.problems import problem
 from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pull, Pulled
 from minttided.peers.membership import Membership
@@ -35,19 +34,11 @@
 class NewsDesk:
     """Implements `PeerService` together with the membership."""
 
-    def __init__(
-        self,
-        state: GatewayState,
-        membership: Membership,
-        loads: PathLoads,
-        shared: SharedLoads,
-        on_silent: Callable[[Sequence[UpstreamId]], None],
-    ):
-        self._state = state
+    def __init__(self, context: NewsContext, membership: Membership):
+        self._context = context
+        self._state = context.state
+        self._shared = context.shared
         self._membership = membership
-        self._loads = loads
-        self._shared = shared
-        self._on_silent = on_silent
         self._silences: SilenceBoard[HostId] = SilenceBoard()
         self._packed_config: tuple[int, bytes] | None = None
         self._packed_list: tuple[ListVersion, bytes] | None = None
@@ -113,17 +104,17 @@
 
     def _answer_loads(self) -> Checkpoint:
         """Return what runs in this zone."""
-        here = add_usages([self._loads.own(), self._shared.hosts.total(now_s())])
+        here = add_usages([self._context.loads.own(), self._shared.hosts.total(now_s())])
         news = News(0.0, self._state.config_age_s, self._state.list_age_s, here)
         return Checkpoint(LOADS_ONLY, encode(news))
 
     def _answer(self, note: Note, asked_s: float) -> Checkpoint:
         state = self._state
         others = self._shared.hosts.total(now_s(), without=note.host)
-        usages = add_usages([self._loads.own(), others, self._shared.zones.total(now_s())])
+        usages = add_usages([self._context.loads.own(), others, self._shared.zones.total(now_s())])
         news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s, usages)
         news.silent = self._find_silent()
-        self._on_silent(news.silent)
+        self._context.on_silent(news.silent)
         if self._lacks_config(note):
             news.config = self._pack_config()
         if self._state.upstreams_known:
--- a/daemon/minttided/gateway/news/follower.py
+++ b/daemon/minttided/gateway/news/follower.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import zlib
-from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -12,6 +11,7 @@
 from minttide.routing.list_history import UNKNOWN, ListChanges
 from minttide.routing.readers import Age, choose_source, rank_readers, reads_itself, retry_factor
 from minttide.routing.routes import UpstreamEntry
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.following import ConfigFollower, UpstreamFollower
 from minttided.gateway.news.messages import (
     NEWS,
@@ -23,9 +23,8 @@
     unpack_config,
     unpack_entries,
 )
-from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
-from minttided.peers.link import PeerError, PeerLink, Pull
+from minttided.gateway.state import now_s
+from minttided.peers.link import PeerError, Pull
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -42,25 +41,11 @@
 class NewsFollower:
     """Asks for news while another host reads for this one's zone."""
 
-    def __init__(
-        self,
-        state: GatewayState,
-        link: PeerLink,
-        members: Callable[[], Sequence[MemberView]],
-        config: ConfigFollower,
-        upstreams: UpstreamFollower,
-        loads: PathLoads,
-        shared: SharedLoads,
-        on_silent: Callable[[Sequence[UpstreamId]], None],
-    ):
-        self._state = state
-        self._link = link
-        self._members = members
+    def __init__(self, context: NewsContext, config: ConfigFollower, upstreams: UpstreamFollower):
+        self._context = context
+        self._state = context.state
         self._config = config
         self._upstreams = upstreams
-        self._loads = loads
-        self._shared = shared
-        self._on_silent = on_silent
         self._list: dict[UpstreamId, UpstreamEntry] = {}  # as the reader has it
         self._list_version = UNKNOWN
         self._reader: HostId | None = None
@@ -108,7 +93,7 @@
         return choose_source(self._ranked(), self._state.cfg.host, self._failures)
 
     def _ranked(self) -> list[MemberView]:
-        return rank_readers(self._members(), self._state.cfg.zone)
+        return rank_readers(self._context.members(), self._state.cfg.zone)
 
     async def _ask(self, reader: MemberView) -> bool:
         """Ask one host; return whether it answered and its news are fresh."""
@@ -116,7 +101,7 @@
         sent_s = self._state.clock()
         timeout_s = self._state.pace.hold_s + PULL_MARGIN_S
         try:
-            pulled = await self._link.pull(reader.peer, self._make_question(), timeout_s)
+            pulled = await self._context.link.pull(reader.peer, self._make_question(), timeout_s)
             news = decode_news(pulled.snapshot.data) if pulled.snapshot else None
             if news is None:
                 return False
@@ -133,7 +118,7 @@
         note = Note(
             cfg.host,
             cfg.zone,
-            self._loads.own(),
+            self._context.loads.own(),
             table.version if table is not None else NO_VERSION,
             self._list_version,
             sorted(self._state.suspects.avoided(now_s())),
@@ -145,8 +130,8 @@
 
         Raises `msgspec.DecodeError` or `zlib.error`.
         """
-        self._shared.hear(news.usages)
-        self._on_silent(news.silent)
+        self._context.shared.hear(news.usages)
+        self._context.on_silent(news.silent)
         config = unpack_config(news.config) if news.config is not None else None
         self._config.hear(config, answered_s - news.config_age_s)
         if news.upstreams is not None:
--- a/daemon/minttided/gateway/news/zones.py
+++ b/daemon/minttided/gateway/news/zones.py
@@ -2,18 +2,17 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 
 from minttide.ids import ZoneId
-from minttide.interfaces import MemberView
 from minttide.layers.usage import add_usages
 from minttide.routing.readers import rank_readers
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.messages import LOADS_ONLY, Note, decode_news, encode
-from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
-from minttided.peers.link import PeerError, PeerLink, Pull
+from minttided.gateway.state import now_s
+from minttided.peers.link import PeerError, Pull
 from minttided.supervisor import Ready
 
 log = logging.getLogger(__name__)
@@ -27,20 +26,10 @@
 class ZoneLoads:
     """Exchanges loads with other zones, while this host reads for its own."""
 
-    def __init__(
-        self,
-        state: GatewayState,
-        link: PeerLink,
-        members: Callable[[], Sequence[MemberView]],
-        loads: PathLoads,
-        shared: SharedLoads,
-        reads: Callable[[], bool],
-    ):
-        self._state = state
-        self._link = link
-        self._members = members
-        self._loads = loads
-        self._shared = shared
+    def __init__(self, context: NewsContext, reads: Callable[[], bool]):
+        self._context = context
+        self._state = context.state
+        self._shared = context.shared
         self._reads = reads
         self._last: ZoneId | None = None
 
@@ -56,20 +45,20 @@
     def _next_zone(self) -> ZoneId | None:
         """Return the zone after the last one that was asked, in the order of their names."""
         own = self._state.cfg.zone
-        zones = sorted({m.zone for m in self._members() if m.zone != own})
+        zones = sorted({m.zone for m in self._context.members() if m.zone != own})
         later = [z for z in zones if self._last is not None and z > self._last]
         self._last = next(iter(later or zones), None)
         return self._last
 
     async def _ask(self, zone: ZoneId) -> None:
-        readers = rank_readers(self._members(), zone)
+        readers = rank_readers(self._context.members(), zone)
         if not readers:
             return
         cfg = self._state.cfg
-        here = add_usages([self._loads.own(), self._shared.hosts.total(now_s())])
+        here = add_usages([self._context.loads.own(), self._shared.hosts.total(now_s())])
         question = Pull(LOADS_ONLY, encode(Note(cfg.host, cfg.zone, here)))
         try:
-            pulled = await self._link.pull(readers[0].peer, question, TIMEOUT_S)
+            pulled = await self._context.link.pull(readers[0].peer, question, TIMEOUT_S)
             news = decode_news(pulled.snapshot.data) if pulled.snapshot else None
         except (PeerError, msgspec.DecodeError) as exc:
             log.info("no loads", extra={"zone": zone, "reason": str(exc)})
--- a/measure/news_cost.py
+++ b/measure/news_cost.py
@@ -27,6 +27,7 @@
     UpstreamEntry,
 )
 from minttide.routing.table import RouteTable
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.messages import NEWS, Note, encode
 from minttided.gateway.settings import GatewaySettings
@@ -86,7 +87,15 @@
         self._streams = streams
         self._shared = SharedLoads()
         loads = PathLoads(lambda: float(hosts), self._shared)
-        self.desk = NewsDesk(self.state, None, loads, self._shared, lambda silent: None)  # type: ignore[arg-type]
+        context = NewsContext(
+            self.state,
+            None,  # type: ignore[arg-type]
+            lambda: (),
+            loads,
+            self._shared,
+            lambda silent: None,
+        )
+        self.desk = NewsDesk(context, None)  # type: ignore[arg-type]
         self.names = [HostId(f"front-zone-{n}") for n in range(hosts - 1)]
         self.take(self._entries)
 
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -29,6 +29,7 @@
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_net import MemoryNet
 from minttide_fakes.virtual import run_virtual
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.desk import NewsDesk
 from minttided.gateway.news.follower import NewsFollower
 from minttided.gateway.news.following import (
@@ -122,27 +123,17 @@
         shared = SharedLoads()
         self.told_silent = set()
         self.loads = PathLoads(lambda: float(peers), shared)
-        self.news = NewsFollower(
+        context = NewsContext(
             self.state,
             link,
             self.members.hosts,
-            self.config,
-            self.upstreams,
             self.loads,
             shared,
             self.told_silent.update,
         )
-        self.zone_loads = ZoneLoads(
-            self.state,
-            link,
-            self.members.hosts,
-            self.loads,
-            shared,
-            lambda: self.news.is_reader,
-        )
-        net.put(
-            address, NewsDesk(self.state, self.members, self.loads, shared, self.told_silent.update)
-        )
+        self.news = NewsFollower(context, self.config, self.upstreams)
+        self.zone_loads = ZoneLoads(context, lambda: self.news.is_reader)
+        net.put(address, NewsDesk(context, self.members))
 
     def start(self):
         parts = (self.members, self.config, self.upstreams, self.news, self.zone_loads)
