--- a/core/minttide/layers/usage.py
+++ b/core/minttide/layers/usage.py
@@ -4,18 +4,13 @@
 that all of them use. Each host tells what it has, and a sum without its own part comes back.
 """
 
-from collections.abc import Hashable, Iterable, Mapping
-from typing import Generic, TypeVar
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
+from minttide.board import Board, SourceT
 from minttide.ids import ZoneId
 
-FRESH_S = 1.5
-"""How long what a source told stands for what it has."""
-
-SourceT = TypeVar("SourceT", bound=Hashable)
-
 
 class Usage(msgspec.Struct, frozen=True, array_like=True):
     """Streams on one engine and the tokens that they hold there.
@@ -48,30 +43,10 @@
     return found
 
 
-class _Told(msgspec.Struct, frozen=True):
-    usages: Usages
-    at_s: float
-
-
-class UsageBoard(Generic[SourceT]):
-    """The last that each source told; what is old is forgotten. Times are in seconds."""
-
-    def __init__(self) -> None:
-        self._told: dict[SourceT, _Told] = {}
-
-    def note(self, source: SourceT, usages: Usages, now_s: float) -> None:
-        """Take what a source has running now, in place of what it told before."""
-        self._told[source] = _Told(usages, now_s)
-
-    def sources(self, now_s: float) -> int:
-        """Return how many sources have told something lately."""
-        self._forget(now_s)
-        return len(self._told)
+class UsageBoard(Board[SourceT, Usages]):
+    """What each source last told that it has running."""
 
     def total(self, now_s: float, without: SourceT | None = None) -> dict[str, Usage]:
         """Return what all sources but one have running."""
-        self._forget(now_s)
-        return add_usages(t.usages for source, t in self._told.items() if source != without)
-
-    def _forget(self, now_s: float) -> None:
-        self._told = {s: t for s, t in self._told.items() if now_s - t.at_s <= FRESH_S}
+        told = self.fresh(now_s)
+        return add_usages(usages for source, usages in told.items() if source != without)
--- /dev/null
+++ b/core/minttide/policy/silences.py
@@ -0,0 +1,23 @@
+"""Upstreams that several hosts can't reach, so that the others look before they use them.
+
+Answers the loss of an engine that many hosts use: each would find it out with a stream of its own,
+and the host that places layers with none at all. What one host says is not passed on, since a host
+that is cut off or overloaded reaches nothing.
+"""
+
+from collections import Counter
+
+from minttide.board import Board
+from minttide.ids import HostId, UpstreamId
+
+LEAST_HOSTS = 2
+"""Hosts that must say so."""
+
+
+class SilenceBoard(Board[HostId, frozenset[UpstreamId]]):
+    """The upstreams that each host last said that it can't reach."""
+
+    def agreed(self, now_s: float) -> list[UpstreamId]:
+        """Return the upstreams that several hosts can't reach."""
+        counts = Counter(u for silent in self.fresh(now_s).values() for u in silent)
+        return sorted(u for u, count in counts.items() if count >= LEAST_HOSTS)
--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from minttide.agree.checkpoint import Checkpoint
-from minttide.ids import HostId, UpstreamId
+from minttide.ids import UpstreamId
 from minttide.interfaces import UpstreamReply
 from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
-from minttide.policy.reports import SilenceBoard
+from minttide.policy.silences import SilenceBoard
 from minttide.routing.list_history import ListVersion
 from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.messages import (
@@ -39,7 +39,7 @@
         self._state = context.state
         self._shared = context.shared
         self._membership = membership
-        self._silences: SilenceBoard[HostId] = SilenceBoard()
+        self._silences = SilenceBoard()
         self._packed_config: tuple[int, bytes] | None = None
         self._packed_list: tuple[ListVersion, bytes] | None = None
 
@@ -68,7 +68,7 @@
     def _take_usages(self, note: Note) -> None:
         if note.zone == self._state.cfg.zone:
             self._shared.hosts.note(note.host, note.usages, now_s())
-            self._silences.note(note.host, note.silent, now_s())
+            self._silences.note(note.host, frozenset(note.silent), now_s())
         else:
             self._shared.zones.note(note.zone, note.usages, now_s())
 
@@ -96,7 +96,7 @@
 
     def _find_silent(self) -> list[UpstreamId]:
         """Return the upstreams that several hosts of this zone can't reach."""
-        silent = self._state.suspects.avoided(now_s())
+        silent = frozenset(self._state.suspects.avoided(now_s()))
         self._silences.note(self._state.cfg.host, silent, now_s())
         return self._silences.agreed(now_s())
 
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
+from minttide.board import FRESH_S
 from minttide.ids import HostId, UpstreamId, ZoneId
 from minttide.layers.paths import EngineLoad, Path, Stage, Work
-from minttide.layers.usage import FRESH_S, Usage, UsageBoard, Usages, add_usages, link_name
+from minttide.layers.usage import Usage, UsageBoard, Usages, add_usages, link_name
 from minttide.routing.sources import EngineReport
 from minttided.gateway.state import now_s
 
@@ -50,7 +51,7 @@
         `peers` is the number of hosts of this zone, this one among them.
         """
         now = now_s()
-        told = self.hosts.sources(now)
+        told = len(self.hosts.fresh(now))
         if told and told >= KNOWN_SHARE * (peers - 1):
             return add_usages([self.hosts.total(now), self.zones.total(now)])
         if now - self._heard_s <= FRESH_S:
