--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -6,10 +6,13 @@
 import msgspec
 
 from minttide.agree.checkpoint import Checkpoint
+from minttide.ids import UpstreamId
 from minttide.interfaces import UpstreamReply
 from minttide.layers.usage import add_usages
 from minttide.outcome import Problem, ProblemType, Ran
+from minttide.policy.silences import SilenceBoard
 from minttide.routing.list_history import ListVersion
+from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.messages import (
     LOADS_ONLY,
     NEWS,
@@ -20,8 +23,7 @@
     encode,
     pack,
 )
-from minttided.gateway.state import GatewayState, now_s
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
+from minttided.gateway.state import now_s
 from minttided.http.problems import problem
 from minttided.peers.link import ForwardedCall, Probe, ProbeAnswer, Pull, Pulled
 from minttided.peers.membership import Membership
@@ -32,17 +34,12 @@
 class NewsDesk:
     """Implements `PeerService` together with the membership."""
 
-    def __init__(
-        self,
-        state: GatewayState,
-        membership: Membership,
-        loads: PathLoads,
-        shared: SharedLoads,
-    ):
-        self._state = state
+    def __init__(self, context: NewsContext, membership: Membership):
+        self._context = context
+        self._state = context.state
+        self._shared = context.shared
         self._membership = membership
-        self._loads = loads
-        self._shared = shared
+        self._silences = SilenceBoard()
         self._packed_config: tuple[int, bytes] | None = None
         self._packed_list: tuple[ListVersion, bytes] | None = None
 
@@ -71,6 +68,7 @@
     def _take_usages(self, note: Note) -> None:
         if note.zone == self._state.cfg.zone:
             self._shared.hosts.note(note.host, note.usages, now_s())
+            self._silences.note(note.host, frozenset(note.silent), now_s())
         else:
             self._shared.zones.note(note.zone, note.usages, now_s())
 
@@ -96,19 +94,27 @@
         history = self._state.list_history
         return self._state.upstreams_known and note.list_version != history.version
 
+    def _find_silent(self) -> list[UpstreamId]:
+        """Return the upstreams that several hosts of this zone can't reach."""
+        silent = frozenset(self._state.suspects.avoided(now_s()))
+        self._silences.note(self._state.cfg.host, silent, now_s())
+        return self._silences.agreed(now_s())
+
     # Answers.
 
     def _answer_loads(self) -> Checkpoint:
         """Return what runs in this zone."""
-        here = add_usages([self._loads.own(), self._shared.hosts.total(now_s())])
+        here = add_usages([self._context.loads.own(), self._shared.hosts.total(now_s())])
         news = News(0.0, self._state.config_age_s, self._state.list_age_s, here)
         return Checkpoint(LOADS_ONLY, encode(news))
 
     def _answer(self, note: Note, asked_s: float) -> Checkpoint:
         state = self._state
         others = self._shared.hosts.total(now_s(), without=note.host)
-        usages = add_usages([self._loads.own(), others, self._shared.zones.total(now_s())])
+        usages = add_usages([self._context.loads.own(), others, self._shared.zones.total(now_s())])
         news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s, usages)
+        news.silent = self._find_silent()
+        self._context.on_silent(news.silent)
         if self._lacks_config(note):
             news.config = self._pack_config()
         if self._state.upstreams_known:
