Choose a path once where it was chosen twice, and drop a second way to a fresh connection

Cause: HttpClient.keeps wrote again what a client for one call does that is closed after it (a new client has no kept connection); a stream that lost an engine looked for a path from its first engine on twice in a row; a request without a path was looked for up to four times among the same engines; two constants called RETURN_S meant different times; the configuration was packed with a case for none that can't come up. Change: the client is closed after its call, the path is chosen once, equal sets of engines are searched once, names say what they hold.

--- a/daemon/minttided/gateway/news/desk.py
+++ b/daemon/minttided/gateway/news/desk.py
@@ -12,11 +12,11 @@
 from minttide.outcome import Problem, ProblemType, Ran
 from minttide.policy.silences import SilenceBoard
 from minttide.routing.list_history import ListVersion
+from minttide.routing.routes import RoutingConfig
 from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.messages import (
     LOADS_ONLY,
     NEWS,
-    NO_VERSION,
     News,
     Note,
     decode_note,
@@ -59,13 +59,13 @@
         except msgspec.DecodeError as exc:
             log.info("question not read", extra={"reason": str(exc)})
             return Pulled()
-        self._take_usages(note)
+        self._take_in(note)
         if pull.start == LOADS_ONLY:
             return Pulled(snapshot=self._answer_loads())
         await self._hold(note)
         return Pulled(snapshot=self._answer(note, asked_s))
 
-    def _take_usages(self, note: Note) -> None:
+    def _take_in(self, note: Note) -> None:
         if note.zone == self._state.cfg.zone:
             self._shared.hosts.note(note.host, note.usages, now_s())
             self._silences.note(note.host, frozenset(note.silent), now_s())
@@ -115,8 +115,8 @@
         news = News(state.clock() - asked_s, state.config_age_s, state.list_age_s, usages)
         news.silent = self._find_silent()
         self._context.on_silent(news.silent)
-        if self._lacks_config(note):
-            news.config = self._pack_config()
+        if state.table is not None and self._lacks_config(note):
+            news.config = self._pack_config(state.table.config)
         if self._state.upstreams_known:
             self._add_list(news, note)
         return Checkpoint(NEWS, encode(news))
@@ -128,11 +128,9 @@
         if news.changes is None:
             news.upstreams = self._pack_list()
 
-    def _pack_config(self) -> bytes:
-        table = self._state.table
-        version = table.version if table is not None else NO_VERSION
-        if self._packed_config is None or self._packed_config[0] != version:
-            self._packed_config = (version, pack(table.config if table is not None else None))
+    def _pack_config(self, config: RoutingConfig) -> bytes:
+        if self._packed_config is None or self._packed_config[0] != config.version:
+            self._packed_config = (config.version, pack(config))
         return self._packed_config[1]
 
     def _pack_list(self) -> bytes:
--- a/daemon/minttided/gateway/news/follower.py
+++ b/daemon/minttided/gateway/news/follower.py
@@ -32,7 +32,7 @@
 PULL_MARGIN_S = 0.4
 """How much longer than it may be held an answer may take."""
 
-RETURN_S = 2.0
+DEPUTY_S = 2.0
 """How long a deputy is asked after the reader had no fresh news."""
 
 IDLE_S = 0.1
@@ -88,7 +88,7 @@
 
     def _choose_source(self) -> MemberView | None:
         """Return the reader, or a deputy for a while after the reader had no fresh news."""
-        if now_s() - self._failed_s > RETURN_S:
+        if now_s() - self._failed_s > DEPUTY_S:
             self._failures = 0
         return choose_source(self._ranked(), self._state.cfg.host, self._failures)
 
--- a/daemon/minttided/gateway/streams/calls.py
+++ b/daemon/minttided/gateway/streams/calls.py
@@ -62,7 +62,8 @@
         silent = self.state.suspects.avoided(now_s())
         full = self._full.avoided(now_s())
         # Where no path is left, an engine that may have room or live again is better than none.
-        for avoid in (untrusted | full | avoided, untrusted | avoided, silent | avoided, silent):
+        stages = (untrusted | full | avoided, untrusted | avoided, silent | avoided, silent)
+        for avoid in dict.fromkeys(frozenset(s) for s in stages):
             finder = PathFinder(model, engines, avoid - {first})
             path = finder.choose(work, self.state.cfg.zone, loads, self.state.rng, first)
             if path is not None and is_whole(path, model.layers):
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -287,18 +287,21 @@
 
         An engine's silence alone is no reason to end an answer that can't go on elsewhere.
         """
-        return (
-            self._request.route.repeatable and self._may_send() and self._paths.choose() is not None
-        )
+        return self._may_repeat() and self._paths.choose() is not None
+
+    def _may_repeat(self) -> bool:
+        return self._request.route.repeatable and self._may_send()
 
     def _is_sooner_anew(self, attempt: StreamAttempt) -> bool:
         """Return whether a path from its first engine on has the next event before a moved one."""
-        if self._budget.left(now_s()) < ANEW_LEFT or not self._may_restart():
+        if self._budget.left(now_s()) < ANEW_LEFT or not self._may_repeat():
             return False
-        moved = self._paths.choose(attempt.path[0].engine)
         anew = self._paths.choose()
-        if moved is None or anew is None:
-            return anew is not None
+        if anew is None:
+            return False
+        moved = self._paths.choose(attempt.path[0].engine)
+        if moved is None:
+            return True
         tokens = self._work.prompt + self._model.event_tokens * self.progress.events
         moved_ms = takeover_ms(self._model, moved, attempt.path, tokens)
         return takeover_ms(self._model, anew, (), tokens) < moved_ms
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -38,17 +38,10 @@
 
 
 class HttpClient:
-    """Sends requests to one address; close it when done.
+    """Sends requests to one address; close it when done."""
 
-    Without `keeps`, each request gets a connection of its own. A kept one may have gone silent or
-    be closed by the server while a request is on its way, which looks like a server that is down.
-    """
-
-    def __init__(
-        self, address: Address, max_reply_bytes: int = MAX_REPLY_BYTES, keeps: bool = True
-    ):
+    def __init__(self, address: Address, max_reply_bytes: int = MAX_REPLY_BYTES):
         self._address = address
-        self._keeps = keeps
         self._max_reply = max_reply_bytes
         self._idle: list[ClientConnection] = []
         self._closed = False
@@ -97,7 +90,7 @@
         return await ClientConnection.open(self._address, deadline)
 
     def _give_back(self, conn: ClientConnection) -> None:
-        has_room = self._keeps and not self._closed and len(self._idle) < MAX_IDLE
+        has_room = not self._closed and len(self._idle) < MAX_IDLE
         if has_room and conn.reset(asyncio.get_running_loop().time()):
             self._idle.append(conn)
         else:
--- a/measure/news_cost.py
+++ b/measure/news_cost.py
@@ -141,7 +141,7 @@
     before = zone.question(zone.names[0], knows=True)
     zone.change_one()
     changed = await zone.answer(before)
-    news = zone.desk._pack_list(), zone.desk._pack_config()
+    news = zone.desk._pack_list(), zone.desk._pack_config(_config())
     sizes = len(questions[0].note), usual, changed, len(news[0]), len(news[1])
     return *sizes, usual * len(questions) / hold_s / 1000.0, cpu_ms
 
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from contextlib import closing
 from itertools import count
 
 import h11
@@ -42,10 +43,10 @@
     async def _resolve(self):
         """Ask a host for addresses; return one of them, or none."""
         gateway = self._rng.choice(self._gateways)
-        client = HttpClient(gateway.addresses["directory"], keeps=False)
         target = f"/minttide/resolve?name={HOST}&region=r&zone={gateway.zone}"
         try:
-            reply = await client.request("GET", target, timeout_s=1.0)
+            with closing(HttpClient(gateway.addresses["directory"])) as client:
+                reply = await client.request("GET", target, timeout_s=1.0)
             found = json.loads(reply.body)["addresses"] if reply.status == 200 else []
         except (NotSentError, BrokenError):
             return None
