--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -1,15 +1,14 @@
 """One host of a zone reads the platform's store, and the others take its news."""
 
 import asyncio
-import random
-import sys
 
+import news_site
 import pytest
+from news_site import BOUND_S, HOSTS, play, upstream
 from test_gateway_entry import member
 
-from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ServiceName, UpstreamId, ZoneId
+from minttide.ids import Address, ServiceName, UpstreamId, ZoneId
 from minttide.layers.paths import Stage, Work
-from minttide.routing.freshness import Freshness
 from minttide.routing.readers import (
     Age,
     Pace,
@@ -22,142 +21,12 @@
     LayerRange,
     Route,
     RouteKind,
-    RoutingConfig,
     ServiceShare,
-    UpstreamEntry,
 )
-from minttide.routing.sources import ConfigReading, SourceError
-from minttide_fakes.peer_net import MemoryNet
-from minttide_fakes.virtual import run_virtual
-from minttided.gateway.news.context import NewsContext
 from minttided.gateway.news.desk import NewsDesk
-from minttided.gateway.news.follower import NewsFollower
 from minttided.gateway.news.following import (
     RETURN_S,
-    ConfigFollower,
-    ReadTurn,
-    UpstreamFollower,
 )
-from minttided.gateway.news.zones import ZoneLoads
-from minttided.gateway.settings import GatewaySettings
-from minttided.gateway.state import GatewayState
-from minttided.gateway.streams.loads import PathLoads, SharedLoads
-from minttided.peers.listing import HostListing
-from minttided.peers.membership import Membership
-
-HOSTS = 6
-BOUND_S = 2.0
-"""In which a configuration must be in force, and a leaving upstream left."""
-
-
-def upstream(name, leaving=False):
-    address = Address(f"{name}:1")
-    return UpstreamEntry(UpstreamId(name), ServiceName("s"), address, ZoneId("z"), leaving, 4)
-
-
-class SharedStore:
-    """The configuration and upstreams of a site. `cut` holds hosts that it doesn't answer."""
-
-    def __init__(self):
-        self.version = 1
-        self.upstreams = [upstream("u1")]
-        self.cut = set()
-        self.calls = 0
-        self.routes = ()
-
-
-class StoreView:
-    """The store as one host reaches it."""
-
-    def __init__(self, store, host):
-        self._store = store
-        self._host = host
-
-    async def read(self, position, wait_s):
-        self._store.calls += 1
-        self._check()
-        if position == self._store.version:
-            await asyncio.sleep(wait_s)
-            self._check()
-        config = RoutingConfig(self._store.version, self._store.routes, ())
-        changed = position != self._store.version
-        return ConfigReading(config if changed else None, self._store.version)
-
-    async def list(self):
-        self._store.calls += 1
-        self._check()
-        await asyncio.sleep(0.004)
-        return list(self._store.upstreams)
-
-    def _check(self):
-        if self._host in self._store.cut:
-            raise SourceError("no answer")
-
-
-class Host:
-    """One host's followers, on a network in memory."""
-
-    def __init__(self, net, store, number, zone="z", peers=HOSTS):
-        address = Address(f"10.0.0.{number}:1")
-        seeds = [Address("10.0.0.0:1")]
-        addresses = [address] * 6
-        self.cfg = GatewaySettings(HostId(f"h{number}"), ZoneId(zone), *addresses, peers=seeds)
-        view = StoreView(store, self.cfg.host)
-        rng = random.Random(number)
-        self.state = GatewayState(self.cfg, None, view, view, None, None, rng, Freshness(5.0))
-        self.state.clock = asyncio.get_running_loop().time
-        self.net = net
-        link = net.link(address)
-        self.members = Membership(
-            self.cfg,
-            Incarnation(number),
-            link,
-            HostListing(),
-            lambda: (NO_OFFSET, 0.0),
-            rng=rng,
-        )
-        config_turn = ReadTurn(lambda: self.news.reads_config(), lambda: self.news.retry_factor())
-        list_turn = ReadTurn(lambda: self.news.reads_upstreams(), lambda: self.news.retry_factor())
-        self.config = ConfigFollower(self.state, lambda limits: None, config_turn)
-        self.upstreams = UpstreamFollower(self.state, list_turn)
-        shared = SharedLoads()
-        self.told_silent = set()
-        self.loads = PathLoads(lambda: float(peers), shared)
-        context = NewsContext(
-            self.state,
-            link,
-            self.members.hosts,
-            self.loads,
-            shared,
-            self.told_silent.update,
-        )
-        self.news = NewsFollower(context, self.config, self.upstreams)
-        self.zone_loads = ZoneLoads(context, lambda: self.news.is_reader)
-        net.put(address, NewsDesk(context, self.members))
-
-    def start(self):
-        parts = (self.members, self.config, self.upstreams, self.news, self.zone_loads)
-        runs = [part.run for part in parts]
-        return [asyncio.ensure_future(run(lambda: None)) for run in runs]
-
-
-def play(check, zones=("z",), count=HOSTS):
-    """Run hosts, of these zones in turn, for a while; then `check` with them and the store."""
-
-    async def run():
-        net, store = MemoryNet(), SharedStore()
-        peers = count // len(zones)
-        hosts = [Host(net, store, i, zones[i % len(zones)], peers) for i in range(count)]
-        tasks = [task for host in hosts for task in host.start()]
-        await asyncio.sleep(6.0)
-        try:
-            await check(hosts, store, net)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    run_virtual(run())
 
 
 def test_calls_to_the_store_dont_grow_with_the_hosts_of_a_zone():
@@ -373,7 +242,7 @@
 
     The baseline sent the whole configuration and list to each of 23 hosts when anything changed.
     """
-    monkeypatch.setattr(sys.modules[__name__], "NewsDesk", CountingDesk)
+    monkeypatch.setattr(news_site, "NewsDesk", CountingDesk)
     shares = (ServiceShare(ServiceName("s"), 1.0),)
 
     async def check(hosts, store, net):
--- a/test/test_list_history.py
+++ b/test/test_list_history.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from test_gateway_sharing import upstream
+from news_site import upstream
 
 from minttide.routing import list_history
 from minttide.routing.list_history import UNKNOWN, ListHistory, ListVersion
