--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -53,8 +53,7 @@
 
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
-        budget = self._budgets.for_service(request.service)
-        budget.record_first_attempt()
+        self._budgets.for_service(request.service).record_first_attempt()
         tried: list[UpstreamId] = []
         ran = 0
         while True:
@@ -66,13 +65,13 @@
             result = await self._send(request, upstream)
             tried.append(upstream.id)
             ran += result.outcome not in (ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT)
-            self._log(request, result, len(tried))
+            self._log(request, result, len(tried), ran)
             again = (
                 may_retry(result.outcome, request.route.repeatable)
                 and ran < request.route.max_attempts
                 and len(tried) < MAX_SENDS
                 and now_s() < request.end_s
-                and budget.try_spend(now_s())
+                and self._budgets.try_spend(request, len(tried))
             )
             if not again:
                 return self._finish(request, result, ran)
@@ -147,7 +146,7 @@
             ProblemType.UPSTREAM_FAILED, f"the upstream failed: {result.reason}"
         )
 
-    def _log(self, request: GatewayRequest, result: SendResult, sends: int) -> None:
+    def _log(self, request: GatewayRequest, result: SendResult, sends: int, ran: int) -> None:
         first_send_succeeded = result.outcome is ExchangeOutcome.ANSWERED and sends == 1
         log.log(
             logging.INFO if first_send_succeeded else logging.WARNING,
@@ -158,6 +157,8 @@
                 "service": request.service,
                 "upstream": result.upstream,
                 "send": sends,
+                "ran": ran,
+                "max_attempts": request.route.max_attempts,
                 "end": result.outcome.value,
                 "reason": result.reason,
                 "config": self._state.table.version if self._state.table else None,
--- a/daemon/minttided/gateway/callers/retry_budgets.py
+++ b/daemon/minttided/gateway/callers/retry_budgets.py
@@ -1,12 +1,16 @@
 """Limits the retries to each service, and sets the Retry-After of rejected requests."""
 
+import logging
 from collections.abc import Callable
 
 from minttide.ids import ServiceName
 from minttide.policy.retries import RetryBudget
 from minttide.policy.retry_after import RetryAfterPolicy
+from minttided.gateway.callers.request import GatewayRequest
 from minttided.gateway.state import GatewayState, now_s
 
+log = logging.getLogger(__name__)
+
 MIN_HOSTS = 8
 """Lowest divisor of the slack, since a host that has just started has few members yet."""
 
@@ -47,6 +51,28 @@
         budget.resize(half_slack / retries.window_s, half_slack)
         return budget
 
+    def try_spend(self, request: GatewayRequest, sends: int) -> bool:
+        """Take one retry of a request that was sent `sends` times, or return false.
+
+        Logs the decision with the inputs that it was based on.
+        """
+        budget = self.for_service(request.service)
+        hosts = self._count_hosts()
+        balance = budget.remaining(now_s())
+        allowed = budget.try_spend(now_s())
+        self._state.metrics.count_retry(request.service, allowed)
+        log.info(
+            "retry allowed" if allowed else "retry rejected",
+            extra={
+                "request": request.attempt_id,
+                "service": request.service,
+                "send": sends + 1,
+                "balance": balance,
+                "hosts": hosts,
+            },
+        )
+        return allowed
+
     def record_served(self, service: ServiceName) -> None:
         """Count a request that was served."""
         self._retry_policy(service).record_served(now_s())
--- a/daemon/minttided/gateway/streams/log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -41,8 +41,13 @@
         self._request = request
         self._request_size = request_size
 
-    def sent(self, path: Path, outcome: ExchangeOutcome, reason: str, progress: Progress) -> None:
-        """Log a send when its first event has arrived or it has failed."""
+    def sent(
+        self, path: Path, outcome: ExchangeOutcome, reason: str, progress: Progress, ran: int
+    ) -> None:
+        """Log a send when its first event has arrived or it has failed.
+
+        `ran` is the number of engines that may have run the request and still respond.
+        """
         first_send_succeeded = outcome is ExchangeOutcome.ANSWERED and progress.sends == 1
         log.log(
             logging.INFO if first_send_succeeded else logging.WARNING,
@@ -50,10 +55,13 @@
             extra={
                 "request": self._request.attempt_id,
                 "route": self._request.route.name,
+                "service": self._request.service,
                 "path": format_path(path),
                 "prompt": self._request_size.prompt,
                 "answer": self._request_size.answer,
                 "send": progress.sends,
+                "ran": ran,
+                "max_attempts": self._request.route.max_attempts,
                 "end": outcome.value,
                 "reason": reason,
                 "last_event": progress.last_event_id,
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -102,7 +102,7 @@
         if self._retry_reserved:
             self._retry_reserved = False
             return True
-        return self._budget.try_spend(now_s())
+        return self._context.budgets.try_spend(self._request, self.progress.sends)
 
     @property
     def _budget(self) -> RetryBudget:
@@ -157,7 +157,9 @@
         except (ExchangeError, EventTooLongError) as exc:
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
         await self._record_result(attempt, result)
-        self._log.sent(path, result.outcome, result.reason, self.progress)
+        self._log.sent(
+            path, result.outcome, result.reason, self.progress, self._responsive_attempts
+        )
         if result.event is None:
             self._end_attempt()
         return result
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -32,6 +32,9 @@
         self._decisions = self._counter(
             "minttide_decisions_total", "Routing and placement decisions, by kind."
         )
+        self._retries = self._counter(
+            "minttide_retries_total", "Retries, by service and whether the budget allowed them."
+        )
         self._dropped_replies = self._counter(
             "minttide_replies_dropped_total", "Replies of engines that no request was waiting for."
         )
@@ -87,6 +90,10 @@
         """Count a routing or placement decision."""
         self._decisions.inc({"kind": kind})
 
+    def count_retry(self, service: ServiceName, allowed: bool) -> None:
+        """Count a retry that the budget allowed or rejected."""
+        self._retries.inc({"service": service, "allowed": "yes" if allowed else "no"})
+
     def count_dropped_reply(self) -> None:
         """Count a late, duplicate or mismatched reply."""
         self._dropped_replies.inc({})
--- a/test/test_gateway_plain.py
+++ b/test/test_gateway_plain.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from gateway_site import NOT_RUN, RESET, GatewaySite, ScriptedUpstream, plain_response
 
+from minttided.gateway.settings import RetrySettings
+
 
 def send_one(*upstreams, **request):
     """Send one request to a gateway with these upstreams; return the response."""
@@ -175,3 +178,25 @@
     response, requests = asyncio.run(run())
     assert response.status == 503
     assert not requests
+
+
+@pytest.mark.parametrize("slack", [100.0, 0.0])
+def test_retry_decision_is_logged_with_its_inputs(slack, caplog):
+    caplog.set_level("INFO")
+    upstreams = [ScriptedUpstream(name, REJECTED, REJECTED) for name in "ab"]
+
+    async def run():
+        async with GatewaySite(*upstreams) as site:
+            retries = RetrySettings(share=0.0, slack=slack)
+            site.state.cfg = msgspec.structs.replace(site.state.cfg, retries=retries)
+            await site.send_request("get")
+            return site.state.metrics.render().decode()
+
+    metrics = asyncio.run(run())
+    event = "retry allowed" if slack else "retry rejected"
+    record = next(r for r in caplog.records if r.message.startswith("retry"))
+    assert record.message == event
+    assert (record.service, record.send, record.hosts) == ("plain", 2, 1)
+    assert record.balance == pytest.approx(slack / 32, abs=0.5)  # Half of a full budget.
+    allowed = "yes" if slack else "no"
+    assert f'minttide_retries_total{{allowed="{allowed}",service="plain"}}' in metrics
