Count an engine that missed a probe against a stream's limit of engines, unless it is found ended

What callers saw: nothing of their own; an engine got a request that had run on as many engines as its route allows. Cause: after an interruption an engine that doesn't answer one probe of 50 ms was taken for ended and didn't count. On a busy host, or behind a link that loses packets, live engines miss that probe. Class: a verdict from one missed deadline. Change: EngineRuns holds the engines that may have run a request as they were listed then. Where the limit depends on one that seems to have ended, its report is asked for three times at once with 0.3 s; one answer of that process counts it. Why it works: an engine that lives has to miss four independent probes, three of them six times as long. Test: test_engine_that_misses_a_probe_counts_as_an_engine_that_ran_the_stream failed in 2 of 3 cases before (3 engines where 2 are allowed), passes now; an engine that has really ended still doesn't count.

--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -16,6 +16,10 @@
 RESULT_MAX_AGE_S = 0.1
 """How long the result of a probe is reused."""
 
+CONFIRM_TIMEOUT_S = 0.3
+CONFIRM_PROBES = 3
+"""Concurrent probes of an engine that must all fail before it counts as ended."""
+
 MIN_CHECK_INTERVAL_S = 1.0
 """Shortest time between two probes of an engine that other engines or hosts report as failed."""
 
@@ -79,6 +83,25 @@
             if entry.id in on_trial:
                 self._reports.start(entry.id)
 
+    async def confirm_ended(self, entry: UpstreamEntry) -> bool:
+        """Return whether the process of `entry` answers none of several longer probes."""
+        probes = [asyncio.create_task(self._is_running(entry)) for _ in range(CONFIRM_PROBES)]
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe:
+                    return False
+            return True
+        finally:
+            for task in probes:
+                task.cancel()
+
+    async def _is_running(self, entry: UpstreamEntry) -> bool:
+        try:
+            report = await self._state.engines.report(entry, CONFIRM_TIMEOUT_S)
+        except SourceError:
+            return False
+        return not _has_restarted(entry, report)
+
     async def _connect(self, engine: UpstreamId) -> bool:
         entry = self._state.upstreams.get(engine)
         if entry is None:
@@ -101,7 +124,7 @@
         except SourceError as exc:
             self._suspect(entry, str(exc))
             return None
-        if entry.born_ms and report.born_ms and report.born_ms != entry.born_ms:
+        if _has_restarted(entry, report):
             self._suspect(entry, f"the engine restarted at {report.born_ms}")
             return None
         self._state.suspects.clear(entry.id)
@@ -114,6 +137,10 @@
         self._on_unresponsive(entry.id)
 
 
+def _has_restarted(entry: UpstreamEntry, report: EngineReport) -> bool:
+    return bool(entry.born_ms and report.born_ms and report.born_ms != entry.born_ms)
+
+
 class _SharedProbe(Generic[T]):
     """One kind of probe. Concurrent callers share a probe, and its result is reused for a while."""
 
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -9,7 +9,7 @@
 from minttide.layers.takeover import takeover_ms
 from minttide.problems import ProblemType, Ran
 from minttide.routing.outcome import ExchangeOutcome, may_forward_failure, may_retry
-from minttide.routing.routes import ModelSpec
+from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttide.routing.sources import EngineReport
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.plain import split_content_type
@@ -17,6 +17,7 @@
 from minttided.gateway.state import now_s
 from minttided.gateway.streams.attempt import OK, StreamAttempt, StreamSendResult
 from minttided.gateway.streams.context import StreamContext
+from minttided.gateway.streams.engine_runs import EngineRuns
 from minttided.gateway.streams.events import Event, EventTooLongError
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.paths import StreamPaths
@@ -50,7 +51,7 @@
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
         self._may_have_run = False
         self._retry_reserved = False  # whether the next send has already been paid from the budget
-        self._responsive_attempts = 0  # attempts that ran on an engine that still responds
+        self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._last_event_s = request.received_s
 
     @property
@@ -82,7 +83,7 @@
             again = (
                 result.outcome is not ExchangeOutcome.ANSWERED
                 and may_retry(result.outcome, self._request.route.repeatable)
-                and self._may_retry()
+                and await self._verify_may_retry()
                 and self._spend_retry()
             )
             if not again:
@@ -91,11 +92,18 @@
     def _may_retry(self) -> bool:
         """Return whether the request's own limits allow another send, apart from the budget."""
         return (
-            self._responsive_attempts < self._request.route.max_attempts
+            self._engine_runs.allows_another
             and self.progress.sends < MAX_SENDS
             and now_s() < self._request.end_s
         )
 
+    async def _verify_may_retry(self) -> bool:
+        """Return `_may_retry`, after the engines that seem to have ended were probed again."""
+        if not self._may_retry():
+            return False
+        await self._engine_runs.verify_ended()
+        return self._may_retry()
+
     def _spend_retry(self) -> bool:
         """Take a retry from the budget, unless one is reserved; return whether there was one."""
         if self._retry_reserved:
@@ -138,6 +146,7 @@
         if path is None:
             return StreamSendResult(ExchangeOutcome.REJECTED, "no path with free capacity")
         self._end_attempt()
+        entry = self._context.state.upstreams[path[0].engine]
         attempt = StreamAttempt(
             self._context, self._request, path, self._request_size, self._check_silence
         )
@@ -151,16 +160,16 @@
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
         except (ExchangeError, EventTooLongError) as exc:
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
-        await self._record_result(attempt, result)
-        self._log.sent(
-            path, result.outcome, result.reason, self.progress, self._responsive_attempts
-        )
+        await self._record_result(attempt, entry, result)
+        self._log.sent(path, result.outcome, result.reason, self.progress, self._engine_runs.count)
         if result.event is None:
             self._end_attempt()
         return result
 
-    async def _record_result(self, attempt: StreamAttempt, result: StreamSendResult) -> None:
-        """Record the result of a send, and avoid the engine that caused a failure."""
+    async def _record_result(
+        self, attempt: StreamAttempt, entry: UpstreamEntry, result: StreamSendResult
+    ) -> None:
+        """Record the result of a send to engine `entry`, and avoid one that caused a failure."""
         first = attempt.path[0].engine
         if result.outcome is ExchangeOutcome.REJECTED:
             self._paths.avoid_rejecting_engine(attempt, result.status, result.fault)
@@ -172,7 +181,8 @@
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        self._responsive_attempts += result.event is not None or await self._is_responsive(first)
+        responds = result.event is not None or await self._is_responsive(first)
+        self._engine_runs.add(entry, ended=not responds)
 
     async def _is_responsive(self, engine: UpstreamId) -> bool:
         """Return whether an engine whose exchange failed still responds to a probe."""
@@ -226,11 +236,11 @@
         self._end_attempt()
         self._paths.avoid([first])
         if not await self._is_responsive(first):
-            self._responsive_attempts -= 1
+            self._engine_runs.mark_last_ended()
         self._log.interrupted(reason, self.progress)
         if not self._request.route.resumable or self.progress.last_event_id is None:
             raise ExchangeError(reason)
-        while self._may_retry() and self._spend_retry():
+        while await self._verify_may_retry() and self._spend_retry():
             result = await self._send()
             if result.event is not None:
                 self._context.state.metrics.count_recovery(self._request.service, "resume")
@@ -266,7 +276,7 @@
         should_move = decision.remedy is Remedy.MOVE and not self._is_restart_faster(attempt)
         if should_move and await self._paths.move(attempt, decision.dead):
             return
-        if self._may_restart() and self._spend_retry():
+        if self._may_restart() and await self._verify_may_retry() and self._spend_retry():
             # Reserved now, since other streams of this host may check their engines concurrently.
             self._retry_reserved = True
             raise ExchangeError(decision.reason)
@@ -294,8 +304,7 @@
         return Silence(
             now_s() - max(attempt.sent_s, self._last_event_s),
             self._context.silence_threshold.between_events_s,
-            self._request.route.repeatable
-            and self._responsive_attempts < self._request.route.max_attempts,
+            self._request.route.repeatable and self._engine_runs.allows_another,
         )
 
     def _may_restart(self) -> bool:
--- a/test/test_gateway_recovery.py
+++ b/test/test_gateway_recovery.py
@@ -7,6 +7,7 @@
 from gateway_site import (
     END,
     NOT_RUN,
+    RESET,
     STREAM_HEAD,
     GatewaySite,
     ScriptedUpstream,
@@ -14,11 +15,19 @@
     plain_response,
     wait_until,
 )
-from stream_site import ALL_EVENTS, FAULT, MODEL, find_engine, make_site, wait_for_signal
+from stream_site import (
+    ALL_EVENTS,
+    FAULT,
+    MODEL,
+    find_engine,
+    make_site,
+    run_request,
+    wait_for_signal,
+)
 
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.shared_retries import CREDIT_CAPACITY, RetryLimit
-from minttide.routing.sources import OrderOutcome
+from minttide.routing.sources import OrderOutcome, SourceError
 
 
 def test_stream_is_moved_off_unresponsive_engine():
@@ -457,3 +466,32 @@
             return site.state.suspects.suspected()
 
     assert asyncio.run(run()) == {"a"}
+
+
+# Guards against streams on more engines than their route allows: a live engine missed one probe.
+@pytest.mark.parametrize(
+    ("missed", "restarts"),
+    [(1, 2), (2, 2), (1000, 3)],
+    ids=["once", "twice", "ended"],
+)
+def test_engine_that_misses_a_probe_counts_as_an_engine_that_ran_the_stream(missed, restarts):
+    """Each engine interrupts the stream, and the first doesn't answer its next probes."""
+    names = "abc"
+    site = make_site(**dict.fromkeys(names, (0, 4)))
+    for name in names:
+        find_engine(site, name).scripts = [[STREAM_HEAD, events(1, 2), RESET]] * 2
+    report = site.engines.report
+    missing = {}
+
+    async def report_unless_missed(entry, timeout_s):
+        first = missing.setdefault("engine", entry.id)
+        if entry.id == first and missing.get("probes", 0) < missed:
+            missing["probes"] = missing.get("probes", 0) + 1
+            await asyncio.sleep(timeout_s)
+            raise SourceError("no response")
+        return await report(entry, timeout_s)
+
+    site.engines.report = report_unless_missed
+    response = run_request(site)
+    assert not response.complete
+    assert sum(len(find_engine(site, name).requests) for name in names) == restarts
