--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -6,12 +6,12 @@
 
 import sys
 
-from spec import checkpoint, config, keys, lease, orders, power, revocation
+from spec import checkpoint, config, keys, lease, orders, power, retry_parts, revocation
 from spec.common import Result, Spec, check
 
 SPECS: list[Spec] = [
     spec
-    for module in (config, checkpoint, keys, lease, power, revocation, orders)
+    for module in (config, checkpoint, keys, lease, power, revocation, orders, retry_parts)
     for spec in module.SPECS
 ]
 
