Resume a stream whose retry is reserved although an engine that seemed ended answers again

An engine that answered only the second time left the stream without another attempt and without the one that was given up. Class: one decision made twice on inputs that change. Found in reading the diff. Change: a reserved retry isn't verified again.

--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -98,10 +98,12 @@
         )
 
     async def _verify_may_retry(self) -> bool:
-        """Return `_may_retry`, after the engines that seem to have ended were probed again."""
-        if not self._may_retry():
-            return False
-        await self._engine_runs.verify_ended()
+        """Return `_may_retry`, after the engines that seem to have ended were probed again.
+
+        A reserved retry was verified before the attempt was given up for it.
+        """
+        if self._may_retry() and not self._retry_reserved:
+            await self._engine_runs.verify_ended()
         return self._may_retry()
 
     def _spend_retry(self) -> bool:
--- a/test/test_gateway_recovery.py
+++ b/test/test_gateway_recovery.py
@@ -468,6 +468,22 @@
     assert asyncio.run(run()) == {"a"}
 
 
+def miss_reports_of_first_engine(site, missed):
+    """Let the engine that is asked first miss its first `missed` reports."""
+    report = site.engines.report
+    asked = []
+
+    async def report_unless_missed(entry, timeout_s):
+        if not asked or entry.id == asked[0]:
+            asked.append(entry.id)
+            if len(asked) <= missed:
+                await asyncio.sleep(timeout_s)
+                raise SourceError("no response")
+        return await report(entry, timeout_s)
+
+    site.engines.report = report_unless_missed
+
+
 # Guards against streams on more engines than their route allows: a live engine missed one probe.
 @pytest.mark.parametrize(
     ("missed", "restarts"),
@@ -480,18 +496,33 @@
     site = make_site(**dict.fromkeys(names, (0, 4)))
     for name in names:
         find_engine(site, name).scripts = [[STREAM_HEAD, events(1, 2), RESET]] * 2
-    report = site.engines.report
-    missing = {}
-
-    async def report_unless_missed(entry, timeout_s):
-        first = missing.setdefault("engine", entry.id)
-        if entry.id == first and missing.get("probes", 0) < missed:
-            missing["probes"] = missing.get("probes", 0) + 1
-            await asyncio.sleep(timeout_s)
-            raise SourceError("no response")
-        return await report(entry, timeout_s)
-
-    site.engines.report = report_unless_missed
+    miss_reports_of_first_engine(site, missed)
     response = run_request(site)
     assert not response.complete
     assert sum(len(find_engine(site, name).requests) for name in names) == restarts
+
+
+@pytest.mark.parametrize("missed", [4, 1000], ids=["returns", "ended"])
+def test_stream_that_was_given_up_is_resumed_although_its_first_engine_returns(missed):
+    """The first engine misses a probe and the three that confirm it, then it answers again."""
+    names = "abc"
+    site = make_site(**dict.fromkeys(names, (0, 4)))
+    hang = asyncio.Event()
+    for name in names:
+        find_engine(site, name).scripts = [[STREAM_HEAD, events(1), RESET]]
+    miss_reports_of_first_engine(site, missed)
+    later = [[STREAM_HEAD, events(2), hang.wait, END], [STREAM_HEAD, events(3), END]]
+
+    def on_data(data):
+        script = later.pop(0) if later else None
+        for name in names:
+            if script and not find_engine(site, name).requests:
+                find_engine(site, name).scripts = [script]
+
+    async def run():
+        async with site:
+            response = await site.send_request("draft", "POST", on_data=on_data)
+            hang.set()
+            return response
+
+    assert asyncio.run(asyncio.wait_for(run(), 30)).chunks == ALL_EVENTS
