--- a/measure/retry_windows.py
+++ b/measure/retry_windows.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from minttide.ids import HostId, ServiceName
+from minttide.policy.shared_retries import RetryLimit
 
 SENT_EVENTS = ("stream sent", "request sent")
 
@@ -32,14 +33,6 @@
     number: int
 
 
-class Limit(msgspec.Struct, frozen=True):
-    """The most retries that a service may receive in a window: `slack + share * requests`."""
-
-    share: float
-    slack: float
-    window_s: float
-
-
 class Window(msgspec.Struct, frozen=True):
     """The fullest window of one service, which ends at `end_s` in Unix time."""
 
@@ -66,7 +59,7 @@
             )
 
 
-def find_fullest_windows(sends: Iterable[Send], limit: Limit) -> dict[ServiceName, Window]:
+def find_fullest_windows(sends: Iterable[Send], limit: RetryLimit) -> dict[ServiceName, Window]:
     """Return the window of each service in which the largest part of the limit was used.
 
     Requests are those of the window, of the one before it, or of the one half a window before it,
@@ -81,7 +74,7 @@
     }
 
 
-def _windows(sends: Sequence[Send], limit: Limit) -> Iterator[Window]:
+def _windows(sends: Sequence[Send], limit: RetryLimit) -> Iterator[Window]:
     first_s = [s.at_s for s in sends if s.number == 1]
     retries = [s for s in sends if s.number > 1]
     retry_s = [s.at_s for s in retries]
@@ -100,7 +93,7 @@
         yield Window(end_s, len(found), requests, allowed, dict(host_retries))
 
 
-def _empty_window(limit: Limit) -> Window:
+def _empty_window(limit: RetryLimit) -> Window:
     return Window(0.0, 0, 0, limit.slack, {})
 
 
@@ -121,7 +114,7 @@
     parser.add_argument("--window", type=float, default=10.0, metavar="SECONDS")
     args = parser.parse_args()
     sends = [s for path in args.logs for s in read_sends(path.open(errors="replace"))]
-    limit = Limit(args.share, args.slack, args.window)
+    limit = RetryLimit(args.share, args.slack, args.window)
     for service, window in sorted(find_fullest_windows(sends, limit).items()):
         end = datetime.fromtimestamp(window.end_s).time()
         print(
--- a/test/test_retry_windows.py
+++ b/test/test_retry_windows.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from measure.retry_windows import Limit, find_fullest_windows, read_sends
+from measure.retry_windows import find_fullest_windows, read_sends
+from minttide.policy.shared_retries import RetryLimit
 
-LIMIT = Limit(share=0.2, slack=10.0, window_s=10.0)
+LIMIT = RetryLimit(share=0.2, slack=10.0, window_s=10.0)
 
 
 def line(second, host="h1", event="stream sent", send=1, service="model"):
