--- a/measure/retry_windows.py
+++ b/measure/retry_windows.py
@@ -79,9 +79,7 @@
     retries = [s for s in sends if s.number > 1]
     retry_s = [s.at_s for s in retries]
     for end_s in retry_s:
-        found = retries[
-            _start_index(retry_s, end_s - limit.window_s) : bisect_right(retry_s, end_s)
-        ]
+        found = retries[bisect_left(retry_s, end_s - limit.window_s) : bisect_right(retry_s, end_s)]
         requests = max(
             _count_between(first_s, end_s - shift * limit.window_s, limit.window_s)
             for shift in (0.0, 0.5, 1.0)
@@ -98,11 +96,7 @@
 
 
 def _count_between(times: Sequence[float], end_s: float, length_s: float) -> int:
-    return bisect_right(times, end_s) - _start_index(times, end_s - length_s)
-
-
-def _start_index(times: Sequence[float], start_s: float) -> int:
-    return bisect_left(times, start_s)
+    return bisect_right(times, end_s) - bisect_left(times, end_s - length_s)
 
 
 def main() -> None:
