Look up a retry budget and the number of hosts once per decision

A retry decision counted the hosts twice, each request built a budget that was thrown away, and each count listed the seeds although they matter only to a host that has found no other. Change: a defaultdict, one count of the hosts, seeds only where needed; a comment on the call that only records. No change of behaviour.

--- a/daemon/minttided/gateway/callers/retry_budgets.py
+++ b/daemon/minttided/gateway/callers/retry_budgets.py
@@ -1,6 +1,7 @@
 """Limits the retries to each service, and sets the Retry-After of rejected requests."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 
 from minttide.ids import ServiceName
@@ -23,26 +24,27 @@
     def __init__(self, state: GatewayState, count_hosts: Callable[[], int], started_s: float):
         self._state = state
         self._count_hosts = count_hosts
-        self._started_s = started_s
-        self._budgets: dict[ServiceName, HostRetryBudget] = {}
+        self._budgets: defaultdict[ServiceName, HostRetryBudget] = defaultdict(
+            lambda: HostRetryBudget(started_s)
+        )
         self._retry_policies: dict[ServiceName, RetryAfterPolicy] = {}
 
     def record_request(self, service: ServiceName) -> None:
         """Count a request of a caller, which adds to the budget of its service."""
-        self._budget(service).record_request(self._limit)
+        self._budgets[service].record_request(self._limit)
 
     def remaining(self, service: ServiceName) -> float:
         """Return the number of retries left for a service."""
-        return self._budget(service).remaining(now_s(), self._limit, self._count_hosts())
+        return self._budgets[service].remaining(now_s(), self._limit, self._count_hosts())
 
     def try_spend(self, request: GatewayRequest, sends: int) -> bool:
         """Take one retry of a request that was sent `sends` times, or return false.
 
         Logs the decision with the inputs that it was based on.
         """
-        hosts = self._count_hosts()
-        balance = self.remaining(request.service)
-        allowed = self._budget(request.service).try_spend(now_s(), self._limit, hosts)
+        budget, hosts, now = self._budgets[request.service], self._count_hosts(), now_s()
+        balance = budget.remaining(now, self._limit, hosts)
+        allowed = budget.try_spend(now, self._limit, hosts)
         self._state.metrics.count_retry(request.service, allowed)
         log.info(
             "retry allowed" if allowed else "retry rejected",
@@ -68,8 +70,5 @@
     def _limit(self) -> RetryLimit:
         return self._state.cfg.retries
 
-    def _budget(self, service: ServiceName) -> HostRetryBudget:
-        return self._budgets.setdefault(service, HostRetryBudget(self._started_s))
-
     def _retry_policy(self, service: ServiceName) -> RetryAfterPolicy:
         return self._retry_policies.setdefault(service, RetryAfterPolicy(self._state.rng))
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -130,8 +130,10 @@
 
     def _count_up(self) -> int:
         count = self.table.count_up()
-        has_other_seeds = any(a != self.table.local_member.peer for a in self._list_seeds())
-        return 0 if count == 1 and has_other_seeds else count
+        return 0 if count == 1 and self._has_other_seeds() else count
+
+    def _has_other_seeds(self) -> bool:
+        return any(address != self.table.local_member.peer for address in self._list_seeds())
 
     def is_upstream_leaving(self, upstream: UpstreamId) -> bool:
         """Return whether a peer or the host list has announced that an upstream is leaving."""
@@ -212,7 +214,7 @@
     async def _run_probe_period(self, urgent: bool) -> None:
         for member in self.table.expire(_loop_time()):
             _log_member_change(member)
-        self.count_hosts()
+        self.count_hosts()  # Records the number, so that the largest is known when it is needed.
         self.table.upstreams.expire(self._wall_ms())
         await self._contact_seeds()
         targets = [self.table.next_probe()]
