Remember that an engine was confirmed to have ended, in place of a special case for reserved retries

A stream whose retry was reserved skipped the second verification, since that could contradict the first. Change: an engine of a request is running, seems ended, or has ended; only doubtful ones are probed, and only where the limit depends on them. The check of reserved retries is gone. What is new: an engine that was confirmed to have ended and answers again doesn't count for that request, which the rule allows for engines that were cut off.

--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -1,6 +1,7 @@
 """Counts the engines that may have run one request, against the limit of its route."""
 
 import asyncio
+from enum import Enum
 
 import msgspec
 
@@ -8,14 +9,19 @@
 from minttided.gateway.streams.probes import EngineProbes
 
 
-class EngineRun(msgspec.Struct):
-    """One engine that may have run the request. `ended` if its process seems to have ended since.
+class Liveness(Enum):
+    """What is known of the process of an engine that may have run the request."""
+
+    RUNNING = "running"
+    SEEMS_ENDED = "seems ended"  # one probe failed
+    ENDED = "ended"  # confirmed by more probes
 
-    `entry` is the engine as it was listed when the request was sent.
-    """
+
+class EngineRun(msgspec.Struct):
+    """One engine that may have run the request, as it was listed when the request was sent."""
 
     entry: UpstreamEntry
-    ended: bool = False
+    liveness: Liveness
 
 
 class EngineRuns:
@@ -29,7 +35,7 @@
     @property
     def count(self) -> int:
         """Return the number of engines that count."""
-        return sum(not run.ended for run in self._runs)
+        return sum(run.liveness is Liveness.RUNNING for run in self._runs)
 
     @property
     def allows_another(self) -> bool:
@@ -37,24 +43,24 @@
         return self.count < self._max_engines
 
     def add(self, entry: UpstreamEntry, ended: bool) -> None:
-        """Add an engine that may have run the request."""
-        self._runs.append(EngineRun(entry, ended))
+        """Add an engine that may have run the request; `ended` if it doesn't answer a probe."""
+        self._runs.append(EngineRun(entry, Liveness.SEEMS_ENDED if ended else Liveness.RUNNING))
 
     def mark_last_ended(self) -> None:
-        """Record that the engine added last seems to have ended."""
-        self._runs[-1].ended = True
+        """Record that the engine added last doesn't answer a probe."""
+        self._runs[-1].liveness = Liveness.SEEMS_ENDED
 
     async def verify_ended(self) -> None:
         """Probe engines that seem to have ended again, if the limit depends on them.
 
         A single probe may fail on an engine that runs, behind a link that loses packets or on a
-        busy host.
+        busy host. An engine that is confirmed to have ended stays so for this request.
         """
-        if len(self._runs) < self._max_engines:
+        doubtful = [run for run in self._runs if run.liveness is Liveness.SEEMS_ENDED]
+        if self.count + len(doubtful) < self._max_engines:
             return
-        doubtful = [run for run in self._runs if run.ended]
         confirmed = await asyncio.gather(
             *(self._probes.confirm_ended(run.entry) for run in doubtful)
         )
         for run, ended in zip(doubtful, confirmed, strict=True):
-            run.ended = ended
+            run.liveness = Liveness.ENDED if ended else Liveness.RUNNING
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -98,11 +98,8 @@
         )
 
     async def _verify_may_retry(self) -> bool:
-        """Return `_may_retry`, after the engines that seem to have ended were probed again.
-
-        A reserved retry was verified before the attempt was given up for it.
-        """
-        if self._may_retry() and not self._retry_reserved:
+        """Return `_may_retry`, after the engines that seem to have ended were probed again."""
+        if self._may_retry():
             await self._engine_runs.verify_ended()
         return self._may_retry()
 
