Use one calculation of the allowed retries in the two tests of the limit

Cause: read in the diff. The new test of hosts that come and go had the choice of the fullest of three windows again, beside the test of the budgets. Change: test/retry_windows.py; the assertions and bounds are the same.

--- a/test/test_gateway_budgets.py
+++ b/test/test_gateway_budgets.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import pytest
+from retry_windows import allowed_retries
 
 from minttide.ids import Address, HostId, ServiceName, ZoneId
 from minttide.policy.retry_after import RetryAfterPolicy
@@ -57,12 +58,7 @@
     window = 100
     for start in range(400 - window):
         retried = sum(retries[t] for t in range(start, start + window))
-        before = max(0, start - window)
-        requests = max(
-            sum(requested[t] for t in range(first, first + window))
-            for first in (start, before, (start + before) // 2)
-        )
-        assert retried <= RETRIES.share * requests + RETRIES.slack
+        assert retried <= allowed_retries(RETRIES, requested, start, window)
 
 
 def test_retry_after_spreads_rejected_callers_and_grows_with_their_number():
--- a/test/test_retry_budget_sharing.py
+++ b/test/test_retry_budget_sharing.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import pytest
+from retry_windows import allowed_retries
 
 from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ServiceName, ZoneId
 from minttide.policy.shared_retries import RetryLimit
@@ -115,12 +116,8 @@
         return max(self._used(case, start) for start in range(WINDOW, END - WINDOW))
 
     def _used(self, case, start):
-        requests = max(
-            sum(self.requests[t] for t in range(first, first + WINDOW))
-            for first in (start, start - WINDOW, start - WINDOW // 2)
-        )
         retries = sum(self.retries[case][t] for t in range(start, start + WINDOW))
-        return retries / (RETRIES.share * requests + RETRIES.slack)
+        return retries / allowed_retries(RETRIES, self.requests, start, WINDOW)
 
 
 async def restart_all(site):
