Log the parts of a request's prompt with each send of a stream

Change: 'stream sent' has the ids of the parts (`parts`), from a header whose name the platform's adapter gives. Test: test_parts_of_the_prompt_are_logged_with_each_send.

--- a/core/minttide/ids.py
+++ b/core/minttide/ids.py
@@ -16,6 +16,7 @@
 RequestId = NewType("RequestId", str)
 PublishId = NewType("PublishId", str)
 ClaimId = NewType("ClaimId", str)  # "<host>/<incarnation>/<sequence>"
+PromptPart = NewType("PromptPart", str)  # a part of a prompt that several requests may share
 IdempotencyKey = NewType("IdempotencyKey", str)
 ChainId = NewType("ChainId", str)
 Address = NewType("Address", str)  # "<IP address>:<port>"
--- a/core/minttide/routing/headers.py
+++ b/core/minttide/routing/headers.py
@@ -11,7 +11,8 @@
     `not_run` marks responses of upstreams that did not run the request, `fault_address` gives the
     address of the engine at fault. `path` lists the engines of a path with their layers.
     `prompt_tokens` holds the number of tokens of the prompt and the maximum of the answer,
-    `length_hint` the expected number of tokens of the answer.
+    `length_hint` the expected number of tokens of the answer. `prompt_parts` lists the parts of the
+    prompt in order, each as "<id>:<tokens>"; the last part belongs to the request itself.
     """
 
     attempt: str
@@ -24,3 +25,4 @@
     urgency: str
     prompt_tokens: str
     length_hint: str
+    prompt_parts: str
--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from minttide.ids import ServiceName, UpstreamId
+from minttide.ids import PromptPart, ServiceName, UpstreamId
 from minttide.layers.paths import RequestSize
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import AccountKeys, ModelSpec, Route
@@ -132,6 +132,13 @@
     return RequestSize(prompt, max(1.0, answer))
 
 
+def parse_prompt_parts(req: HttpRequest, names: HeaderNames) -> tuple[PromptPart, ...]:
+    """Return the ids of the parts of a request's prompt, in order, empty if it names none."""
+    entries = (req.header(names.prompt_parts) or "").split(",")
+    ids = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(PromptPart(part) for part in ids if part)
+
+
 def _parse_number(text: str) -> float | None:
     text = text.strip()
     return float(text) if text.isascii() and text.isdigit() else None
--- a/daemon/minttided/gateway/streams/log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -8,7 +8,7 @@
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Path, RequestSize
 from minttide.routing.outcome import ExchangeOutcome
-from minttided.gateway.callers.request import GatewayRequest
+from minttided.gateway.callers.request import GatewayRequest, parse_prompt_parts
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
@@ -59,6 +59,7 @@
                 "path": format_path(path),
                 "prompt": self._request_size.prompt,
                 "answer": self._request_size.answer,
+                "parts": parse_prompt_parts(self._request.req, self._state.headers),
                 "send": progress.sends,
                 "ran": ran,
                 "max_attempts": self._request.route.max_attempts,
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -44,6 +44,7 @@
     urgency="x-urgency",
     prompt_tokens="x-tokens",
     length_hint="x-hint",
+    prompt_parts="x-parts",
 )
 ANY_PORT = Address("127.0.0.1:0")
 KEY = "secret"
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -134,6 +134,14 @@
     assert run_request(site).chunks == ALL_EVENTS
 
 
+def test_parts_of_the_prompt_are_logged_with_each_send(caplog):
+    caplog.set_level("INFO")
+    site = make_site(a=(0, 4, [STREAM_HEAD, events(1, 2, 3), END]))
+    run_request(site, headers=[("x-parts", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")])
+    sent = [r for r in caplog.records if r.message == "stream sent"]
+    assert [r.parts for r in sent] == [("5c1e07a2", "91bd3f06", "e4402b7d")]
+
+
 def test_caller_disconnect_before_first_event_is_logged(caplog):
     caplog.set_level("INFO")
 
