Tell engines whose process has ended from engines that don't answer

Cause: a host that is cut off finds no engine answering, and an engine that crashed looks the same to it. Change: ProcessEndedError where the address refuses connections or another process answers; 'engine suspected' has ended=True or False. Tests: test_report_tells_a_process_that_ended_from_one_that_fails, four cases.

--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -13,6 +13,13 @@
     """The platform did not answer, or answered with something else than was requested."""
 
 
+class ProcessEndedError(SourceError):
+    """The process that was asked has ended: its address refuses connections, or another answers.
+
+    Unlike a missing answer, this shows that the address can be reached.
+    """
+
+
 class ConfigReading(msgspec.Struct, frozen=True):
     """The result of reading the configuration; `config` is None if it hasn't changed."""
 
@@ -93,7 +100,7 @@
         """Check that an engine accepts a connection, and close it. Raises `SourceError`."""
 
     async def report(self, entry: UpstreamEntry, timeout_s: float) -> EngineReport:
-        """Read an engine's report. Raises `SourceError`."""
+        """Read an engine's report. Raises `SourceError`, also as `ProcessEndedError`."""
 
     async def place(
         self, entry: UpstreamEntry, layers: LayerRange, fencing: int, seq: int | None, wait: bool
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -7,7 +7,7 @@
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
-from minttide.routing.sources import EngineReport, SourceError
+from minttide.routing.sources import EngineReport, ProcessEndedError, SourceError
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
@@ -110,7 +110,7 @@
         try:
             await self._state.engines.check_reachable(entry, PROBE_TIMEOUT_S)
         except SourceError as exc:
-            self._suspect(entry, str(exc))
+            self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return False
         return True
 
@@ -122,18 +122,21 @@
         try:
             report = await self._state.engines.report(entry, PROBE_TIMEOUT_S)
         except SourceError as exc:
-            self._suspect(entry, str(exc))
+            self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return None
         if _has_restarted(entry, report):
-            self._suspect(entry, f"the engine restarted at {report.born_ms}")
+            self._suspect(entry, f"the engine restarted at {report.born_ms}", ended=True)
             return None
         self._state.suspects.clear(entry.id)
         self._on_report(entry.id, report)
         return report
 
-    def _suspect(self, entry: UpstreamEntry, reason: str) -> None:
+    def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
+        """Avoid an engine that failed a probe; `ended` if its process is known to have ended."""
         if self._state.suspects.add(entry.id, now_s()):
-            log.warning("engine suspected", extra={"engine": entry.id, "reason": reason})
+            log.warning(
+                "engine suspected", extra={"engine": entry.id, "reason": reason, "ended": ended}
+            )
         self._on_unresponsive(entry.id)
 
 
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -15,6 +15,10 @@
     """No byte of the request was sent, and none will be."""
 
 
+class RefusedError(NotSentError):
+    """Nothing listens at the address."""
+
+
 class ExchangeError(Exception):
     """The exchange failed, after bytes of the request may have been sent."""
 
@@ -45,6 +49,8 @@
                 return cls(*await asyncio.open_connection(host, port, limit=READ_BYTES))
         except TimeoutError as exc:
             raise NotSentError("no connection in time") from exc
+        except ConnectionRefusedError as exc:
+            raise RefusedError(str(exc)) from exc
         except OSError as exc:
             raise NotSentError(str(exc)) from exc
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -16,7 +16,7 @@
 from minttide.config.settings import Bounds  # noqa: E402
 from minttide.ids import Address, HostId  # noqa: E402
 from minttide.routing.routes import LayerRange, RouteKind  # noqa: E402
-from minttide.routing.sources import SourceError  # noqa: E402
+from minttide.routing.sources import ProcessEndedError, SourceError  # noqa: E402
 from minttide_platform.decode import (  # noqa: E402
     decode_config,
     decode_entry,
@@ -323,3 +323,37 @@
             return [(await engines.report(entry, 5.0)).seq for _ in range(3)]
 
     assert asyncio.run(check()) == [3, 3, 3]
+
+
+ENDED_ENGINES = {
+    "nothing listens": (None, ProcessEndedError),
+    "another process has its address": (b"HTTP/1.1 421 X\r\n\r\n", ProcessEndedError),
+    "it closes the connection": (b"", SourceError),
+    "it fails": (b"HTTP/1.1 500 X\r\n\r\n", SourceError),
+}
+
+
+@pytest.mark.parametrize("case", ENDED_ENGINES)
+def test_report_tells_a_process_that_ended_from_one_that_fails(case):
+    response, expected = ENDED_ENGINES[case]
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        writer.close()
+
+    async def check():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            if response is None:
+                server.close()
+                await server.wait_closed()
+            entry = msgspec.structs.replace(
+                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
+            )
+            with pytest.raises(SourceError) as raised:
+                await HttpPathEngines().report(entry, 5.0)
+            return type(raised.value)
+
+    assert asyncio.run(check()) is expected
