--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -21,7 +21,7 @@
     ServiceSpec,
     UpstreamEntry,
 )
-from minttide.routing.sources import EngineReport, OrderOutcome, SourceError
+from minttide.routing.sources import EngineReport, OrderOutcome, ProcessEndedError, SourceError
 from minttide.routing.table import RouteTable
 from minttided.gateway.callers.plain import PlainForwarder
 from minttided.gateway.callers.request_handler import RequestHandler
@@ -163,25 +163,33 @@
 
 
 class FakeEngines:
-    """Reports and repath orders of scripted engines. The engines in `dead` don't respond."""
+    """Reports and repath orders of scripted engines.
+
+    The engines in `dead` don't respond; those in `ended` refuse connections.
+    """
 
     def __init__(self):
         self.dead = set()
+        self.ended = set()
         self.stalled = {}
         self.repaths = []
         self.outcome = OrderOutcome(True)
         self.moved = asyncio.Event()
 
     async def check_reachable(self, entry, timeout_s):
-        if entry.id in self.dead:
-            raise SourceError("no connection")
+        self._check(entry)
 
     async def report(self, entry, timeout_s):
-        if entry.id in self.dead:
-            raise SourceError("no response")
+        self._check(entry)
         stalled = self.stalled.get(entry.id, ())
         return EngineReport(0, False, 0, 0, 0.0, 0.0, 1.0, entry.layers, stalled)
 
+    def _check(self, entry):
+        if entry.id in self.ended:
+            raise ProcessEndedError("connection refused")
+        if entry.id in self.dead:
+            raise SourceError("no response")
+
     async def repath(self, entry, attempt, path, timeout_s):
         self.repaths.append((entry.id, attempt, path))
         self.moved.set()
