Block parts of prompts that crash one engine after the other

Cause: nothing remembers what a request that waited at an engine that ended had in its prompt. Each further request with the same part is new to every host. And engines that ended don't count against a route's limit, so that one request ended four. Ruled out: engines out of memory (they end with a request that has begun to be answered and no event). Change: hosts report which requests waited for their first event on an engine whose process has ended, tell each other within three hops, and block the part that explains three crashes in a row; requests with it get 503 at once, those in flight are abandoned. Blocks are kept in the store.

--- /dev/null
+++ b/core/minttide/policy/prompt_crashes.py
@@ -0,0 +1,370 @@
+"""Finds parts of prompts that make engines crash, from the requests that waited on each engine.
+
+Some inputs crash every engine that begins to answer them. Requests share parts of their prompts, so
+each further request with such a part would crash one more engine. All hosts exchange which requests
+waited for their first event on an engine when its process ended, and block a part once it explains
+several of these crashes in a row.
+
+Many requests may wait on an engine that crashes, most of them by chance. What tells them apart:
+
+- A request that has begun to answer shows that its parts don't crash engines. Crashes before that
+  no longer count for them.
+- Crashes count only one after the other: a request must have been sent after the previous crash
+  that counts. Engines that are lost at the same moment, with an availability zone for example,
+  count once for all requests that waited on them.
+- A crash counts for the part that explains most crashes, not for the others that waited there.
+- Parts that only ever occurred together are blocked only together.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import msgspec
+
+from minttide.ids import PromptPart, ServiceName, UpstreamId
+
+MIN_CRASHES = 3
+"""Crashes in a row that a part must explain before it is blocked."""
+
+MIN_REQUESTS = 2
+"""Different requests among them: a single request may crash engines by itself."""
+
+MAX_AMBIGUOUS_CRASHES = 4
+"""Crashes in a row up to which parts that explain them equally well are not blocked."""
+
+TRIAL_DELAY_S = 5.0
+"""Time from a block to the one request that is let through to find out whether it is wrong."""
+
+CERTAIN_CRASHES = 5
+"""Crashes after which no request is let through any more."""
+
+MAX_REPORTS = 2048
+"""Reports that are kept. The oldest are dropped, so that slow repetitions may go unnoticed."""
+
+MAX_BLOCKS = 256
+"""Blocks that are kept. The oldest are dropped."""
+
+MAX_STARTS = 4096
+"""Parts whose last start is kept."""
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
+    """A request that waited for its first event on an engine when the engine's process ended.
+
+    `parts` are the parts of its prompt that other requests may share. Times are in seconds: when
+    the request was sent, and when the end of the engine was noticed.
+    """
+
+    service: ServiceName
+    engine: UpstreamId
+    born_ms: int
+    request: str
+    parts: tuple[PromptPart, ...]
+    sent_s: float
+    ended_s: float
+
+    @property
+    def process(self) -> "Process":
+        """Return what identifies the process that ended."""
+        return self.engine, self.born_ms
+
+
+class PartStart(msgspec.Struct, frozen=True, array_like=True, tag="start"):
+    """A request with this part began to answer at `started_s`, in seconds."""
+
+    service: ServiceName
+    part: PromptPart
+    started_s: float
+
+
+class PartBlock(msgspec.Struct, frozen=True, array_like=True, tag="block"):
+    """Requests whose prompts have all of `parts` are not sent to engines of the service.
+
+    `ended_s` is the time of the last crash that led to the block, in seconds.
+    """
+
+    service: ServiceName
+    parts: tuple[PromptPart, ...]
+    ended_s: float
+
+    @property
+    def key(self) -> "BlockKey":
+        """Return what identifies the block."""
+        return self.service, self.parts
+
+
+CrashNews = CrashReport | PartStart | PartBlock
+"""What hosts tell each other."""
+
+BlockKey = tuple[ServiceName, tuple[PromptPart, ...]]
+Process = tuple[UpstreamId, int]
+PartKey = tuple[ServiceName, PromptPart]
+
+
+def _ignore(_: object) -> None:
+    """Do nothing with a change."""
+
+
+def shift_times(news: CrashNews, by_s: float) -> CrashNews:
+    """Return news with its times moved, to convert between clocks."""
+    if isinstance(news, CrashReport):
+        return msgspec.structs.replace(news, sent_s=news.sent_s + by_s, ended_s=news.ended_s + by_s)
+    if isinstance(news, PartStart):
+        return msgspec.structs.replace(news, started_s=news.started_s + by_s)
+    return msgspec.structs.replace(news, ended_s=news.ended_s + by_s)
+
+
+def count_in_a_row(reports: Iterable[CrashReport]) -> int:
+    """Return the largest number of reports of different processes whose waits don't overlap."""
+    crashes = 0
+    last_ended_s = float("-inf")
+    processes = set()
+    for report in sorted(reports, key=lambda r: r.ended_s):
+        if report.sent_s >= last_ended_s and report.process not in processes:
+            crashes += 1
+            last_ended_s = report.ended_s
+            processes.add(report.process)
+    return crashes
+
+
+class PromptCrashes:
+    """The reports of crashes known to one host, and the parts of prompts that it blocks.
+
+    `on_news` is called with each change that other hosts should learn of, `on_block` with each new
+    block and `on_unblock` with each that ends. All hosts with the same reports block the same
+    parts.
+    """
+
+    def __init__(self) -> None:
+        self.on_news: Callable[[CrashNews], None] = _ignore
+        self.on_block: Callable[[PartBlock], None] = _ignore
+        self.on_unblock: Callable[[PartBlock], None] = _ignore
+        self._reports: dict[tuple[UpstreamId, int, str], CrashReport] = {}
+        self._reports_by_part: defaultdict[PartKey, list[CrashReport]] = defaultdict(list)
+        self._started_s: dict[PartKey, float] = {}
+        self._blocks: dict[BlockKey, PartBlock] = {}
+        self._trials_s: dict[BlockKey, float] = {}  # when a request may be let through
+
+    @property
+    def blocks(self) -> Mapping[BlockKey, PartBlock]:
+        """Return the blocks in force."""
+        return self._blocks
+
+    @property
+    def reports(self) -> Collection[CrashReport]:
+        """Return the reports that are kept, the oldest first."""
+        return self._reports.values()
+
+    def find_block(self, service: ServiceName, parts: Collection[PromptPart]) -> PartBlock | None:
+        """Return the block that applies to a request, if any."""
+        for block in self._blocks.values():
+            if block.service == service and all(part in parts for part in block.parts):
+                return block
+        return None
+
+    def take_trial(self, block: PartBlock, now_s: float) -> bool:
+        """Return whether one request may be sent although it is blocked, once for each block.
+
+        A part that was blocked by chance would stay so if no request with it was under way. Only
+        the host whose report led to the block makes the trial, and not after many crashes.
+        """
+        if now_s < self._trials_s.get(block.key, float("inf")):
+            return False
+        del self._trials_s[block.key]
+        reports = self._reports_by_part.get((block.service, block.parts[0]), ())
+        return len({report.process for report in reports}) < CERTAIN_CRASHES
+
+    # News, from this host or from others.
+
+    def add(self, news: Iterable[CrashNews], own: bool = False) -> None:
+        """Apply news, `own` if it is this host's; what was known already has no effect."""
+        touched: set[PartKey] = set()
+        for item in news:
+            if isinstance(item, CrashReport):
+                touched |= self._add_report(item)
+            elif isinstance(item, PartStart):
+                self._record_start((item.service, item.part), item.started_s)
+            else:
+                self._add_block(item)
+        if any(len(self._reports_by_part.get(key, ())) >= MIN_CRASHES for key in touched):
+            before = set(self._blocks)
+            self._update_blocks({service for service, _ in touched})
+            for key in set(self._blocks) - before if own else ():
+                self._trials_s[key] = self._blocks[key].ended_s + TRIAL_DELAY_S
+
+    def record_start(self, service: ServiceName, parts: Iterable[PromptPart], now_s: float) -> None:
+        """Record that a request with these parts has begun to answer."""
+        for part in parts:
+            self._record_start((service, part), now_s)
+
+    def _add_report(self, report: CrashReport) -> set[PartKey]:
+        """Add a report; return the parts for which it is evidence."""
+        name = (*report.process, report.request)
+        if name in self._reports:
+            return set()
+        if len(self._reports) >= MAX_REPORTS:
+            self._drop_report(next(iter(self._reports)))
+        self._reports[name] = report
+        keys = {(report.service, part) for part in report.parts}
+        for key in keys:
+            self._reports_by_part[key].append(report)
+        self.on_news(report)
+        for key in keys:
+            started_s = self._started_s.get(key)
+            if started_s is not None and started_s > report.ended_s:
+                self.on_news(PartStart(*key, started_s))  # Other hosts may not know it.
+        return keys
+
+    def _drop_report(self, name: tuple[UpstreamId, int, str]) -> None:
+        report = self._reports.pop(name)
+        for part in set(report.parts):
+            key = (report.service, part)
+            self._reports_by_part[key].remove(report)
+            if not self._reports_by_part[key]:
+                del self._reports_by_part[key]
+
+    def _record_start(self, key: PartKey, started_s: float) -> None:
+        before_s = self._started_s.pop(key, float("-inf"))
+        self._started_s[key] = max(before_s, started_s)
+        if len(self._started_s) > MAX_STARTS:
+            del self._started_s[next(iter(self._started_s))]
+        if started_s <= before_s:
+            return
+        is_news = any(before_s < r.ended_s < started_s for r in self._reports_by_part.get(key, ()))
+        blocks = [
+            b
+            for b in self._blocks.values()
+            if b.service == key[0] and key[1] in b.parts and b.ended_s < started_s
+        ]
+        if is_news or blocks:
+            self.on_news(PartStart(*key, started_s))
+        for block in blocks:
+            self._remove_block(block)
+            self._add_block(block)
+
+    def _remove_block(self, block: PartBlock) -> None:
+        del self._blocks[block.key]
+        self._trials_s.pop(block.key, None)
+        self.on_unblock(block)
+
+    def _add_block(self, block: PartBlock) -> None:
+        """Add a block, without the parts that have begun to answer since."""
+        suspects = tuple(
+            part
+            for part in block.parts
+            if self._started_s.get((block.service, part), float("-inf")) < block.ended_s
+        )
+        if not suspects:
+            return
+        block = msgspec.structs.replace(block, parts=suspects)
+        if block.key in self._blocks or self._is_superseded(block):
+            return
+        for other in list(self._blocks.values()):
+            if other.service == block.service and set(suspects) < set(other.parts):
+                self._remove_block(other)
+        if len(self._blocks) >= MAX_BLOCKS:
+            self._remove_block(next(iter(self._blocks.values())))
+        self._blocks[block.key] = block
+        self.on_news(block)
+        self.on_block(block)
+        for other in list(self._blocks.values()):
+            if self._is_superseded(other):
+                self._remove_block(other)
+
+    # Which part explains the crashes.
+
+    def _update_blocks(self, services: Collection[ServiceName]) -> None:
+        for service in services:
+            explained = self._find_explained(service)
+            while causes := _find_causes(evidence := self._find_evidence(service, explained)):
+                for parts in causes:
+                    reports = evidence[parts[0]]
+                    ended_s = max(report.ended_s for report in reports)
+                    self._add_block(PartBlock(service, parts, ended_s))
+                    _add_explained(explained, reports)
+
+    def _find_explained(self, service: ServiceName) -> dict[Process, int]:
+        """Return the processes that ended under a part that is blocked by itself.
+
+        With each process, this returns how many crashes in a row the part explains. Of parts that
+        are blocked together, a later crash may show which one was the cause.
+        """
+        explained: dict[Process, int] = {}
+        for of_service, parts in self._blocks:
+            if of_service != service or len(parts) > 1:
+                continue
+            _add_explained(explained, self._reports_by_part.get((service, parts[0]), ()))
+        return explained
+
+    def _find_evidence(
+        self, service: ServiceName, explained: Mapping[Process, int]
+    ) -> dict[PromptPart, list[CrashReport]]:
+        """Return the reports for each part that no start of an answer refutes.
+
+        Crashes that a blocked part explains count only for a part that explains more than that one:
+        the blocked part may have waited there by chance.
+        """
+        evidence = {}
+        for (of_service, part), reports in self._reports_by_part.items():
+            if of_service != service or len(reports) < MIN_CRASHES:
+                continue
+            since_s = self._started_s.get((service, part), float("-inf"))
+            found = [report for report in reports if report.ended_s > since_s]
+            by_others = max((explained.get(report.process, 0) for report in found), default=0)
+            if count_in_a_row(found) <= by_others:
+                found = [report for report in found if report.process not in explained]
+            if len(found) >= MIN_CRASHES:
+                evidence[part] = found
+        return evidence
+
+    def _find_processes(self, block: BlockKey) -> set[Process]:
+        """Return the processes that ended under a part that is blocked by itself."""
+        service, (part,) = block
+        return {report.process for report in self._reports_by_part.get((service, part), ())}
+
+    def _is_superseded(self, block: PartBlock) -> bool:
+        """Return whether another blocked part explains all crashes of a block, and more."""
+        if len(block.parts) > 1:
+            return False
+        processes = self._find_processes(block.key)
+        others = (key for key in self._blocks if key != block.key and key[0] == block.service)
+        return bool(processes) and any(
+            processes < self._find_processes(key) for key in others if len(key[1]) == 1
+        )
+
+
+def _add_explained(explained: dict[Process, int], reports: Collection[CrashReport]) -> None:
+    """Add the processes of a part's reports, with the number of crashes that it explains."""
+    crashes = count_in_a_row(reports)
+    for report in reports:
+        explained[report.process] = max(crashes, explained.get(report.process, 0))
+
+
+def _find_causes(
+    evidence: Mapping[PromptPart, list[CrashReport]],
+) -> list[tuple[PromptPart, ...]]:
+    """Return the parts, or the parts that only occurred together, that explain most crashes.
+
+    Of parts that explain the same crashes equally well none is returned, up to
+    `MAX_AMBIGUOUS_CRASHES`: the next crash may decide.
+    """
+    crashes = {
+        part: count_in_a_row(reports)
+        for part, reports in evidence.items()
+        if len({r.request for r in reports}) >= MIN_REQUESTS
+    }
+    most = max(crashes.values(), default=0)
+    if most < MIN_CRASHES:
+        return []
+    together: defaultdict[frozenset[CrashReport], list[PromptPart]] = defaultdict(list)
+    for part, crash_count in crashes.items():
+        if crash_count == most:
+            together[frozenset(evidence[part])].append(part)
+    groups_at = Counter(
+        process for reports in together for process in {report.process for report in reports}
+    )
+    return [
+        tuple(sorted(parts))
+        for reports, parts in together.items()
+        if most > MAX_AMBIGUOUS_CRASHES or all(groups_at[r.process] == 1 for r in reports)
+    ]
--- a/core/minttide/problems.py
+++ b/core/minttide/problems.py
@@ -35,6 +35,7 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     ANSWER_NOT_KEPT = "answer-not-kept"
     LEAVING = "leaving"
+    PROMPT_BLOCKED = "prompt-blocked"
     INTERNAL = "internal"
 
 
--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from minttide.ids import Address
+from minttide.ids import Address, PromptPart, ServiceName
 from minttide.routing.routes import LayerRange, RoutingConfig, UpstreamEntry
 
 
@@ -61,6 +61,26 @@
         """Release the lease. Raises `SourceError`."""
 
 
+class StoredBlock(msgspec.Struct, frozen=True):
+    """Parts of prompts on which the engines of a service crash when they occur together."""
+
+    service: ServiceName
+    parts: tuple[PromptPart, ...]
+
+
+class BlockSource(Protocol):
+    """The blocked parts of prompts, kept for processes that start later."""
+
+    async def load(self) -> Sequence[StoredBlock]:
+        """Return all blocks that are kept. Raises `SourceError`."""
+
+    async def save(self, block: StoredBlock) -> None:
+        """Keep a block. Saving it again has no effect. Raises `SourceError`."""
+
+    async def delete(self, block: StoredBlock) -> None:
+        """Keep a block no longer. Raises `SourceError`."""
+
+
 class EngineReport(msgspec.Struct, frozen=True):
     """An engine's report of its own state, some hundred milliseconds old.
 
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -12,7 +12,13 @@
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import ClientLimits
-from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
+from minttide.routing.sources import (
+    BlockSource,
+    ConfigSource,
+    LeaseSource,
+    PathEngines,
+    UpstreamSource,
+)
 from minttided.gateway.callers.directory import HealthHandler, ResolveBody, ResolveHandler
 from minttided.gateway.callers.plain import PlainForwarder
 from minttided.gateway.callers.request_handler import RequestHandler
@@ -22,8 +28,11 @@
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams.forwarder import StreamForwarder
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
+from minttided.gateway.sync.block_keeper import BlockKeeper
 from minttided.gateway.sync.client import SyncClient
 from minttided.gateway.sync.context import SyncContext
+from minttided.gateway.sync.crash_news import CrashNewsState
+from minttided.gateway.sync.crash_sender import CrashNewsSender
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
@@ -76,11 +85,13 @@
         upstream_source: UpstreamSource,
         lease: LeaseSource,
         engines: PathEngines,
+        blocks: BlockSource,
         net: PeerNetwork | None = None,
         seed: int | None = None,
     ):
         self.cfg = cfg
         self._sync_client: SyncClient
+        self._block_source = blocks
         self._wire_format = wire_format
         self._net = net or GrpcNetwork()
         rng = random.Random(time.time_ns() if seed is None else seed)
@@ -129,6 +140,7 @@
 
     async def _assemble(self, stack: AsyncExitStack) -> None:
         cfg = self.cfg
+        self.state.await_blocks()
         peer_client = await stack.enter_async_context(self._net.open_client(cfg.peer))
         self.membership = Membership(
             cfg,
@@ -171,6 +183,7 @@
         """Create the store watchers and the peer sync, with which hosts share what one has read."""
         context = SyncContext(
             self.state,
+            CrashNewsState(self.state),
             peer_client,
             self.membership.hosts,
             self._loads,
@@ -188,6 +201,10 @@
         self._upstream_watcher = UpstreamWatcher(self.state, list_policy)
         self._sync_client = SyncClient(context, self._config_watcher, self._upstream_watcher)
         self._sync_server = SyncServer(context, self.membership)
+        self._crash_sender = CrashNewsSender(context)
+        self._block_keeper = BlockKeeper(
+            self.state, self._block_source, lambda: self._sync_client.is_reader
+        )
         self._zone_loads = ZoneLoadExchange(context, lambda: self._sync_client.is_reader)
 
     def _make_supervisor(self) -> Supervisor:
@@ -195,12 +212,14 @@
             Child("configuration", self._config_watcher.run),
             Child("upstreams", self._upstream_watcher.run),
             Child("placement", self._placer.run),
+            Child("prompt blocks", self._block_keeper.run),
         ]
         peers = [
             Child("peer listener", self._run_peer_listener),
             Child("probes", self.membership.run),
             Child("news", self._sync_client.run),
             Child("loads of zones", self._zone_loads.run),
+            Child("crash news", self._crash_sender.run),
         ]
         resolver = ResolveHandler(
             self.membership.hosts,
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -9,6 +9,8 @@
 
 from minttide.ids import ServiceName, UpstreamId
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
+from minttide.policy.crash_news import CrashNewsLog
+from minttide.policy.prompt_crashes import CrashNews, PromptCrashes
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.list_history import ListHistory
@@ -21,6 +23,12 @@
 
 _EPOCH_BITS = 63
 
+MAX_BLOCKS_WAIT_S = 3.0
+"""How long a new process takes no streams if nobody tells it which parts of prompts are blocked.
+
+After that, streams are served without: the platform's store may be unavailable for long.
+"""
+
 
 def _create_list_history() -> ListHistory:
     return ListHistory(secrets.randbits(_EPOCH_BITS))
@@ -36,7 +44,8 @@
     """The latest configuration and list of upstreams, and the sources they are read from.
 
     Times ending in `_s` are on `clock`. `list_complete_s` is when a list that was read after an
-    outage is complete again.
+    outage is complete again. Requests of streams wait until the blocks of prompt parts are known,
+    but not longer than `blocks_awaited_until_s`.
     """
 
     cfg: GatewaySettings
@@ -55,10 +64,33 @@
     upstreams_known: bool = False
     upstreams_read_s: float = float("-inf")
     list_complete_s: float = float("-inf")
+    blocks_awaited_until_s: float = float("-inf")
+    prompt_crashes: PromptCrashes = field(default_factory=PromptCrashes)
     leaving: bool = False
     clock: Callable[[], float] = boot_time_s  # for the ages of data; tests replace it
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
+        self.prompt_crashes.on_news = self._record_crash_news
+
+    def _record_crash_news(self, item: CrashNews) -> None:
+        self.crash_news.append(item)
+        self.notify_change()
+
+    def await_blocks(self) -> None:
+        """Wait a while until it is known which parts of prompts are blocked."""
+        self.blocks_awaited_until_s = self.clock() + MAX_BLOCKS_WAIT_S
+
+    def set_blocks_known(self) -> None:
+        """Record that this host knows the blocks from before it started."""
+        self.blocks_awaited_until_s = float("-inf")
+
+    @property
+    def awaits_blocks(self) -> bool:
+        """Return whether this process has yet to learn which parts of prompts are blocked."""
+        return self.clock() < self.blocks_awaited_until_s
+
     def notify_change(self) -> None:
         """Notify all tasks that wait for a change of the configuration or the upstreams."""
         self.changed.set()
@@ -92,12 +124,13 @@
     def serving(self) -> bool:
         """Return whether requests can be routed.
 
-        This needs a configuration, a list of upstreams and, where routes need an API key, a
-        configuration that is recent enough to accept keys.
+        This needs a configuration, a list of upstreams, for a while the blocks of prompt parts
+        and, where routes need an API key, a configuration that is recent enough to accept keys.
         """
         return (
             self.table is not None
             and self.upstreams_known
+            and not self.awaits_blocks
             and (not self.table.needs_key or self.freshness.keys_usable(self.clock()))
         )
 
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -205,12 +205,14 @@
             finally:
                 self._timeout = None
 
-    def interrupt_wait(self, engine: UpstreamId) -> None:
-        """End the current wait, so that the engines are checked, if the path includes `engine`."""
+    def uses(self, engine: UpstreamId) -> bool:
+        """Return whether the path includes an engine."""
+        return any(stage.engine == engine for stage in self._path)
+
+    def interrupt_wait(self) -> None:
+        """End the current wait, so that `on_silence` is called now."""
         timeout = self._timeout
-        if timeout is None or timeout.expired():
-            return
-        if any(stage.engine == engine for stage in self._path):
+        if timeout is not None and not timeout.expired():
             timeout.reschedule(now_s())
 
     def left_s(self) -> float:
--- a/daemon/minttided/gateway/streams/context.py
+++ b/daemon/minttided/gateway/streams/context.py
@@ -19,6 +19,9 @@
     def check_now(self, engine: UpstreamId) -> None:
         """Check the engines now if the stream's path includes `engine`."""
 
+    def check_blocked(self) -> None:
+        """Abandon the attempt if the prompt has been blocked since it was sent."""
+
 
 class StreamContext(Protocol):
     """What the streams of one host share."""
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -6,6 +6,7 @@
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, PathFinder, RequestSize, is_complete_path
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
+from minttide.policy.prompt_crashes import PartBlock
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.request import GatewayRequest, parse_request_size
 from minttided.gateway.callers.retry_budgets import RetryBudgets
@@ -31,6 +32,8 @@
         self.silence_threshold = SilenceThreshold()
         self._reported_engines = AvoidedUpstreams()
         self.budgets = budgets
+        state.prompt_crashes.on_block = self._on_block
+        state.prompt_crashes.on_unblock = self._on_unblock
 
     async def run(self, request: GatewayRequest, model: ModelSpec) -> HttpResponse | StreamResponse:
         """Return the response to a request; its events are streamed as they arrive.
@@ -46,6 +49,18 @@
         for run in list(self.runs):
             run.check_now(engine)
 
+    def _on_block(self, block: PartBlock) -> None:
+        """Abandon the streams that wait for their first event with a prompt that is blocked now."""
+        self.state.metrics.count_decision("block prompt part")
+        extra = {"service": block.service, "parts": block.parts}
+        log.warning("prompt part blocked", extra=extra)
+        for run in list(self.runs):
+            run.check_blocked()
+
+    def _on_unblock(self, block: PartBlock) -> None:
+        extra = {"service": block.service, "parts": block.parts}
+        log.warning("prompt part unblocked", extra=extra)
+
     def choose_path(
         self,
         service: ServiceName,
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -20,6 +20,9 @@
 CONFIRM_PROBES = 3
 """Concurrent probes of an engine that must all fail before it counts as ended."""
 
+MAX_ENDED = 1024
+"""Processes found to have ended that are kept."""
+
 MIN_CHECK_INTERVAL_S = 1.0
 """Shortest time between two probes of an engine that other engines or hosts report as failed."""
 
@@ -46,6 +49,7 @@
         self._on_report = on_report
         self._reports = _SharedProbe(self._fetch_report)
         self._connections = _SharedProbe(self._connect)
+        self._ended: dict[tuple[UpstreamId, int], None] = {}
 
     @property
     def idle(self) -> bool:
@@ -63,6 +67,15 @@
         """Return the report of each engine, or `None` for an engine that doesn't respond."""
         return await self._reports.get(engines)
 
+    async def responds(self, engine: UpstreamId) -> bool:
+        """Return whether an engine whose exchange has just failed still answers a probe."""
+        found = await self._reports.get([engine], since_s=now_s())
+        return found[engine] is not None
+
+    def has_ended(self, entry: UpstreamEntry) -> bool:
+        """Return whether the last probes showed that the process of `entry` has ended."""
+        return (entry.id, entry.born_ms) in self._ended
+
     def verify_unreachable(self, engines: Iterable[UpstreamId]) -> None:
         """Start a connection probe of engines that other hosts can't reach."""
         untrusted = self._state.suspects.suspected()
@@ -128,11 +141,16 @@
             self._suspect(entry, f"the engine restarted at {report.born_ms}", ended=True)
             return None
         self._state.suspects.clear(entry.id)
+        self._ended.pop((entry.id, entry.born_ms), None)
         self._on_report(entry.id, report)
         return report
 
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
         """Avoid an engine that failed a probe; `ended` if its process is known to have ended."""
+        if ended:
+            self._ended[(entry.id, entry.born_ms)] = None
+            if len(self._ended) > MAX_ENDED:
+                del self._ended[next(iter(self._ended))]
         if self._state.suspects.add(entry.id, now_s()):
             log.warning(
                 "engine suspected", extra={"engine": entry.id, "reason": reason, "ended": ended}
@@ -156,15 +174,18 @@
     def idle(self) -> bool:
         return not self._running
 
-    async def get(self, engines: Iterable[UpstreamId]) -> dict[UpstreamId, T]:
-        """Return a recent result for each engine."""
+    async def get(
+        self, engines: Iterable[UpstreamId], since_s: float = float("-inf")
+    ) -> dict[UpstreamId, T]:
+        """Return a recent result for each engine, none from before `since_s` in loop seconds."""
         names = list(engines)
-        found = await asyncio.gather(*(self._get_one(e) for e in names))
+        found = await asyncio.gather(*(self._get_one(e, since_s) for e in names))
         return dict(zip(names, found, strict=True))
 
-    async def _get_one(self, engine: UpstreamId) -> T:
-        if self.age_s(engine) < RESULT_MAX_AGE_S:
-            return self._results[engine][1]
+    async def _get_one(self, engine: UpstreamId, since_s: float) -> T:
+        result = self._results.get(engine)
+        if result is not None and result[0] >= max(since_s, now_s() - RESULT_MAX_AGE_S):
+            return result[1]
         return await asyncio.shield(self.start(engine))
 
     def age_s(self, engine: UpstreamId) -> float:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -21,12 +21,15 @@
 from minttided.gateway.streams.events import Event, EventTooLongError
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.paths import StreamPaths
+from minttided.gateway.streams.prompt_guard import PromptGuard
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
 MIN_RESTART_BUDGET = 2.0
 """Retries that must be left in the budget to restart a stream that could be moved instead."""
 
+BLOCKED = "a part of the prompt is blocked"
+
 MAX_SENDS = 5
 """Sends of one stream, including those that engines rejected."""
 
@@ -52,6 +55,7 @@
         self._may_have_run = False
         self._retry_reserved = False  # whether the next send has already been paid from the budget
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
+        self._prompt_guard = PromptGuard(context.state, request)
         self._last_event_s = request.received_s
 
     @property
@@ -93,6 +97,7 @@
         """Return whether the request's own limits allow another send, apart from the budget."""
         return (
             self._engine_runs.allows_another
+            and self._prompt_guard.allows_send
             and self.progress.sends < MAX_SENDS
             and now_s() < self._request.end_s
         )
@@ -119,6 +124,9 @@
             return result.response
         if not self._may_have_run:
             metrics.count_request(service, Ran.NOT_RUN)
+            blocked_error = self._prompt_guard.rejection()
+            if blocked_error is not None:
+                raise blocked_error
             retry_after_s = self._context.budgets.record_rejection(service)
             raise not_run_error(
                 ProblemType.NO_CHAIN,
@@ -141,6 +149,8 @@
 
     async def _send(self) -> StreamSendResult:
         """Send the request once along a newly chosen path and wait for the first event."""
+        if self._prompt_guard.block is not None:
+            return StreamSendResult(ExchangeOutcome.REJECTED, BLOCKED)
         path = self._paths.choose()
         if path is None:
             return StreamSendResult(ExchangeOutcome.REJECTED, "no path with free capacity")
@@ -180,13 +190,11 @@
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        responds = result.event is not None or await self._is_responsive(first)
+        probes = self._context.probes
+        responds = result.event is not None or await probes.responds(first)
         self._engine_runs.add(entry, ended=not responds)
-
-    async def _is_responsive(self, engine: UpstreamId) -> bool:
-        """Return whether an engine whose exchange failed still responds to a probe."""
-        reports = await self._context.probes.fetch_reports([engine])
-        return reports[engine] is not None
+        if not responds and probes.has_ended(entry):
+            self._prompt_guard.record_ended(entry, attempt.sent_s)
 
     # Events.
 
@@ -216,6 +224,7 @@
         now = now_s()
         progress = self.progress
         if progress.first_event_s is None:
+            self._prompt_guard.record_start()
             progress.first_event_s = now - self._request.received_s
             metrics = self._context.state.metrics
             metrics.observe_first_token(self._request.service, progress.first_event_s)
@@ -234,7 +243,7 @@
         first = self._attempt.path[0].engine
         self._end_attempt()
         self._paths.avoid([first])
-        if not await self._is_responsive(first):
+        if not await self._context.probes.responds(first):
             self._engine_runs.mark_last_ended()
         self._log.interrupted(reason, self.progress)
         if not self._request.route.resumable or self.progress.last_event_id is None:
@@ -252,8 +261,13 @@
 
     def check_now(self, engine: UpstreamId) -> None:
         """Check the engines now if the stream's path includes `engine`."""
-        if self._attempt is not None:
-            self._attempt.interrupt_wait(engine)
+        if self._attempt is not None and self._attempt.uses(engine):
+            self._attempt.interrupt_wait()
+
+    def check_blocked(self) -> None:
+        """Abandon the attempt if the prompt has been blocked since it was sent."""
+        if self._attempt is not None and self._prompt_guard.block is not None:
+            self._attempt.interrupt_wait()
 
     async def _check_silence(self) -> None:
         """Probe the engines of a silent stream; then wait, move the stream or restart it.
@@ -263,6 +277,8 @@
         attempt = self._attempt
         assert attempt is not None
         attempt.left_s()
+        if self._prompt_guard.block is not None:
+            raise ExchangeError(BLOCKED)
         path = attempt.path
         silence = self._measure_silence(attempt)
         unresponsive, reports = await self._probe_engines([s.engine for s in path], silence)
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -25,6 +25,7 @@
 from minttided.gateway.sync.messages import (
     FULL_SYNC,
     NO_VERSION,
+    CrashUpdate,
     SyncReply,
     SyncRequest,
     decode_reply,
@@ -113,13 +114,15 @@
         self._set_reader(reader.host)
         sent_s = self._state.clock()
         timeout_s = self._state.read_timing.long_poll_s + PULL_TIMEOUT_MARGIN_S
+        crashes = self._context.crash_news.make_request(reader.host)
         try:
             pulled = await self._context.peer_client.pull(
-                reader.peer, self._make_request(), timeout_s
+                reader.peer, self._make_request(crashes), timeout_s
             )
             reply = decode_reply(pulled.snapshot.data) if pulled.snapshot else None
             if reply is None:
                 return False
+            self._context.crash_news.apply_reply(reader.host, crashes, reply.crashes)
             self._apply_reply(reply, sent_s + reply.held_s)
         except (PeerError, msgspec.DecodeError, zlib.error) as exc:
             log.info("peer sync failed", extra={"reader": reader.host, "reason": str(exc)})
@@ -131,7 +134,7 @@
             and reply.upstreams_age_s <= read_timing.list_stale_s
         )
 
-    def _make_request(self) -> Pull:
+    def _make_request(self, crashes: CrashUpdate) -> Pull:
         cfg, table = self._state.cfg, self._state.table
         request = SyncRequest(
             cfg.host,
@@ -140,6 +143,7 @@
             table.version if table is not None else NO_VERSION,
             self._list_version,
             sorted(self._state.suspects.avoided(now_s())),
+            crashes,
         )
         return Pull(FULL_SYNC, encode(request))
 
@@ -150,6 +154,8 @@
         """
         self._context.peer_loads.set_peer_totals(reply.usages)
         self._context.on_unreachable(reply.silent)
+        if reply.blocks_known:
+            self._state.set_blocks_known()
         config = unpack_config(reply.config) if reply.config is not None else None
         self._config.update(config, replied_s - reply.config_age_s)
         if reply.upstreams is not None:
--- a/daemon/minttided/gateway/sync/context.py
+++ b/daemon/minttided/gateway/sync/context.py
@@ -7,6 +7,7 @@
 from minttide.interfaces import MemberView
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
+from minttided.gateway.sync.crash_news import CrashNewsState
 from minttided.peers.interfaces import PeerClient
 
 
@@ -14,11 +15,12 @@
 class SyncContext:
     """The state of this host, its client to peers, and the loads of this host and of others.
 
-    `members` returns the hosts that are considered up. `on_unreachable` is called with upstreams
-    that several hosts can't reach.
+    `crash_news` is the news exchanged with each peer. `members` returns the hosts that are
+    considered up. `on_unreachable` is called with upstreams that several hosts can't reach.
     """
 
     state: GatewayState
+    crash_news: CrashNewsState
     peer_client: PeerClient
     members: Callable[[], Sequence[MemberView]]
     loads: EngineLoads
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -11,6 +11,8 @@
 
 from minttide.ids import HostId, Offset, UpstreamId, ZoneId
 from minttide.layers.usage import Usage
+from minttide.policy.crash_news import NO_NEWS, NewsVersion
+from minttide.policy.prompt_crashes import CrashReport, PartBlock, PartStart
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges, ListVersion
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
 
@@ -20,11 +22,26 @@
 LOADS_ONLY = Offset(-2)
 """Start offset of a request for the loads of a zone only, which is answered at once."""
 
+CRASHES_ONLY = Offset(-3)
+"""Start offset of a request that exchanges the news of crashes only, which is answered at once."""
+
 NO_VERSION = -1
 
 _COMPRESSION_LEVEL = 1  # the fastest, to save processor time
 
 
+class CrashUpdate(msgspec.Struct, array_like=True):
+    """News of crashes that the receiver lacks, with times relative to when the message was made.
+
+    With `version`, the receiver has all news of the sender. In a request, `seen` is the version of
+    the receiver's news that the sender has.
+    """
+
+    news: list[CrashReport | PartStart | PartBlock] = []
+    version: NewsVersion = NO_NEWS
+    seen: NewsVersion = NO_NEWS
+
+
 class SyncRequest(msgspec.Struct, frozen=True):
     """A sync request.
 
@@ -39,6 +56,7 @@
     config_version: int = NO_VERSION
     list_version: ListVersion = NO_LIST_VERSION
     silent: list[UpstreamId] = []
+    crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
 
 
 class SyncReply(msgspec.Struct):
@@ -47,7 +65,8 @@
     `held_s` is how long the request waited for changes. `config` is packed, and absent if the
     requesting host has this version. The list of upstreams is sent as `changes`, or completely and
     packed as `upstreams`. `usages` is the total load of all hosts except the requesting one, and
-    `silent` are the upstreams that several hosts can't reach.
+    `silent` are the upstreams that several hosts can't reach. `blocks_known` says whether the
+    replying host knows which parts of prompts were blocked before it started.
     """
 
     held_s: float
@@ -59,6 +78,8 @@
     changes: ListChanges | None = None
     upstreams: bytes | None = None
     silent: list[UpstreamId] = []
+    crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
+    blocks_known: bool = False
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from minttide.folds.checkpoint import Checkpoint
-from minttide.ids import UpstreamId
+from minttide.ids import Offset, UpstreamId
 from minttide.interfaces import UpstreamReply
-from minttide.layers.usage import add_usages
+from minttide.layers.usage import Usage, add_usages
 from minttide.policy.unreachable import UnreachableReports
 from minttide.problems import Problem, ProblemType, Ran
 from minttide.routing.list_history import ListVersion
@@ -16,6 +16,7 @@
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import (
+    CRASHES_ONLY,
     FULL_SYNC,
     LOADS_ONLY,
     SyncReply,
@@ -59,9 +60,13 @@
         except msgspec.DecodeError as exc:
             log.info("peer sync request not decoded", extra={"reason": str(exc)})
             return PullReply()
+        self._context.crash_news.apply_request(request.crashes)
+        if pull.start == CRASHES_ONLY:
+            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request, {}))
         self._record_peer_state(request)
         if pull.start == LOADS_ONLY:
-            return PullReply(snapshot=self._make_load_snapshot())
+            zone_usages = self._sum_zone_usages()
+            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request, zone_usages))
         await self._wait_for_changes(request)
         return PullReply(snapshot=self._make_snapshot(request, received_s))
 
@@ -84,7 +89,11 @@
                 return
 
     def _needs_update(self, request: SyncRequest) -> bool:
-        return self._needs_config(request) or self._needs_list(request)
+        return (
+            self._needs_config(request)
+            or self._needs_list(request)
+            or request.crashes.seen != self._context.crash_news.version
+        )
 
     def _needs_config(self, request: SyncRequest) -> bool:
         table = self._state.table
@@ -102,13 +111,19 @@
 
     # Replies.
 
-    def _make_load_snapshot(self) -> Checkpoint:
-        """Return a reply with the load of this zone only."""
-        zone_usages = add_usages(
+    def _sum_zone_usages(self) -> dict[str, Usage]:
+        """Return the load of this zone."""
+        return add_usages(
             [self._context.loads.local_usages(), self._peer_loads.hosts.total(now_s())]
         )
-        reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s, zone_usages)
-        return Checkpoint(LOADS_ONLY, encode(reply))
+
+    def _make_brief_snapshot(
+        self, start: Offset, request: SyncRequest, usages: dict[str, Usage]
+    ) -> Checkpoint:
+        """Return a reply without configuration and list."""
+        reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s, usages)
+        reply.crashes = self._context.crash_news.make_reply(request.crashes)
+        return Checkpoint(start, encode(reply))
 
     def _make_snapshot(self, request: SyncRequest, received_s: float) -> Checkpoint:
         state = self._state
@@ -117,6 +132,8 @@
             [self._context.loads.local_usages(), others, self._peer_loads.zones.total(now_s())]
         )
         reply = SyncReply(state.clock() - received_s, state.config_age_s, state.list_age_s, usages)
+        reply.crashes = self._context.crash_news.make_reply(request.crashes)
+        reply.blocks_known = not state.awaits_blocks
         reply.silent = self._find_unreachable()
         self._context.on_unreachable(reply.silent)
         if state.table is not None and self._needs_config(request):
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -58,12 +58,16 @@
         zone_usages = add_usages(
             [self._context.loads.local_usages(), self._peer_loads.hosts.total(now_s())]
         )
-        request = Pull(LOADS_ONLY, encode(SyncRequest(cfg.host, cfg.zone, zone_usages)))
+        peer = readers[0]
+        crashes = self._context.crash_news.make_request(peer.host)
+        sync_request = SyncRequest(cfg.host, cfg.zone, zone_usages, crashes=crashes)
+        request = Pull(LOADS_ONLY, encode(sync_request))
         try:
-            pulled = await self._context.peer_client.pull(readers[0].peer, request, PULL_TIMEOUT_S)
+            pulled = await self._context.peer_client.pull(peer.peer, request, PULL_TIMEOUT_S)
             reply = decode_reply(pulled.snapshot.data) if pulled.snapshot else None
         except (PeerError, msgspec.DecodeError) as exc:
             log.info("zone load exchange failed", extra={"zone": zone, "reason": str(exc)})
             return
         if reply is not None:
+            self._context.crash_news.apply_reply(peer.host, crashes, reply.crashes)
             self._peer_loads.zones.record(zone, reply.usages, now_s())
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -269,10 +269,12 @@
         )
         self.state.upstreams[upstream.name] = entry
 
-    async def send_request(self, name, method="GET", body=b"", headers=(), key=KEY, on_data=None):
+    async def send_request(
+        self, name, method="GET", body=b"", headers=(), key=KEY, on_data=None, attempt="1"
+    ):
         """Send one request; return its status, headers (last value per name) and raw body."""
         reader, writer = await asyncio.open_connection(*split_address(self.server.address))
-        lines = [f"{method} /{name}/x HTTP/1.1", f"Host: {HOST}", "x-attempt: 1"]
+        lines = [f"{method} /{name}/x HTTP/1.1", f"Host: {HOST}", f"x-attempt: {attempt}"]
         lines += [f"Authorization: Bearer {key}"] if key else []
         lines += [f"Content-Length: {len(body)}"] if body else []
         lines += [f"{n}: {v}" for n, v in headers] + ["Connection: close", "", ""]
--- a/test/platform_store.py
+++ b/test/platform_store.py
@@ -38,10 +38,21 @@
             return self._newest(query)
         if req.path.endswith("log-read"):
             return await self._read(query)
+        if req.path.endswith("log-append"):
+            return self._append(query, req.body)
         return self._group(req.path, json.loads(req.body))
 
+    def _append(self, query, body):
+        (size,) = struct.unpack_from(">I", body)
+        record = body[4 : 4 + size]
+        key = record[1 : 1 + record[0]].decode()
+        self.records.setdefault(query["topic"], [])
+        self.put(query["topic"], key, record[1 + record[0] :])
+        end = len(self.records[query["topic"]])
+        return HttpResponse(200, json.dumps({"offset": end - 1, "end": end}).encode())
+
     def _newest(self, query):
-        records = self.records[query["topic"]]
+        records = self.records.get(query["topic"], [])
         newest = {k: (v, i) for i, (k, v) in enumerate(records)}
         newest = {k: (v, i) for k, (v, i) in newest.items() if v}
         names = sorted(k for k in newest if k > query.get("after", ""))
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -17,6 +17,8 @@
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.client import SyncClient
 from minttided.gateway.sync.context import SyncContext
+from minttided.gateway.sync.crash_news import CrashNewsState
+from minttided.gateway.sync.crash_sender import CrashNewsSender
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import (
     ConfigWatcher,
@@ -114,6 +116,7 @@
         self.loads = EngineLoads(lambda: float(peers), peer_loads)
         context = SyncContext(
             self.state,
+            CrashNewsState(self.state),
             peer_client,
             self.members.hosts,
             self.loads,
@@ -121,11 +124,19 @@
             self.reported_unreachable.update,
         )
         self.sync_client = SyncClient(context, self.config, self.upstreams)
+        self.crash_sender = CrashNewsSender(context)
         self.zone_loads = ZoneLoadExchange(context, lambda: self.sync_client.is_reader)
         net.put(address, SyncServer(context, self.members))
 
     def start(self):
-        parts = (self.members, self.config, self.upstreams, self.sync_client, self.zone_loads)
+        parts = (
+            self.members,
+            self.config,
+            self.upstreams,
+            self.sync_client,
+            self.zone_loads,
+            self.crash_sender,
+        )
         runs = [part.run for part in parts]
         return [asyncio.ensure_future(run(lambda: None)) for run in runs]
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -16,7 +16,7 @@
 from minttide.config.settings import Bounds  # noqa: E402
 from minttide.ids import Address, HostId  # noqa: E402
 from minttide.routing.routes import LayerRange, RouteKind  # noqa: E402
-from minttide.routing.sources import ProcessEndedError, SourceError  # noqa: E402
+from minttide.routing.sources import ProcessEndedError, SourceError, StoredBlock  # noqa: E402
 from minttide_platform.decode import (  # noqa: E402
     decode_config,
     decode_entry,
@@ -26,6 +26,7 @@
 from minttide_platform.main import encode_addresses  # noqa: E402
 from minttide_platform.sources import (  # noqa: E402
     HttpPathEngines,
+    StoreBlocks,
     StoreConfig,
     StoreLease,
     StoreUpstreams,
@@ -357,3 +358,23 @@
             return type(raised.value)
 
     assert asyncio.run(check()) is expected
+
+
+def test_prompt_blocks_are_kept_in_a_topic_of_their_own():
+    blocks = [
+        StoredBlock("s", ("a", "x")),
+        StoredBlock("s", ("y" * 300,)),
+        StoredBlock("t", ("x",)),
+    ]
+
+    async def check(stand_in, store):
+        source = StoreBlocks(store)
+        assert await source.load() == []
+        for block in [*blocks, blocks[0]]:
+            await source.save(block)
+        stand_in.put("keyed.prompt-blocks", "other", b"nonsense")
+        await source.delete(blocks[2])
+        return await source.load()
+
+    found = run_with_store(check)
+    assert len(found) == 2 and set(found) == set(blocks[:2])
