Take no retry for a stream that there is no path for

Cause: a send without a path counted as one that an engine rejected, and was tried again at once, until the budget of the service was empty. Change: a result says whether the request was sent; one that wasn't ends the request.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -30,7 +30,7 @@
 
     `event` is the first event of a stream that has started; otherwise `response` is set. For a
     failure response, `status` is its HTTP status, and `fault` the address of the engine that it
-    names as the cause.
+    names as the cause. Without `sent`, there was no path to send the request along.
     """
 
     outcome: ExchangeOutcome
@@ -39,6 +39,7 @@
     response: HttpResponse | None = None
     status: int = 0
     fault: str | None = None
+    sent: bool = True
 
 
 class StreamAttempt:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -85,7 +85,7 @@
         while True:
             result = await self._send()
             again = (
-                result.outcome is not ExchangeOutcome.ANSWERED
+                result.sent
                 and may_retry(result.outcome, self._request.route.repeatable)
                 and await self._verify_may_retry()
                 and self._spend_retry()
@@ -150,10 +150,11 @@
     async def _send(self) -> StreamSendResult:
         """Send the request once along a newly chosen path and wait for the first event."""
         if self._prompt_guard.block is not None:
-            return StreamSendResult(ExchangeOutcome.REJECTED, BLOCKED)
+            return StreamSendResult(ExchangeOutcome.REJECTED, BLOCKED, sent=False)
         path = self._paths.choose()
         if path is None:
-            return StreamSendResult(ExchangeOutcome.REJECTED, "no path with free capacity")
+            reason = "no path with free capacity"
+            return StreamSendResult(ExchangeOutcome.REJECTED, reason, sent=False)
         self._end_attempt()
         entry = self._context.state.upstreams[path[0].engine]
         attempt = StreamAttempt(
@@ -255,6 +256,8 @@
                 return result.event
             if result.outcome is ExchangeOutcome.ANSWERED:
                 return None
+            if not result.sent:
+                break
         raise ExchangeError(f"not resumed: {reason}")
 
     # Engine failures.
--- a/test/test_gateway_retry_limits.py
+++ b/test/test_gateway_retry_limits.py
@@ -22,6 +22,7 @@
     wait_for_signal,
 )
 
+from minttide.ids import ServiceName
 from minttide.policy.shared_retries import CREDIT_CAPACITY, RetryLimit
 from minttide.routing.sources import SourceError
 
@@ -211,3 +212,24 @@
             return response
 
     assert asyncio.run(asyncio.wait_for(run(), 30)).chunks == ALL_EVENTS
+
+
+@pytest.mark.parametrize("before", [[], [STREAM_HEAD, events(1)]], ids=["unstarted", "resumed"])
+def test_stream_without_another_path_takes_at_most_one_retry(before):
+    """Guards against a request that takes all retries of its service without sending anything."""
+
+    async def run():
+        site = make_site(a=(0, 4))
+
+        def end():
+            site.engines.ended.add("a")
+            site.state.upstreams.clear()
+            return b""
+
+        find_engine(site, "a").scripts = [[*before, end, RESET]]
+        async with site:
+            left = site.streams.budgets.remaining(ServiceName("model"))
+            await site.send_request("draft", "POST")
+            return left - site.streams.budgets.remaining(ServiceName("model"))
+
+    assert asyncio.run(run()) <= 1.0
