Keep all hosts together within the limit that an upstream names

Cause: no host read the header; an engine got as many streams after it named its limit as before. The class of fault is the one of the retries over their limit: a bound over all hosts, none of which sees the others' counts. Change: few hosts, ranked for each upstream, send most of the limit at an even pace, all others at rare random moments. Also: a plain request for which no upstream was left after it may have run was answered as not run; it gets its result now.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -112,10 +112,12 @@
         loads: Mapping[str, EngineLoad],
         rng: random.Random,
         first: UpstreamId | None = None,
+        not_first: Collection[UpstreamId] = (),
     ) -> Path | None:
         """Return the path of lowest expected cost for a caller in zone `local_zone`.
 
-        With `first`, the path begins with that engine. Returns None if engines with free capacity
+        With `first`, the path begins with that engine, otherwise with none of `not_first`, which
+        may be used further on. Returns None if engines with free capacity
         don't cover all layers.
         """
         best: dict[tuple[int, ZoneId], _PartialPath] = {(0, local_zone): _PartialPath(0.0, ())}
@@ -124,7 +126,7 @@
             if not partial_paths:
                 continue
             for engine in self._starts[start]:
-                if start == 0 and first is not None and engine.id != first:
+                if start == 0 and not _may_be_first(engine.id, first, not_first):
                     continue
                 self._extend(best, partial_paths, engine, size, loads, rng)
         complete = [p for (at, _), p in best.items() if at == self._model.layers]
@@ -202,6 +204,12 @@
         return CROSS_ZONE_HOP_MS * size.answer + CROSS_ZONE_WEIGHT * prompt_ms
 
 
+def _may_be_first(
+    engine: UpstreamId, first: UpstreamId | None, not_first: Collection[UpstreamId]
+) -> bool:
+    return engine == first if first is not None else engine not in not_first
+
+
 def is_complete_path(path: Path, layers: int) -> bool:
     """Return whether a path runs every layer once, in order, on distinct engines."""
     if not path or path[0].layers.first != 0 or path[-1].layers.last != layers:
--- a/core/minttide/routing/headers.py
+++ b/core/minttide/routing/headers.py
@@ -13,6 +13,8 @@
     `prompt_tokens` holds the number of tokens of the prompt and the maximum of the answer,
     `length_hint` the expected number of tokens of the answer. `prompt_parts` lists the parts of the
     prompt in order, each as "<id>:<tokens>"; the last part belongs to the request itself.
+    `limit` is the number of requests a second that an upstream takes from all hosts together, in
+    its answers while it has such a limit.
     """
 
     attempt: str
@@ -26,3 +28,4 @@
     prompt_tokens: str
     length_hint: str
     prompt_parts: str
+    limit: str
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -8,7 +8,8 @@
 from contextlib import AsyncExitStack
 
 from minttide.config.settings import Bounds
-from minttide.ids import NO_OFFSET, Address, Incarnation, Offset
+from minttide.ids import NO_OFFSET, Address, Incarnation, Offset, ZoneId
+from minttide.policy.upstream_limits import SharingHosts
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import ClientLimits
@@ -151,6 +152,7 @@
             rng=self.state.rng,
             reclaims_id=True,
         )
+        self.state.upstream_limits.find_hosts = self._find_sharing_hosts
         streams = self._make_callers()
         self._make_sync(peer_client, streams)
         self._placer = Placer(self.state, streams.probes, lambda: self._sync_client.is_reader)
@@ -289,5 +291,16 @@
         hosts = [m for m in self.membership.hosts() if not m.leaving]
         return float(max(1, sum(m.zone == self.cfg.zone for m in hosts)))
 
+    def _find_sharing_hosts(self, zone: ZoneId | None) -> SharingHosts:
+        """Return the hosts that share a limit of upstreams in `zone`, or of all zones for None.
+
+        A new process that has found no other host yet is no candidate.
+        """
+        if self.membership.count_hosts() == 0:
+            return SharingHosts((), 1)
+        hosts = [m for m in self.membership.hosts() if not m.leaving]
+        in_zone = [m for m in hosts if m.zone == zone] or hosts
+        return SharingHosts(tuple(sorted(m.host for m in in_zone)), len(hosts))
+
     async def _leave(self) -> None:
         await asyncio.gather(self.membership.announce_leaving(), self._placer.release_lease())
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from minttide.ids import UpstreamId, ZoneId
-from minttide.problems import ProblemType, Ran
+from minttide.problems import ProblemType, Ran, RequestError
 from minttide.routing.outcome import (
     ExchangeOutcome,
     classify_response,
@@ -56,12 +56,12 @@
         self._budgets.record_request(request.service)
         tried: list[UpstreamId] = []
         ran = 0
+        result: SendResult | None = None
         while True:
             upstream = self._choose(request, tried)
             if upstream is None:
-                detail = f"no upstream of {request.service} is available"
-                retry_after_s = self._budgets.record_rejection(request.service)
-                raise not_run_error(ProblemType.NO_UPSTREAM, detail, retry_after_s)
+                break
+            self._state.upstream_limits.take(upstream, now_s())
             result = await self._send(request, upstream)
             tried.append(upstream.id)
             ran += result.outcome not in (ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT)
@@ -74,10 +74,24 @@
                 and self._budgets.try_spend(request, len(tried))
             )
             if not again:
-                return self._finish(request, result, ran)
+                break
+        if result is None:
+            raise self._reject(request)
+        return self._finish(request, result, ran)
+
+    def _reject(self, request: GatewayRequest) -> RequestError:
+        """Return the error of a request that can be sent to no upstream now."""
+        upstreams, now = self._state.active_upstreams(request.service), now_s()
+        limits = self._state.upstream_limits
+        delay_s = min((limits.delay_s(entry, now) for entry in upstreams), default=0.0)
+        retry_after_s = self._budgets.record_rejection(request.service, delay_s)
+        detail = f"no upstream of {request.service} is available"
+        return not_run_error(ProblemType.NO_UPSTREAM, detail, retry_after_s)
 
     def _choose(self, request: GatewayRequest, tried: Sequence[UpstreamId]) -> UpstreamEntry | None:
-        candidates = self._state.active_upstreams(request.service)
+        active = self._state.active_upstreams(request.service)
+        exhausted = self._state.upstream_limits.exhausted(active, now_s())
+        candidates = [u for u in active if u.id not in exhausted]
         untried = [u for u in candidates if u.id not in tried] or candidates
         suspected = self._state.suspects.avoided(now_s())
         available = [u for u in untried if u.id not in suspected] or untried
@@ -110,6 +124,7 @@
             request.end_s,
             lambda: self._state.are_active([upstream.id]),
         )
+        self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
         try:
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
--- a/daemon/minttided/gateway/callers/retry_budgets.py
+++ b/daemon/minttided/gateway/callers/retry_budgets.py
@@ -62,9 +62,9 @@
         """Count a request that was served."""
         self._retry_policy(service).record_served(now_s())
 
-    def record_rejection(self, service: ServiceName) -> float:
-        """Count a rejected request and return its Retry-After in seconds."""
-        return self._retry_policy(service).record_rejection(now_s())
+    def record_rejection(self, service: ServiceName, min_s: float = 0.0) -> float:
+        """Count a rejected request and return its Retry-After in seconds, `min_s` at least."""
+        return self._retry_policy(service).record_rejection(now_s(), min_s)
 
     @property
     def _limit(self) -> RetryLimit:
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -1,6 +1,7 @@
 """State shared by the components of one gateway."""
 
 import asyncio
+import logging
 import random
 import secrets
 import time
@@ -11,9 +12,11 @@
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_news import CrashNewsLog
 from minttide.policy.prompt_crashes import CrashNews, PromptCrashes
+from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.list_history import ListHistory
+from minttide.routing.outcome import MISDIRECTED_REQUEST
 from minttide.routing.readers import ReadTiming
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
@@ -21,6 +24,8 @@
 from minttided.gateway.settings import GatewaySettings
 from minttided.operators.metrics import Metrics
 
+log = logging.getLogger(__name__)
+
 _EPOCH_BITS = 63
 
 MAX_BLOCKS_WAIT_S = 3.0
@@ -73,6 +78,9 @@
     def __post_init__(self) -> None:
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
+        self.upstream_limits = UpstreamLimits(
+            self.cfg.host, self.rng, lambda _: SharingHosts((self.cfg.host,), 1)
+        )
 
     def _record_crash_news(self, item: CrashNews) -> None:
         self.crash_news.append(item)
@@ -96,6 +104,25 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def forget_upstream(self, upstream: UpstreamId) -> None:
+        """Forget what is known of a process that is no longer listed, or has restarted."""
+        self.suspects.clear(upstream)
+        self.upstream_limits.forget(upstream)
+
+    def record_limit(self, upstream: UpstreamId, status: int, text: str | None) -> None:
+        """Record the limit that an answer of an upstream names, None if it names none.
+
+        A text that isn't a number is ignored, and so is the answer of another process.
+        """
+        if status == MISDIRECTED_REQUEST:
+            return
+        limit_per_s = parse_limit(text) if text is not None else None
+        if text is not None and limit_per_s is None:
+            log.warning("limit ignored", extra={"upstream": upstream, "limit": text})
+        elif self.upstream_limits.record(upstream, limit_per_s, now_s()):
+            event = "upstream limited" if limit_per_s is not None else "upstream limit ended"
+            log.info(event, extra={"upstream": upstream, "limit_per_s": limit_per_s})
+
     def active_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service, except those that are leaving."""
         return [u for u in self.upstreams.values() if u.service == service and not u.leaving]
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -135,7 +135,7 @@
         )
         req = request.req
         engines = [stage.engine for stage in self._path]
-        return await Exchange.open(
+        exchange = await Exchange.open(
             first.address,
             req.method,
             req.target,
@@ -144,6 +144,10 @@
             request.end_s,
             lambda: self._context.state.are_active(engines),
         )
+        state = self._context.state
+        limit = exchange.header(state.headers.limit)
+        state.record_limit(first.engine, exchange.status, limit)
+        return exchange
 
     async def _read_failure(self, exchange: Exchange) -> StreamSendResult:
         names = self._context.state.headers
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -7,6 +7,7 @@
 from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttide.routing.sources import OrderOutcome, SourceError
 from minttided.gateway.callers.request import GatewayRequest
+from minttided.gateway.state import now_s
 from minttided.gateway.streams.attempt import StreamAttempt
 from minttided.gateway.streams.context import StreamContext
 from minttided.gateway.streams.log import Progress, StreamLog, format_path
@@ -55,6 +56,13 @@
             self._request.service, self._model, self._request_size, self._avoided, first
         )
 
+    def limit_delay_s(self) -> float:
+        """Return the time until some first engine takes a request, by the limits they name."""
+        state = self._context.state
+        engines = state.active_upstreams(self._request.service)
+        first = [e for e in engines if e.layers is not None and e.layers.first == 0]
+        return min((state.upstream_limits.delay_s(e, now_s()) for e in first), default=0.0)
+
     def avoid(self, engines: Iterable[UpstreamId]) -> None:
         """Exclude engines from the further paths of this stream."""
         self._avoided.update(engines)
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -127,7 +127,9 @@
             blocked_error = self._prompt_guard.rejection()
             if blocked_error is not None:
                 raise blocked_error
-            retry_after_s = self._context.budgets.record_rejection(service)
+            retry_after_s = self._context.budgets.record_rejection(
+                service, self._paths.limit_delay_s()
+            )
             raise not_run_error(
                 ProblemType.NO_CHAIN,
                 f"no path accepted the request: {result.reason}",
@@ -157,6 +159,7 @@
             return StreamSendResult(ExchangeOutcome.REJECTED, reason, sent=False)
         self._end_attempt()
         entry = self._context.state.upstreams[path[0].engine]
+        self._context.state.upstream_limits.take(entry, now_s())
         attempt = StreamAttempt(
             self._context, self._request, path, self._request_size, self._check_silence
         )
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -223,10 +223,10 @@
             if old is None or _differs(old, entry):
                 _log_change("upstream listed", entry)
             if old is not None and (old.born_ms, old.address) != (entry.born_ms, entry.address):
-                self._state.suspects.clear(upstream)
+                self._state.forget_upstream(upstream)
         for upstream, entry in before.items():
             if upstream not in entries:
-                self._state.suspects.clear(upstream)
+                self._state.forget_upstream(upstream)
                 _log_change("upstream removed", entry)
         self._state.upstreams = entries
         self._state.list_history.record(before, entries)
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -45,6 +45,7 @@
     prompt_tokens="x-tokens",
     length_hint="x-hint",
     prompt_parts="x-parts",
+    limit="x-limit",
 )
 ANY_PORT = Address("127.0.0.1:0")
 KEY = "secret"
