--- a/test/test_gateway_plain.py
+++ b/test/test_gateway_plain.py
@@ -200,3 +200,19 @@
     assert record.balance == max(0.0, slack - CREDIT_CAPACITY)
     allowed = "yes" if slack else "no"
     assert f'minttide_retries_total{{allowed="{allowed}",service="plain"}}' in metrics
+
+
+def test_request_that_may_have_run_is_not_called_not_run_when_no_upstream_is_left():
+    async def run():
+        upstream = ScriptedUpstream("a")
+        async with GatewaySite(upstream) as site:
+
+            def leave():
+                site.state.upstreams.clear()
+                return b""
+
+            upstream.scripts = [[leave, RESET]]
+            return await site.send_request("get")
+
+    reply = asyncio.run(run())
+    assert reply.status == 502 and b"not run" not in reply.rest
