--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -10,6 +10,9 @@
 
 READ_BYTES = 65_536
 
+MAX_INTERIM_RESPONSES = 8
+"""Interim responses (1xx) before a response. A faulty upstream may send them without end."""
+
 
 class NotSentError(Exception):
     """No byte of the request was sent, and none will be."""
@@ -65,11 +68,12 @@
 
     async def read_head(self) -> tuple[int, Headers]:
         """Return the status and the headers of the response, with lower-case header names."""
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             head = await self._next_event()
+            if not isinstance(head, h11.InformationalResponse):
+                break
         if not isinstance(head, h11.Response):
-            raise h11.RemoteProtocolError("the connection was closed before a response")
+            raise h11.RemoteProtocolError("no response followed, or too many interim responses")
         headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
         return head.status_code, headers
 
