Look up blocks by part, and split modules that had become long

Reading the change again: a look-up went through all blocks (256 blocks: over 0.1 ms), and each report judged all parts anew. No decision changes. The reports and the response body have modules of their own.

--- a/core/minttide/policy/crash_news.py
+++ b/core/minttide/policy/crash_news.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from minttide.policy.prompt_crashes import CrashNews, CrashReport, PartBlock, PartStart
+from minttide.policy.crash_reports import CrashNews, CrashReport, PartBlock, PartStart
 
 MAX_NEWS = 4096
 """Items kept for hosts that haven't received them yet."""
--- a/core/minttide/policy/prompt_crashes.py
+++ b/core/minttide/policy/prompt_crashes.py
@@ -22,6 +22,16 @@
 import msgspec
 
 from minttide.ids import PromptPart, ServiceName, UpstreamId
+from minttide.policy.crash_reports import (
+    BlockKey,
+    CrashNews,
+    CrashReport,
+    PartBlock,
+    PartKey,
+    PartStart,
+    Process,
+    count_in_a_row,
+)
 
 MIN_CRASHES = 3
 """Crashes in a row that a part must explain before it is blocked."""
@@ -48,85 +58,10 @@
 """Parts whose last start is kept."""
 
 
-class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
-    """A request that waited for its first event on an engine when the engine's process ended.
-
-    `parts` are the parts of its prompt that other requests may share. Times are in seconds: when
-    the request was sent, and when the end of the engine was noticed.
-    """
-
-    service: ServiceName
-    engine: UpstreamId
-    born_ms: int
-    request: str
-    parts: tuple[PromptPart, ...]
-    sent_s: float
-    ended_s: float
-
-    @property
-    def process(self) -> "Process":
-        """Return what identifies the process that ended."""
-        return self.engine, self.born_ms
-
-
-class PartStart(msgspec.Struct, frozen=True, array_like=True, tag="start"):
-    """A request with this part began to answer at `started_s`, in seconds."""
-
-    service: ServiceName
-    part: PromptPart
-    started_s: float
-
-
-class PartBlock(msgspec.Struct, frozen=True, array_like=True, tag="block"):
-    """Requests whose prompts have all of `parts` are not sent to engines of the service.
-
-    `ended_s` is the time of the last crash that led to the block, in seconds.
-    """
-
-    service: ServiceName
-    parts: tuple[PromptPart, ...]
-    ended_s: float
-
-    @property
-    def key(self) -> "BlockKey":
-        """Return what identifies the block."""
-        return self.service, self.parts
-
-
-CrashNews = CrashReport | PartStart | PartBlock
-"""What hosts tell each other."""
-
-BlockKey = tuple[ServiceName, tuple[PromptPart, ...]]
-Process = tuple[UpstreamId, int]
-PartKey = tuple[ServiceName, PromptPart]
-
-
 def _ignore(_: object) -> None:
     """Do nothing with a change."""
 
 
-def shift_times(news: CrashNews, by_s: float) -> CrashNews:
-    """Return news with its times moved, to convert between clocks."""
-    if isinstance(news, CrashReport):
-        return msgspec.structs.replace(news, sent_s=news.sent_s + by_s, ended_s=news.ended_s + by_s)
-    if isinstance(news, PartStart):
-        return msgspec.structs.replace(news, started_s=news.started_s + by_s)
-    return msgspec.structs.replace(news, ended_s=news.ended_s + by_s)
-
-
-def count_in_a_row(reports: Iterable[CrashReport]) -> int:
-    """Return the largest number of reports of different processes whose waits don't overlap."""
-    crashes = 0
-    last_ended_s = float("-inf")
-    processes = set()
-    for report in sorted(reports, key=lambda r: r.ended_s):
-        if report.sent_s >= last_ended_s and report.process not in processes:
-            crashes += 1
-            last_ended_s = report.ended_s
-            processes.add(report.process)
-    return crashes
-
-
 class PromptCrashes:
     """The reports of crashes known to one host, and the parts of prompts that it blocks.
 
@@ -143,6 +78,7 @@
         self._reports_by_part: defaultdict[PartKey, list[CrashReport]] = defaultdict(list)
         self._started_s: dict[PartKey, float] = {}
         self._blocks: dict[BlockKey, PartBlock] = {}
+        self._blocks_by_part: defaultdict[PartKey, list[PartBlock]] = defaultdict(list)
         self._trials_s: dict[BlockKey, float] = {}  # when a request may be let through
 
     @property
@@ -157,9 +93,10 @@
 
     def find_block(self, service: ServiceName, parts: Collection[PromptPart]) -> PartBlock | None:
         """Return the block that applies to a request, if any."""
-        for block in self._blocks.values():
-            if block.service == service and all(part in parts for part in block.parts):
-                return block
+        for part in parts:
+            for block in self._blocks_by_part.get((service, part), ()):
+                if all(blocked in parts for blocked in block.parts):
+                    return block
         return None
 
     def take_trial(self, block: PartBlock, now_s: float) -> bool:
@@ -186,7 +123,7 @@
                 self._record_start((item.service, item.part), item.started_s)
             else:
                 self._add_block(item)
-        if any(len(self._reports_by_part.get(key, ())) >= MIN_CRASHES for key in touched):
+        if any(count_in_a_row(self._find_unrefuted(key)) >= MIN_CRASHES for key in touched):
             before = set(self._blocks)
             self._update_blocks({service for service, _ in touched})
             for key in set(self._blocks) - before if own else ():
@@ -231,11 +168,7 @@
         if started_s <= before_s:
             return
         is_news = any(before_s < r.ended_s < started_s for r in self._reports_by_part.get(key, ()))
-        blocks = [
-            b
-            for b in self._blocks.values()
-            if b.service == key[0] and key[1] in b.parts and b.ended_s < started_s
-        ]
+        blocks = [b for b in self._blocks_by_part.get(key, ()) if b.ended_s < started_s]
         if is_news or blocks:
             self.on_news(PartStart(*key, started_s))
         for block in blocks:
@@ -244,6 +177,11 @@
 
     def _remove_block(self, block: PartBlock) -> None:
         del self._blocks[block.key]
+        for part in block.parts:
+            key = (block.service, part)
+            self._blocks_by_part[key].remove(block)
+            if not self._blocks_by_part[key]:
+                del self._blocks_by_part[key]
         self._trials_s.pop(block.key, None)
         self.on_unblock(block)
 
@@ -265,6 +203,8 @@
         if len(self._blocks) >= MAX_BLOCKS:
             self._remove_block(next(iter(self._blocks.values())))
         self._blocks[block.key] = block
+        for part in block.parts:
+            self._blocks_by_part[(block.service, part)].append(block)
         self.on_news(block)
         self.on_block(block)
         for other in list(self._blocks.values()):
@@ -308,8 +248,7 @@
         for (of_service, part), reports in self._reports_by_part.items():
             if of_service != service or len(reports) < MIN_CRASHES:
                 continue
-            since_s = self._started_s.get((service, part), float("-inf"))
-            found = [report for report in reports if report.ended_s > since_s]
+            found = self._find_unrefuted((service, part))
             by_others = max((explained.get(report.process, 0) for report in found), default=0)
             if count_in_a_row(found) <= by_others:
                 found = [report for report in found if report.process not in explained]
@@ -317,6 +256,11 @@
                 evidence[part] = found
         return evidence
 
+    def _find_unrefuted(self, key: PartKey) -> list[CrashReport]:
+        """Return the reports of a part since a request with it last began to answer."""
+        since_s = self._started_s.get(key, float("-inf"))
+        return [r for r in self._reports_by_part.get(key, ()) if r.ended_s > since_s]
+
     def _find_processes(self, block: BlockKey) -> set[Process]:
         """Return the processes that ended under a part that is blocked by itself."""
         service, (part,) = block
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -11,7 +11,8 @@
 from minttide.ids import ServiceName, UpstreamId
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_news import CrashNewsLog
-from minttide.policy.prompt_crashes import CrashNews, PromptCrashes
+from minttide.policy.crash_reports import CrashNews
+from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -6,7 +6,7 @@
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, PathFinder, RequestSize, is_complete_path
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
-from minttide.policy.prompt_crashes import PartBlock
+from minttide.policy.crash_reports import PartBlock
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.request import GatewayRequest, parse_request_size
 from minttided.gateway.callers.retry_budgets import RetryBudgets
--- a/daemon/minttided/gateway/streams/prompt_guard.py
+++ b/daemon/minttided/gateway/streams/prompt_guard.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from minttide.policy.prompt_crashes import CrashReport, PartBlock
+from minttide.policy.crash_reports import CrashReport, PartBlock
 from minttide.problems import ProblemType, RequestError
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.callers.errors import not_run_error
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -1,7 +1,7 @@
 """Runs one stream: sends it along a path, and moves or resumes it when an engine fails."""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Sequence
+from collections.abc import AsyncGenerator, Sequence
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
@@ -22,6 +22,7 @@
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.paths import StreamPaths
 from minttided.gateway.streams.prompt_guard import PromptGuard
+from minttided.gateway.streams.response import EventChunks
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
@@ -79,7 +80,8 @@
             self._end_attempt()
             return self._finish_unstarted(result)
         headers, content_type = split_content_type(self._attempt.headers)
-        return StreamResponse(_EventChunks(self, result.event), OK, content_type, headers)
+        chunks = EventChunks(self.events(result.event), self.close)
+        return StreamResponse(chunks, OK, content_type, headers)
 
     async def _send_until_started(self) -> StreamSendResult:
         while True:
@@ -368,28 +370,6 @@
         self._log.ended(cut, self.progress)
 
 
-class _EventChunks:
-    """The response body of one stream, by events. It can be iterated once."""
-
-    def __init__(self, run: StreamRun, first: Event):
-        self._run = run
-        self._events = run.events(first)
-        self._complete = False
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        return self._iterate()
-
-    async def _iterate(self) -> AsyncGenerator[bytes, None]:
-        async for chunk in self._events:
-            yield chunk
-        self._complete = True
-
-    async def aclose(self) -> None:
-        """Close the stream, whether it has been sent completely or not."""
-        await self._events.aclose()
-        self._run.close(cut=not self._complete)
-
-
 def _parse_last_event_id(request: GatewayRequest) -> int | None:
     text = request.req.header(LAST_EVENT_ID) or ""
     return int(text) if text.isascii() and text.isdigit() else None
--- a/daemon/minttided/gateway/sync/block_keeper.py
+++ b/daemon/minttided/gateway/sync/block_keeper.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Callable
 
-from minttide.policy.prompt_crashes import PartBlock
+from minttide.policy.crash_reports import PartBlock
 from minttide.routing.sources import BlockSource, SourceError, StoredBlock
 from minttided.backoff import Backoff
 from minttided.gateway.dependency import Dependency
--- a/daemon/minttided/gateway/sync/crash_news.py
+++ b/daemon/minttided/gateway/sync/crash_news.py
@@ -2,7 +2,7 @@
 
 from minttide.ids import HostId
 from minttide.policy.crash_news import NO_NEWS, NewsVersion
-from minttide.policy.prompt_crashes import shift_times
+from minttide.policy.crash_reports import shift_times
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.sync.messages import CrashUpdate
 
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -12,7 +12,7 @@
 from minttide.ids import HostId, Offset, UpstreamId, ZoneId
 from minttide.layers.usage import Usage
 from minttide.policy.crash_news import NO_NEWS, NewsVersion
-from minttide.policy.prompt_crashes import CrashReport, PartBlock, PartStart
+from minttide.policy.crash_reports import CrashReport, PartBlock, PartStart
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges, ListVersion
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
 
--- a/test/crash_replay.py
+++ b/test/crash_replay.py
@@ -4,7 +4,8 @@
 import random
 from collections import defaultdict
 
-from minttide.policy.prompt_crashes import CrashReport, PromptCrashes
+from minttide.policy.crash_reports import CrashReport
+from minttide.policy.prompt_crashes import PromptCrashes
 
 WAIT_S = (0.05, 0.4)
 """Shortest and longest time from sending a request to its first event."""
