Hold the pulls of hosts that take no news of crashes

Found in reading the change: a host of an earlier release names no version of the news, so that after any crash its reader would answer each of its pulls at once, and it would pull without a pause for as long as a release is rolled out.

--- a/daemon/minttided/gateway/sync/crash_news.py
+++ b/daemon/minttided/gateway/sync/crash_news.py
@@ -30,6 +30,10 @@
         update.seen = self._received.get(peer, NO_NEWS)
         return update
 
+    def needs_reply(self, request: CrashUpdate) -> bool:
+        """Return whether the sender of a request lacks news, and is of a release that takes it."""
+        return request.version != NO_NEWS and request.seen != self.version
+
     def make_reply(self, request: CrashUpdate) -> CrashUpdate:
         """Return the news that the sender of a request lacks."""
         return self._make_update(request.seen)
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -92,7 +92,7 @@
         return (
             self._needs_config(request)
             or self._needs_list(request)
-            or request.crashes.seen != self._context.crash_news.version
+            or self._context.crash_news.needs_reply(request.crashes)
         )
 
     def _needs_config(self, request: SyncRequest) -> bool:
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -93,7 +93,7 @@
         self.state = GatewayState(self.cfg, None, view, view, None, None, rng, ConfigFreshness(5.0))
         self.state.clock = asyncio.get_running_loop().time
         self.net = net
-        peer_client = net.open_client(address)
+        peer_client = self.peer_client = net.open_client(address)
         self.members = Membership(
             self.cfg,
             Incarnation(number),
--- a/test/test_crash_news.py
+++ b/test/test_crash_news.py
@@ -10,6 +10,8 @@
 from minttide.routing.sources import SourceError, StoredBlock
 from minttided.gateway.state import MAX_BLOCKS_WAIT_S
 from minttided.gateway.sync.block_keeper import BlockKeeper
+from minttided.gateway.sync.messages import FULL_SYNC, SyncRequest, encode
+from minttided.peers.interfaces import Pull
 
 CONTACT_S = 3.0
 """Time within which all hosts must know what one has learned."""
@@ -226,3 +228,20 @@
         task.cancel()
 
     run_keepers(check, source)
+
+
+def test_pull_of_a_host_without_crash_news_is_held_until_there_is_something_else():
+    """Guards against hosts of an earlier release that pull without a pause after any crash."""
+
+    async def check(hosts, store, net):
+        reader = next(host for host in hosts if host.sync_client.is_reader)
+        report_crash(reader, 1)
+        state = reader.state
+        version = state.list_history.version
+        request = SyncRequest("old", "z", {}, state.table.version, version)
+        started_s = asyncio.get_running_loop().time()
+        await hosts[-1].peer_client.pull(reader.cfg.peer, Pull(FULL_SYNC, encode(request)), 5.0)
+        held_s = asyncio.get_running_loop().time() - started_s
+        assert held_s >= 0.9 * state.read_timing.long_poll_s
+
+    run_hosts(check)
