Bound the ids of prompt parts in number and length

Found in reading the change: callers choose the ids, and reports of crashes keep them on all hosts: with heads of 16 KB and 2,048 reports some 32 MB. At most 33 ids of 64 characters now. Test: test_ids_of_prompt_parts_are_bounded_in_number_and_length, 'long ones' and 'many' failed before.

--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -30,6 +30,12 @@
 
 MS_PER_S = 1000.0
 
+MAX_PROMPT_PARTS = 32
+"""Parts of a prompt that are told apart; what follows counts as one part."""
+
+MAX_ID_LENGTH = 64
+"""Characters of an id given by a caller that are told apart."""
+
 URGENCY_STEP = 2
 """Difference in urgency between two consecutive priorities."""
 
@@ -133,9 +139,12 @@
 
 
 def parse_prompt_parts(req: HttpRequest, names: HeaderNames) -> tuple[PromptPart, ...]:
-    """Return the ids of the parts of a request's prompt, in order, empty if it names none."""
-    entries = (req.header(names.prompt_parts) or "").split(",")
-    ids = (entry.partition(":")[0].strip() for entry in entries)
+    """Return the ids of the parts of a request's prompt, in order, empty if it names none.
+
+    Callers choose the ids, so their number and length are bounded.
+    """
+    entries = (req.header(names.prompt_parts) or "").split(",", MAX_PROMPT_PARTS)
+    ids = (entry.partition(":")[0].strip()[:MAX_ID_LENGTH] for entry in entries)
     return tuple(PromptPart(part) for part in ids if part)
 
 
--- a/daemon/minttided/gateway/streams/prompt_guard.py
+++ b/daemon/minttided/gateway/streams/prompt_guard.py
@@ -6,7 +6,11 @@
 from minttide.problems import ProblemType, RequestError
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.callers.errors import not_run_error
-from minttided.gateway.callers.request import GatewayRequest, parse_prompt_parts
+from minttided.gateway.callers.request import (
+    MAX_ID_LENGTH,
+    GatewayRequest,
+    parse_prompt_parts,
+)
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
@@ -83,7 +87,7 @@
             self._request.service,
             entry.id,
             entry.born_ms,
-            self._request.attempt_id,
+            self._request.attempt_id[:MAX_ID_LENGTH],
             self._shared_parts,
             sent_s,
             now_s(),
--- a/test/test_prompt_crashes.py
+++ b/test/test_prompt_crashes.py
@@ -5,11 +5,13 @@
 
 import pytest
 from crash_replay import CrashReplay
-from gateway_site import END, RESET, STREAM_HEAD, events, wait_until
+from gateway_site import END, NAMES, RESET, STREAM_HEAD, events, wait_until
 from stream_site import ALL_EVENTS, find_engine, make_site
 
 from minttide.policy.crash_reports import CrashReport, PartBlock
 from minttide.policy.prompt_crashes import MAX_BLOCKS, MAX_REPORTS, TRIAL_DELAY_S, PromptCrashes
+from minttided.gateway.callers.request import parse_prompt_parts
+from minttided.http.messages import HttpRequest
 
 HEAD = STREAM_HEAD.replace(b"x-attempt: 1\r\n", b"")
 
@@ -277,3 +279,21 @@
     crashes.add([report(n, f"r{n}", "x") for n in range(5 if own else 3)], own=own)
     block = crashes.find_block("s", ["x"])
     assert not crashes.take_trial(block, block.ended_s + 100.0)
+
+
+PARTS_HEADERS = {
+    "none": ("", ()),
+    "one": ("a:40", ("a",)),
+    "several, with spaces": (" a:40 , b:1,c ", ("a", "b", "c")),
+    "empty ones": (",:7,a:40,", ("a",)),
+    "long ones": ("a" * 5000 + ":40,b", ("a" * 64, "b")),
+    "many": (",".join(f"p{n}:1" for n in range(500)), tuple(f"p{n}" for n in range(33))),
+}
+
+
+@pytest.mark.parametrize("case", PARTS_HEADERS)
+def test_ids_of_prompt_parts_are_bounded_in_number_and_length(case):
+    """Guards against callers whose prompts fill the memory of all hosts once engines crash."""
+    header, parts = PARTS_HEADERS[case]
+    req = HttpRequest("POST", "/", "", [(NAMES.prompt_parts, header)], b"")
+    assert parse_prompt_parts(req, NAMES) == parts
