--- a/daemon/minttided/gateway/sync/crash_sender.py
+++ b/daemon/minttided/gateway/sync/crash_sender.py
@@ -46,15 +46,10 @@
             changed = self._state.changed
             peers = [m for m in self._find_receivers() if self._news.lacks_news(m.host)]
             sent = await asyncio.gather(*(self._send(peer) for peer in peers))
-            try:
-                async with asyncio.timeout(RETRY_INTERVAL_S):
-                    if all(sent):
-                        await changed.wait()
-                        await asyncio.sleep(MIN_SEND_INTERVAL_S)
-                    else:
-                        await asyncio.Event().wait()
-            except TimeoutError:
-                pass
+            if all(sent):
+                await _wait_for_news(changed)
+            else:
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     def _find_receivers(self) -> Sequence[MemberView]:
         """Return the readers of this zone and, if this host is one, those of the other zones."""
@@ -84,3 +79,13 @@
         if reply is not None:
             self._news.apply_reply(peer.host, update, reply.crashes)
         return reply is not None
+
+
+async def _wait_for_news(changed: asyncio.Event) -> None:
+    """Wait for a change, but not for long: the readers may change without one."""
+    try:
+        async with asyncio.timeout(RETRY_INTERVAL_S):
+            await changed.wait()
+    except TimeoutError:
+        return
+    await asyncio.sleep(MIN_SEND_INTERVAL_S)
