End all blocks of a part that began to answer before others are added

Found in reading the change again: where two blocks have the part that began to answer and one includes the other, adding what is left of the first removed the second, which the loop still had to remove: KeyError, which would have broken the stream that began. Test: test_start_of_an_answer_ends_blocks_of_which_one_includes_another, KeyError before. test_prompt_crashes.py and test_crash_news.py: 101 passed; formatter, linter and mypy pass.

--- a/core/minttide/policy/prompt_crashes.py
+++ b/core/minttide/policy/prompt_crashes.py
@@ -173,6 +173,7 @@
             self.on_news(PartStart(*key, started_s))
         for block in blocks:
             self._remove_block(block)
+        for block in blocks:  # Only now: adding one may remove others.
             self._add_block(block)
 
     def _remove_block(self, block: PartBlock) -> None:
--- a/test/test_prompt_crashes.py
+++ b/test/test_prompt_crashes.py
@@ -297,3 +297,11 @@
     header, parts = PARTS_HEADERS[case]
     req = HttpRequest("POST", "/", "", [(NAMES.prompt_parts, header)], b"")
     assert parse_prompt_parts(req, NAMES) == parts
+
+
+def test_start_of_an_answer_ends_blocks_of_which_one_includes_another():
+    crashes = PromptCrashes()
+    crashes.add([PartBlock("s", ("a", "x"), 1.0), PartBlock("s", ("a", "b", "x"), 1.0)])
+    crashes.record_start("s", ["x"], 2.0)
+    assert crashes.find_block("s", ["a"]).parts == ("a",)
+    assert crashes.find_block("s", ["x"]) is None
