--- a/fakes/minttide_fakes/memory_network.py
+++ b/fakes/minttide_fakes/memory_network.py
@@ -265,6 +265,11 @@
         """Return whether one of the ports is held."""
         return any(port in self._held for port in ports)
 
+    def count_connections(self, port: int) -> int:
+        """Return the number of connections to a port that their clients haven't closed."""
+        ends = (t for t in self._transports if t.get_extra_info("peername")[1] == port)
+        return sum(not end.is_closing() for end in ends)
+
     def find_server(self, port: int) -> MemoryServer | None:
         """Return the server that listens on a port."""
         return self._servers.get(port)
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -91,6 +91,10 @@
     async def __aexit__(self, *_):
         self._server.close()
 
+    def next_script(self, head):
+        """Return the script for a request with this head."""
+        return self.scripts.pop(0) if self.scripts else [plain_response()]
+
     async def _serve(self, reader, writer):
         try:
             head = await reader.readuntil(b"\r\n\r\n")
@@ -103,13 +107,14 @@
         )
         self.requests.append((head, await reader.readexactly(length)))
         self.arrived.set()
-        script = self.scripts.pop(0) if self.scripts else [plain_response()]
+        script = self.next_script(head)
         try:
             for step in script:
                 if step is RESET:
-                    linger = struct.pack("ii", 1, 0)
                     sock = writer.get_extra_info("socket")
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    if sock is not None:  # An end in memory resets its peer without this.
+                        linger = struct.pack("ii", 1, 0)
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                     await asyncio.sleep(0.01)  # Lets the bytes already sent arrive first.
                     writer.transport.abort()
                 elif asyncio.iscoroutinefunction(step):
--- a/test/test_memory_network.py
+++ b/test/test_memory_network.py
@@ -173,6 +173,22 @@
     assert answer == b"got late" and 2.0 <= connected_s <= 2.0 + 2 * DELIVERY_S
 
 
+def test_open_connections_are_counted_by_the_end_of_the_client():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server, _, writer = await connect(read_all)
+        port = server.sockets[0].getsockname()[1]
+        kept = await asyncio.open_connection(HOST, port)
+        before = loop.count_connections(port)
+        loop.hold(port)
+        writer.transport.abort()
+        after = loop.count_connections(port)
+        kept[1].close()
+        return before, after, loop.count_connections(port)
+
+    assert run_in_memory(scenario(), 60.0) == (2, 1, 0)
+
+
 def test_two_runs_are_identical():
     async def scenario():
         loop = asyncio.get_running_loop()
