Keep a silent attempt until another has begun to answer

What callers saw: a stream that is cut, or 502 or 503, because its engine was silent for a second, although it would have gone on. Cause: the running attempt was ended on one probe of 50 ms without an answer, or after half a second of silence, before another engine had taken the request. If that one was full, failed or was silent as well, nothing was left. Attempts were counted against the route's limit only once they had a result, so that the second was given up for a third that wasn't allowed; and an engine that was silent for 0.3 s counted as ended, so that three ran what two may run.

Now the silent attempt goes on while the request is sent to another engine; the first to send an event is kept (streams/openings.py). An attempt counts from its sending, and a silent engine counts unless its process is known to have ended. Of a path with an unknown silent engine the others are avoided too.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -30,7 +30,7 @@
 
     `event` is the first event of a stream that has started; otherwise `response` is set. For a
     failure response, `status` is its HTTP status, and `fault` the address of the engine that it
-    names as the cause. Without `sent`, there was no path to send the request along.
+    names as the cause.
     """
 
     outcome: ExchangeOutcome
@@ -39,14 +39,13 @@
     response: HttpResponse | None = None
     status: int = 0
     fault: str | None = None
-    sent: bool = True
 
 
 class StreamAttempt:
     """One attempt on one path. `close` makes the engines stop their work on it.
 
-    `on_silence` is awaited whenever the stream has been silent for longer than the threshold. It
-    raises `ExchangeError` to abandon the attempt.
+    `on_silence` is awaited whenever the stream has been silent for longer than the threshold. What
+    it raises ends the wait.
     """
 
     def __init__(
--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -17,7 +17,7 @@
     ENDED = "ended"  # confirmed by more probes
 
 
-class EngineRun(msgspec.Struct):
+class EngineRun(msgspec.Struct, eq=False):
     """One engine that may have run the request, as it was listed when the request was sent."""
 
     entry: UpstreamEntry
@@ -42,19 +42,30 @@
         """Return whether another engine may run the request."""
         return self.count < self._max_engines
 
-    def add(self, entry: UpstreamEntry, ended: bool) -> None:
-        """Add an engine that may have run the request; `ended` if it doesn't answer a probe."""
-        self._runs.append(EngineRun(entry, Liveness.SEEMS_ENDED if ended else Liveness.RUNNING))
+    def add(self, entry: UpstreamEntry) -> EngineRun:
+        """Add an engine to which the request is sent."""
+        run = EngineRun(entry, Liveness.RUNNING)
+        self._runs.append(run)
+        return run
 
-    def mark_last_ended(self) -> None:
-        """Record that the engine added last doesn't answer a probe."""
-        self._runs[-1].liveness = Liveness.SEEMS_ENDED
+    def remove(self, run: EngineRun) -> None:
+        """Remove an engine that has not run the request."""
+        self._runs.remove(run)
+
+    def record_probe(self, run: EngineRun, responds: bool) -> None:
+        """Record whether an engine answers; one that is confirmed to have ended stays so."""
+        if run.liveness is not Liveness.ENDED:
+            run.liveness = Liveness.RUNNING if responds else Liveness.SEEMS_ENDED
+
+    def record_answer(self, run: EngineRun) -> None:
+        """Record that an engine answers the request, so that it has not ended."""
+        run.liveness = Liveness.RUNNING
 
     async def verify_ended(self) -> None:
         """Probe engines that seem to have ended again, if the limit depends on them.
 
         A single probe may fail on an engine that runs, behind a link that loses packets or on a
-        busy host. An engine that is confirmed to have ended stays so for this request.
+        busy host. An engine that is confirmed to have ended stays so until it answers this request.
         """
         doubtful = [run for run in self._runs if run.liveness is Liveness.SEEMS_ENDED]
         if self.count + len(doubtful) < self._max_engines:
--- a/daemon/minttided/gateway/streams/log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -87,6 +87,32 @@
             },
         )
 
+    def replacing(self, silent: UpstreamId, reason: str, silent_s: float, sent: bool) -> None:
+        """Log that the attempt at engine `silent` goes on while another may replace it.
+
+        `sent` says whether the request was sent again.
+        """
+        log.warning(
+            "replacement sent" if sent else "replacement not sent",
+            extra={
+                "request": self._request.attempt_id,
+                "silent": silent,
+                "reason": reason,
+                "silent_s": silent_s,
+            },
+        )
+
+    def chosen(self, engine: UpstreamId, abandoned: Iterable[UpstreamId]) -> None:
+        """Log which of several attempts has begun or gone on to answer, and the abandoned ones."""
+        log.info(
+            "attempt chosen",
+            extra={
+                "request": self._request.attempt_id,
+                "engine": engine,
+                "abandoned": sorted(abandoned),
+            },
+        )
+
     def interrupted(self, reason: str, progress: Progress) -> None:
         """Log a response that was interrupted before its end."""
         log.warning(
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -67,6 +67,23 @@
         """Exclude engines from the further paths of this stream."""
         self._avoided.update(engines)
 
+    def avoid_silent(self, path: Path) -> None:
+        """Avoid the engines of a path of which an unknown one is silent, as far as others are left.
+
+        Without another first engine, avoid the ones behind it, otherwise the first one only.
+        """
+        engines = {stage.engine for stage in path}
+        first = {path[0].engine}
+        for silent in (engines, engines - first):
+            avoided = self._avoided | silent
+            found = self._context.choose_path(
+                self._request.service, self._model, self._request_size, avoided
+            )
+            if found is not None and silent.isdisjoint(stage.engine for stage in found):
+                self._avoided = avoided
+                return
+        self._avoided |= first
+
     def avoid_rejecting_engine(
         self, attempt: StreamAttempt, status: int, fault: str | None
     ) -> None:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -1,16 +1,17 @@
-"""Runs one stream: sends it along a path, and moves or resumes it when an engine fails."""
+"""Runs one stream: sends it along a path, and moves, resumes or replaces it when an engine fails.
 
-import asyncio
-from collections.abc import AsyncGenerator, Sequence
+An attempt that may still finish is not ended before another has begun to answer: an engine that is
+silent may go on, and the next one may reject the request, fail or be silent as well.
+"""
+
+from collections.abc import AsyncGenerator
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
-from minttide.layers.silence import Remedy, Silence, choose_remedy
-from minttide.layers.takeover import takeover_ms
+from minttide.layers.silence import Remedy, RemedyChoice, Silence
 from minttide.problems import ProblemType, Ran
 from minttide.routing.outcome import ExchangeOutcome, may_forward_failure, may_retry
-from minttide.routing.routes import ModelSpec, UpstreamEntry
-from minttide.routing.sources import EngineReport
+from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
@@ -20,8 +21,10 @@
 from minttided.gateway.streams.engine_runs import EngineRuns
 from minttided.gateway.streams.events import Event, EventTooLongError
 from minttided.gateway.streams.log import Progress, StreamLog
+from minttided.gateway.streams.openings import Openings, SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
 from minttided.gateway.streams.prompt_guard import PromptGuard
+from minttided.gateway.streams.remedies import StreamRemedies
 from minttided.gateway.streams.response import EventChunks
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
@@ -30,13 +33,28 @@
 """Retries that must be left in the budget to restart a stream that could be moved instead."""
 
 BLOCKED = "a part of the prompt is blocked"
+NO_PATH = "no path with free capacity"
+NO_RETRY = "no retry left in the budget"
 
 MAX_SENDS = 5
 """Sends of one stream, including those that engines rejected."""
 
 
+class ReplacedError(Exception):
+    """Another attempt has begun to answer while the current one was silent."""
+
+    def __init__(self, sent: SentAttempt, result: StreamSendResult):
+        super().__init__(result.reason)
+        self.sent = sent
+        self.result = result
+
+
 class StreamRun:
-    """One stream of one caller, over all of its attempts."""
+    """One stream of one caller, over all of its attempts.
+
+    The events of the current attempt are delivered. Attempts that have not begun to answer are in
+    `_openings`: the first one, and those that may replace a silent one.
+    """
 
     def __init__(
         self,
@@ -47,22 +65,23 @@
     ):
         self._context = context
         self._request = request
-        self._model = model
         self._request_size = request_size
-        self._attempt: StreamAttempt | None = None
+        self._current: SentAttempt | None = None
+        self._openings = Openings(self._on_opening_finished)
         self._log = StreamLog(context.state, request, request_size)
         self.progress = Progress(last_event_id=_parse_last_event_id(request))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
+        self._remedies = StreamRemedies(context, model, request_size, self._paths, self.progress)
         self._may_have_run = False
-        self._retry_reserved = False  # whether the next send has already been paid from the budget
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._prompt_guard = PromptGuard(context.state, request)
         self._last_event_s = request.received_s
 
     @property
     def attempt(self) -> StreamAttempt | None:
-        """Return the current attempt, if any."""
-        return self._attempt
+        """Return the current attempt, or the oldest one that has not begun to answer, if any."""
+        sent = self._current or next(iter(self._openings), None)
+        return sent.attempt if sent is not None else None
 
     # The response.
 
@@ -72,29 +91,18 @@
         This is the stream, or a complete response without events. Raises `RequestError`.
         """
         try:
-            result = await self._send_until_started()
+            reason = self._send()
+            result = await self._wait_until_begun() if reason is None else _not_sent(reason)
         except BaseException:
             self.close(cut=True)
             raise
-        if result.event is None or self._attempt is None:
-            self._end_attempt()
+        if result.event is None or self._current is None:
+            self._end_current()
             return self._finish_unstarted(result)
-        headers, content_type = split_content_type(self._attempt.headers)
+        headers, content_type = split_content_type(self._current.attempt.headers)
         chunks = EventChunks(self.events(result.event), self.close)
         return StreamResponse(chunks, OK, content_type, headers)
 
-    async def _send_until_started(self) -> StreamSendResult:
-        while True:
-            result = await self._send()
-            again = (
-                result.sent
-                and may_retry(result.outcome, self._request.route.repeatable)
-                and await self._verify_may_retry()
-                and self._spend_retry()
-            )
-            if not again:
-                return result
-
     def _may_retry(self) -> bool:
         """Return whether the request's own limits allow another send, apart from the budget."""
         return (
@@ -110,13 +118,6 @@
             await self._engine_runs.verify_ended()
         return self._may_retry()
 
-    def _spend_retry(self) -> bool:
-        """Take a retry from the budget, unless one is reserved; return whether there was one."""
-        if self._retry_reserved:
-            self._retry_reserved = False
-            return True
-        return self._context.budgets.try_spend(self._request, self.progress.sends)
-
     def _finish_unstarted(self, result: StreamSendResult) -> HttpResponse:
         """Return the response of a stream that has not started, or raise its error."""
         metrics = self._context.state.metrics
@@ -151,56 +152,107 @@
 
     # Sending.
 
-    async def _send(self) -> StreamSendResult:
-        """Send the request once along a newly chosen path and wait for the first event."""
+    def _send(self) -> str | None:
+        """Send the request along a newly chosen path; return the reason if it can't be sent.
+
+        All sends but the first take a retry from the budget.
+        """
         if self._prompt_guard.block is not None:
-            return StreamSendResult(ExchangeOutcome.REJECTED, BLOCKED, sent=False)
+            return BLOCKED
         path = self._paths.choose()
         if path is None:
-            reason = "no path with free capacity"
-            return StreamSendResult(ExchangeOutcome.REJECTED, reason, sent=False)
-        self._end_attempt()
+            return NO_PATH
+        sends = self.progress.sends
+        if sends and not self._context.budgets.try_spend(self._request, sends):
+            return NO_RETRY
         entry = self._context.state.upstreams[path[0].engine]
         self._context.state.upstream_limits.take(entry, now_s())
         attempt = StreamAttempt(
-            self._context, self._request, path, self._request_size, self._check_silence
+            self._context,
+            self._request,
+            path,
+            self._request_size,
+            lambda: self._check_silence(sent),
         )
-        self._attempt = attempt
+        sent = SentAttempt(attempt, entry, self._engine_runs.add(entry))
         self._context.runs.add(self)
         self.progress.sends += 1
         self._context.state.metrics.count_decision("path")
+        self._openings.add(sent, self._open(sent, self.progress.last_event_id))
+        return None
+
+    async def _send_again(self, result: StreamSendResult) -> bool:
+        """Send the request again after a failure; return false if that isn't allowed."""
+        return (
+            may_retry(result.outcome, self._request.route.repeatable)
+            and await self._verify_may_retry()
+            and self._send() is None
+        )
+
+    async def _wait_until_begun(self) -> StreamSendResult:
+        """Wait until an attempt has begun to answer, and send again after each that fails.
+
+        Returns the last failure once no attempt is left.
+        """
+        while True:
+            sent, result = await self._openings.next_result()
+            if result.outcome is ExchangeOutcome.ANSWERED:
+                self._choose_attempt(sent)
+                return result
+            if not await self._send_again(result) and not self._openings:
+                return result
+
+    async def _open(self, sent: SentAttempt, last_event_id: int | None) -> StreamSendResult:
+        """Return the result of an attempt once it has begun to answer or failed."""
+        path = sent.attempt.path
         try:
-            result = await attempt.open(self.progress.last_event_id)
+            result = await sent.attempt.open(last_event_id)
         except NotSentError as exc:
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
         except (ExchangeError, EventTooLongError) as exc:
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
-        await self._record_result(attempt, entry, result)
+        await self._record_result(sent, result)
         self._log.sent(path, result.outcome, result.reason, self.progress, self._engine_runs.count)
         if result.event is None:
-            self._end_attempt()
+            sent.attempt.close()
         return result
 
-    async def _record_result(
-        self, attempt: StreamAttempt, entry: UpstreamEntry, result: StreamSendResult
-    ) -> None:
-        """Record the result of a send to engine `entry`, and avoid one that caused a failure."""
-        first = attempt.path[0].engine
+    async def _record_result(self, sent: SentAttempt, result: StreamSendResult) -> None:
+        """Record the result of a send, and avoid an engine that caused a failure."""
+        first = sent.entry.id
         if result.outcome is ExchangeOutcome.REJECTED:
-            self._paths.avoid_rejecting_engine(attempt, result.status, result.fault)
+            self._engine_runs.remove(sent.engine_run)
+            self._paths.avoid_rejecting_engine(sent.attempt, result.status, result.fault)
             return
+        probes = self._context.probes
         if result.outcome is ExchangeOutcome.NOT_SENT:
+            self._engine_runs.remove(sent.engine_run)
             self._paths.avoid([first])
-            self._context.probes.check_engine(first)
+            probes.check_engine(first)
             return
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        probes = self._context.probes
         responds = result.event is not None or await probes.responds(first)
-        self._engine_runs.add(entry, ended=not responds)
-        if not responds and probes.has_ended(entry):
-            self._prompt_guard.record_ended(entry, attempt.sent_s)
+        self._engine_runs.record_probe(sent.engine_run, responds)
+        if not responds and probes.has_ended(sent.entry):
+            self._prompt_guard.record_ended(sent.entry, sent.attempt.sent_s)
+
+    def _choose_attempt(self, sent: SentAttempt) -> None:
+        """Make an attempt that has begun to answer the current one, and end the others."""
+        if self._current is not None and self._current is not sent:
+            self._log.chosen(sent.entry.id, [self._current.entry.id])
+            self._current.attempt.close()
+        self._current = sent
+        self._close_openings()
+
+    def _close_openings(self) -> None:
+        """End the attempts that have not begun to answer, since the current one answers."""
+        if self._openings:
+            assert self._current is not None
+            abandoned = [opening.entry.id for opening in self._openings]
+            self._log.chosen(self._current.entry.id, abandoned)
+            self._openings.close()
 
     # Events.
 
@@ -214,14 +266,46 @@
             if self._is_new(event):
                 self._record_event(event)
                 yield event.raw
-            assert self._attempt is not None
-            try:
-                event = await self._attempt.next_event()
-            except (ExchangeError, EventTooLongError) as exc:
-                event = await self._resume(str(exc))
+            event = await self._next_event()
         self._context.state.metrics.count_request(self._request.service, Ran.DONE)
         self._context.budgets.record_served(self._request.service)
 
+    async def _next_event(self) -> Event | None:
+        """Return the next event of the current attempt, or of one that replaces it.
+
+        Returns `None` at the end of the stream. Raises `ExchangeError` if it can't go on.
+        """
+        assert self._current is not None
+        try:
+            if self._openings:
+                await self._settle_openings()
+            event = await self._current.attempt.next_event()
+        except ReplacedError as exc:
+            self._choose_attempt(exc.sent)
+            self._context.state.metrics.count_recovery(self._request.service, "replace")
+            return exc.result.event
+        except (ExchangeError, EventTooLongError) as exc:
+            return await self._resume(str(exc))
+        self._engine_runs.record_answer(self._current.engine_run)
+        self._close_openings()
+        return event
+
+    async def _settle_openings(self) -> None:
+        """Send again in place of each replacement of the current attempt that has failed.
+
+        Raises `ReplacedError` if one has begun to answer.
+        """
+        while (finished := self._openings.take_finished()) is not None:
+            sent, result = finished
+            if result.outcome is ExchangeOutcome.ANSWERED:
+                raise ReplacedError(sent, result)
+            await self._send_again(result)
+
+    def _on_opening_finished(self) -> None:
+        """Let the current attempt, if there is one, look at its replacements now."""
+        if self._current is not None:
+            self._current.attempt.interrupt_wait()
+
     def _is_new(self, event: Event) -> bool:
         last_event_id = self.progress.last_event_id
         return event.id is None or last_event_id is None or event.id > last_event_id
@@ -244,132 +328,147 @@
             progress.last_event_id = event.id
 
     async def _resume(self, reason: str) -> Event | None:
-        """Resume after the last event on another path. Raises `ExchangeError` if that fails."""
-        assert self._attempt is not None
-        first = self._attempt.path[0].engine
-        self._end_attempt()
+        """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
+        assert self._current is not None
+        first = self._current.entry.id
+        engine_run = self._current.engine_run
+        self._end_current()
         self._paths.avoid([first])
-        if not await self._context.probes.responds(first):
-            self._engine_runs.mark_last_ended()
+        responds = await self._context.probes.responds(first)
+        self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
-        if not self._request.route.resumable or self.progress.last_event_id is None:
-            raise ExchangeError(reason)
-        while await self._verify_may_retry() and self._spend_retry():
-            result = await self._send()
-            if result.event is not None:
-                self._context.state.metrics.count_recovery(self._request.service, "resume")
-                return result.event
-            if result.outcome is ExchangeOutcome.ANSWERED:
-                return None
-            if not result.sent:
-                break
-        raise ExchangeError(f"not resumed: {reason}")
+        if not self._openings:
+            if not self._is_resumable:
+                raise ExchangeError(reason)
+            if not await self._verify_may_retry() or self._send() is not None:
+                raise ExchangeError(f"not resumed: {reason}")
+        result = await self._wait_until_begun()
+        if result.outcome is not ExchangeOutcome.ANSWERED:
+            raise ExchangeError(f"not resumed: {reason}")
+        if result.event is not None:
+            self._context.state.metrics.count_recovery(self._request.service, "resume")
+        return result.event
+
+    @property
+    def _is_resumable(self) -> bool:
+        """Return whether a stream that has begun can go on in another attempt."""
+        return self._request.route.resumable and self.progress.last_event_id is not None
 
     # Engine failures.
 
     def check_now(self, engine: UpstreamId) -> None:
         """Check the engines now if the stream's path includes `engine`."""
-        if self._attempt is not None and self._attempt.uses(engine):
-            self._attempt.interrupt_wait()
+        for sent in self._live_attempts():
+            if sent.attempt.uses(engine):
+                sent.attempt.interrupt_wait()
 
     def check_blocked(self) -> None:
-        """Abandon the attempt if the prompt has been blocked since it was sent."""
-        if self._attempt is not None and self._prompt_guard.block is not None:
-            self._attempt.interrupt_wait()
+        """Abandon the attempts if the prompt has been blocked since they were sent."""
+        if self._prompt_guard.block is not None:
+            for sent in self._live_attempts():
+                sent.attempt.interrupt_wait()
+
+    def _live_attempts(self) -> list[SentAttempt]:
+        """Return the attempts in the order of their sending."""
+        return [*([self._current] if self._current is not None else []), *self._openings]
 
-    async def _check_silence(self) -> None:
-        """Probe the engines of a silent stream; then wait, move the stream or restart it.
+    async def _check_silence(self, sent: SentAttempt) -> None:
+        """Find out why an attempt is silent, and act on it.
 
-        Raises `ExchangeError` to restart it on another path.
+        Raises `ReplacedError` if the current attempt has been replaced, and `ExchangeError` at the
+        deadline or if the prompt is blocked.
         """
-        attempt = self._attempt
-        assert attempt is not None
-        attempt.left_s()
+        sent.attempt.left_s()
         if self._prompt_guard.block is not None:
             raise ExchangeError(BLOCKED)
-        path = attempt.path
+        if sent is not self._current:
+            await self._remedy_silence(sent)
+            return
+        await self._settle_openings()
+        await self._remedy_silence(sent)
+        await self._settle_openings()
+
+    async def _remedy_silence(self, sent: SentAttempt) -> None:
+        """Probe the engines of a silent attempt; then wait, move it or send the request again.
+
+        The attempt goes on also after the request was sent again. Only the newest one is checked.
+        """
+        if not self._is_newest(sent):
+            return
+        attempt = sent.attempt
         silence = self._measure_silence(attempt)
-        unresponsive, reports = await self._probe_engines([s.engine for s in path], silence)
-        head = reports.get(path[0].engine)
-        stalled = self._paths.find_stalled(head.stalled if head is not None else ())
-        decision = choose_remedy(path, unresponsive, list(reports.values()), stalled, silence)
+        decision = await self._remedies.choose(attempt, silence)
         self._paths.avoid(decision.dead)
+        if self._context.probes.has_ended(sent.entry):
+            self._engine_runs.record_probe(sent.engine_run, responds=False)
         if decision.remedy is Remedy.WAIT:
             return
-        should_move = decision.remedy is Remedy.MOVE and not self._is_restart_faster(attempt)
+        should_move = decision.remedy is Remedy.MOVE and not self._is_restart_better(attempt)
         if should_move and await self._paths.move(attempt, decision.dead):
             return
-        if self._may_restart() and await self._verify_may_retry() and self._spend_retry():
-            # Reserved now, since other streams of this host may check their engines concurrently.
-            self._retry_reserved = True
-            raise ExchangeError(decision.reason)
-
-    async def _probe_engines(
-        self, engines: Sequence[UpstreamId], silence: Silence
-    ) -> tuple[set[UpstreamId], dict[UpstreamId, EngineReport]]:
-        """Return the engines that don't respond, and the reports of the others.
-
-        After a short silence, this connects to each engine and fetches the report of the first
-        only. After a long one, it fetches the reports of all.
-        """
-        probes = self._context.probes
-        if silence.needs_reports:
-            found = await probes.fetch_reports(engines)
+        await self._send_replacement(sent, decision, silence)
+
+    async def _send_replacement(
+        self, sent: SentAttempt, decision: RemedyChoice, silence: Silence
+    ) -> None:
+        """Send the request again while a silent attempt goes on, if that is allowed."""
+        if not self._may_repeat() or not await self._verify_may_retry():
+            return
+        if not self._is_newest(sent):
+            return
+        if decision.dead:
+            self._paths.avoid([sent.entry.id])
         else:
-            unreachable, found = await asyncio.gather(
-                probes.find_unreachable(engines), probes.fetch_reports(engines[:1])
-            )
-            found.update(dict.fromkeys(unreachable))
-        reports = {engine: report for engine, report in found.items() if report is not None}
-        return {engine for engine, report in found.items() if report is None}, reports
+            self._paths.avoid_silent(sent.attempt.path)
+        reason = self._send()
+        self._log.replacing(
+            sent.entry.id, reason or decision.reason, silence.silent_s, sent=reason is None
+        )
+
+    def _is_newest(self, sent: SentAttempt) -> bool:
+        return sent is (self._openings.newest or self._current)
 
     def _measure_silence(self, attempt: StreamAttempt) -> Silence:
         return Silence(
             now_s() - max(attempt.sent_s, self._last_event_s),
             self._context.silence_threshold.between_events_s,
-            self._request.route.repeatable and self._engine_runs.allows_another,
+            self._may_repeat(),
         )
 
-    def _may_restart(self) -> bool:
-        """Return whether a silent attempt may be abandoned to restart the stream.
-
-        Without another path, the attempt goes on, since a silent engine may still continue.
-        """
-        return self._may_repeat() and self._paths.choose() is not None
-
     def _may_repeat(self) -> bool:
+        """Return whether the request may be sent again while an attempt goes on."""
+        if self._current is not None and not self._is_resumable:
+            return False
         return self._request.route.repeatable and self._may_retry()
 
-    def _is_restart_faster(self, attempt: StreamAttempt) -> bool:
-        """Return whether a restart on a new path gives the next event sooner than moving it."""
+    def _is_restart_better(self, attempt: StreamAttempt) -> bool:
+        """Return whether a restart is allowed and faster than moving the attempt."""
         remaining = self._context.budgets.remaining(self._request.service)
         if remaining < MIN_RESTART_BUDGET or not self._may_repeat():
             return False
-        new_path = self._paths.choose()
-        if new_path is None:
-            return False
-        moved_path = self._paths.choose(attempt.path[0].engine)
-        if moved_path is None:
-            return True
-        tokens = self._request_size.prompt + self._model.event_tokens * self.progress.events
-        moved_ms = takeover_ms(self._model, moved_path, attempt.path, tokens)
-        return takeover_ms(self._model, new_path, (), tokens) < moved_ms
+        return self._remedies.is_restart_faster(attempt)
 
     # Closing.
 
-    def _end_attempt(self) -> None:
+    def _end_current(self) -> None:
         """Close the current attempt, which stops the engines' work on it."""
-        if self._attempt is not None:
-            self._attempt.close()
-            self._attempt = None
+        if self._current is not None:
+            self._current.attempt.close()
+            self._current = None
+        if not self._openings:
             self._context.runs.discard(self)
 
     def close(self, cut: bool) -> None:
         """Close the stream; `cut` if its caller disconnected or it was interrupted."""
-        self._end_attempt()
+        self._openings.close()
+        self._end_current()
         self._log.ended(cut, self.progress)
 
 
+def _not_sent(reason: str) -> StreamSendResult:
+    return StreamSendResult(ExchangeOutcome.REJECTED, reason)
+
+
 def _parse_last_event_id(request: GatewayRequest) -> int | None:
     text = request.req.header(LAST_EVENT_ID) or ""
     return int(text) if text.isascii() and text.isdigit() else None
