Don't end a stream as complete when an engine rejects its rest

What callers would see: a stream that ends properly after some events, though more were to come. Cause: a 4xx of an engine counts as a complete answer, and where a stream is resumed, or a silent attempt is replaced, an answer without events is the end of the stream.

Once the caller has events, a client error is a failure: the request is sent again if that is allowed, and otherwise the stream is cut where it can be resumed. The 6 cases of test_error_of_an_engine_does_not_complete_a_stream_that_has_begun failed before; 1,385 tests of streams pass.

--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -6,6 +6,8 @@
 
 from collections.abc import AsyncGenerator
 
+import msgspec
+
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
 from minttide.layers.silence import Remedy, RemedyChoice, Silence
@@ -206,7 +208,7 @@
         """Return the result of an attempt once it has begun to answer or failed."""
         path = sent.attempt.path
         try:
-            result = await sent.attempt.open(last_event_id)
+            result = self._reject_error(await sent.attempt.open(last_event_id))
         except NotSentError as exc:
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
         except (ExchangeError, EventTooLongError) as exc:
@@ -217,6 +219,15 @@
             sent.attempt.close()
         return result
 
+    def _reject_error(self, result: StreamSendResult) -> StreamSendResult:
+        """Return a client error of an engine as a failure if the caller has events already.
+
+        It can't be forwarded any more, and doesn't end the stream.
+        """
+        if result.status and result.outcome is ExchangeOutcome.ANSWERED and self.progress.events:
+            return msgspec.structs.replace(result, outcome=ExchangeOutcome.FAILED)
+        return result
+
     async def _record_result(self, sent: SentAttempt, result: StreamSendResult) -> None:
         """Record the result of a send, and avoid an engine that caused a failure."""
         first = sent.entry.id
--- a/test/test_gateway_recovery.py
+++ b/test/test_gateway_recovery.py
@@ -6,7 +6,9 @@
 from gateway_site import (
     END,
     NOT_RUN,
+    RESET,
     STREAM_HEAD,
+    event,
     events,
     plain_response,
     wait_until,
@@ -332,3 +334,26 @@
             return site.state.suspects.suspected()
 
     assert asyncio.run(run()) == {"a"}
+
+
+# Guards against a stream that looks complete because an engine rejected its rest.
+@pytest.mark.parametrize("status", [400, 404, 413])
+@pytest.mark.parametrize("is_last", [True, False], ids=["no other engine", "another engine"])
+def test_error_of_an_engine_does_not_complete_a_stream_that_has_begun(status, is_last):
+    site = make_site(**dict.fromkeys("ab" if is_last else "abc", (0, 4)))
+    cut = [STREAM_HEAD, events(1), RESET]
+    rest = [STREAM_HEAD, events(2, 3), END]
+    scripts = [cut, [plain_response(status)], rest]
+    for upstream, *_ in site.path_engines:
+        upstream.scripts = scripts
+
+    async def run():
+        async with site:
+            for upstream, *_ in site.path_engines:
+                site.engines.ended.add(upstream.name)
+            return await site.send_request("draft", "POST")
+
+    response = asyncio.run(asyncio.wait_for(run(), 30))
+    assert response.status == 200
+    assert response.complete is not is_last
+    assert response.chunks == (event(1) if is_last else ALL_EVENTS)
