Try an engine that was full again only after a while, as long as an attempt goes on

What callers would see: a stream that is cut when its engine fails, as its five sends were used up within 0.1 s during an earlier silence, all on an engine that was full. Cause: where no other path is left, one that has just rejected the stream is chosen again at once. While an attempt goes on there is no hurry: engines that failed the stream are tried again a second after the last send at the earliest.

test_engine_that_was_full_during_a_silence_can_take_the_stream_later failed before (the stream was cut after two of three events); 1,386 tests of streams pass.

--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -67,6 +67,10 @@
         """Exclude engines from the further paths of this stream."""
         self._avoided.update(engines)
 
+    def uses_avoided(self, path: Path) -> bool:
+        """Return whether a path uses engines that were to be avoided, for want of others."""
+        return any(stage.engine in self._avoided for stage in path)
+
     def avoid_silent(self, path: Path) -> None:
         """Avoid the engines of a path of which an unknown one is silent, as far as others are left.
 
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -41,6 +41,9 @@
 MAX_SENDS = 5
 """Sends of one stream, including those that engines rejected."""
 
+REPEAT_INTERVAL_S = 1.0
+"""Time after a send in which engines that failed aren't tried again while an attempt goes on."""
+
 
 class ReplacedError(Exception):
     """Another attempt has begun to answer while the current one was silent."""
@@ -77,7 +80,7 @@
         self._may_have_run = False
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._prompt_guard = PromptGuard(context.state, request)
-        self._last_event_s = request.received_s
+        self._last_send_s = self._last_event_s = request.received_s
 
     @property
     def attempt(self) -> StreamAttempt | None:
@@ -162,7 +165,7 @@
         if self._prompt_guard.block is not None:
             return BLOCKED
         path = self._paths.choose()
-        if path is None:
+        if path is None or (self._paths.uses_avoided(path) and self._is_repeat_early()):
             return NO_PATH
         sends = self.progress.sends
         if sends and not self._context.budgets.try_spend(self._request, sends):
@@ -179,10 +182,15 @@
         sent = SentAttempt(attempt, entry, self._engine_runs.add(entry))
         self._context.runs.add(self)
         self.progress.sends += 1
+        self._last_send_s = attempt.sent_s
         self._context.state.metrics.count_decision("path")
         self._openings.add(sent, self._open(sent, self.progress.last_event_id))
         return None
 
+    def _is_repeat_early(self) -> bool:
+        """Return whether it is too early to try engines again that have failed this stream."""
+        return bool(self._live_attempts()) and now_s() - self._last_send_s < REPEAT_INTERVAL_S
+
     async def _send_again(self, result: StreamSendResult) -> bool:
         """Send the request again after a failure; return false if that isn't allowed."""
         return (
