Test that every change of the configuration leaves answers whole

Twelve changes (timeout, keys, weights, client limits, routes, services) before a request, while it is read, while it waits and while its stream runs, through the real connection, handler and configuration watcher.

--- /dev/null
+++ b/test/test_connection_ends.py
@@ -0,0 +1,284 @@
+"""Callers' connections around changes of the configuration, timeouts and shutdown.
+
+A request that was received whole gets a whole answer, or a whole refusal.
+"""
+
+import asyncio
+
+import h11
+import msgspec
+import pytest
+from gateway_site import (
+    END,
+    HOST,
+    KEY,
+    STREAM_HEAD,
+    GatewaySite,
+    ScriptedUpstream,
+    event,
+    events,
+    plain_response,
+    wait_until,
+)
+from stream_site import ALL_EVENTS, MODEL, find_engine
+
+from minttide.config.settings import Bounds
+from minttide.ids import AccountId, ServiceName
+from minttide.routing.routes import AccountKeys, ClientLimits, ServiceShare
+from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy
+from minttided.http.messages import split_address
+
+BODY = b"book"
+LIMIT_S = 30.0
+"""Longest time of one test, far above what it takes."""
+
+
+class Answer(msgspec.Struct):
+    """One answer as received; `complete` says whether its end arrived."""
+
+    status: int | None = None
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    complete: bool = False
+
+
+class Caller:
+    """A caller's connection, which may be kept for several requests."""
+
+    @classmethod
+    async def connect(cls, server):
+        caller = cls()
+        caller.reader, caller.writer = await asyncio.open_connection(*split_address(server.address))
+        caller.received = b""
+        return caller
+
+    def send(self, data):
+        self.writer.write(data)
+
+    async def receive(self, on_data=None):
+        """Return the next answer, as far as it arrives."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method="POST", target="/", headers=[("host", HOST)]))
+        parser.send(h11.EndOfMessage())
+        if self.received:
+            parser.receive_data(self.received)
+        answer = Answer()
+        try:
+            while not answer.complete:
+                item = parser.next_event()
+                if item is h11.NEED_DATA:
+                    data = await self.reader.read(65_536)
+                    parser.receive_data(data)
+                elif isinstance(item, h11.Response):
+                    answer.status = item.status_code
+                    answer.headers = {n.decode(): v.decode("latin-1") for n, v in item.headers}
+                elif isinstance(item, h11.Data):
+                    answer.body += bytes(item.data)
+                    if on_data is not None:
+                        on_data(answer.body)
+                else:
+                    answer.complete = isinstance(item, h11.EndOfMessage)
+                    if not answer.complete:
+                        break
+        except (ConnectionError, h11.RemoteProtocolError):
+            pass
+        self.received = parser.trailing_data[0]
+        return answer
+
+    async def is_closed(self):
+        """Wait for the end of the connection; return whether nothing arrived before it."""
+        try:
+            return await self.reader.read() == b""
+        except ConnectionError:
+            return True
+
+    def close(self):
+        self.writer.close()
+
+
+def request_bytes(name, key=KEY, body=BODY, headers=()):
+    lines = [f"POST /{name}/x HTTP/1.1", f"Host: {HOST}", "x-attempt: 1"]
+    lines += [f"Authorization: Bearer {key}"] if key else []
+    lines += [f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def run_test(scenario):
+    return asyncio.run(asyncio.wait_for(scenario(), LIMIT_S))
+
+
+# Changes of the configuration.
+
+
+def change_routes(**changes):
+    """Return a function that changes all routes of a configuration."""
+
+    def change(config):
+        routes = tuple(msgspec.structs.replace(r, **changes) for r in config.routes)
+        return msgspec.structs.replace(config, routes=routes)
+
+    return change
+
+
+def change_config(**changes):
+    return lambda config: msgspec.structs.replace(config, **changes)
+
+
+OTHER_KEYS = (AccountKeys(AccountId("acme"), ("other",)),)
+MORE_KEYS = (AccountKeys(AccountId("acme"), (KEY, "other")),)
+CHANGES = {
+    # name: (change, statuses of a request to a plain service that is read after it)
+    "timeout shortened": (change_routes(timeout_s=0.001), 200, 503, 504),
+    "timeout lengthened": (change_routes(timeout_s=50.0), 200),
+    "key taken away": (change_config(accounts=OTHER_KEYS), 401),
+    "key added": (change_config(accounts=MORE_KEYS), 200),
+    "no more keys": (change_config(accounts=()), 200),
+    "weight moved to another service": (
+        change_routes(
+            shares=(ServiceShare(ServiceName("none"), 1.0), ServiceShare(ServiceName("plain"), 0.0))
+        ),
+        503,
+    ),
+    "idle timeout shortened": (change_config(limits=ClientLimits(idle_timeout_s=0.001)), 200),
+    "header timeout shortened": (change_config(limits=ClientLimits(header_timeout_s=0.001)), 200),
+    "other limits lengthened": (
+        change_config(limits=ClientLimits(1_000_000, 10_000_000, 100.0, 1000.0)),
+        200,
+    ),
+    "body limit lowered below this one": (
+        change_config(limits=ClientLimits(max_body_bytes=len(BODY) - 1)),
+        413,
+    ),
+    "routes removed": (change_config(routes=()), 404),
+    "services removed": (change_config(services=()), 200),
+}
+
+
+class ChangingSite(GatewaySite):
+    """A gateway with one plain upstream and one engine; `apply` applies a new configuration."""
+
+    def __init__(self, *scripts):
+        plain = ScriptedUpstream("p", *scripts)
+        super().__init__(plain, engines=[(ScriptedUpstream("a", *scripts), 0, 4, "k")], model=MODEL)
+
+    def apply(self, change):
+        watcher = ConfigWatcher(self.state, self._apply_limits, ReadPolicy(lambda: False))
+        config = change(self.state.table.config)
+        new = msgspec.structs.replace(config, version=config.version + 1)
+        watcher.update(new, self.state.clock())
+        assert self.state.table.config is new
+
+    def _apply_limits(self, limits):
+        self.server.set_bounds(
+            Bounds(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                header_timeout_s=limits.header_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+            )
+        )
+
+    def upstream(self, name):
+        return self.plain[0] if name in ("get", "post") else find_engine(self, "a")
+
+
+NAMES = ["get", "post", "draft", "once"]
+
+
+def answer_script(name, *held):
+    """Return a script of an answer that awaits `held` before its first event and between two."""
+    if name in ("get", "post"):
+        return [*held, plain_response(body=ALL_EVENTS)]
+    return [*held, STREAM_HEAD, events(1), *held, events(2, 3), END]
+
+
+def assert_whole(answer):
+    assert (answer.status, answer.body, answer.complete) == (200, ALL_EVENTS, True)
+
+
+# Guards against limits or routes of a newer configuration ending a request that already runs.
+@pytest.mark.parametrize("name", NAMES)
+@pytest.mark.parametrize("case", CHANGES)
+def test_request_that_waits_or_streams_gets_its_whole_answer_across_a_change(case, name):
+    change, *later_statuses = CHANGES[case]
+
+    async def scenario():
+        release = asyncio.Event()
+        script = answer_script(name, release.wait)
+        async with ChangingSite(script, answer_script(name)) as site:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes(name))
+            await site.upstream(name).arrived.wait()
+            site.apply(change)
+            await asyncio.sleep(0.02)  # longer than the shortened timeouts
+            release.set()
+            assert_whole(await caller.receive())
+            caller.send(request_bytes(name))
+            later = await caller.receive()
+            caller.close()
+            assert later.complete
+            if name in ("get", "post"):
+                assert later.status in later_statuses
+
+    run_test(scenario)
+
+
+# Guards against the same, once the first event has been sent on.
+@pytest.mark.parametrize("name", ["draft", "once"])
+@pytest.mark.parametrize("case", CHANGES)
+def test_stream_that_has_begun_is_whole_across_a_change(case, name):
+    change, *_ = CHANGES[case]
+
+    async def scenario():
+        release = asyncio.Event()
+        script = [STREAM_HEAD, events(1), release.wait, events(2, 3), END]
+        async with ChangingSite(script) as site:
+            caller = await Caller.connect(site.server)
+
+            def on_data(body):
+                if body == event(1) and not release.is_set():
+                    site.apply(change)
+                    asyncio.get_running_loop().call_later(0.02, release.set)
+
+            caller.send(request_bytes(name))
+            answer = await caller.receive(on_data)
+            caller.close()
+            assert_whole(answer)
+            assert len(site.upstream(name).requests) == 1
+
+    run_test(scenario)
+
+
+READ_ACROSS = [
+    (case, sent_before)
+    for case in CHANGES
+    for sent_before in (0, 10, -2)  # nothing, a part of the header, a part of the body
+    if (case, sent_before) != ("body limit lowered below this one", -2)
+]
+
+
+# Guards against a change leaving a request without an answer while it is read or before it.
+@pytest.mark.parametrize(("case", "sent_before"), READ_ACROSS)
+def test_request_read_across_a_change_gets_one_complete_answer(case, sent_before):
+    change, *statuses = CHANGES[case]
+
+    async def scenario():
+        async with ChangingSite() as site:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes("get"))
+            first = await caller.receive()
+            data = request_bytes("get")
+            caller.send(data[:sent_before])
+            if sent_before:
+                (conn,) = site.server._conns
+                await wait_until(lambda: conn._has_input)
+            site.apply(change)
+            await asyncio.sleep(0.02)  # longer than the shortened timeouts
+            caller.send(data[sent_before:])
+            second = await caller.receive()
+            caller.close()
+            return first, second
+
+    first, second = run_test(scenario)
+    assert (first.status, first.complete) == (200, True)
+    assert second.status in statuses and second.complete
