Add failing test: a request received as a timeout expires

A whole request, the rest of a header and the rest of a body arrive in the iteration of the event loop in which the idle timeout, the timeout of the header or that of the body is due: each is answered 408 'not received completely in time' although it was received.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import select
+import socket
 
 import h11
 import msgspec
@@ -26,6 +28,7 @@
 from minttide.ids import AccountId, ServiceName
 from minttide.routing.routes import AccountKeys, ClientLimits, ServiceShare
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy
+from minttided.http import connection
 from minttided.http.messages import split_address
 
 BODY = b"book"
@@ -46,9 +49,14 @@
     """A caller's connection, which may be kept for several requests."""
 
     @classmethod
-    async def connect(cls, server):
+    async def connect(cls, server, receive_bytes=None):
         caller = cls()
-        caller.reader, caller.writer = await asyncio.open_connection(*split_address(server.address))
+        sock = socket.socket()
+        if receive_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, split_address(server.address))
+        caller.reader, caller.writer = await asyncio.open_connection(sock=sock)
         caller.received = b""
         return caller
 
@@ -282,3 +290,91 @@
     first, second = run_test(scenario)
     assert (first.status, first.complete) == (200, True)
     assert second.status in statuses and second.complete
+
+
+# Timeouts that expire while input arrives.
+
+
+async def expire_timers_with_input(conn, by_s):
+    """Let the clock pass `by_s` in the iteration of the loop that also finds input of `conn`."""
+    loop = asyncio.get_running_loop()
+    select.select([conn._transport.get_extra_info("socket")], [], [], LIMIT_S)
+    clock = loop.time
+    loop.time = lambda: clock() + by_s
+
+
+def waits_for_input(conn):
+    waiter = conn._input_waiter
+    return waiter is not None and not waiter.done()
+
+
+# Guards against refusing a request that was received because a timeout expires at that moment.
+@pytest.mark.parametrize("sent_before", [0, 10, -2])  # idle timeout, that of the header, the body
+def test_request_received_as_a_timeout_expires_is_served(sent_before, monkeypatch):
+    monkeypatch.setattr(connection, "BODY_TIMEOUT_S", 1.0)
+
+    async def scenario():
+        async with ChangingSite() as site:
+            site.server.set_bounds(Bounds(header_timeout_s=1.0, idle_timeout_s=1.0))
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes("get"))
+            first = await caller.receive()
+            (conn,) = site.server._conns
+            data = request_bytes("get")
+            if sent_before:
+                caller.send(data[:sent_before])
+                await wait_until(lambda: conn._has_input)
+            await wait_until(lambda: waits_for_input(conn))
+            caller.send(data[sent_before:])
+            await expire_timers_with_input(conn, 2.0)
+            second = await caller.receive()
+            caller.close()
+            return first, second, len(site.upstream("get").requests)
+
+    first, second, sends = run_test(scenario)
+    assert (first.status, second.status, sends) == (200, 200, 2)
+    assert second.complete
+
+
+# Guards against passing a request on whose connection is closed without an answer.
+def test_request_that_crosses_the_close_of_an_idle_connection_is_not_passed_on():
+    async def scenario():
+        async with ChangingSite() as site:
+            site.server.set_bounds(Bounds(idle_timeout_s=1.0))
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes("get"))
+            await caller.receive()
+            (conn,) = site.server._conns
+            await wait_until(lambda: waits_for_input(conn))
+            loop = asyncio.get_running_loop()
+            # Called just after the timeout, in the same iteration of the loop.
+            loop.call_later(1.5, caller.send, request_bytes("get"))
+            clock = loop.time
+            loop.time = lambda: clock() + 2.0
+            closed = await caller.is_closed()
+            caller.close()
+            return closed, len(site.upstream("get").requests)
+
+    assert run_test(scenario) == (True, 1)
+
+
+# Guards against an idle timeout of a newer configuration closing a connection that began to wait
+# under a longer one, which its caller may still rely on.
+def test_kept_connection_is_served_after_the_idle_timeout_was_shortened():
+    async def scenario():
+        async with ChangingSite() as site:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes("get"))
+            first = await caller.receive()
+            (conn,) = site.server._conns
+            await wait_until(lambda: waits_for_input(conn))
+            change, _ = CHANGES["idle timeout shortened"]
+            site.apply(change)
+            await asyncio.sleep(0.05)
+            caller.send(request_bytes("get"))
+            second = await caller.receive()
+            closed = await caller.is_closed()
+            caller.close()
+            return first.status, second.status, second.complete, closed
+
+    assert run_test(scenario) == (200, 200, True, True)
