Serve a request whose bytes arrive just as a timeout expires

Cause: asyncio.timeout cancels the task even if the input that it waited for has arrived in the same iteration; the input was then taken for that of an incomplete request. Why it works: the timer ends the wait for input only if no input has ended it first; there is one order of the two, not a cancellation beside a result. What the bytes complete is then read as usual, and the next wait for more ends at once.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -187,17 +187,15 @@
 
     async def _read_request(self) -> HttpRequest | None:
         """Read one complete request; return None if the connection ends between requests."""
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._server.bounds.idle_timeout_s):
-                await self._wait_for_first_byte()
-            async with asyncio.timeout(self._server.bounds.header_timeout_s):
-                head = await self._next_event()
+            await self._wait_for_first_byte(loop.time() + self._server.bounds.idle_timeout_s)
+            head = await self._next_event(loop.time() + self._server.bounds.header_timeout_s)
             if not isinstance(head, h11.Request):
                 return None
             check_header_size(head, self._server.bounds.max_header_bytes)
             check_body_framing(head, self._server.bounds.max_body_bytes)
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await self._read_body()
+            body = await self._read_body(loop.time() + BODY_TIMEOUT_S)
         except TimeoutError:
             if not self._has_input:
                 return None
@@ -212,29 +210,37 @@
             raise RequestRejectedError(rejection) from exc
         return make_request(head, body)
 
-    async def _wait_for_first_byte(self) -> None:
+    async def _wait_for_first_byte(self, end_s: float) -> None:
         while not self._has_input and not self._conn.trailing_data[1]:
-            await self._wait_for_input()
+            await self._wait_for_input(end_s)
 
-    async def _wait_for_input(self) -> None:
-        self._input_waiter = asyncio.get_running_loop().create_future()
+    async def _wait_for_input(self, end_s: float) -> None:
+        """Wait for more input. Raises `TimeoutError` if none has arrived by `end_s` (loop time).
+
+        `asyncio.timeout` would also discard input that arrives just as the timeout expires.
+        """
+        loop = asyncio.get_running_loop()
+        self._input_waiter = loop.create_future()
+        timer = loop.call_at(end_s, _expire, self._input_waiter)
         try:
             await self._input_waiter
         finally:
+            timer.cancel()
             self._input_waiter = None
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, end_s: float) -> object:
+        """Return the next event of the request. Raises `TimeoutError` after `end_s` (loop time)."""
         while True:
             event = self._conn.next_event()
             if event is not h11.NEED_DATA:
                 return event
             if self._conn.they_are_waiting_for_100_continue:
                 self._write(h11.InformationalResponse(status_code=100, headers=[]))
-            await self._wait_for_input()
+            await self._wait_for_input(end_s)
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, end_s: float) -> bytes:
         chunks: list[bytes] = []
-        while isinstance(event := await self._next_event(), h11.Data):
+        while isinstance(event := await self._next_event(end_s), h11.Data):
             self._body.reserve(len(event.data))
             chunks.append(bytes(event.data))
         return b"".join(chunks)
@@ -298,3 +304,8 @@
         if self._writable_waiter is not None:
             async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
                 await self._writable_waiter
+
+
+def _expire(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_exception(TimeoutError())
