Add failing test: an answer with a header that isn't ASCII

The upstream's answer, 200 and whole, has a header value with the byte E9, which HTTP allows (obs-text). The caller's connection is closed without a byte, for plain answers and streams.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -378,3 +378,27 @@
             return first.status, second.status, second.complete, closed
 
     assert run_test(scenario) == (200, 200, True, True)
+
+
+# Bytes that aren't ASCII.
+
+
+# Guards against ending the connection without an answer because of one header of the upstream.
+@pytest.mark.parametrize("name", NAMES)
+def test_answer_with_other_than_ascii_in_a_header_is_forwarded(name):
+    script = [
+        step.replace(b"x-seal: s1", b"x-seal: s1\r\nx-note: caf\xe9")
+        for step in answer_script(name)
+    ]
+
+    async def scenario():
+        async with ChangingSite(script) as site:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes(name))
+            answer = await caller.receive()
+            caller.close()
+            return answer
+
+    answer = run_test(scenario)
+    assert_whole(answer)
+    assert answer.headers["x-note"] == "caf\xe9"
