Forward an answer whose headers hold other bytes than ASCII

Callers saw: a whole request, passed on and answered by the upstream, and the connection closed without a byte (neither an answer nor a refusal). Cause: header values are decoded as Latin-1 when they are read and were encoded as ASCII by h11 when sent. The UnicodeEncodeError is none of the exceptions that Connection._serve handles, and it comes before the first byte of the answer. Why it works: what was decoded as Latin-1 is encoded as Latin-1, so that every value that was accepted is sent on with the same bytes.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -9,7 +9,14 @@
 
 from minttide.config.settings import Bounds
 from minttide.problems import Problem, ProblemType, Ran, RequestError
-from minttided.http.messages import Handler, Headers, HttpRequest, HttpResponse, StreamResponse
+from minttided.http.messages import (
+    Handler,
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    StreamResponse,
+    encode_headers,
+)
 from minttided.http.problems import problem, problem_response
 from minttided.http.request import (
     BodyAllocation,
@@ -292,7 +299,7 @@
         if close or self._server.closing:
             all_headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(status, "")
-        return h11.Response(status_code=status, headers=all_headers, reason=reason)
+        return h11.Response(status_code=status, headers=encode_headers(all_headers), reason=reason)
 
     def _write(self, event: h11.Event) -> None:
         data = self._conn.send(event)
--- a/daemon/minttided/http/messages.py
+++ b/daemon/minttided/http/messages.py
@@ -1,6 +1,6 @@
 """HTTP requests and responses as passed to and from handlers."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 from urllib.parse import parse_qsl
@@ -63,6 +63,14 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | StreamResponse]]
 
 
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return headers as bytes. Values are received as Latin-1, so that any bytes are kept.
+
+    Raises `UnicodeEncodeError`.
+    """
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 def split_address(address: Address) -> tuple[str, int]:
     """Split "<IP address>:<port>"; an IPv6 address may be in brackets."""
     host, _, port = address.rpartition(":")
