Add failing test: a request with a header that isn't ASCII

A caller's header value with the byte E9 (obs-text, which HTTP allows): plain requests aren't sent, the request is refused and each upstream that was chosen for it is avoided; streams fail likewise.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -402,3 +402,20 @@
     answer = run_test(scenario)
     assert_whole(answer)
     assert answer.headers["x-note"] == "caf\xe9"
+
+
+# Guards against refusing such a request, and avoiding upstreams because of it.
+@pytest.mark.parametrize("name", NAMES)
+def test_request_with_other_than_ascii_in_a_header_is_forwarded(name):
+    async def scenario():
+        async with ChangingSite(answer_script(name)) as site:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes(name, headers=["x-note: caf\xe9"]))
+            answer = await caller.receive()
+            caller.close()
+            assert not site.state.suspects.suspected()
+            return answer, site.upstream(name).requests[0][0]
+
+    answer, head = run_test(scenario)
+    assert_whole(answer)
+    assert b"x-note: caf\xe9\r\n" in head
