Forward a request whose headers hold other bytes than ASCII

Callers saw: 503 for a proper request with such a header value, and for a while other requests avoided the upstreams chosen for it, since a request that can't be encoded counted as an upstream that can't be reached. Not covered: the name of a tenant that isn't in Latin-1 still can't be sent; one that is in Latin-1 but not ASCII is sent as Latin-1.

--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -6,7 +6,7 @@
 import h11
 
 from minttide.ids import Address
-from minttided.http.messages import Headers, split_address
+from minttided.http.messages import Headers, encode_headers, split_address
 
 READ_BYTES = 65_536
 
@@ -29,7 +29,7 @@
 def make_request(method: str, target: str, headers: Sequence[tuple[str, str]]) -> h11.Request:
     """Return the head of a request. Raises `NotSentError` if it isn't valid in HTTP."""
     try:
-        return h11.Request(method=method, target=target, headers=list(headers))
+        return h11.Request(method=method, target=target, headers=encode_headers(headers))
     except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
         raise NotSentError(f"invalid HTTP request: {exc}") from exc
 
