Add failing test: a shutdown ends while a request is read or an answer is sent

The drain counts running handlers only. It is done at once, upon which the process closes its connections, while a connection has received a part of a request's body, and while the end of an answer is still in the transport's buffer.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 from gateway_site import (
+    ANY_PORT,
     END,
     HOST,
     KEY,
@@ -29,7 +30,9 @@
 from minttide.routing.routes import AccountKeys, ClientLimits, ServiceShare
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy
 from minttided.http import connection
-from minttided.http.messages import split_address
+from minttided.http.messages import HttpResponse, split_address
+from minttided.http.server import HttpServer
+from minttided.stopping import CHECK_INTERVAL_S, Drain
 
 BODY = b"book"
 LIMIT_S = 30.0
@@ -115,6 +118,11 @@
     return asyncio.run(asyncio.wait_for(scenario(), LIMIT_S))
 
 
+async def wait_for_connections(server):
+    await wait_until(lambda: server._conns)
+    return list(server._conns)
+
+
 # Changes of the configuration.
 
 
@@ -419,3 +427,68 @@
     answer, head = run_test(scenario)
     assert_whole(answer)
     assert b"x-note: caf\xe9\r\n" in head
+
+
+# Shutdown.
+
+
+async def leave_at_once():
+    pass
+
+
+def make_drain(server):
+    return Drain(leave_at_once, lambda: server, lambda: 0.0, LIMIT_S)
+
+
+# Guards against ending the process while a request is read or an answer is sent.
+def test_shutdown_waits_for_a_request_that_is_being_read():
+    async def scenario():
+        async with ChangingSite() as site:
+            caller = await Caller.connect(site.server)
+            data = request_bytes("get")
+            caller.send(data[:-2])
+            (conn,) = await wait_for_connections(site.server)
+            await wait_until(lambda: conn._has_input)
+            drain = make_drain(site.server)
+            drain.start()
+            await wait_until(lambda: not site.server._server.is_serving())
+            await asyncio.sleep(2 * CHECK_INTERVAL_S)
+            is_early = drain.done.is_set()
+            caller.send(data[-2:])
+            answer = await caller.receive()
+            await drain.done.wait()
+            caller.close()
+            return is_early, answer.status, answer.complete
+
+    assert run_test(scenario) == (False, 200, True)
+
+
+# Guards against the same for the end of an answer that its caller has yet to read.
+def test_shutdown_waits_until_an_answer_is_sent():
+    body = b"b" * 60_000  # fits into the transport's buffer
+
+    async def handle(_):
+        return HttpResponse(200, body)
+
+    async def scenario():
+        async with HttpServer(handle, ANY_PORT, Bounds()) as server:
+            caller = await Caller.connect(server, receive_bytes=4096)
+            (conn,) = await wait_for_connections(server)
+            sock = conn._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            caller.writer.transport.pause_reading()
+            caller.send(request_bytes("get"))
+            await wait_until(lambda: conn._transport.get_write_buffer_size() > 0)
+            drain = make_drain(server)
+            drain.start()
+            await wait_until(lambda: not server._server.is_serving())
+            await asyncio.sleep(2 * CHECK_INTERVAL_S)
+            is_early = drain.done.is_set()
+            assert conn._transport.get_write_buffer_size() > 0
+            caller.writer.transport.resume_reading()
+            answer = await caller.receive()
+            await drain.done.wait()
+            caller.close()
+            return is_early, answer.body == body, answer.complete
+
+    assert run_test(scenario) == (False, True, True)
