Finish reading requests and sending answers before a shutdown ends

Callers saw, around SIGTERM: a connection that ends without an answer although the request was (being) received, or an answer without its end. Around a change of the configuration this plays no part. Cause: Drain waits while HttpServer.open_requests isn't 0, which counts running handlers only. A request whose body still arrives, one that has arrived in the iteration of the check, and the last 64 KiB of an answer, which the handler has left to the transport, don't count; the process then cancels the connections and closes the loop. Why it works: unfinished_requests also counts connections that read a request or hold unsent bytes; the wait stays bounded by finish_timeout_s, so that a caller who stalls can't hold the process longer than a running request can.

--- a/daemon/minttided/callers/server.py
+++ b/daemon/minttided/callers/server.py
@@ -73,6 +73,11 @@
         """Return the number of requests in progress, including calls whose caller disconnected."""
         return self._server.open_requests + self._calls.detached_calls
 
+    @property
+    def unfinished_requests(self) -> int:
+        """Return `open_requests` and those that are being read or whose response is being sent."""
+        return self._server.unfinished_requests + self._calls.detached_calls
+
     @property
     def load(self) -> float:
         """Return the number of open streams as a fraction of the limit, from 0 to 1."""
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -129,6 +129,12 @@
         if self._input_waiter is not None and not self._input_waiter.done():
             self._input_waiter.set_result(None)
 
+    @property
+    def is_transferring(self) -> bool:
+        """Return whether a request is being read, or the end of a response has yet to be sent."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        return not self._handling and (self._has_input or unsent_bytes > 0)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or handled."""
         if not self._handling and not self._has_input:
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -62,6 +62,11 @@
         """Return the number of open connections."""
         return len(self._conns)
 
+    @property
+    def unfinished_requests(self) -> int:
+        """Return the number of requests that are read or handled, or whose response is sent."""
+        return self.open_requests + sum(conn.is_transferring for conn in self._conns)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Change the limits from the next request on."""
         self.bounds = bounds
--- a/daemon/minttided/stopping.py
+++ b/daemon/minttided/stopping.py
@@ -14,8 +14,8 @@
     """The part of the callers' listener that a graceful shutdown uses."""
 
     @property
-    def open_requests(self) -> int:
-        """Return the number of requests in progress."""
+    def unfinished_requests(self) -> int:
+        """Return the number of requests that are read or handled, or whose response is sent."""
 
     def announce_close(self) -> None:
         """Close each connection after its next response; new ones are still accepted."""
@@ -86,11 +86,11 @@
             async with asyncio.timeout(self._finish_timeout_s):
                 await _wait_until_idle(listener)
         except TimeoutError:
-            log.warning("open requests aborted", extra={"left": listener.open_requests})
+            log.warning("open requests aborted", extra={"left": listener.unfinished_requests})
         else:
             log.info("all requests finished")
 
 
 async def _wait_until_idle(listener: Listener) -> None:
-    while listener.open_requests:  # noqa: ASYNC110 - polling is sufficient here
+    while listener.unfinished_requests:  # noqa: ASYNC110 - polling is sufficient here
         await asyncio.sleep(CHECK_INTERVAL_S)
