Add failing tests: a lower limit on bodies counts against earlier requests

The reading of a body began under a limit that allows it; a configuration lowers the limit meanwhile: 413 in place of the answer, although set_bounds says that limits change from the next request on. And the bodies buffered under the higher limit count against 32 times the lower one, so that short requests get 503 until the earlier ones have been answered.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -388,6 +388,55 @@
     assert run_test(scenario) == (200, 200, True, True)
 
 
+# Limits that change.
+
+
+# Guards against applying a new limit to a body whose reading began under a higher one.
+@pytest.mark.parametrize("in_chunks", [False, True])
+def test_body_limit_lowered_while_a_body_is_read(in_chunks):
+    async def scenario():
+        async with ChangingSite() as site:
+            caller = await Caller.connect(site.server)
+            data = request_bytes("get")
+            if in_chunks:
+                head, _, _ = data.partition(b"\r\n\r\n")
+                head = head.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")
+                data = head + b"\r\n\r\n2\r\nbo\r\n2\r\nok\r\n0\r\n\r\n"
+            rest = 12 if in_chunks else 2
+            caller.send(data[:-rest])
+            (conn,) = await wait_for_connections(site.server)
+            await wait_until(lambda: conn._has_input and waits_for_input(conn))
+            change, _ = CHANGES["body limit lowered below this one"]
+            site.apply(change)
+            caller.send(data[-rest:])
+            answer = await caller.receive()
+            caller.send(request_bytes("get"))
+            later = await caller.receive()
+            caller.close()
+            return answer.status, answer.complete, later.status, later.complete
+
+    assert run_test(scenario) == (200, True, 413, True)
+
+
+# Guards against bodies that were allowed when they were read taking the room of later ones.
+def test_lowered_body_limit_leaves_room_beside_longer_bodies_of_before():
+    async def scenario():
+        release = asyncio.Event()
+        async with ChangingSite(answer_script("get", release.wait), answer_script("get")) as site:
+            before, after = await Caller.connect(site.server), await Caller.connect(site.server)
+            before.send(request_bytes("get", body=BODY * 100))
+            await site.upstream("get").arrived.wait()
+            site.apply(change_config(limits=ClientLimits(max_body_bytes=len(BODY))))
+            after.send(request_bytes("get"))
+            assert_whole(await after.receive())
+            release.set()
+            assert_whole(await before.receive())
+            before.close()
+            after.close()
+
+    run_test(scenario)
+
+
 # Bytes that aren't ASCII.
 
 
