Apply a new limit on bodies from the next request on

Callers saw: 413 for a body whose reading had begun under a limit that allows it, and 503 for proper requests beside such bodies. Cause: the limit was read anew at each piece of a body, and all bodies shared one budget that followed the newest limit. Why it works: a budget belongs to one limit; a request keeps the budget that was in force when its header had been read, and a new limit starts with an empty one. Until the earlier requests have been answered, up to 32 bodies of each limit may be buffered.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -208,6 +208,7 @@
                 return None
             check_header_size(head, self._server.bounds.max_header_bytes)
             check_body_framing(head, self._server.bounds.max_body_bytes)
+            self._body = BodyAllocation(self._server.bodies)
             body = await self._read_body(loop.time() + BODY_TIMEOUT_S)
         except TimeoutError:
             if not self._has_input:
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -24,7 +24,10 @@
 
 
 class BodyBudget:
-    """The bytes of request bodies that one server buffers, across all connections."""
+    """The bytes of request bodies that one server buffers, across all connections.
+
+    It covers the bodies whose reading began under one limit; a new limit starts a new budget.
+    """
 
     def __init__(self, max_body_bytes: int):
         self.max_body_bytes = max_body_bytes
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -69,8 +69,9 @@
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Change the limits from the next request on."""
+        if bounds.max_body_bytes != self.bounds.max_body_bytes:
+            self.bodies = BodyBudget(bounds.max_body_bytes)
         self.bounds = bounds
-        self.bodies.max_body_bytes = bounds.max_body_bytes
 
     def announce_close(self) -> None:
         """Close each connection after its next response; new ones are still accepted."""
