Add failing test: a raised limit on headers doesn't hold on open connections

A connection from before the change refuses a header of 30 KB with 431 under a limit of 50 KB, idle or not yet used, if the header arrives in more than one piece. Clients don't retry after 431.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -437,6 +437,30 @@
     run_test(scenario)
 
 
+# Guards against refusing, on a connection from before, a header that the new limit allows.
+@pytest.mark.parametrize("served_before", [False, True])
+def test_raised_header_limit_applies_to_open_connections(served_before):
+    async def scenario():
+        async with ChangingSite() as site:
+            caller = await Caller.connect(site.server)
+            if served_before:
+                caller.send(request_bytes("get"))
+                await caller.receive()
+            (conn,) = await wait_for_connections(site.server)
+            await wait_until(lambda: waits_for_input(conn))
+            site.apply(change_config(limits=ClientLimits(max_header_bytes=50_000)))
+            data = request_bytes("get", headers=["x-long: " + "y" * 30_000])
+            caller.send(data[:20_000])
+            await wait_until(lambda: conn._has_input)
+            await asyncio.sleep(0.02)  # so that the two parts are read one after the other
+            caller.send(data[20_000:])
+            answer = await caller.receive()
+            caller.close()
+            return answer.status, answer.complete
+
+    assert run_test(scenario) == (200, True)
+
+
 # Bytes that aren't ASCII.
 
 
