Apply a raised limit on headers to open connections

Callers saw: 431, which isn't retried, for a header that the limit in force allows, on a connection that was opened under a lower limit (also that of a new process, 16 KiB, until its first configuration). Cause: h11 takes the limit of an incomplete header when the parser is made, once per connection. Why it works: each request gets a new parser with the limits in force when its first byte arrives. Without input there is nothing in the old one, and pipelined requests, whose bytes are in it, keep it.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -62,9 +62,7 @@
 
     def __init__(self, server: ConnectionServer):
         self._server = server
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.bounds.max_header_bytes
-        )
+        self._conn = _make_parser(server.bounds)
         self._handling = False  # a handler is running
         self._has_input = False  # bytes of a request have arrived
         self._buffered_bytes = 0  # bytes that arrived while a handler was running
@@ -94,6 +92,9 @@
         """Receive bytes of a request; while a handler runs, buffer only a limited number."""
         if self._discarding:
             return
+        if not self._has_input:
+            # The limits may have changed since the previous request or the start.
+            self._conn = _make_parser(self._server.bounds)
         self._conn.receive_data(data)
         self._has_input = True
         if self._handling:
@@ -320,6 +321,10 @@
                 await self._writable_waiter
 
 
+def _make_parser(bounds: Bounds) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.max_header_bytes)
+
+
 def _expire(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_exception(TimeoutError())
