Add failing test: a stream ends because its engine was removed from the list

After the first silence over the threshold (60 ms between events, 0.2 s before the first) it counts as dead and the stream is given up; the only other engine is full: 503 before the first event, a cut answer after it.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -15,6 +15,7 @@
     END,
     HOST,
     KEY,
+    NOT_RUN,
     STREAM_HEAD,
     GatewaySite,
     ScriptedUpstream,
@@ -610,6 +611,41 @@
     run_test(scenario)
 
 
+# Guards against counting an engine as dead because it was removed from the list: such engines go on
+# for a while, and a stream is silent now and then.
+@pytest.mark.parametrize("is_first_event", [True, False])
+def test_stream_of_removed_engine_goes_on_while_the_engine_answers_probes(is_first_event):
+    probed = asyncio.Event()
+    script = [STREAM_HEAD, events(1), probed.wait, events(2, 3), END]
+    if is_first_event:
+        script = [probed.wait, STREAM_HEAD, events(1, 2, 3), END]
+    full = ScriptedUpstream("b", *([[plain_response(503, headers=NOT_RUN)]] * 20))
+
+    async def scenario():
+        async with ChangingSite(script) as site, full:
+            caller = await Caller.connect(site.server)
+            caller.send(request_bytes("draft"))
+            engine = site.upstream("draft")
+            await engine.arrived.wait()
+            report = site.engines.report
+
+            async def signal_and_report(entry, timeout_s):
+                if entry.id == engine.name:
+                    probed.set()
+                return await report(entry, timeout_s)
+
+            site.engines.report = signal_and_report
+            entry = site.state.upstreams[engine.name]
+            other = msgspec.structs.replace(entry, id=full.name, address=full.address)
+            watcher = UpstreamWatcher(site.state, ReadPolicy(lambda: False))
+            watcher.update([other], site.state.clock())
+            assert_whole(await caller.receive())
+            caller.close()
+
+    run_test(scenario)
+    assert not full.requests
+
+
 # Errors, and several requests on one connection.
 
 
