Probe an engine that was removed from the list before counting it as dead

Callers saw: a stream cut midway, or refused with 503 before its first event, soon after its engine had been removed from the list, although the engine went on with it; where another engine had room, the stream was restarted there (tokens prefilled in vain). Cause: EngineProbes took an engine without an entry for one that doesn't respond, without asking it. Engines that leave without reporting 'draining' are removed while they still serve, and a silence over the threshold is enough to ask. The attempt was then given up for a replacement that may not exist (streams/run.py, not part of this change). Why it works: the last entry of a removed engine is kept, up to 1,024 of them, and probed at its address; a process that has ended, or another one there (421), still counts as dead. Such a failure isn't recorded as a suspicion or a crash, as before. To know: a stream isn't moved off a removed engine any more as long as the engine answers.

--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -29,6 +29,9 @@
 
 _EPOCH_BITS = 63
 
+MAX_FORMER_UPSTREAMS = 1024
+"""Upstreams removed from the list whose entries are kept."""
+
 MAX_BLOCKS_WAIT_S = 3.0
 """How long a new process takes no streams if nobody tells it which parts of prompts are blocked.
 
@@ -67,6 +70,7 @@
     list_history: ListHistory = field(default_factory=_create_list_history)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
+    former_upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
     upstreams_known: bool = False
     upstreams_read_s: float = float("-inf")
     list_complete_s: float = float("-inf")
@@ -110,6 +114,18 @@
         self.suspects.clear(upstream)
         self.upstream_limits.forget(upstream)
 
+    def record_removed(self, entry: UpstreamEntry) -> None:
+        """Record that an upstream is no longer listed. It may still finish its requests."""
+        self.forget_upstream(entry.id)
+        self.former_upstreams.pop(entry.id, None)
+        self.former_upstreams[entry.id] = entry
+        if len(self.former_upstreams) > MAX_FORMER_UPSTREAMS:
+            del self.former_upstreams[next(iter(self.former_upstreams))]
+
+    def find_upstream(self, upstream: UpstreamId) -> UpstreamEntry | None:
+        """Return the entry of an upstream, its last one if it was removed from the list."""
+        return self.upstreams.get(upstream) or self.former_upstreams.get(upstream)
+
     def record_limit(self, upstream: UpstreamId, status: int, text: str | None) -> None:
         """Record the limit that an answer of an upstream names, None if it names none.
 
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -35,6 +35,9 @@
     A connection only shows whether the engine can be reached. A report contains more, but costs the
     engine a request. Concurrent probes of one kind to one engine are merged into one.
 
+    An engine that was removed from the list is probed at its last address: it may still finish its
+    requests.
+
     `on_unresponsive` is called for each engine that fails a probe, `on_report` for each report.
     """
 
@@ -116,7 +119,7 @@
         return not _has_restarted(entry, report)
 
     async def _connect(self, engine: UpstreamId) -> bool:
-        entry = self._state.upstreams.get(engine)
+        entry = self._state.find_upstream(engine)
         if entry is None:
             self._on_unresponsive(engine)
             return False
@@ -128,7 +131,7 @@
         return True
 
     async def _fetch_report(self, engine: UpstreamId) -> EngineReport | None:
-        entry = self._state.upstreams.get(engine)
+        entry = self._state.find_upstream(engine)
         if entry is None:
             self._on_unresponsive(engine)
             return None
@@ -146,7 +149,13 @@
         return report
 
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
-        """Avoid an engine that failed a probe; `ended` if its process is known to have ended."""
+        """Avoid an engine that failed a probe; `ended` if its process is known to have ended.
+
+        One that was removed from the list isn't used anyway, and may have left as planned.
+        """
+        if entry.id not in self._state.upstreams:
+            self._on_unresponsive(entry.id)
+            return
         if ended:
             self._ended[(entry.id, entry.born_ms)] = None
             if len(self._ended) > MAX_ENDED:
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -226,7 +226,7 @@
                 self._state.forget_upstream(upstream)
         for upstream, entry in before.items():
             if upstream not in entries:
-                self._state.forget_upstream(upstream)
+                self._state.record_removed(entry)
                 _log_change("upstream removed", entry)
         self._state.upstreams = entries
         self._state.list_history.record(before, entries)
