Add failing test: an answer is cut off although its caller reads it

An answer of 1 MB to a caller that reads 100 KB, then waits for 0.7 of the time limit of a stall, and so on: cut off after the first such limit, reset without the rest.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -709,3 +709,46 @@
             caller.close()
 
     run_test(scenario)
+
+
+async def wait_until_sent(conn, unsent_bytes):
+    """Wait until some of the unsent bytes have been sent."""
+    await wait_until(lambda: conn._transport.get_write_buffer_size() < unsent_bytes)
+
+
+# Guards against cutting off an answer whose caller reads it slowly but steadily.
+@pytest.mark.parametrize("is_read", [True, False])
+def test_answer_is_cut_off_only_if_its_caller_stops_reading(is_read, monkeypatch):
+    monkeypatch.setattr(connection, "WRITE_STALL_TIMEOUT_S", 1.0)
+    body = b"b" * 1_000_000
+
+    async def handle(_):
+        return HttpResponse(200, body)
+
+    async def scenario():
+        async with HttpServer(handle, ANY_PORT, Bounds()) as server:
+            caller = await Caller.connect(server, receive_bytes=4096)
+            (conn,) = await wait_for_connections(server)
+            sock = conn._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            caller.send(request_bytes("get"))
+            loop = asyncio.get_running_loop()
+            for _ in range(4):
+                await wait_until(lambda: conn._writable_waiter is not None)
+                unsent_bytes = conn._transport.get_write_buffer_size()
+                if is_read:
+                    caller.received += await caller.reader.readexactly(100_000)
+                    await wait_until_sent(conn, unsent_bytes)
+                clock = loop.time
+                loop.time = lambda clock=clock: clock() + 0.7
+                await asyncio.sleep(0.01)
+                if conn not in server._conns:
+                    break
+            answer = await caller.receive()
+            caller.close()
+            return answer
+
+    answer = run_test(scenario)
+    assert answer.status == 200
+    assert answer.complete is is_read
+    assert (answer.body == body) is is_read
