Cut off an answer only if its caller reads nothing for 30 s

Callers saw: an answer that ends in the middle with a reset, 30 s after it was written, although they read it all the while; only for answers over 64 KiB on slow links. Cause: the time limit of a stalled write ran from the last write until the transport's buffer was nearly empty, whatever was read meanwhile. Why it works: the limit starts again as long as bytes leave the buffer; a caller that reads nothing is still cut off. To know: a caller that reads a little in each 30 s holds the answer in memory for longer.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -315,10 +315,17 @@
             self._transport.write(data)
 
     async def _wait_until_writable(self) -> None:
-        """Wait until the transport's write buffer has drained."""
-        if self._writable_waiter is not None:
-            async with asyncio.timeout(WRITE_STALL_TIMEOUT_S):
-                await self._writable_waiter
+        """Wait until the transport's write buffer has drained.
+
+        Raises `TimeoutError` when the caller has read nothing for `WRITE_STALL_TIMEOUT_S`.
+        """
+        waiter = self._writable_waiter
+        while waiter is not None and not waiter.done():
+            unsent_bytes = self._transport.get_write_buffer_size()
+            await asyncio.wait([waiter], timeout=WRITE_STALL_TIMEOUT_S)
+            is_stalled = self._transport.get_write_buffer_size() >= unsent_bytes
+            if is_stalled and not waiter.done():
+                raise TimeoutError("the caller doesn't read the response")
 
 
 def _make_parser(bounds: Bounds) -> h11.Connection:
