Add failing test: a probe that failed while this process was held up counts

A probe of 50 ms whose time passes while the event loop is held up for 0.2 s: the engine counts as dead and is avoided, although nothing is known of it.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -29,6 +29,7 @@
 from minttide.config.settings import Bounds
 from minttide.ids import AccountId, ServiceName
 from minttide.routing.routes import AccountKeys, ClientLimits, ServiceShare
+from minttide.routing.sources import ProcessEndedError, SourceError
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.http import connection
 from minttided.http.client import ExchangeError
@@ -752,3 +753,46 @@
     assert answer.status == 200
     assert answer.complete is is_read
     assert (answer.body == body) is is_read
+
+
+# Probes.
+
+
+HELD_UP_S = 0.2
+PROBE_CASES = {
+    # name: (error of the first probe, how long this process was held up, probes, responds)
+    "no response": (SourceError("no response in time"), 0.0, 1, False),
+    "no response while held up": (SourceError("no response in time"), HELD_UP_S, 2, True),
+    "the process has ended": (ProcessEndedError("refused"), HELD_UP_S, 1, False),
+}
+
+
+# Guards against counting an engine as dead because this process was held up during its probe.
+@pytest.mark.parametrize("kind", ["report", "check_reachable"])
+@pytest.mark.parametrize("case", PROBE_CASES)
+def test_probe_is_repeated_if_this_process_was_held_up(case, kind):
+    error, held_up_s, probes, responds = PROBE_CASES[case]
+
+    async def scenario():
+        async with ChangingSite() as site:
+            answer = getattr(site.engines, kind)
+            asked = []
+
+            async def fail_first(entry, timeout_s):
+                asked.append(entry.id)
+                if len(asked) > 1:
+                    return await answer(entry, timeout_s)
+                loop = asyncio.get_running_loop()
+                clock = loop.time
+                loop.time = lambda: clock() + held_up_s
+                raise error
+
+            setattr(site.engines, kind, fail_first)
+            if kind == "report":
+                found = await site.streams.probes.fetch_reports(["a"])
+                responding = found["a"] is not None
+            else:
+                responding = not await site.streams.probes.find_unreachable(["a"])
+            return len(asked), responding, "a" not in site.state.suspects.suspected()
+
+    assert run_test(scenario) == (probes, responds, responds)
