--- /dev/null
+++ b/test/test_full_engine.py
@@ -0,0 +1,47 @@
+"""A stream with several attempts while the other engine is full."""
+
+import asyncio
+
+from gateway_site import END, NOT_RUN, RESET, STREAM_HEAD, events, plain_response
+from stream_site import ALL_EVENTS, find_engine, make_site
+
+from minttide_fakes.memory_network import run_in_memory
+
+FULL = [plain_response(503, headers=NOT_RUN)]
+SILENCE_S = 1.2
+
+
+def sleep(delay_s):
+    """Return a step of a script that waits."""
+
+    async def wait():
+        await asyncio.sleep(delay_s)
+
+    return wait
+
+
+def test_engine_that_was_full_during_a_silence_can_take_the_stream_later():
+    """Guards against a stream that has used all of its sends on an engine that is full."""
+    site = make_site(a=(0, 4), b=(0, 4))
+    engines = [find_engine(site, name) for name in "ab"]
+    first = [STREAM_HEAD, events(1), sleep(SILENCE_S), events(2), sleep(0.5), RESET]
+    full_until_s = SILENCE_S + 0.3
+    received_s = []
+
+    def next_script(head):
+        now = asyncio.get_running_loop().time()
+        received_s.append(now)
+        if len(received_s) == 1:
+            return first
+        is_full = now - received_s[0] < full_until_s
+        return FULL if is_full else [STREAM_HEAD, events(3), END]
+
+    for engine in engines:
+        engine.next_script = next_script
+
+    async def run():
+        async with site:
+            return await site.send_request("draft", "POST")
+
+    response = run_in_memory(run(), 30.0)
+    assert (response.chunks, response.complete) == (ALL_EVENTS, True)
