Don't repeat a stream after an event without an id

What callers saw: events that come twice. Cause: a stream was resumed or replaced after its last id also if events without an id had been delivered since, or if the only id was the one that the caller had sent. A new run sends these events once more, and they can't be told apart.

Such a stream isn't sent again now: a silent attempt goes on, and one that fails is cut. Comments don't count.

--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -16,6 +16,11 @@
     raw: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event consists of comments only, such as those that keep it alive."""
+        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+
 
 class EventTooLongError(Exception):
     """An event exceeds `MAX_EVENT_BYTES`."""
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -81,6 +81,7 @@
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._prompt_guard = PromptGuard(context.state, request)
         self._last_send_s = self._last_event_s = request.received_s
+        self._last_event_has_id = True
 
     @property
     def attempt(self) -> StreamAttempt | None:
@@ -345,6 +346,8 @@
         progress.events += 1
         if event.id is not None:
             progress.last_event_id = event.id
+        if not event.is_comment:  # a comment may come twice
+            self._last_event_has_id = event.id is not None
 
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
@@ -370,8 +373,15 @@
 
     @property
     def _is_resumable(self) -> bool:
-        """Return whether a stream that has begun can go on in another attempt."""
-        return self._request.route.resumable and self.progress.last_event_id is not None
+        """Return whether a stream that has begun can go on in another attempt.
+
+        After an event without an id it can't, as a new run would send that event once more.
+        """
+        return (
+            self._request.route.resumable
+            and self.progress.last_event_id is not None
+            and self._last_event_has_id
+        )
 
     # Engine failures.
 
--- a/test/test_replaced_streams.py
+++ b/test/test_replaced_streams.py
@@ -1,10 +1,13 @@
 """Streams of which several attempts run at a time, and what the other engines answer to them."""
 
+import asyncio
+
 import pytest
-from gateway_site import event, plain_response
+from gateway_site import END, RESET, STREAM_HEAD, chunk, event, events, plain_response
 from silent_site import Case, SilentSite
-from stream_site import ALL_EVENTS
+from stream_site import ALL_EVENTS, make_site
 
+from minttide_fakes.memory_network import run_in_memory
 from minttided.gateway.streams.run import MAX_SENDS
 
 
@@ -58,3 +61,67 @@
     assert "b" in site.sent
     assert answer.body == event(1)
     assert not answer.response.complete
+
+
+# Several engines with scripts of their own, at virtual times.
+
+
+def pause(seconds):
+    """Return a script step that waits."""
+
+    async def wait():
+        await asyncio.sleep(seconds)
+
+    return wait
+
+
+def wait_until(time_s):
+    """Return a script step that waits until a time after the request."""
+
+    async def wait():
+        await asyncio.sleep(max(0.0, time_s - asyncio.get_running_loop().time()))
+
+    return wait
+
+
+def run_draft(site, **request):
+    """Send a request for a stream to `site`; return its response and when it ended."""
+
+    async def run():
+        async with site:
+            response = await site.send_request("draft", "POST", **request)
+            ended_s = asyncio.get_running_loop().time()
+            assert all(load.streams == 0 for load in site.loads.estimate().values())
+            return response, ended_s
+
+    return run_in_memory(run(), 60.0)
+
+
+UNNUMBERED = [b"data: x%d\n\n" % n for n in (6, 7, 8)]
+COMMENT = b": still here\n\n"
+WITHOUT_IDS = {
+    "all": ([("Last-Event-Id", "5")], UNNUMBERED[:2], UNNUMBERED[2:]),
+    "the last": ([], [event(1), UNNUMBERED[0]], [event(2)]),
+    "the last, with a comment": ([], [event(1), b": no id\n" + UNNUMBERED[0]], [event(2)]),
+}
+
+
+# Guards against events that come twice, since it isn't known where a new run has to go on.
+@pytest.mark.parametrize("ending", ["goes on", "fails"])
+@pytest.mark.parametrize(("headers", "before", "after"), WITHOUT_IDS.values(), ids=WITHOUT_IDS)
+def test_event_without_id_comes_once(headers, before, after, ending):
+    end = [RESET] if ending == "fails" else [*map(chunk, after), END]
+    a = [STREAM_HEAD, *map(chunk, before), pause(1.2), *end]
+    b = [STREAM_HEAD, *map(chunk, [*before, *after][len(before) - 1 :]), END]
+    response, _ = run_draft(make_site(a=(0, 4, a), b=(0, 4, b)), headers=headers)
+    delivered = before if ending == "fails" else [*before, *after]
+    assert response.chunks == b"".join(delivered)
+    assert response.complete == (ending == "goes on")
+
+
+def test_stream_is_resumed_after_a_comment():
+    a = [STREAM_HEAD, events(1), chunk(COMMENT), RESET]
+    b = [STREAM_HEAD, events(2, 3), END]
+    response, _ = run_draft(make_site(a=(0, 4, a), b=(0, 4, b)))
+    assert response.chunks == event(1) + COMMENT + event(2) + event(3)
+    assert response.complete
