Take an answer that begins while a failed attempt's engine is probed

What callers saw: a first event up to 0.3 s late. Cause: before the request was sent again after a failure, engines that seem to have ended were probed for 0.3 s, and nobody looked at the other attempts meanwhile. If one of them began to answer, a retry was spent as well, for a send that was cancelled at once.

Now the first result of another attempt ends these probes.

Evidence: test_answer_is_passed_on_while_a_failed_replacement_is_probed failed before (first event 0.26 s late, two retries) and passes now.

--- a/daemon/minttided/gateway/streams/openings.py
+++ b/daemon/minttided/gateway/streams/openings.py
@@ -70,6 +70,19 @@
                 return sent, task.result()
         return None
 
+    async def run_unless_finished(self, work: Coroutine[Any, Any, bool]) -> bool:
+        """Return what `work` returns, or false if an attempt begins to answer or fails before."""
+        task = asyncio.create_task(work)
+        self._finished.clear()
+        finished = asyncio.create_task(self._finished.wait())
+        try:
+            if not any(opening.done() for opening in self._tasks.values()):
+                await asyncio.wait({task, finished}, return_when=asyncio.FIRST_COMPLETED)
+            return task.done() and task.result()
+        finally:
+            task.cancel()
+            finished.cancel()
+
     def close(self) -> None:
         """Stop all attempts."""
         for sent, task in self._tasks.items():
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -193,12 +193,16 @@
         return bool(self._live_attempts()) and now_s() - self._last_send_s < REPEAT_INTERVAL_S
 
     async def _send_again(self, result: StreamSendResult) -> bool:
-        """Send the request again after a failure; return false if that isn't allowed."""
-        return (
-            may_retry(result.outcome, self._request.route.repeatable)
-            and await self._verify_may_retry()
-            and self._send() is None
-        )
+        """Send the request again after a failure.
+
+        Returns false if that isn't allowed, or if another attempt has a result first.
+        """
+        if not may_retry(result.outcome, self._request.route.repeatable):
+            return False
+        return await self._openings.run_unless_finished(self._verify_and_send())
+
+    async def _verify_and_send(self) -> bool:
+        return await self._verify_may_retry() and self._send() is None
 
     async def _wait_until_begun(self) -> StreamSendResult:
         """Wait until an attempt has begun to answer, and send again after each that fails.
--- a/test/test_replaced_streams.py
+++ b/test/test_replaced_streams.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from gateway_site import END, RESET, STREAM_HEAD, chunk, event, events, plain_response
+from gateway_site import END, RESET, STREAM_HEAD, FakeEngines, chunk, event, events, plain_response
 from silent_site import Case, SilentSite
 from stream_site import ALL_EVENTS, make_site
 
@@ -125,3 +125,40 @@
     response, _ = run_draft(make_site(a=(0, 4, a), b=(0, 4, b)))
     assert response.chunks == event(1) + COMMENT + event(2) + event(3)
     assert response.complete
+
+
+class SlowProbes(FakeEngines):
+    """Engines of which the dead ones let probes time out."""
+
+    async def check_reachable(self, entry, timeout_s):
+        await self._wait(entry, timeout_s)
+        await super().check_reachable(entry, timeout_s)
+
+    async def report(self, entry, timeout_s):
+        await self._wait(entry, timeout_s)
+        return await super().report(entry, timeout_s)
+
+    async def _wait(self, entry, timeout_s):
+        if entry.id in self.dead:
+            await asyncio.sleep(timeout_s)
+
+
+LATE_S = 0.02
+"""Longest time from the first event of an engine to the caller."""
+
+
+# Guards against an answer that waits, and a retry that is spent, while a failed engine is probed.
+def test_answer_is_passed_on_while_a_failed_replacement_is_probed():
+    site = make_site(
+        a=(0, 4, [wait_until(0.7), STREAM_HEAD, events(1, 2, 3), END]),
+        b=(0, 4, [wait_until(0.6), RESET]),
+        c=(0, 4, [wait_until(9.0), END]),
+    )
+    site.engines = SlowProbes()
+    site.engines.dead.add("b")
+    response, ended_s = run_draft(site)
+    assert (response.chunks, response.complete) == (ALL_EVENTS, True)
+    assert ended_s <= 0.7 + LATE_S
+    assert (
+        b'minttide_retries_total{allowed="yes",service="model"} 1\n' in site.state.metrics.render()
+    )
