Log each send of a stream with its own number

The line "stream sent" named the number of the newest send, and the last event of the time at which the line was written. With several attempts, the first engine's answer was logged as send 2, as a warning.

Evidence: test_each_send_is_logged_with_its_own_number failed before and passes now.

--- a/daemon/minttided/gateway/streams/log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -42,13 +42,20 @@
         self._request_size = request_size
 
     def sent(
-        self, path: Path, outcome: ExchangeOutcome, reason: str, progress: Progress, ran: int
+        self,
+        path: Path,
+        outcome: ExchangeOutcome,
+        reason: str,
+        send: int,
+        last_event_id: int | None,
+        ran: int,
     ) -> None:
         """Log a send when its first event has arrived or it has failed.
 
-        `ran` is the number of engines that may have run the request and still respond.
+        `send` is its number; others may have been sent since. `ran` is the number of engines that
+        may have run the request and still respond.
         """
-        first_send_succeeded = outcome is ExchangeOutcome.ANSWERED and progress.sends == 1
+        first_send_succeeded = outcome is ExchangeOutcome.ANSWERED and send == 1
         log.log(
             logging.INFO if first_send_succeeded else logging.WARNING,
             "stream sent",
@@ -60,12 +67,12 @@
                 "prompt": self._request_size.prompt,
                 "answer": self._request_size.answer,
                 "parts": parse_prompt_parts(self._request.req, self._state.headers),
-                "send": progress.sends,
+                "send": send,
                 "ran": ran,
                 "max_attempts": self._request.route.max_attempts,
                 "end": outcome.value,
                 "reason": reason,
-                "last_event": progress.last_event_id,
+                "last_event": last_event_id,
                 "config": self._state.table.version if self._state.table else None,
                 "list_age_s": self._state.list_age_s,
                 "left_s": self._request.end_s - now_s(),
--- a/daemon/minttided/gateway/streams/openings.py
+++ b/daemon/minttided/gateway/streams/openings.py
@@ -12,8 +12,12 @@
 
 @dataclass(eq=False)
 class SentAttempt:
-    """An attempt that was sent, with its first engine as it was listed then."""
+    """An attempt that was sent, with its first engine as it was listed then.
 
+    `number` counts the sends of the stream, from 1.
+    """
+
+    number: int
     attempt: StreamAttempt
     entry: UpstreamEntry
     engine_run: EngineRun
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -180,7 +180,7 @@
             self._request_size,
             lambda: self._check_silence(sent),
         )
-        sent = SentAttempt(attempt, entry, self._engine_runs.add(entry))
+        sent = SentAttempt(sends + 1, attempt, entry, self._engine_runs.add(entry))
         self._context.runs.add(self)
         self.progress.sends += 1
         self._last_send_s = attempt.sent_s
@@ -227,7 +227,14 @@
         except (ExchangeError, EventTooLongError) as exc:
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
         await self._record_result(sent, result)
-        self._log.sent(path, result.outcome, result.reason, self.progress, self._engine_runs.count)
+        self._log.sent(
+            path,
+            result.outcome,
+            result.reason,
+            sent.number,
+            self.progress.last_event_id,
+            self._engine_runs.count,
+        )
         if result.event is None:
             sent.attempt.close()
         return result
--- a/test/test_replaced_streams.py
+++ b/test/test_replaced_streams.py
@@ -1,9 +1,19 @@
 """Streams of which several attempts run at a time, and what the other engines answer to them."""
 
 import asyncio
+import logging
 
 import pytest
-from gateway_site import END, RESET, STREAM_HEAD, FakeEngines, chunk, event, events, plain_response
+from gateway_site import (
+    END,
+    RESET,
+    STREAM_HEAD,
+    FakeEngines,
+    chunk,
+    event,
+    events,
+    plain_response,
+)
 from silent_site import Case, SilentSite
 from stream_site import ALL_EVENTS, make_site
 
@@ -162,3 +172,18 @@
     assert (
         b'minttide_retries_total{allowed="yes",service="model"} 1\n' in site.state.metrics.render()
     )
+
+
+# Guards against log lines that give a send the number of another.
+def test_each_send_is_logged_with_its_own_number(caplog):
+    caplog.set_level(logging.INFO, "minttided")
+    site = make_site(
+        a=(0, 4, [wait_until(1.0), STREAM_HEAD, events(1, 2, 3), END]),
+        b=(0, 4, [wait_until(0.9), RESET]),
+    )
+    run_draft(site)
+    lines = [r for r in caplog.records if r.getMessage() == "stream sent"]
+    assert [(r.end, r.send, r.levelno) for r in lines] == [
+        ("unknown", 2, logging.WARNING),
+        ("answered", 1, logging.INFO),
+    ]
