Give the requests of the prompt tests bodies of their own

They differed only in a header, with the same target, account and an empty body. What identifies a request will be these three and its method, so that requests with different prompts would be one.

--- a/test/test_prompt_crashes.py
+++ b/test/test_prompt_crashes.py
@@ -43,8 +43,10 @@
 
 
 async def send_prompt(site, prompt):
-    """Send a request with a prompt of its own; the prompt serves as its id as well."""
-    return await site.send_request("draft", "POST", headers=[("x-parts", prompt)], attempt=prompt)
+    """Send a request with a prompt of its own; the prompt serves as its body and its id as well."""
+    return await site.send_request(
+        "draft", "POST", prompt.encode(), headers=[("x-parts", prompt)], attempt=prompt
+    )
 
 
 def make_crashing_site():
