Let a whole request explain crashes by itself

A report has one more part, for the whole request. Three crashes block it without a second request; parts of prompts need two as before. Repeats come to several hosts within milliseconds, so that waits on different processes overlap: these crashes count separately once they are half a second old, unless another process of the service ended at about that time. A request goes before a part of its prompt that explains the same crashes, as its block concerns nobody else.

Found by the replay: (1) starts of whole requests pushed those of prompt parts out of the 4,096 that are kept: they are kept apart now. (2) A block that a host decided by another's report got no trial, and several hosts made trials of one block: the host makes it that reported the last crash, of all that had the same request on that process the one whose report is kept on all hosts (CrashReport.reporter, empty from earlier releases), and not if a crash followed since. (3) Crashes from before the last start counted against a trial.

--- a/core/minttide/policy/crash_reports.py
+++ b/core/minttide/policy/crash_reports.py
@@ -8,10 +8,12 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
-    """A request that waited for its first event on an engine when the engine's process ended.
+    """A request that waited on an engine or other upstream when the process there ended.
 
-    `parts` are the parts of its prompt that other requests may share. Times are in seconds: when
-    the request was sent, and when the end of the engine was noticed.
+    A stream waits for its first event, another request for its answer. `request` is its
+    fingerprint, the same for all its tries. `parts` are the parts of its prompt that other requests
+    may share, and one for the whole request. Times are in seconds: when the request was sent, and
+    when the end of the process was noticed. `reporter` is the host that sent it.
     """
 
     service: ServiceName
@@ -21,12 +23,18 @@
     parts: tuple[PromptPart, ...]
     sent_s: float
     ended_s: float
+    reporter: str = ""  # earlier releases don't send it
 
     @property
     def process(self) -> "Process":
         """Return what identifies the process that ended."""
         return self.engine, self.born_ms
 
+    @property
+    def name(self) -> "ReportName":
+        """Return what identifies the report."""
+        return self.engine, self.born_ms, self.request
+
 
 class PartStart(msgspec.Struct, frozen=True, array_like=True, tag="start"):
     """A request with this part began to answer at `started_s`, in seconds."""
@@ -57,6 +65,7 @@
 
 BlockKey = tuple[ServiceName, tuple[PromptPart, ...]]
 Process = tuple[UpstreamId, int]
+ReportName = tuple[UpstreamId, int, str]
 PartKey = tuple[ServiceName, PromptPart]
 
 
--- a/core/minttide/policy/prompt_crashes.py
+++ b/core/minttide/policy/prompt_crashes.py
@@ -1,9 +1,10 @@
-"""Finds parts of prompts that make engines crash, from the requests that waited on each engine.
+"""Finds parts of requests that make upstreams crash, from what waited on each one that ended.
 
-Some inputs crash every engine that begins to answer them. Requests share parts of their prompts, so
-each further request with such a part would crash one more engine. All hosts exchange which requests
-waited for their first event on an engine when its process ended, and block a part once it explains
-several of these crashes in a row.
+Some inputs crash every upstream that begins to answer them. Requests share parts of their prompts,
+so each further request with such a part would crash one more engine; and a request alone is sent
+again by its client. The whole request counts as one more part of it. All hosts exchange which
+requests waited for their first event, or for their answer, on an upstream when its process ended,
+and block a part once it explains several of these crashes in a row.
 
 Many requests may wait on an engine that crashes, most of them by chance. What tells them apart:
 
@@ -14,6 +15,9 @@
   count once for all requests that waited on them.
 - A crash counts for the part that explains most crashes, not for the others that waited there.
 - Parts that only ever occurred together are blocked only together.
+
+Of a whole request and a part of its prompt that explain the same crashes, the request is blocked,
+as others aren't concerned. `CrashCounter` says which of its crashes count beside those in a row.
 """
 
 from collections import Counter, defaultdict
@@ -21,7 +25,8 @@
 
 import msgspec
 
-from minttide.ids import PromptPart, ServiceName, UpstreamId
+from minttide.ids import PromptPart, ServiceName
+from minttide.policy.crash_counts import SETTLE_S, CrashCounter
 from minttide.policy.crash_reports import (
     BlockKey,
     CrashNews,
@@ -30,14 +35,17 @@
     PartKey,
     PartStart,
     Process,
+    ReportName,
     count_in_a_row,
 )
+from minttide.policy.part_starts import PartStarts
+from minttide.policy.request_fingerprint import is_request_part
 
 MIN_CRASHES = 3
 """Crashes in a row that a part must explain before it is blocked."""
 
 MIN_REQUESTS = 2
-"""Different requests among them: a single request may crash engines by itself."""
+"""Different requests among them, but for the part that stands for a whole request."""
 
 MAX_AMBIGUOUS_CRASHES = 4
 """Crashes in a row up to which parts that explain them equally well are not blocked."""
@@ -54,8 +62,8 @@
 MAX_BLOCKS = 256
 """Blocks that are kept. The oldest are dropped."""
 
-MAX_STARTS = 4096
-"""Parts whose last start is kept."""
+MAX_NEWS_DELAY_S = 0.05
+"""Differences in time between two reports of one crash up to which they count as the same."""
 
 
 def _ignore(_: object) -> None:
@@ -74,12 +82,16 @@
         self.on_news: Callable[[CrashNews], None] = _ignore
         self.on_block: Callable[[PartBlock], None] = _ignore
         self.on_unblock: Callable[[PartBlock], None] = _ignore
-        self._reports: dict[tuple[UpstreamId, int, str], CrashReport] = {}
+        self._reports: dict[ReportName, CrashReport] = {}
         self._reports_by_part: defaultdict[PartKey, list[CrashReport]] = defaultdict(list)
-        self._started_s: dict[PartKey, float] = {}
+        self._starts = PartStarts()
         self._blocks: dict[BlockKey, PartBlock] = {}
         self._blocks_by_part: defaultdict[PartKey, list[PartBlock]] = defaultdict(list)
         self._trials_s: dict[BlockKey, float] = {}  # when a request may be let through
+        self._known: Counter[ServiceName] = Counter()  # reports and blocks of each service
+        self._settled_s = float("-inf")
+        self._unsettled: dict[PartKey, float] = {}  # when they can be decided on
+        self._own: set[ReportName] = set()  # of the reports that are kept, those of this host
 
     @property
     def blocks(self) -> Mapping[BlockKey, PartBlock]:
@@ -91,6 +103,10 @@
         """Return the reports that are kept, the oldest first."""
         return self._reports.values()
 
+    def concerns(self, service: ServiceName) -> bool:
+        """Return whether there are reports or blocks of a service."""
+        return self._known[service] > 0
+
     def find_block(self, service: ServiceName, parts: Collection[PromptPart]) -> PartBlock | None:
         """Return the block that applies to a request, if any."""
         for part in parts:
@@ -103,12 +119,14 @@
         """Return whether one request may be sent although it is blocked, once for each block.
 
         A part that was blocked by chance would stay so if no request with it was under way. Only
-        the host whose report led to the block makes the trial, and not after many crashes.
+        the host that reported the last crash makes the trial, and not after many crashes.
         """
         if now_s < self._trials_s.get(block.key, float("inf")):
             return False
         del self._trials_s[block.key]
-        reports = self._reports_by_part.get((block.service, block.parts[0]), ())
+        reports = self._find_unrefuted((block.service, block.parts[0]))
+        if any(report.ended_s > block.ended_s + TRIAL_DELAY_S for report in reports):
+            return False  # Another host made it.
         return len({report.process for report in reports}) < CERTAIN_CRASHES
 
     # News, from this host or from others.
@@ -118,42 +136,75 @@
         touched: set[PartKey] = set()
         for item in news:
             if isinstance(item, CrashReport):
-                touched |= self._add_report(item)
+                touched |= self._add_report(item, own)
             elif isinstance(item, PartStart):
                 self._record_start((item.service, item.part), item.started_s)
             else:
                 self._add_block(item)
         if any(count_in_a_row(self._find_unrefuted(key)) >= MIN_CRASHES for key in touched):
-            before = set(self._blocks)
             self._update_blocks({service for service, _ in touched})
-            for key in set(self._blocks) - before if own else ():
-                self._trials_s[key] = self._blocks[key].ended_s + TRIAL_DELAY_S
+        for key in touched:
+            self._await_settled(key)
+
+    def settle(self, now_s: float) -> None:
+        """Decide on whole requests by crashes whose waits overlapped; call this now and then."""
+        self._settled_s = max(self._settled_s, now_s - SETTLE_S)
+        due = [key for key, at_s in self._unsettled.items() if at_s <= now_s]
+        for key in due:
+            del self._unsettled[key]
+        self._update_blocks({service for service, _ in due})
+
+    def _await_settled(self, key: PartKey) -> None:
+        """Decide later on a whole request that isn't blocked, if its crashes may be enough."""
+        if not is_request_part(key[1]) or key in self._blocks_by_part:
+            return
+        reports = self._find_unrefuted(key)
+        if len({report.process for report in reports}) >= MIN_CRASHES:
+            self._unsettled[key] = max(report.ended_s for report in reports) + SETTLE_S
+
+    def _plan_trial(self, block: PartBlock) -> None:
+        """Plan to let one request through if this host reported the last crash of a block."""
+        reports = self._reports_by_part.get((block.service, block.parts[0]), ())
+        since_s = block.ended_s - MAX_NEWS_DELAY_S
+        if any(r.ended_s > since_s and r.name in self._own for r in reports):
+            self._trials_s[block.key] = block.ended_s + TRIAL_DELAY_S
 
     def record_start(self, service: ServiceName, parts: Iterable[PromptPart], now_s: float) -> None:
         """Record that a request with these parts has begun to answer."""
         for part in parts:
             self._record_start((service, part), now_s)
 
-    def _add_report(self, report: CrashReport) -> set[PartKey]:
-        """Add a report; return the parts for which it is evidence."""
-        name = (*report.process, report.request)
-        if name in self._reports:
+    def _add_report(self, report: CrashReport, own: bool) -> set[PartKey]:
+        """Add a report; return the parts for which it is evidence.
+
+        Of a request that several hosts had sent to one process, all keep the same report.
+        """
+        name = report.name
+        known = self._reports.get(name)
+        if known is not None and not _precedes(report, known):
             return set()
+        if known is not None:
+            self._drop_report(name)
         if len(self._reports) >= MAX_REPORTS:
             self._drop_report(next(iter(self._reports)))
         self._reports[name] = report
+        if own:
+            self._own.add(name)
+        self._known[report.service] += 1
         keys = {(report.service, part) for part in report.parts}
         for key in keys:
             self._reports_by_part[key].append(report)
         self.on_news(report)
         for key in keys:
-            started_s = self._started_s.get(key)
-            if started_s is not None and started_s > report.ended_s:
+            started_s = self._starts.last_s(key)
+            if started_s > report.ended_s:
                 self.on_news(PartStart(*key, started_s))  # Other hosts may not know it.
         return keys
 
-    def _drop_report(self, name: tuple[UpstreamId, int, str]) -> None:
+    def _drop_report(self, name: ReportName) -> None:
         report = self._reports.pop(name)
+        self._own.discard(name)
+        self._known[report.service] -= 1
         for part in set(report.parts):
             key = (report.service, part)
             self._reports_by_part[key].remove(report)
@@ -161,10 +212,7 @@
                 del self._reports_by_part[key]
 
     def _record_start(self, key: PartKey, started_s: float) -> None:
-        before_s = self._started_s.pop(key, float("-inf"))
-        self._started_s[key] = max(before_s, started_s)
-        if len(self._started_s) > MAX_STARTS:
-            del self._started_s[next(iter(self._started_s))]
+        before_s = self._starts.record(key, started_s)
         if started_s <= before_s:
             return
         is_news = any(before_s < r.ended_s < started_s for r in self._reports_by_part.get(key, ()))
@@ -178,6 +226,7 @@
 
     def _remove_block(self, block: PartBlock) -> None:
         del self._blocks[block.key]
+        self._known[block.service] -= 1
         for part in block.parts:
             key = (block.service, part)
             self._blocks_by_part[key].remove(block)
@@ -191,7 +240,7 @@
         suspects = tuple(
             part
             for part in block.parts
-            if self._started_s.get((block.service, part), float("-inf")) < block.ended_s
+            if self._starts.last_s((block.service, part)) < block.ended_s
         )
         if not suspects:
             return
@@ -204,8 +253,10 @@
         if len(self._blocks) >= MAX_BLOCKS:
             self._remove_block(next(iter(self._blocks.values())))
         self._blocks[block.key] = block
+        self._known[block.service] += 1
         for part in block.parts:
             self._blocks_by_part[(block.service, part)].append(block)
+        self._plan_trial(block)
         self.on_news(block)
         self.on_block(block)
         for other in list(self._blocks.values()):
@@ -216,29 +267,34 @@
 
     def _update_blocks(self, services: Collection[ServiceName]) -> None:
         for service in services:
-            explained = self._find_explained(service)
-            while causes := _find_causes(evidence := self._find_evidence(service, explained)):
+            reports = (r for r in self._reports.values() if r.service == service)
+            counter = CrashCounter(reports, self._settled_s)
+            explained = self._find_explained(service, counter)
+            while causes := _find_causes(
+                evidence := self._find_evidence(service, explained, counter), counter
+            ):
                 for parts in causes:
-                    reports = evidence[parts[0]]
-                    ended_s = max(report.ended_s for report in reports)
+                    found = evidence[parts[0]]
+                    ended_s = max(report.ended_s for report in found)
                     self._add_block(PartBlock(service, parts, ended_s))
-                    _add_explained(explained, reports)
+                    _add_explained(explained, found, counter.count(parts[0], found))
 
-    def _find_explained(self, service: ServiceName) -> dict[Process, int]:
+    def _find_explained(self, service: ServiceName, counter: CrashCounter) -> dict[Process, int]:
         """Return the processes that ended under a part that is blocked by itself.
 
-        With each process, this returns how many crashes in a row the part explains. Of parts that
+        With each process, this returns how many crashes the part explains. Of parts that
         are blocked together, a later crash may show which one was the cause.
         """
         explained: dict[Process, int] = {}
         for of_service, parts in self._blocks:
             if of_service != service or len(parts) > 1:
                 continue
-            _add_explained(explained, self._reports_by_part.get((service, parts[0]), ()))
+            reports = self._reports_by_part.get((service, parts[0]), ())
+            _add_explained(explained, reports, counter.count(parts[0], reports))
         return explained
 
     def _find_evidence(
-        self, service: ServiceName, explained: Mapping[Process, int]
+        self, service: ServiceName, explained: Mapping[Process, int], counter: CrashCounter
     ) -> dict[PromptPart, list[CrashReport]]:
         """Return the reports for each part that no start of an answer refutes.
 
@@ -251,7 +307,7 @@
                 continue
             found = self._find_unrefuted((service, part))
             by_others = max((explained.get(report.process, 0) for report in found), default=0)
-            if count_in_a_row(found) <= by_others:
+            if counter.count(part, found) <= by_others:
                 found = [report for report in found if report.process not in explained]
             if len(found) >= MIN_CRASHES:
                 evidence[part] = found
@@ -259,7 +315,7 @@
 
     def _find_unrefuted(self, key: PartKey) -> list[CrashReport]:
         """Return the reports of a part since a request with it last began to answer."""
-        since_s = self._started_s.get(key, float("-inf"))
+        since_s = self._starts.last_s(key)
         return [r for r in self._reports_by_part.get(key, ()) if r.ended_s > since_s]
 
     def _find_processes(self, block: BlockKey) -> set[Process]:
@@ -278,38 +334,53 @@
         )
 
 
-def _add_explained(explained: dict[Process, int], reports: Collection[CrashReport]) -> None:
+def _precedes(report: CrashReport, known: CrashReport) -> bool:
+    """Return whether a report is kept instead of `known`, of the same request and process.
+
+    It is the one of the first wait; of waits that began together, that of the first host by name.
+    """
+    earlier_s = known.sent_s - report.sent_s
+    if abs(earlier_s) > MAX_NEWS_DELAY_S:
+        return earlier_s > 0
+    return report.reporter < known.reporter
+
+
+def _add_explained(
+    explained: dict[Process, int], reports: Collection[CrashReport], crashes: int
+) -> None:
     """Add the processes of a part's reports, with the number of crashes that it explains."""
-    crashes = count_in_a_row(reports)
     for report in reports:
         explained[report.process] = max(crashes, explained.get(report.process, 0))
 
 
 def _find_causes(
-    evidence: Mapping[PromptPart, list[CrashReport]],
+    evidence: Mapping[PromptPart, list[CrashReport]], counter: CrashCounter
 ) -> list[tuple[PromptPart, ...]]:
     """Return the parts, or the parts that only occurred together, that explain most crashes.
 
     Of parts that explain the same crashes equally well none is returned, up to
-    `MAX_AMBIGUOUS_CRASHES`: the next crash may decide.
+    `MAX_AMBIGUOUS_CRASHES` in a row: the next crash may decide. But whole requests go before parts
+    of their prompts.
     """
     crashes = {
-        part: count_in_a_row(reports)
+        part: counter.count(part, reports)
         for part, reports in evidence.items()
-        if len({r.request for r in reports}) >= MIN_REQUESTS
+        if is_request_part(part) or len({r.request for r in reports}) >= MIN_REQUESTS
     }
     most = max(crashes.values(), default=0)
     if most < MIN_CRASHES:
         return []
+    suspects = [part for part, crash_count in crashes.items() if crash_count == most]
+    suspects = [part for part in suspects if is_request_part(part)] or suspects
     together: defaultdict[frozenset[CrashReport], list[PromptPart]] = defaultdict(list)
-    for part, crash_count in crashes.items():
-        if crash_count == most:
-            together[frozenset(evidence[part])].append(part)
+    for part in suspects:
+        together[frozenset(evidence[part])].append(part)
     groups_at = Counter(
         process for reports in together for process in {report.process for report in reports}
     )
     return [
         tuple(sorted(parts))
         for reports, parts in together.items()
-        if most > MAX_AMBIGUOUS_CRASHES or all(groups_at[r.process] == 1 for r in reports)
+        if count_in_a_row(reports) > MAX_AMBIGUOUS_CRASHES
+        or all(groups_at[r.process] == 1 for r in reports)
     ]
--- a/test/repeat_replay.py
+++ b/test/repeat_replay.py
@@ -131,7 +131,7 @@
         for host, part, sent_s, sends in self.waiting.pop(upstream, ()):
             name = part.partition(":")[2]
             report = CrashReport(
-                SERVICE, f"u{upstream}", born_ms, name, (part,), sent_s, self._now_s
+                SERVICE, f"u{upstream}", born_ms, name, (part,), sent_s, self._now_s, f"h{host}"
             )
             self.hosts[host].add([report], own=True)
             self._push(0.001, self._send, host, part, sends + 1)
