Block a request that crashes the upstreams that run it

Cause: streams reported only the parts of prompts that others may share, plain calls reported nothing, and two different requests were needed.

Change: prompt_guard.py is callers/crash_guard.py, used by plain calls as well, whose parts are the whole request alone. After a connection that broke, not at the deadline, one connection of 50 ms tells whether the process has ended; a refused one says so on the platform (check_reachable). A process that is listed as leaving isn't reported. A blocked request gets 503 `request-blocked` at once, 502 if it may have run; one request ends two upstreams at most. Complete answers that show that it ran clear it. Plain calls wait for the blocks of a new process as streams do. The news sender decides twice a second on what has settled.

--- a/core/minttide/problems.py
+++ b/core/minttide/problems.py
@@ -36,6 +36,7 @@
     ANSWER_NOT_KEPT = "answer-not-kept"
     LEAVING = "leaving"
     PROMPT_BLOCKED = "prompt-blocked"
+    REQUEST_BLOCKED = "request-blocked"
     INTERNAL = "internal"
 
 
--- a/core/minttide/routing/outcome.py
+++ b/core/minttide/routing/outcome.py
@@ -37,6 +37,12 @@
     )
 
 
+def has_run(outcome: ExchangeOutcome, status: int) -> bool:
+    """Return whether a complete response shows that the upstream has run the request."""
+    failed = outcome is ExchangeOutcome.FAILED and status not in NOT_RUN_STATUSES
+    return outcome is ExchangeOutcome.ANSWERED or failed
+
+
 def may_retry(outcome: ExchangeOutcome, repeatable: bool) -> bool:
     """Return whether a request may be sent again after an exchange with this outcome."""
     if outcome is ExchangeOutcome.ANSWERED:
--- a/daemon/minttided/gateway/callers/errors.py
+++ b/daemon/minttided/gateway/callers/errors.py
@@ -42,6 +42,7 @@
     ProblemType.DEADLINE: 503,
     ProblemType.LEAVING: 503,
     ProblemType.PROMPT_BLOCKED: 503,
+    ProblemType.REQUEST_BLOCKED: 503,
 }
 _UNKNOWN_OUTCOME_STATUSES = {
     ProblemType.UPSTREAM_FAILED: 502,
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -12,10 +12,13 @@
 from minttide.routing.outcome import (
     ExchangeOutcome,
     classify_response,
+    has_run,
     may_forward_failure,
     may_retry,
 )
 from minttide.routing.routes import UpstreamEntry
+from minttide.routing.sources import ProcessEndedError, SourceError
+from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.exchange import Exchange
 from minttided.gateway.callers.request import GatewayRequest, end_to_end_headers, upstream_headers
@@ -33,6 +36,9 @@
 BROKEN_AVOID_S = 0.5
 """How long to avoid an upstream whose connection broke during an exchange."""
 
+PROBE_TIMEOUT_S = 0.05
+"""Time for a connection by which to find out whether the process of an upstream has ended."""
+
 
 class SendResult(msgspec.Struct, frozen=True):
     """The result of one send. `response` is set when a complete response has been received."""
@@ -54,15 +60,18 @@
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
         self._budgets.record_request(request.service)
+        guard = CrashGuard(self._state, request, has_prompt=False)
         tried: list[UpstreamId] = []
         ran = 0
         result: SendResult | None = None
-        while True:
+        while guard.block is None:
             upstream = self._choose(request, tried)
             if upstream is None:
                 break
             self._state.upstream_limits.take(upstream, now_s())
+            sent_s = now_s()
             result = await self._send(request, upstream)
+            await self._record_result(guard, request, result, upstream, sent_s)
             tried.append(upstream.id)
             ran += result.outcome not in (ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT)
             self._log(request, result, len(tried), ran)
@@ -70,17 +79,22 @@
                 may_retry(result.outcome, request.route.repeatable)
                 and ran < request.route.max_attempts
                 and len(tried) < MAX_SENDS
+                and guard.allows_send
                 and now_s() < request.end_s
                 and self._budgets.try_spend(request, len(tried))
             )
             if not again:
                 break
         if result is None:
-            raise self._reject(request)
-        return self._finish(request, result, ran)
+            raise self._reject(request, guard)
+        return self._finish(request, result, ran, guard)
 
-    def _reject(self, request: GatewayRequest) -> RequestError:
+    def _reject(self, request: GatewayRequest, guard: CrashGuard) -> RequestError:
         """Return the error of a request that can be sent to no upstream now."""
+        blocked_error = guard.rejection()
+        if blocked_error is not None:
+            self._state.metrics.count_request(request.service, Ran.NOT_RUN)
+            return blocked_error
         upstreams, now = self._state.active_upstreams(request.service), now_s()
         limits = self._state.upstream_limits
         delay_s = min((limits.delay_s(entry, now) for entry in upstreams), default=0.0)
@@ -110,6 +124,31 @@
         finally:
             self._running[upstream.id] -= 1
 
+    async def _record_result(
+        self,
+        guard: CrashGuard,
+        request: GatewayRequest,
+        result: SendResult,
+        upstream: UpstreamEntry,
+        sent_s: float,
+    ) -> None:
+        """Record whether the upstream has run the request, or has ended meanwhile."""
+        if result.response is not None and has_run(result.outcome, result.response.status):
+            guard.record_start()
+        broke = result.outcome is ExchangeOutcome.UNKNOWN and now_s() < request.end_s
+        if broke and await self._has_ended(upstream):
+            guard.record_ended(upstream, sent_s)
+
+    async def _has_ended(self, upstream: UpstreamEntry) -> bool:
+        """Return whether nothing listens at the address of an upstream any more."""
+        try:
+            await self._state.engines.check_reachable(upstream, PROBE_TIMEOUT_S)
+        except ProcessEndedError:
+            return True
+        except SourceError:
+            return False
+        return False
+
     async def _exchange(self, request: GatewayRequest, upstream: UpstreamEntry) -> SendResult:
         names = self._state.headers
         headers = upstream_headers(request, names, now_s())
@@ -137,7 +176,9 @@
             raise ExchangeError("the response is for another request")
         return SendResult(outcome, upstream.id, str(exchange.status), to_response(exchange, body))
 
-    def _finish(self, request: GatewayRequest, result: SendResult, ran: int) -> HttpResponse:
+    def _finish(
+        self, request: GatewayRequest, result: SendResult, ran: int, guard: CrashGuard
+    ) -> HttpResponse:
         metrics = self._state.metrics
         if result.outcome is ExchangeOutcome.ANSWERED and result.response is not None:
             metrics.count_request(request.service, Ran.DONE)
@@ -146,6 +187,9 @@
             return result.response
         if ran == 0:
             metrics.count_request(request.service, Ran.NOT_RUN)
+            blocked_error = guard.rejection()
+            if blocked_error is not None:
+                raise blocked_error
             raise not_run_error(
                 ProblemType.OVERLOADED,
                 f"no upstream accepted the request: {result.reason}",
--- a/daemon/minttided/gateway/callers/request_handler.py
+++ b/daemon/minttided/gateway/callers/request_handler.py
@@ -54,10 +54,10 @@
             received_s + route.timeout_s,
         )
         spec = table.services.get(service)
+        if self._state.awaits_blocks:
+            detail = "the blocked requests haven't been read yet"
+            raise not_run_error(ProblemType.CONFIG_UNKNOWN, detail)
         if spec is not None and spec.model is not None:
-            if self._state.awaits_blocks:
-                detail = "the blocked parts of prompts haven't been read yet"
-                raise not_run_error(ProblemType.CONFIG_UNKNOWN, detail)
             return await self._streams.run(request, spec.model)
         return await self._plain.run(request)
 
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -33,9 +33,9 @@
 """Upstreams removed from the list whose entries are kept."""
 
 MAX_BLOCKS_WAIT_S = 3.0
-"""How long a new process takes no streams if nobody tells it which parts of prompts are blocked.
+"""How long a new process takes no requests if nobody tells it which ones are blocked.
 
-After that, streams are served without: the platform's store may be unavailable for long.
+After that, requests are served without: the platform's store may be unavailable for long.
 """
 
 
@@ -53,8 +53,8 @@
     """The latest configuration and list of upstreams, and the sources they are read from.
 
     Times ending in `_s` are on `clock`. `list_complete_s` is when a list that was read after an
-    outage is complete again. Requests of streams wait until the blocks of prompt parts are known,
-    but not longer than `blocks_awaited_until_s`.
+    outage is complete again. Requests wait until the blocks are known, but not longer than
+    `blocks_awaited_until_s`.
     """
 
     cfg: GatewaySettings
@@ -92,7 +92,7 @@
         self.notify_change()
 
     def await_blocks(self) -> None:
-        """Wait a while until it is known which parts of prompts are blocked."""
+        """Wait a while until it is known which requests are blocked."""
         self.blocks_awaited_until_s = self.clock() + MAX_BLOCKS_WAIT_S
 
     def set_blocks_known(self) -> None:
@@ -101,7 +101,7 @@
 
     @property
     def awaits_blocks(self) -> bool:
-        """Return whether this process has yet to learn which parts of prompts are blocked."""
+        """Return whether this process has yet to learn which requests are blocked."""
         return self.clock() < self.blocks_awaited_until_s
 
     def notify_change(self) -> None:
@@ -168,7 +168,7 @@
     def serving(self) -> bool:
         """Return whether requests can be routed.
 
-        This needs a configuration, a list of upstreams, for a while the blocks of prompt parts
+        This needs a configuration, a list of upstreams, for a while the blocks
         and, where routes need an API key, a configuration that is recent enough to accept keys.
         """
         return (
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -7,6 +7,7 @@
 from minttide.layers.paths import Path, PathFinder, RequestSize, is_complete_path
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_reports import PartBlock
+from minttide.policy.request_fingerprint import is_request_part
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.request import GatewayRequest, parse_request_size
 from minttided.gateway.callers.retry_budgets import RetryBudgets
@@ -50,16 +51,17 @@
             run.check_now(engine)
 
     def _on_block(self, block: PartBlock) -> None:
-        """Abandon the streams that wait for their first event with a prompt that is blocked now."""
-        self.state.metrics.count_decision("block prompt part")
+        """Abandon the streams that wait for their first event and are blocked now."""
+        blocked = _describe(block)
+        self.state.metrics.count_decision(f"block {blocked}")
         extra = {"service": block.service, "parts": block.parts}
-        log.warning("prompt part blocked", extra=extra)
+        log.warning(f"{blocked} blocked", extra=extra)
         for run in list(self.runs):
             run.check_blocked()
 
     def _on_unblock(self, block: PartBlock) -> None:
         extra = {"service": block.service, "parts": block.parts}
-        log.warning("prompt part unblocked", extra=extra)
+        log.warning(f"{_describe(block)} unblocked", extra=extra)
 
     def choose_path(
         self,
@@ -107,3 +109,7 @@
                 self.probes.check_engine(entry.id)
                 return entry.id
         return None
+
+
+def _describe(block: PartBlock) -> str:
+    return "request" if any(map(is_request_part, block.parts)) else "prompt part"
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -14,6 +14,7 @@
 from minttide.problems import ProblemType, Ran
 from minttide.routing.outcome import ExchangeOutcome, may_forward_failure, may_retry
 from minttide.routing.routes import ModelSpec
+from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
@@ -25,7 +26,6 @@
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.openings import Openings, SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
-from minttided.gateway.streams.prompt_guard import PromptGuard
 from minttided.gateway.streams.remedies import StreamRemedies
 from minttided.gateway.streams.response import EventChunks
 from minttided.http.client import ExchangeError, NotSentError
@@ -79,7 +79,7 @@
         self._remedies = StreamRemedies(context, model, request_size, self._paths, self.progress)
         self._may_have_run = False
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
-        self._prompt_guard = PromptGuard(context.state, request)
+        self._prompt_guard = CrashGuard(context.state, request)
         self._last_send_s = self._last_event_s = request.received_s
         self._last_event_has_id = True
 
--- a/daemon/minttided/gateway/sync/block_keeper.py
+++ b/daemon/minttided/gateway/sync/block_keeper.py
@@ -1,7 +1,7 @@
-"""Keeps the blocked parts of prompts in the platform's store, for processes that start later.
+"""Keeps the blocks of requests and prompt parts in the platform's store, for later processes.
 
 The reader of each zone does so for all hosts. Without it, the loss of all processes at once would
-let a part that crashes engines crash as many of them again.
+let what crashes engines crash as many of them again.
 """
 
 import asyncio
--- a/daemon/minttided/gateway/sync/crash_sender.py
+++ b/daemon/minttided/gateway/sync/crash_sender.py
@@ -13,6 +13,7 @@
 
 from minttide.interfaces import MemberView
 from minttide.routing.readers import rank_readers
+from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import CRASHES_ONLY, SyncRequest, decode_reply, encode
 from minttided.peers.interfaces import PeerError, Pull
@@ -40,9 +41,10 @@
         self._news = context.crash_news
 
     async def run(self, ready: Ready) -> None:
-        """Send news until cancelled."""
+        """Send news until cancelled, and decide now and then by what has settled."""
         ready()
         while True:
+            self._state.prompt_crashes.settle(now_s())
             changed = self._state.changed
             peers = [m for m in self._find_receivers() if self._news.lacks_news(m.host)]
             sent = await asyncio.gather(*(self._send(peer) for peer in peers))
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -304,3 +304,88 @@
         assert all(host.state.prompt_crashes.find_block(SERVICE, [BAD]) for host in hosts)
 
     run_hosts(check, zones, count)
+
+
+STATUSES = {200: True, 404: True, 500: True, 503: False}
+"""Statuses of complete answers, and whether they show that the request was run."""
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_answer_that_shows_that_a_call_ran_ends_the_suspicion(status):
+    """Guards against a call that is blocked after it was answered since its crashes, or not."""
+
+    async def run():
+        site = CrashSite(streams=False, count=12)
+        async with site:
+            await send_repeats(site, "post", 2)
+            answers = [upstream.scripts for upstream in site.upstreams]
+            for upstream in site.upstreams:
+                upstream.scripts = [[plain_answer(status)]]
+            await send(site, "post")
+            for upstream, scripts in zip(site.upstreams, answers, strict=True):
+                upstream.scripts = scripts
+            await send_repeats(site, "post", 2)
+            return len(site.state.prompt_crashes.blocks)
+
+    assert asyncio.run(run()) == (0 if STATUSES[status] else 1)
+
+
+def plain_answer(status):
+    return b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok" % status
+
+
+def test_blocked_call_is_let_through_once_and_is_free_again_once_answered():
+    async def run():
+        site = CrashSite(streams=False)
+        async with site:
+            await send_repeats(site, "post", 3)
+            for upstream in site.upstreams:
+                upstream.scripts = [[ANSWER]] * 3
+            crashes = site.state.prompt_crashes
+            refused = await send(site, "post")
+            crashes._trials_s = dict.fromkeys(crashes.blocks, 0.0)  # The delay is over.
+            return [refused.status] + [(await send(site, "post")).status for _ in range(3)]
+
+    assert asyncio.run(run()) == [503, 200, 200, 200]
+
+
+def test_log_lines_hold_the_fingerprint_and_not_the_body(caplog):
+    async def run():
+        site = CrashSite(streams=False)
+        async with site:
+            await send_repeats(site, "post", 4)
+            return next(iter(site.state.prompt_crashes.blocks))[1][0]
+
+    part = asyncio.run(run())
+    lines = [str(vars(record)) for record in caplog.records]
+    assert any(part in line for line in lines)
+    assert any(f"'fingerprint': '{part.partition(':')[2]}'" in line for line in lines)
+    assert not any(CRASH.decode() in line for line in lines)
+
+
+def test_call_waits_until_blocks_are_known():
+    """Guards against a new process that sends blocked calls before it has read the blocks."""
+
+    async def run():
+        site = CrashSite(streams=False, count=1)
+        async with site:
+            site.state.await_blocks()
+            early = await send(site, "get", b"sound")
+            site.state.set_blocks_known()
+            return early.status, (await send(site, "get", b"sound")).status
+
+    assert asyncio.run(run()) == (503, 200)
+
+
+def test_request_is_not_hashed_while_no_crash_is_known(monkeypatch):
+    """Guards against a cost for each request, which is 1.5 ms for a body of 1 MB."""
+    hashed = []
+    module = "minttided.gateway.callers.crash_guard.make_request_part"
+    monkeypatch.setattr(module, lambda *fields: hashed.append(fields) or "request:x")
+
+    async def run(streams, name):
+        async with CrashSite(streams, count=1) as site:
+            return (await send(site, name, b"sound")).status
+
+    assert [asyncio.run(run(streams, name)) for name, streams in ROUTES.values()] == [200] * 3
+    assert not hashed
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -360,6 +360,27 @@
     assert asyncio.run(check()) is expected
 
 
+@pytest.mark.parametrize("listens", [True, False])
+def test_connection_tells_a_process_that_ended(listens):
+    async def check():
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            if not listens:
+                server.close()
+                await server.wait_closed()
+            entry = msgspec.structs.replace(
+                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
+            )
+            try:
+                await HttpPathEngines().check_reachable(entry, 5.0)
+            except ProcessEndedError:
+                return "ended"
+            return "listens"
+
+    assert asyncio.run(check()) == ("listens" if listens else "ended")
+
+
 def test_prompt_blocks_are_kept_in_a_topic_of_their_own():
     blocks = [
         StoredBlock("s", ("a", "x")),
