Let one host let a blocked request through, not several

Whether a host makes the trial is decided when it is due, from the reports that all hosts have by then: it is the host that reported the last crash.

--- a/core/minttide/policy/prompt_crashes.py
+++ b/core/minttide/policy/prompt_crashes.py
@@ -87,7 +87,7 @@
         self._starts = PartStarts()
         self._blocks: dict[BlockKey, PartBlock] = {}
         self._blocks_by_part: defaultdict[PartKey, list[PartBlock]] = defaultdict(list)
-        self._trials_s: dict[BlockKey, float] = {}  # when a request may be let through
+        self._tried: set[BlockKey] = set()  # blocks past which a request was let through
         self._known: Counter[ServiceName] = Counter()  # reports and blocks of each service
         self._settled_s = float("-inf")
         self._unsettled: dict[PartKey, float] = {}  # when they can be decided on
@@ -119,14 +119,17 @@
         """Return whether one request may be sent although it is blocked, once for each block.
 
         A part that was blocked by chance would stay so if no request with it was under way. Only
-        the host that reported the last crash makes the trial, and not after many crashes.
+        the host that reported the last crash makes the trial, and not after many crashes, nor if
+        one has followed since it was due, as another host has made it.
         """
-        if now_s < self._trials_s.get(block.key, float("inf")):
+        due_s = block.ended_s + TRIAL_DELAY_S
+        if now_s < due_s or block.key in self._tried:
             return False
-        del self._trials_s[block.key]
         reports = self._find_unrefuted((block.service, block.parts[0]))
-        if any(report.ended_s > block.ended_s + TRIAL_DELAY_S for report in reports):
-            return False  # Another host made it.
+        last = max(reports, key=lambda r: (r.ended_s, r.name), default=None)
+        if last is None or last.name not in self._own or last.ended_s > due_s:
+            return False
+        self._tried.add(block.key)
         return len({report.process for report in reports}) < CERTAIN_CRASHES
 
     # News, from this host or from others.
@@ -162,13 +165,6 @@
         if len({report.process for report in reports}) >= MIN_CRASHES:
             self._unsettled[key] = max(report.ended_s for report in reports) + SETTLE_S
 
-    def _plan_trial(self, block: PartBlock) -> None:
-        """Plan to let one request through if this host reported the last crash of a block."""
-        reports = self._reports_by_part.get((block.service, block.parts[0]), ())
-        since_s = block.ended_s - MAX_NEWS_DELAY_S
-        if any(r.ended_s > since_s and r.name in self._own for r in reports):
-            self._trials_s[block.key] = block.ended_s + TRIAL_DELAY_S
-
     def record_start(self, service: ServiceName, parts: Iterable[PromptPart], now_s: float) -> None:
         """Record that a request with these parts has begun to answer."""
         for part in parts:
@@ -232,7 +228,7 @@
             self._blocks_by_part[key].remove(block)
             if not self._blocks_by_part[key]:
                 del self._blocks_by_part[key]
-        self._trials_s.pop(block.key, None)
+        self._tried.discard(block.key)
         self.on_unblock(block)
 
     def _add_block(self, block: PartBlock) -> None:
@@ -256,7 +252,6 @@
         self._known[block.service] += 1
         for part in block.parts:
             self._blocks_by_part[(block.service, part)].append(block)
-        self._plan_trial(block)
         self.on_news(block)
         self.on_block(block)
         for other in list(self._blocks.values()):
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -278,6 +278,22 @@
     assert crashes.find_block(SERVICE, [BAD]) is None
 
 
+def test_one_host_of_several_that_reported_a_crash_lets_a_blocked_request_through():
+    """Guards against each of them ending one more upstream."""
+    hosts = [PromptCrashes() for _ in range(3)]
+    reports = [
+        msgspec.structs.replace(crash(n, sent_s=n, ended_s=n + 0.1), reporter=f"h{host}")
+        for n in range(3)
+        for host in range(3)
+    ]
+    for number, crashes in enumerate(hosts):
+        for report in reports:
+            crashes.add([report], own=report.reporter == f"h{number}")
+    blocks = [crashes.find_block(SERVICE, [BAD]) for crashes in hosts]
+    trials = [crashes.take_trial(block, 10.0) for crashes, block in zip(hosts, blocks, strict=True)]
+    assert trials == [True, False, False]
+
+
 @pytest.mark.parametrize("seed", range(10))
 @pytest.mark.parametrize(
     ("upstreams", "burst", "bursts_per_s"),
@@ -334,16 +350,15 @@
     return b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok" % status
 
 
-def test_blocked_call_is_let_through_once_and_is_free_again_once_answered():
+def test_blocked_call_is_let_through_once_and_is_free_again_once_answered(monkeypatch):
     async def run():
         site = CrashSite(streams=False)
         async with site:
             await send_repeats(site, "post", 3)
             for upstream in site.upstreams:
                 upstream.scripts = [[ANSWER]] * 3
-            crashes = site.state.prompt_crashes
             refused = await send(site, "post")
-            crashes._trials_s = dict.fromkeys(crashes.blocks, 0.0)  # The delay is over.
+            monkeypatch.setattr("minttide.policy.prompt_crashes.TRIAL_DELAY_S", 0.0)
             return [refused.status] + [(await send(site, "post")).status for _ in range(3)]
 
     assert asyncio.run(run()) == [503, 200, 200, 200]
