--- a/test/test_full_engine.py
+++ b/test/test_failure_after_silence.py
@@ -1,4 +1,4 @@
-"""A stream with several attempts while the other engine is full."""
+"""Streams whose engine fails after an earlier silence in which the other one was of no use."""
 
 import asyncio
 
@@ -45,3 +45,19 @@
 
     response = run_in_memory(run(), 30.0)
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
+
+
+def test_stream_is_resumed_on_an_engine_that_was_asked_during_a_silence():
+    """Guards against a stream whose attempts were used up by a silence before its engine failed."""
+    site = make_site(a=(0, 4), b=(0, 4))
+    first = [STREAM_HEAD, events(1), sleep(SILENCE_S), events(2), sleep(0.5), RESET]
+    scripts = [first, [sleep(2 * SILENCE_S)], [STREAM_HEAD, events(3), END]]
+    for engine in (find_engine(site, name) for name in "ab"):
+        engine.next_script = lambda head: scripts.pop(0)
+
+    async def run():
+        async with site:
+            return await site.send_request("draft", "POST")
+
+    response = run_in_memory(run(), 30.0)
+    assert (response.chunks, response.complete) == (ALL_EVENTS, True)
