--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -325,6 +325,14 @@
     assert replay.refused <= 0.01 * replay.begun
 
 
+@pytest.mark.parametrize("seed", [25, 49])
+def test_repeats_stop_although_a_sound_request_waited_on_the_same_upstreams(seed):
+    """Its tries, one after the other, count in a row before the repeats have settled."""
+    replay = RepeatReplay(seed, upstreams=3, burst=4, bursts_per_s=2.0, sound=5)
+    replay.run(60.0)
+    assert replay.late_sends(CONTACT_S) <= MAX_LATE_SENDS
+
+
 @pytest.mark.parametrize(("zones", "count"), [(("z",), 6), (("a", "b", "c"), 9)])
 def test_all_hosts_block_a_request_that_crashed_upstreams_of_several_at_once(zones, count):
     async def check(hosts, store, net):
