--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -148,6 +148,12 @@
     return tuple(PromptPart(part) for part in ids if part)
 
 
+def parse_last_event_id(req: HttpRequest) -> int | None:
+    """Return the id of the last event that the caller of a stream has, if it names one."""
+    text = req.header(LAST_EVENT_ID) or ""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _parse_number(text: str) -> float | None:
     text = text.strip()
     return float(text) if text.isascii() and text.isdigit() else None
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -11,13 +11,12 @@
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
 from minttide.layers.silence import Remedy, RemedyChoice, Silence
-from minttide.problems import ProblemType, Ran
-from minttide.routing.outcome import ExchangeOutcome, may_forward_failure, may_retry
+from minttide.problems import Ran
+from minttide.routing.outcome import ExchangeOutcome, may_retry
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.crash_guard import CrashGuard
-from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.plain import split_content_type
-from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest
+from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
 from minttided.gateway.state import now_s
 from minttided.gateway.streams.attempt import OK, StreamAttempt, StreamSendResult
 from minttided.gateway.streams.context import StreamContext
@@ -28,13 +27,14 @@
 from minttided.gateway.streams.paths import StreamPaths
 from minttided.gateway.streams.remedies import StreamRemedies
 from minttided.gateway.streams.response import EventChunks
+from minttided.gateway.streams.unstarted import finish_unstarted
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
 MIN_RESTART_BUDGET = 2.0
 """Retries that must be left in the budget to restart a stream that could be moved instead."""
 
-BLOCKED = "a part of the prompt is blocked"
+BLOCKED = "the request or a part of its prompt is blocked"
 NO_PATH = "no path with free capacity"
 NO_RETRY = "no retry left in the budget"
 
@@ -74,12 +74,12 @@
         self._current: SentAttempt | None = None
         self._openings = Openings(self._on_opening_finished)
         self._log = StreamLog(context.state, request, request_size)
-        self.progress = Progress(last_event_id=_parse_last_event_id(request))
+        self.progress = Progress(last_event_id=parse_last_event_id(request.req))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
         self._remedies = StreamRemedies(context, model, request_size, self._paths, self.progress)
         self._may_have_run = False
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
-        self._prompt_guard = CrashGuard(context.state, request)
+        self._crash_guard = CrashGuard(context.state, request)
         self._last_send_s = self._last_event_s = request.received_s
         self._last_event_has_id = True
 
@@ -104,7 +104,14 @@
             raise
         if result.event is None or self._current is None:
             self._end_current()
-            return self._finish_unstarted(result)
+            return finish_unstarted(
+                self._context,
+                self._request,
+                result,
+                self._may_have_run,
+                self._crash_guard.rejection(),
+                self._paths.limit_delay_s(),
+            )
         headers, content_type = split_content_type(self._current.attempt.headers)
         chunks = EventChunks(self.events(result.event), self.close)
         return StreamResponse(chunks, OK, content_type, headers)
@@ -113,7 +120,7 @@
         """Return whether the request's own limits allow another send, apart from the budget."""
         return (
             self._engine_runs.allows_another
-            and self._prompt_guard.allows_send
+            and self._crash_guard.allows_send
             and self.progress.sends < MAX_SENDS
             and now_s() < self._request.end_s
         )
@@ -124,38 +131,6 @@
             await self._engine_runs.verify_ended()
         return self._may_retry()
 
-    def _finish_unstarted(self, result: StreamSendResult) -> HttpResponse:
-        """Return the response of a stream that has not started, or raise its error."""
-        metrics = self._context.state.metrics
-        service = self._request.service
-        if result.outcome is ExchangeOutcome.ANSWERED and result.response is not None:
-            metrics.count_request(service, Ran.DONE)
-            return result.response
-        if not self._may_have_run:
-            metrics.count_request(service, Ran.NOT_RUN)
-            blocked_error = self._prompt_guard.rejection()
-            if blocked_error is not None:
-                raise blocked_error
-            retry_after_s = self._context.budgets.record_rejection(
-                service, self._paths.limit_delay_s()
-            )
-            raise not_run_error(
-                ProblemType.NO_CHAIN,
-                f"no path accepted the request: {result.reason}",
-                retry_after_s,
-            )
-        metrics.count_request(service, Ran.UNKNOWN)
-        response = result.response
-        if response is not None and may_forward_failure(
-            response.status, self._request.route.repeatable
-        ):
-            return response
-        if now_s() >= self._request.end_s:
-            raise unknown_outcome_error(ProblemType.DEADLINE, "no whole answer in time")
-        raise unknown_outcome_error(
-            ProblemType.UPSTREAM_FAILED, f"the path failed: {result.reason}"
-        )
-
     # Sending.
 
     def _send(self) -> str | None:
@@ -163,7 +138,7 @@
 
         All sends but the first take a retry from the budget.
         """
-        if self._prompt_guard.block is not None:
+        if self._crash_guard.block is not None:
             return BLOCKED
         path = self._paths.choose()
         if path is None or (self._paths.uses_avoided(path) and self._is_repeat_early()):
@@ -267,7 +242,7 @@
         responds = result.event is not None or await probes.responds(first)
         self._engine_runs.record_probe(sent.engine_run, responds)
         if not responds and probes.has_ended(sent.entry):
-            self._prompt_guard.record_ended(sent.entry, sent.attempt.sent_s)
+            self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
     def _choose_attempt(self, sent: SentAttempt) -> None:
         """Make an attempt that has begun to answer the current one, and end the others."""
@@ -345,7 +320,7 @@
         now = now_s()
         progress = self.progress
         if progress.first_event_s is None:
-            self._prompt_guard.record_start()
+            self._crash_guard.record_start()
             progress.first_event_s = now - self._request.received_s
             metrics = self._context.state.metrics
             metrics.observe_first_token(self._request.service, progress.first_event_s)
@@ -404,7 +379,7 @@
 
     def check_blocked(self) -> None:
         """Abandon the attempts if the prompt has been blocked since they were sent."""
-        if self._prompt_guard.block is not None:
+        if self._crash_guard.block is not None:
             for sent in self._live_attempts():
                 sent.attempt.interrupt_wait()
 
@@ -419,7 +394,7 @@
         deadline or if the prompt is blocked.
         """
         sent.attempt.left_s()
-        if self._prompt_guard.block is not None:
+        if self._crash_guard.block is not None:
             raise ExchangeError(BLOCKED)
         if sent is not self._current:
             await self._remedy_silence(sent)
@@ -507,8 +482,3 @@
 
 def _not_sent(reason: str) -> StreamSendResult:
     return StreamSendResult(ExchangeOutcome.REJECTED, reason)
-
-
-def _parse_last_event_id(request: GatewayRequest) -> int | None:
-    text = request.req.header(LAST_EVENT_ID) or ""
-    return int(text) if text.isascii() and text.isdigit() else None
