--- a/test/test_early_ends.py
+++ b/test/test_early_ends.py
@@ -3,7 +3,17 @@
 import asyncio
 
 import msgspec
-from gateway_site import END, STREAM_HEAD, events
+import pytest
+from gateway_site import (
+    END,
+    NOT_RUN,
+    RESET,
+    STREAM_HEAD,
+    GatewaySite,
+    ScriptedUpstream,
+    events,
+    plain_response,
+)
 from key_site import KeySite
 from stream_site import make_site
 from test_gateway_placer import PLACED, run_check
@@ -113,3 +123,23 @@
         return await reader.read()
 
     assert run_in_memory(run(), 60.0).startswith(b"HTTP/1.1 200")
+
+
+# Guards against a refusal that says that nothing ran, after an engine that may have run it.
+@pytest.mark.parametrize("name", ["get", "draft"])
+def test_rejection_is_not_forwarded_after_an_upstream_that_may_have_run_the_request(name):
+    scripts = [[RESET], *[[plain_response(503, headers=NOT_RUN)]] * 9]
+    if name == "draft":
+        site = make_site(a=(0, 4), b=(0, 4))
+    else:
+        site = GatewaySite(ScriptedUpstream("a"), ScriptedUpstream("b"))
+    for upstream in (*site.plain, *(u for u, *_ in site.path_engines)):
+        upstream.next_script = lambda head: scripts.pop(0)
+
+    async def run():
+        async with site:
+            return await site.send_request(name, "POST")
+
+    response = run_in_memory(run(), 60.0)
+    assert response.status == 502
+    assert "x-not-run" not in response.headers
