Don't forward a rejection after an upstream that may have run the request

What callers saw on repeatable routes: 503 with the header that says not run, though an earlier upstream had got the request and may have run it. Cause: the status of the last answer was forwarded, whatever came before.

--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -197,7 +197,8 @@
             )
         metrics.count_request(request.service, Ran.UNKNOWN)
         response = result.response
-        if response is not None and may_forward_failure(response.status, request.route.repeatable):
+        failed = result.outcome is ExchangeOutcome.FAILED  # a rejection would say that nothing ran
+        if failed and response and may_forward_failure(response.status, request.route.repeatable):
             return response
         if now_s() >= request.end_s:
             raise unknown_outcome_error(ProblemType.DEADLINE, "no whole answer in time")
--- a/daemon/minttided/gateway/streams/unstarted.py
+++ b/daemon/minttided/gateway/streams/unstarted.py
@@ -36,7 +36,8 @@
         retry_after_s = context.budgets.record_rejection(service, limit_delay_s)
         raise not_run_error(ProblemType.NO_CHAIN, detail, retry_after_s)
     metrics.count_request(service, Ran.UNKNOWN)
-    if response is not None and may_forward_failure(response.status, request.route.repeatable):
+    failed = result.outcome is ExchangeOutcome.FAILED  # a rejection would say that nothing ran
+    if failed and response and may_forward_failure(response.status, request.route.repeatable):
         return response
     if now_s() >= request.end_s:
         raise unknown_outcome_error(ProblemType.DEADLINE, "no whole answer in time")
