--- a/test/silent_site.py
+++ b/test/silent_site.py
@@ -144,12 +144,8 @@
         return min((at_s for at_s, count in self.progress if count > before), default=math.inf)
 
 
-class SilentEngines(FakeEngines):
-    """Reports and orders of engines of which some are silent."""
-
-    def __init__(self, site):
-        super().__init__()
-        self._site = site
+class SlowProbes(FakeEngines):
+    """Engines of which the dead ones let probes time out."""
 
     async def check_reachable(self, entry, timeout_s):
         await self._wait(entry, timeout_s)
@@ -159,6 +155,18 @@
         await self._wait(entry, timeout_s)
         return await super().report(entry, timeout_s)
 
+    async def _wait(self, entry, timeout_s):
+        if entry.id in self.dead:
+            await asyncio.sleep(timeout_s)
+
+
+class SilentEngines(SlowProbes):
+    """Reports and orders of engines of which some are silent."""
+
+    def __init__(self, site):
+        super().__init__()
+        self._site = site
+
     async def repath(self, entry, attempt, path, timeout_s):
         await self._wait(entry, timeout_s)
         self._check(entry)
@@ -169,10 +177,6 @@
         self.repaths.append((entry.id, attempt, path))
         return self._site.take_order(others)
 
-    async def _wait(self, entry, timeout_s):
-        if entry.id in self.dead:
-            await asyncio.sleep(timeout_s)
-
 
 class SilentUpstream(ScriptedUpstream):
     """An engine that asks the site for its scripts."""
--- a/test/test_replaced_streams.py
+++ b/test/test_replaced_streams.py
@@ -8,13 +8,12 @@
     END,
     RESET,
     STREAM_HEAD,
-    FakeEngines,
     chunk,
     event,
     events,
     plain_response,
 )
-from silent_site import Case, SilentSite
+from silent_site import Case, SilentSite, SlowProbes
 from stream_site import ALL_EVENTS, make_site
 
 from minttide_fakes.memory_network import run_in_memory
@@ -137,22 +136,6 @@
     assert response.complete
 
 
-class SlowProbes(FakeEngines):
-    """Engines of which the dead ones let probes time out."""
-
-    async def check_reachable(self, entry, timeout_s):
-        await self._wait(entry, timeout_s)
-        await super().check_reachable(entry, timeout_s)
-
-    async def report(self, entry, timeout_s):
-        await self._wait(entry, timeout_s)
-        return await super().report(entry, timeout_s)
-
-    async def _wait(self, entry, timeout_s):
-        if entry.id in self.dead:
-            await asyncio.sleep(timeout_s)
-
-
 LATE_S = 0.02
 """Longest time from the first event of an engine to the caller."""
 
