Don't suspect engines whose probes all failed at once

Cause: 50 KB of configuration (2,250 routes) take 40 ms of a link of 10 Mbit/s, 116 KB 93 ms, and a reader sends them 23 times. Connections to engines wait behind them, so that all probes of 50 ms fail, and each engine is avoided for 2 s and more. The class: a failure that is this host's own is taken for that of each engine. Change: a probe that fails while at least three are in flight and none is answered is repeated with 0.3 s before its engine is suspected. If any engine answers, failures count as before.

--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -19,6 +19,12 @@
 RESULT_MAX_AGE_S = 0.1
 """How long the result of a probe is reused."""
 
+MIN_COMMON_FAILURES = 3
+"""Concurrent probes without any answer from which on this host's own link may be the cause.
+
+A large configuration fills the link of a small host for longer than the timeout of a probe.
+"""
+
 CONFIRM_TIMEOUT_S = 0.3
 CONFIRM_PROBES = 3
 """Concurrent probes of an engine that must all fail before it counts as ended."""
@@ -56,6 +62,8 @@
         self._reports = _SharedProbe(self._fetch_report)
         self._connections = _SharedProbe(self._connect)
         self._ended: dict[tuple[UpstreamId, int], None] = {}
+        self._running = 0
+        self._answered_s = float("-inf")
 
     @property
     def idle(self) -> bool:
@@ -127,7 +135,7 @@
             self._on_unresponsive(engine)
             return False
         try:
-            await _probe(self._state.engines.check_reachable, entry)
+            await self._run(self._state.engines.check_reachable, entry)
         except SourceError as exc:
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return False
@@ -139,7 +147,7 @@
             self._on_unresponsive(engine)
             return None
         try:
-            report = await _probe(self._state.engines.report, entry)
+            report = await self._run(self._state.engines.report, entry)
         except SourceError as exc:
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return None
@@ -151,6 +159,41 @@
         self._on_report(entry.id, report)
         return report
 
+    async def _run(
+        self, probe: Callable[[UpstreamEntry, float], Awaitable[T]], entry: UpstreamEntry
+    ) -> T:
+        """Return the result of a probe; repeat one whose failure may be this host's own.
+
+        Raises `SourceError`.
+        """
+        started_s = now_s()
+        self._running += 1
+        try:
+            try:
+                result = await probe(entry, PROBE_TIMEOUT_S)
+            except ProcessEndedError:
+                raise
+            except SourceError:
+                timeout_s = self._repeat_timeout_s(started_s)
+                if timeout_s is None:
+                    raise
+                result = await probe(entry, timeout_s)
+        finally:
+            self._running -= 1
+        self._answered_s = now_s()
+        return result
+
+    def _repeat_timeout_s(self, started_s: float) -> float | None:
+        """Return the timeout for repeating a failed probe, `None` if the engine is the cause.
+
+        This process may have been held up, so that the timeout passed although the engine responds.
+        If several engines were probed and none has answered meanwhile, this host's link may have
+        been busy.
+        """
+        if self._answered_s < started_s and self._running >= MIN_COMMON_FAILURES:
+            return CONFIRM_TIMEOUT_S
+        return PROBE_TIMEOUT_S if now_s() - started_s > MAX_PROBE_S else None
+
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
         """Avoid an engine that failed a probe; `ended` if its process is known to have ended.
 
@@ -170,22 +213,6 @@
         self._on_unresponsive(entry.id)
 
 
-async def _probe(probe: Callable[[UpstreamEntry, float], Awaitable[T]], entry: UpstreamEntry) -> T:
-    """Return the result of a probe; repeat one that failed while this process was held up.
-
-    Its timeout may then have passed although the engine responds. Raises `SourceError`.
-    """
-    started_s = now_s()
-    try:
-        return await probe(entry, PROBE_TIMEOUT_S)
-    except ProcessEndedError:
-        raise
-    except SourceError:
-        if now_s() - started_s <= MAX_PROBE_S:
-            raise
-    return await probe(entry, PROBE_TIMEOUT_S)
-
-
 def _has_restarted(entry: UpstreamEntry, report: EngineReport) -> bool:
     return bool(entry.born_ms and report.born_ms and report.born_ms != entry.born_ms)
 
