Deliver events while the silence of their stream is looked into

Change: the attempt is read beside the probes. If it goes on first, they are cancelled and nothing is done about it. An order to move a stream still ends first.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -1,8 +1,8 @@
 """One attempt to run a stream on a path: the exchange with the first engine, and its timeouts."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar, cast
 
 import msgspec
 
@@ -21,10 +21,15 @@
 from minttided.http.messages import Headers, HttpResponse
 
 T = TypeVar("T")
+W = TypeVar("W")
 
 OK = 200
 
 
+class ResumedError(Exception):
+    """An attempt has gone on while the reason for its silence was being looked for."""
+
+
 class StreamSendResult(msgspec.Struct, frozen=True):
     """The result of one send.
 
@@ -64,6 +69,8 @@
         self._exchange: Exchange | None = None
         self._splitter = EventSplitter()
         self._timeout: asyncio.Timeout | None = None
+        self._read: Callable[[], Awaitable[object]] | None = None  # while silence is looked into
+        self._early_read: asyncio.Future[Any] | None = None
         self._closed = False
         self.sent_s = now_s()
         context.loads.add(path, request_size)
@@ -197,9 +204,37 @@
             try:
                 return await self._wait(read, threshold_s)
             except TimeoutError:
+                self._read = read
+            try:
                 await self._on_silence()
+            except ResumedError:
+                assert self._early_read is not None
+                return cast(T, self._early_read.result())
+            finally:
+                self._read = self._early_read = None
             threshold_s = SilenceThreshold.increase(threshold_s)
 
+    async def unless_resumed(self, work: Coroutine[Any, Any, W]) -> W:
+        """Return what `work` returns, unless the attempt goes on before that.
+
+        For `on_silence`, which raises `ResumedError` then; `work` is cancelled.
+        """
+        if self._read is None:
+            return await work
+        reading = asyncio.ensure_future(self._read())
+        working = asyncio.create_task(work)
+        try:
+            await asyncio.wait({reading, working}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            reading.cancel()
+            working.cancel()
+        await asyncio.wait({reading, working})
+        if not reading.cancelled():
+            self._early_read = reading
+            failure = None if working.cancelled() else working.exception()
+            raise ResumedError from failure
+        return working.result()
+
     async def _wait(self, read: Callable[[], Awaitable[T]], threshold_s: float) -> T:
         """Await `read`. Raises `TimeoutError` after the threshold, or when interrupted."""
         async with asyncio.timeout(min(threshold_s, self.left_s())) as timeout:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -412,7 +412,7 @@
             return
         attempt = sent.attempt
         silence = self._measure_silence(attempt)
-        decision = await self._remedies.choose(attempt, silence)
+        decision = await attempt.unless_resumed(self._remedies.choose(attempt, silence))
         self._paths.avoid(decision.dead)
         if self._context.probes.has_ended(sent.entry):
             self._engine_runs.record_probe(sent.engine_run, responds=False)
--- a/test/test_busy_link.py
+++ b/test/test_busy_link.py
@@ -16,6 +16,10 @@
 
 LAYERS = {"a": (0, 2), "b": (0, 2), "m": (2, 4), "n": (2, 4)}
 AFTER_S = 0.05
+PAUSE_S = 0.12
+"""A pause between two events after which the engines are probed."""
+
+MAX_GAP_S = PAUSE_S + 0.02
 OBJECTIVE_S = 0.5
 
 
@@ -81,3 +85,31 @@
 def test_silent_engines_are_suspected_while_others_answer(engines):
     *_, suspects = BusyLinkSite(0.4, engines).run()
     assert suspects & set(engines)
+
+
+@pytest.mark.parametrize("before", [[], [STREAM_HEAD], [STREAM_HEAD, events(1)]])
+def test_events_are_delivered_while_engines_are_probed(before):
+    """Guards against a probe that holds up the events of the stream that it was sent for."""
+    received_s = []
+
+    async def pause():
+        site.gateway.engines.dead |= set(LAYERS)
+        await asyncio.sleep(max(PAUSE_S, 0.3 * (len(before) < 2)))
+        resumed_s.append(asyncio.get_running_loop().time())
+
+    async def run():
+        rest = [step for step in (STREAM_HEAD, events(1), events(2), END) if step not in before]
+        for upstream in site.upstreams.values():
+            upstream.scripts = [[*before, pause, *rest]]
+        async with site.gateway:
+
+            def record(data):
+                received_s.append((data.count(b"data: t"), asyncio.get_running_loop().time()))
+
+            return await site.gateway.send_request("draft", "POST", on_data=record)
+
+    site, resumed_s = BusyLinkSite(0.0), []
+    response = run_in_memory(run(), 60.0)
+    assert (response.status, response.complete) == (200, True)
+    first_s = min(at_s for count, at_s in received_s if count == 2)
+    assert first_s - resumed_s[0] < MAX_GAP_S - PAUSE_S
