Read an answer that comes before a long body was sent

Callers saw 502 "Connection reset by peer" (or 504 at the deadline, and two sends of a resumable stream) in place of an answer that the upstream gave before it had read a long body. Cause: the client waited until the transport's buffer had drained before it read the answer, so that a close of the upstream raised there, and an upstream that read on later held up its answer. The body was in the transport's buffer already, so waiting limited nothing.

Works since the answer is read while the body is sent; a reset still ends the exchange, as the reader raises it, but only after the bytes that arrived before it. Not mended: an answer of which a part arrives only after the reset.

--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -69,7 +69,7 @@
         return exchange
 
     async def _start(self, request: h11.Request, body: bytes) -> None:
-        await self._conn.send(request, body)
+        self._conn.send(request, body)
         self.status, self.headers = await self._conn.read_head()
 
     def header(self, name: str) -> str | None:
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -109,7 +109,7 @@
     conn: ClientConnection, request: h11.Request, body: bytes, max_response_bytes: int
 ) -> ClientResponse:
     """Send a request and read its complete response."""
-    await conn.send(request, body)
+    conn.send(request, body)
     status, headers = await conn.read_head()
     chunks: list[bytes] = []
     size = 0
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -57,14 +57,16 @@
         except OSError as exc:
             raise NotSentError(str(exc)) from exc
 
-    async def send(self, request: h11.Request, body: bytes) -> None:
-        """Send a complete request."""
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Start to send a complete request; the rest of it is sent while the answer is awaited.
+
+        An upstream may answer before it has read a long body, and then close the connection.
+        """
         parts = [self._conn.send(request)]
         if body:
             parts.append(self._conn.send(h11.Data(data=body)))
         parts.append(self._conn.send(h11.EndOfMessage()))
         self._writer.write(b"".join(p for p in parts if p))
-        await self._writer.drain()
 
     async def read_head(self) -> tuple[int, Headers]:
         """Return the status and the headers of the response, with lower-case header names."""
--- /dev/null
+++ b/test/test_answer_ends.py
@@ -0,0 +1,85 @@
+"""What a caller gets where an answer may end early."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from gateway_site import (
+    END,
+    STREAM_HEAD,
+    GatewaySite,
+    ScriptedUpstream,
+    events,
+    plain_response,
+)
+from stream_site import ALL_EVENTS, MODEL
+
+from minttide.config.settings import Bounds
+from minttided.http.messages import join_address
+
+LIMIT_S = 60.0
+LONG_BODY = b"b" * 16_000_000
+
+
+# Upstreams that answer before they have read the request.
+
+
+class EagerUpstream(ScriptedUpstream):
+    """Answers after the head of a request; reads the body once `release` is set, if there is one.
+
+    Its receive buffer is small, so that a long body stays with the sender until then.
+    """
+
+    def __init__(self, name, answer, release=None):
+        super().__init__(name)
+        self._answer = answer
+        self._release = release
+
+    async def __aenter__(self):
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self._server = await asyncio.start_server(self._serve, sock=sock, limit=4096)
+        self.address = join_address(*sock.getsockname())
+        return self
+
+    async def _serve(self, reader, writer):
+        self.requests.append((await reader.readuntil(b"\r\n\r\n"), b""))
+        writer.write(b"".join(self._answer))
+        await writer.drain()
+        if self._release is not None:
+            await self._release.wait()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+        writer.close()
+
+
+EAGER_ANSWERS = {
+    "get": ([plain_response(body=ALL_EVENTS)], 200),
+    "post": ([plain_response(413, body=ALL_EVENTS)], 413),
+    "draft": ([STREAM_HEAD, events(1, 2, 3), END], 200),
+    "once": ([plain_response(413, body=ALL_EVENTS)], 413),
+}
+
+
+# Guards against a 502 in place of an answer that came before the body was read, or its delay.
+@pytest.mark.parametrize("ending", ["closes", "reads on later"])
+@pytest.mark.parametrize("name", EAGER_ANSWERS)
+def test_answer_that_comes_before_a_long_body_was_read_is_forwarded(name, ending):
+    answer, status = EAGER_ANSWERS[name]
+
+    async def run():
+        release = asyncio.Event() if ending == "reads on later" else None
+        upstream = EagerUpstream("a", answer, release)
+        plain = [upstream] if name in ("get", "post") else []
+        engines = [] if plain else [(upstream, 0, 4, "k")]
+        async with GatewaySite(*plain, engines=engines, model=MODEL) as site:
+            site.server.set_bounds(Bounds(max_body_bytes=len(LONG_BODY)))
+            response = await site.send_request(name, "POST", body=LONG_BODY)
+            if release is not None:
+                release.set()
+            return response, len(upstream.requests)
+
+    response, sends = asyncio.run(asyncio.wait_for(run(), LIMIT_S))
+    body = response.chunks if response.headers["transfer-encoding"] else response.rest
+    assert (response.status, body, sends) == (status, ALL_EVENTS, 1)
