Leave open requests their part of a short grace period, and apply the last one read

Callers whose requests ran at SIGTERM saw their connections close without an answer although the grace period had time left. New connections were accepted for answer_keep_s + 1 s whatever grace_s was, and open requests were waited for during the rest of 0.85 grace_s: with a grace_s of 2 s and the default of 1 s none was left, and all requests were cut at once at 2 s, after the kill with less. And the times were computed at the start, so that a grace_s that SIGHUP had changed was not applied: with 8 s in place of 1 s, requests were cut as if it were 1 s; in the other direction the kill came first.

Connections are accepted for half of the usable time at most, and the times are computed when the shutdown starts. With the defaults nothing changes. Callers that still have the address may be refused a connection sooner with a short grace_s.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -55,10 +55,20 @@
 LEAVE_SPREAD_S = 1.0
 """How long other hosts may still return this host's address after it has announced its leaving."""
 
+MAX_ACCEPT_FRACTION = 0.5
+"""Largest part of that time in which new connections are accepted, where the period is short."""
+
 _RESTART_FIELDS = ("host", "zone", "callers", "directory", "health", "peer", "metrics", "store")
 """Settings that take effect only after a restart."""
 
 
+def drain_times_s(grace_s: float, answer_keep_s: float) -> tuple[float, float]:
+    """Return for how many seconds connections are accepted, and then open requests waited for."""
+    usable_s = DRAIN_FRACTION * max(0.0, grace_s)
+    accept_s = min(answer_keep_s + LEAVE_SPREAD_S, MAX_ACCEPT_FRACTION * usable_s)
+    return accept_s, usable_s - accept_s
+
+
 class WireFormat:
     """The header names and paths of a deployment, and its encoding of directory responses."""
 
@@ -125,6 +135,7 @@
     def start_drain(self) -> None:
         """Start a graceful shutdown."""
         self.state.leaving = True
+        self.drain.finish_timeout_s = self._drain_times_s()[1]
         self.drain.start()
 
     def apply(self, cfg: GatewaySettings) -> None:
@@ -159,8 +170,8 @@
         self.drain = Drain(
             self._leave,
             lambda: self.caller_server,
-            lambda: cfg.answer_keep_s + LEAVE_SPREAD_S,
-            DRAIN_FRACTION * cfg.stop.grace_s - cfg.answer_keep_s - LEAVE_SPREAD_S,
+            lambda: self._drain_times_s()[0],
+            self._drain_times_s()[1],
         )
         self._supervisor_context = SupervisorContext(self._make_supervisor())
         stack.push_async_callback(self.membership.announce_down)
@@ -302,5 +313,9 @@
         in_zone = [m for m in hosts if m.zone == zone] or hosts
         return SharingHosts(tuple(sorted(m.host for m in in_zone)), len(hosts))
 
+    def _drain_times_s(self) -> tuple[float, float]:
+        """Return the times of a shutdown; callers keep addresses as long as told at the start."""
+        return drain_times_s(self.state.cfg.stop.grace_s, self.cfg.answer_keep_s)
+
     async def _leave(self) -> None:
         await asyncio.gather(self.membership.announce_leaving(), self._placer.release_lease())
--- a/daemon/minttided/stopping.py
+++ b/daemon/minttided/stopping.py
@@ -28,7 +28,8 @@
     """The graceful shutdown of one daemon. `done` is set when it is complete.
 
     New connections are accepted for another `accept_duration_s()` seconds, to serve callers that
-    still have the address of this host. Then open requests have `finish_timeout_s` seconds to end.
+    still have the address of this host. Then open requests have `finish_timeout_s` seconds to end,
+    which may be changed until then.
     """
 
     def __init__(
@@ -42,7 +43,7 @@
         self._leave = leave
         self._get_listener = get_listener
         self._accept_duration_s = accept_duration_s
-        self._finish_timeout_s = finish_timeout_s
+        self.finish_timeout_s = finish_timeout_s
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -83,7 +84,7 @@
 
     async def _wait_for_requests(self, listener: Listener) -> None:
         try:
-            async with asyncio.timeout(self._finish_timeout_s):
+            async with asyncio.timeout(self.finish_timeout_s):
                 await _wait_until_idle(listener)
         except TimeoutError:
             log.warning("open requests aborted", extra={"left": listener.unfinished_requests})
