Go on with a shutdown if its announcement fails unexpectedly

Callers would see their connections close without an answer at SIGTERM, as an error of another kind than SourceError while the leaving is announced or the lease released ended the whole shutdown, and the process with it. No such error is known; a ValueError stands for it.

The error is logged and the requests are waited for as without it.

--- a/daemon/minttided/stopping.py
+++ b/daemon/minttided/stopping.py
@@ -76,12 +76,19 @@
         listener = self._get_listener()
         if listener is not None:
             listener.announce_close()
-        await self._leave()
+        await self._announce()
         await asyncio.sleep(accept_duration_s)
         if listener is not None:
             listener.stop_accepting()
             await self._wait_for_requests(listener)
 
+    async def _announce(self) -> None:
+        """Announce the leaving. An error leaves the open requests their time."""
+        try:
+            await self._leave()
+        except Exception as exc:
+            log.error("leaving not announced", extra={"reason": repr(exc)}, exc_info=exc)
+
     async def _wait_for_requests(self, listener: Listener) -> None:
         try:
             async with asyncio.timeout(self.finish_timeout_s):
--- a/test/test_gateway_shutdown.py
+++ b/test/test_gateway_shutdown.py
@@ -7,7 +7,7 @@
 from gateway_site import NAMES, GatewaySite, ScriptedUpstream, plain_response, wait_until
 
 from minttide.ids import Address, HostId, ZoneId
-from minttide.routing.sources import ConfigReading, LeaseGrant
+from minttide.routing.sources import ConfigReading, LeaseGrant, SourceError
 from minttide_fakes.memory_network import run_in_memory
 from minttide_fakes.peer_network import MemoryPeerNetwork
 from minttided.gateway.app import Gateway, WireFormat
@@ -98,3 +98,10 @@
     answer, stopped_s = shut_down(0.6 * grace_s, grace_s, first_grace_s)
     assert (answer.status, answer.rest) == (200, b"whole")
     assert 0.6 * grace_s <= stopped_s <= 0.9 * grace_s
+
+
+# Guards against cutting off open requests since the others couldn't be told of the shutdown.
+@pytest.mark.parametrize("error", [SourceError("no response"), ValueError("unexpected")])
+def test_open_request_is_answered_although_the_lease_is_not_released(error):
+    answer, _ = shut_down(3.0, 8.0, release_error=error)
+    assert (answer.status, answer.rest) == (200, b"whole")
