Count a request to an address that is none as not sent

Callers saw 500 "internal error" and no other send if the list named an upstream by an address without a valid port, and a stream of a sound engine that was silent for a moment was cut (500 before its first event) if its replacement was sent there. Cause: splitting the address, or connecting with such a port, raises ValueError or OverflowError, which nothing above expects; one in a replacement ends the stream's task.

The address is read where the connection is opened, and such an error is NotSentError, after which the request is sent elsewhere.

--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -46,15 +46,15 @@
     @classmethod
     async def open(cls, address: Address, deadline: float) -> "ClientConnection":
         """Connect by `deadline`, in loop time. Raises `NotSentError`."""
-        host, port = split_address(address)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout_at(deadline):
                 return cls(*await asyncio.open_connection(host, port, limit=READ_BYTES))
         except TimeoutError as exc:
             raise NotSentError("no connection in time") from exc
         except ConnectionRefusedError as exc:
             raise RefusedError(str(exc)) from exc
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:  # the latter two: no valid address
             raise NotSentError(str(exc)) from exc
 
     def send(self, request: h11.Request, body: bytes) -> None:
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import msgspec
 import pytest
 from gateway_site import (
     END,
@@ -13,13 +14,24 @@
     events,
     plain_response,
 )
-from stream_site import ALL_EVENTS, MODEL
+from stream_site import ALL_EVENTS, MODEL, make_site
 
 from minttide.config.settings import Bounds
+from minttide_fakes.memory_network import run_in_memory
 from minttided.http.messages import join_address
 
 LIMIT_S = 60.0
 LONG_BODY = b"b" * 16_000_000
+SILENCE_S = 1.2
+
+
+def pause(seconds):
+    """Return a script step that waits."""
+
+    async def wait():
+        await asyncio.sleep(seconds)
+
+    return wait
 
 
 # Upstreams that answer before they have read the request.
@@ -83,3 +95,43 @@
     response, sends = asyncio.run(asyncio.wait_for(run(), LIMIT_S))
     body = response.chunks if response.headers["transfer-encoding"] else response.rest
     assert (response.status, body, sends) == (status, ALL_EVENTS, 1)
+
+
+# Errors that nothing foresees.
+
+
+SILENT_STREAMS = {
+    "before the head": [pause(SILENCE_S), STREAM_HEAD, events(1, 2, 3), END],
+    "between events": [STREAM_HEAD, events(1), pause(SILENCE_S), events(2, 3), END],
+}
+
+
+# Guards against ending a stream of a sound engine because it can't be sent to another engine.
+@pytest.mark.parametrize("address", ["127.0.0.1:x", "127.0.0.1:"])
+@pytest.mark.parametrize("script", SILENT_STREAMS.values(), ids=SILENT_STREAMS)
+def test_silent_stream_goes_on_when_its_replacement_has_no_valid_address(script, address):
+    site = make_site(a=(0, 4, script), b=(0, 4, script))
+
+    async def run():
+        async with site:
+            request = asyncio.create_task(site.send_request("draft", "POST"))
+            await asyncio.sleep(0.02)
+            unused = next(u for u, *_ in site.path_engines if not u.requests)
+            entry = site.state.upstreams[unused.name]
+            site.state.upstreams[unused.name] = msgspec.structs.replace(entry, address=address)
+            return await request
+
+    response = run_in_memory(run(), LIMIT_S)
+    assert (response.status, response.chunks, response.complete) == (200, ALL_EVENTS, True)
+
+
+# Guards against 500, and no other send, where the first upstream has no valid address.
+def test_request_is_sent_elsewhere_when_an_upstream_has_no_valid_address():
+    async def run(seed):
+        async with GatewaySite(*(ScriptedUpstream(name) for name in "ab")) as site:
+            site.state.rng.seed(seed)
+            entry = site.state.upstreams["a"]
+            site.state.upstreams["a"] = msgspec.structs.replace(entry, address="127.0.0.1:x")
+            return (await site.send_request("get")).status
+
+    assert [run_in_memory(run(seed), LIMIT_S) for seed in range(5)] == [200] * 5
