Let a stream go on after an unexpected error in what looks after it

Callers would see a stream cut, or 500 before its first event, although its engine is sound: an error other than SourceError in a probe or an order to move, or in another attempt, ended the task of the stream. So did one in the probe of an engine that broke off, after which the stream can be resumed. No such error is known in the platform's calls; OSError, KeyError, ValueError and OverflowError stand for it.

Such an error is logged with its trace; a look at a silence that fails changes nothing, an attempt that fails ends alone, and an engine that can't be probed counts as running, so that no more engines run a request.

--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -4,6 +4,7 @@
 silent may go on, and the next one may reject the request, fail or be silent as well.
 """
 
+import logging
 from collections.abc import AsyncGenerator
 
 import msgspec
@@ -31,6 +32,8 @@
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
+log = logging.getLogger(__name__)
+
 MIN_RESTART_BUDGET = 2.0
 """Retries that must be left in the budget to restart a stream that could be moved instead."""
 
@@ -201,6 +204,9 @@
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
         except (ExchangeError, EventTooLongError) as exc:
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
+        except Exception as exc:  # ends this attempt, and not the stream
+            log.exception("attempt failed unexpectedly")
+            result = StreamSendResult(ExchangeOutcome.UNKNOWN, repr(exc))
         await self._record_result(sent, result)
         self._log.sent(
             path,
@@ -239,11 +245,19 @@
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        responds = result.event is not None or await probes.responds(first)
+        responds = result.event is not None or await self._responds(first)
         self._engine_runs.record_probe(sent.engine_run, responds)
         if not responds and probes.has_ended(sent.entry):
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
+    async def _responds(self, engine: UpstreamId) -> bool:
+        """Return whether an engine that failed still answers; true if it can't be probed."""
+        try:
+            return await self._context.probes.responds(engine)
+        except Exception:
+            log.exception("probe failed unexpectedly", extra={"engine": engine})
+            return True
+
     def _choose_attempt(self, sent: SentAttempt) -> None:
         """Make an attempt that has begun to answer the current one, and end the others."""
         if self._current is not None and self._current is not sent:
@@ -342,7 +356,7 @@
         engine_run = self._current.engine_run
         self._end_current()
         self._paths.avoid([first])
-        responds = await self._context.probes.responds(first)
+        responds = await self._responds(first)
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
         if not self._openings:
@@ -397,12 +411,19 @@
         if self._crash_guard.block is not None:
             raise ExchangeError(BLOCKED)
         if sent is not self._current:
-            await self._remedy_silence(sent)
+            await self._try_remedy(sent)
             return
         await self._settle_openings()
-        await self._remedy_silence(sent)
+        await self._try_remedy(sent)
         await self._settle_openings()
 
+    async def _try_remedy(self, sent: SentAttempt) -> None:
+        """Do what `_remedy_silence` does; after an unexpected error the attempt just goes on."""
+        try:
+            await self._remedy_silence(sent)
+        except Exception:
+            log.exception("silence not looked into", extra={"engine": sent.entry.id})
+
     async def _remedy_silence(self, sent: SentAttempt) -> None:
         """Probe the engines of a silent attempt; then wait, move it or send the request again.
 
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -8,6 +8,7 @@
 import pytest
 from gateway_site import (
     END,
+    RESET,
     STREAM_HEAD,
     GatewaySite,
     ScriptedUpstream,
@@ -100,13 +101,54 @@
 # Errors that nothing foresees.
 
 
+def raise_unexpected(error):
+    async def fail(*_):
+        raise error
+
+    return fail
+
+
 SILENT_STREAMS = {
     "before the head": [pause(SILENCE_S), STREAM_HEAD, events(1, 2, 3), END],
     "between events": [STREAM_HEAD, events(1), pause(SILENCE_S), events(2, 3), END],
 }
+ERRORS = [OSError("unreachable"), KeyError("k"), ValueError("port"), OverflowError("port")]
+
+
+def run_draft(site):
+    async def run():
+        async with site:
+            return await site.send_request("draft", "POST")
+
+    return run_in_memory(run(), LIMIT_S)
+
+
+# Guards against ending a stream of a sound engine because looking after it failed.
+@pytest.mark.parametrize("call", ["report", "check_reachable", "repath"])
+@pytest.mark.parametrize("error", ERRORS, ids=repr)
+@pytest.mark.parametrize("script", SILENT_STREAMS.values(), ids=SILENT_STREAMS)
+def test_silent_stream_goes_on_when_its_engines_cannot_be_looked_after(script, error, call):
+    site = make_site(a=(0, 2, script), b=(2, 4), c=(2, 4))
+    setattr(site.engines, call, raise_unexpected(error))
+    if call == "repath":
+        site.engines.dead = {"b", "c"}
+    response = run_draft(site)
+    assert (response.status, response.chunks, response.complete) == (200, ALL_EVENTS, True)
+
+
+# Guards against giving up a stream because the engine that broke off can't be probed.
+@pytest.mark.parametrize("error", ERRORS, ids=repr)
+def test_stream_is_resumed_when_its_engine_cannot_be_probed(error):
+    site = make_site(a=(0, 4), b=(0, 4))
+    scripts = [[STREAM_HEAD, events(1), RESET], [STREAM_HEAD, events(2, 3), END]]
+    for engine, *_ in site.path_engines:
+        engine.next_script = lambda head: scripts.pop(0)
+    site.engines.report = raise_unexpected(error)
+    response = run_draft(site)
+    assert (response.status, response.chunks, response.complete) == (200, ALL_EVENTS, True)
 
 
-# Guards against ending a stream of a sound engine because it can't be sent to another engine.
+# Guards against ending such a stream because the request can't be sent to another engine.
 @pytest.mark.parametrize("address", ["127.0.0.1:x", "127.0.0.1:"])
 @pytest.mark.parametrize("script", SILENT_STREAMS.values(), ids=SILENT_STREAMS)
 def test_silent_stream_goes_on_when_its_replacement_has_no_valid_address(script, address):
