Pass on an event whose id has too many digits to be a number

Callers of a stream with such an id (over 4,300 digits) saw it cut, or 500 before its first event, since Python refuses to convert it. Before, on: test_stream_with_an_id_of_very_many_digits_is_passed_on failed (cut after event 1). Now it passes. Ids of over 40 digits count as none, so that the stream can't be resumed after such an event.

--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -7,7 +7,7 @@
 MAX_EVENT_BYTES = 1_048_576
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_ID = re.compile(rb"(?:^|\r\n|\n|\r)id:[ ]?([0-9]+)[ ]*(?=\r|\n|$)")
+_ID = re.compile(rb"(?:^|\r\n|\n|\r)id:[ ]?([0-9]{1,40})[ ]*(?=\r|\n|$)")
 
 
 class Event(msgspec.Struct, frozen=True):
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -12,6 +12,8 @@
     STREAM_HEAD,
     GatewaySite,
     ScriptedUpstream,
+    chunk,
+    event,
     events,
     plain_response,
 )
@@ -177,3 +179,11 @@
             return (await site.send_request("get")).status
 
     assert [run_in_memory(run(seed), LIMIT_S) for seed in range(5)] == [200] * 5
+
+
+# Guards against a cut of a stream because of a number that Python doesn't convert.
+def test_stream_with_an_id_of_very_many_digits_is_passed_on():
+    numbered = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+    site = make_site(a=(0, 4, [STREAM_HEAD, events(1), chunk(numbered), END]))
+    response = run_draft(site)
+    assert (response.chunks, response.complete) == (event(1) + numbered, True)
