Test the ends of connections that had no test

A caller that ends its output is still taken for one that left: nothing in the repository says that callers half-close, and a client that closes can't be told from one that does until its connection is reset.

--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -16,12 +16,14 @@
     event,
     events,
     plain_response,
+    wait_until,
 )
 from stream_site import ALL_EVENTS, MODEL, make_site
+from test_connection_ends import CHANGES, Caller, ChangingSite, request_bytes
 
 from minttide.config.settings import Bounds
 from minttide_fakes.memory_network import run_in_memory
-from minttided.http.messages import join_address
+from minttided.http.messages import join_address, split_address
 
 LIMIT_S = 60.0
 LONG_BODY = b"b" * 16_000_000
@@ -187,3 +189,124 @@
     site = make_site(a=(0, 4, [STREAM_HEAD, events(1), chunk(numbered), END]))
     response = run_draft(site)
     assert (response.chunks, response.complete) == (event(1) + numbered, True)
+
+
+# Callers that send more, or no more, while they are answered.
+
+
+async def connect(server):
+    """Return a caller whose connection is in memory."""
+    caller = Caller()
+    address = split_address(server.address)
+    caller.reader, caller.writer = await asyncio.open_connection(*address)
+    caller.received = b""
+    return caller
+
+
+# Guards against a request that is lost as more than the size of a header arrives behind another.
+@pytest.mark.parametrize("second", ["get", "post"])
+@pytest.mark.parametrize("size", [10, 20_000, 900_000])
+def test_long_request_behind_another_is_answered(size, second):
+    async def run():
+        scripts = [[pause(2.0), plain_response(body=ALL_EVENTS)]] * 2
+        async with GatewaySite(ScriptedUpstream("p", *scripts)) as site:
+            caller = await connect(site.server)
+            caller.send(request_bytes("get"))
+            await asyncio.sleep(0.1)
+            caller.send(request_bytes(second, body=b"b" * size))
+            answers = [await caller.receive(), await caller.receive()]
+            caller.close()
+            return answers, [len(body) for _, body in site.plain[0].requests]
+
+    answers, sizes = run_in_memory(run(), LIMIT_S)
+    assert [(a.status, a.body, a.complete) for a in answers] == [(200, ALL_EVENTS, True)] * 2
+    assert sizes == [len(b"book"), size]
+
+
+# Guards against a refusal that is lost because its caller still sends the body.
+@pytest.mark.parametrize("sends_for_s", [0.5, 3.0])
+def test_refusal_arrives_while_its_caller_still_sends(sends_for_s):
+    async def run():
+        async with GatewaySite(ScriptedUpstream("p")) as site:
+            caller = await connect(site.server)
+            caller.send(request_bytes("get", body=b"b" * 2_000_000)[:20_000])
+            receiving = asyncio.create_task(caller.receive())
+            for _ in range(round(sends_for_s / 0.1)):
+                await asyncio.sleep(0.1)
+                caller.send(b"b" * 100)
+            caller.close()
+            return await receiving, site.plain[0].requests
+
+    answer, requests = run_in_memory(run(), LIMIT_S)
+    assert (answer.status, answer.complete, requests) == (413, True, [])
+
+
+# Guards against an engine that goes on for a caller that has ended its output: it has left.
+@pytest.mark.parametrize("name", ["get", "draft"])
+def test_request_of_a_caller_that_ends_its_output_is_stopped(name):
+    async def run():
+        script = [pause(2.0), plain_response()]
+        plain = ScriptedUpstream("p", script)
+        engines = [(ScriptedUpstream("a", script), 0, 4, "k")]
+        async with GatewaySite(plain, engines=engines, model=MODEL) as site:
+            upstream = plain if name == "get" else engines[0][0]
+            caller = await connect(site.server)
+            caller.send(request_bytes(name))
+            await upstream.arrived.wait()
+            caller.writer.write_eof()
+            started_s = asyncio.get_running_loop().time()
+            answer = await caller.receive()
+            return answer.status, asyncio.get_running_loop().time() - started_s
+
+    status, ended_s = run_in_memory(run(), LIMIT_S)
+    assert status is None
+    assert ended_s < 0.1
+
+
+# The deadline, and changes of the configuration while a stream is resumed.
+
+
+SLOW_EVENTS = [STREAM_HEAD, events(1), pause(0.4), events(2), pause(0.4), events(3), END]
+
+
+# Guards against a stream that ends before its deadline, or goes on after it.
+@pytest.mark.parametrize(
+    ("deadline_ms", "delivered"), [(300, b""), (500, event(2)), (900, event(2) + event(3))]
+)
+def test_stream_goes_on_until_its_deadline(deadline_ms, delivered):
+    async def run():
+        async with make_site(a=(0, 4, SLOW_EVENTS)) as site:
+            headers = [("x-deadline", str(deadline_ms))]
+            response = await site.send_request("once", "POST", headers=headers)
+            return response, asyncio.get_running_loop().time()
+
+    response, ended_s = run_in_memory(run(), LIMIT_S)
+    assert response.chunks == event(1) + delivered
+    assert response.complete == (deadline_ms == 900)
+    assert response.complete or ended_s == pytest.approx(deadline_ms / 1e3, abs=0.05)
+
+
+# Guards against a stream that is cut since its route, service or account has changed before the
+# engine that is to go on with it has begun to answer.
+@pytest.mark.parametrize("case", CHANGES)
+@pytest.mark.parametrize("ending", [RESET, pause(SILENCE_S)], ids=["resumed", "replaced"])
+def test_stream_is_whole_if_the_configuration_changes_while_another_engine_begins(ending, case):
+    async def run():
+        scripts = [
+            [STREAM_HEAD, events(1), ending, *([] if ending is RESET else [pause(9.0), END])],
+            [pause(0.5), STREAM_HEAD, events(2, 3), END],
+        ]
+        async with ChangingSite() as site, ScriptedUpstream("b") as other:
+            entry = site.state.upstreams["a"]
+            site.state.upstreams["b"] = msgspec.structs.replace(
+                entry, id=other.name, address=other.address
+            )
+            for engine in (site.upstream("draft"), other):
+                engine.next_script = lambda head: scripts.pop(0)
+            request = asyncio.create_task(site.send_request("draft", "POST"))
+            await wait_until(lambda: not scripts)
+            site.apply(CHANGES[case][0])
+            return await request
+
+    response = run_in_memory(run(), LIMIT_S)
+    assert (response.status, response.chunks, response.complete) == (200, ALL_EVENTS, True)
