Resume a stream on an engine where its attempt was abandoned, within the route's limit

Callers saw a stream cut when its engine broke off after an earlier silence: the replacement that was sent during the silence, and closed by this host as the first engine went on, had used up the limit of the route. So did the first attempt where the replacement had taken over and broke off later.

The limit is one of engines: where no further one may run the request, its rest goes to one on which this host has ended an attempt itself, and which is counted once.

--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -1,6 +1,7 @@
 """Counts the engines that may have run one request, against the limit of its route."""
 
 import asyncio
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -18,10 +19,16 @@
 
 
 class EngineRun(msgspec.Struct, eq=False):
-    """One engine that may have run the request, as it was listed when the request was sent."""
+    """One engine that may have run the request, as it was listed when the request was sent.
+
+    `abandoned` says that this host has ended the attempt there, in favour of another one, `earlier`
+    is such a run of the same process that this one has taken the place of.
+    """
 
     entry: UpstreamEntry
     liveness: Liveness
+    abandoned: bool = False
+    earlier: "EngineRun | None" = None
 
 
 class EngineRuns:
@@ -43,14 +50,28 @@
         return self.count < self._max_engines
 
     def add(self, entry: UpstreamEntry) -> EngineRun:
-        """Add an engine to which the request is sent."""
-        run = EngineRun(entry, Liveness.RUNNING)
+        """Add an engine to which the request is sent; one where it was abandoned counts once."""
+        earlier = next((r for r in self._runs if r.abandoned and _is_same(r.entry, entry)), None)
+        if earlier is not None:
+            self._runs.remove(earlier)
+        run = EngineRun(entry, Liveness.RUNNING, earlier=earlier)
         self._runs.append(run)
         return run
 
+    def abandon(self, run: EngineRun) -> None:
+        """Record that this host ends the attempt on an engine in favour of another one."""
+        run.abandoned = True
+
+    def find_abandoned(self, listed: Iterable[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return those of `listed` on which the request was abandoned."""
+        abandoned = [run.entry for run in self._runs if run.abandoned]
+        return [e for e in listed if any(_is_same(e, a) for a in abandoned)]
+
     def remove(self, run: EngineRun) -> None:
         """Remove an engine that has not run the request."""
         self._runs.remove(run)
+        if run.earlier is not None:
+            self._runs.append(run.earlier)
 
     def record_probe(self, run: EngineRun, responds: bool) -> None:
         """Record whether an engine answers; one that is confirmed to have ended stays so."""
@@ -75,3 +96,8 @@
         )
         for run, ended in zip(doubtful, confirmed, strict=True):
             run.liveness = Liveness.ENDED if ended else Liveness.RUNNING
+
+
+def _is_same(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
+    """Return whether two entries are of the same process."""
+    return (entry.id, entry.born_ms) == (other.id, other.born_ms)
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -121,9 +121,12 @@
 
     def _may_retry(self) -> bool:
         """Return whether the request's own limits allow another send, apart from the budget."""
+        return self._engine_runs.allows_another and self._may_send_again()
+
+    def _may_send_again(self) -> bool:
+        """Return `_may_retry` for an engine that counts already."""
         return (
-            self._engine_runs.allows_another
-            and self._crash_guard.allows_send
+            self._crash_guard.allows_send
             and self.progress.sends < MAX_SENDS
             and now_s() < self._request.end_s
         )
@@ -136,14 +139,15 @@
 
     # Sending.
 
-    def _send(self) -> str | None:
+    def _send(self, first: UpstreamId | None = None) -> str | None:
         """Send the request along a newly chosen path; return the reason if it can't be sent.
 
-        All sends but the first take a retry from the budget.
+        The path starts at engine `first` if given. All sends but the first take a retry from the
+        budget.
         """
         if self._crash_guard.block is not None:
             return BLOCKED
-        path = self._paths.choose()
+        path = self._paths.choose(first)
         if path is None or (self._paths.uses_avoided(path) and self._is_repeat_early()):
             return NO_PATH
         sends = self.progress.sends
@@ -262,6 +266,7 @@
         """Make an attempt that has begun to answer the current one, and end the others."""
         if self._current is not None and self._current is not sent:
             self._log.chosen(sent.entry.id, [self._current.entry.id])
+            self._engine_runs.abandon(self._current.engine_run)
             self._current.attempt.close()
         self._current = sent
         self._close_openings()
@@ -272,6 +277,8 @@
             assert self._current is not None
             abandoned = [opening.entry.id for opening in self._openings]
             self._log.chosen(self._current.entry.id, abandoned)
+            for opening in self._openings:
+                self._engine_runs.abandon(opening.engine_run)
             self._openings.close()
 
     # Events.
@@ -362,7 +369,7 @@
         if not self._openings:
             if not self._is_resumable:
                 raise ExchangeError(reason)
-            if not await self._verify_may_retry() or self._send() is not None:
+            if not await self._send_rest():
                 raise ExchangeError(f"not resumed: {reason}")
         result = await self._wait_until_begun()
         if result.outcome is not ExchangeOutcome.ANSWERED:
@@ -371,6 +378,17 @@
             self._context.state.metrics.count_recovery(self._request.service, "resume")
         return result.event
 
+    async def _send_rest(self) -> bool:
+        """Send the request for the rest of an interrupted stream; return whether it was sent.
+
+        Where no further engine may run it, it goes to one on which an attempt was abandoned.
+        """
+        if await self._verify_may_retry():
+            return self._send() is None
+        listed = self._context.state.active_upstreams(self._request.service)
+        asked = self._engine_runs.find_abandoned(listed)
+        return self._may_send_again() and any(self._send(e.id) is None for e in asked)
+
     @property
     def _is_resumable(self) -> bool:
         """Return whether a stream that has begun can go on in another attempt.
