Leave places to other streams when a first event is late but all engines respond

Callers of slow, sound engines that were nearly full got 503: streams that waited for their first event for over 0.5 s were sent a second time, and these attempts took the places of streams that came later.

Before, on: test_slow_engines_serve_as_many_streams_as_they_have_places failed (KNOWN-RED; 3 of 20 streams got 503).

Before the first event, and only where all engines respond, a second attempt is sent only to engines that have half of their places free with it. A silence with an engine that doesn't respond is handled as before.

--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Set
 
 from minttide.ids import Address, UpstreamId
-from minttide.layers.paths import Path, RequestSize
+from minttide.layers.paths import EngineLoad, Path, RequestSize
 from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttide.routing.sources import OrderOutcome, SourceError
 from minttided.gateway.callers.request import GatewayRequest
@@ -27,6 +27,10 @@
 STALLED_AVOID_S = 2.0
 """How long all streams avoid an engine that another engine reports as stalling its requests."""
 
+MAX_SECOND_FRACTION = 0.5
+"""Part of an engine's places in use up to which it takes a second attempt of a stream whose engines
+all respond. Before the first event such a silence rather comes from a slow start."""
+
 _STATUS_AVOID_S = {503: FULL_AVOID_S, 421: STALE_LAYERS_AVOID_S}
 
 
@@ -63,6 +67,12 @@
         first = [e for e in engines if e.layers is not None and e.layers.first == 0]
         return min((state.upstream_limits.delay_s(e, now_s()) for e in first), default=0.0)
 
+    def leaves_places(self, path: Path) -> bool:
+        """Return whether a second attempt on a path leaves its engines places for other streams."""
+        loads = self._context.loads.estimate()
+        most = MAX_SECOND_FRACTION * self._model.slots
+        return all(loads.get(s.engine, EngineLoad()).streams + 1 <= most for s in path)
+
     def avoid(self, engines: Iterable[UpstreamId]) -> None:
         """Exclude engines from the further paths of this stream."""
         self._avoided.update(engines)
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -39,6 +39,7 @@
 
 BLOCKED = "the request or a part of its prompt is blocked"
 NO_PATH = "no path with free capacity"
+FEW_PLACES = "too few free places for a second attempt"
 NO_RETRY = "no retry left in the budget"
 
 MAX_SENDS = 5
@@ -139,17 +140,19 @@
 
     # Sending.
 
-    def _send(self, first: UpstreamId | None = None) -> str | None:
+    def _send(self, first: UpstreamId | None = None, leaves_places: bool = False) -> str | None:
         """Send the request along a newly chosen path; return the reason if it can't be sent.
 
-        The path starts at engine `first` if given. All sends but the first take a retry from the
-        budget.
+        The path starts at engine `first` if given. With `leaves_places` it isn't sent to engines
+        that may need their places for others. All sends but the first take a retry from the budget.
         """
         if self._crash_guard.block is not None:
             return BLOCKED
         path = self._paths.choose(first)
         if path is None or (self._paths.uses_avoided(path) and self._is_repeat_early()):
             return NO_PATH
+        if leaves_places and not self._paths.leaves_places(path):
+            return FEW_PLACES
         sends = self.progress.sends
         if sends and not self._context.budgets.try_spend(self._request, sends):
             return NO_RETRY
@@ -474,7 +477,8 @@
             self._paths.avoid([sent.entry.id])
         else:
             self._paths.avoid_silent(sent.attempt.path)
-        reason = self._send()
+        is_first_awaited = self.progress.first_event_s is None
+        reason = self._send(leaves_places=is_first_awaited and not decision.dead)
         self._log.replacing(
             sent.entry.id, reason or decision.reason, silence.silent_s, sent=reason is None
         )
