Move the handling of a stream's silence into a module of its own

No change of behaviour; `SilentStream` names what the handler uses of the stream, and these methods of `StreamRun` have lost their underscore.

No test changed.

--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -1,7 +1,6 @@
-"""Runs one stream: sends it along a path, and moves, resumes or replaces it when an engine fails.
+"""Runs one stream: sends it along a path, delivers its events, and resumes it when an engine fails.
 
-An attempt that may still finish is not ended before another has begun to answer: an engine that is
-silent may go on, and the next one may reject the request, fail or be silent as well.
+`silence.py` handles its silences.
 """
 
 import logging
@@ -11,7 +10,6 @@
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
-from minttide.layers.silence import Remedy, RemedyChoice, Silence
 from minttide.problems import Ran
 from minttide.routing.outcome import ExchangeOutcome, may_retry
 from minttide.routing.routes import ModelSpec
@@ -28,16 +26,13 @@
 from minttided.gateway.streams.paths import StreamPaths
 from minttided.gateway.streams.remedies import StreamRemedies
 from minttided.gateway.streams.response import EventChunks
+from minttided.gateway.streams.silence import BLOCKED, SilenceHandler
 from minttided.gateway.streams.unstarted import finish_unstarted
 from minttided.http.client import ExchangeError, NotSentError
 from minttided.http.messages import HttpResponse, StreamResponse
 
 log = logging.getLogger(__name__)
 
-MIN_RESTART_BUDGET = 2.0
-"""Retries that must be left in the budget to restart a stream that could be moved instead."""
-
-BLOCKED = "the request or a part of its prompt is blocked"
 NO_PATH = "no path with free capacity"
 FEW_PLACES = "too few free places for a second attempt"
 NO_RETRY = "no retry left in the budget"
@@ -80,11 +75,20 @@
         self._log = StreamLog(context.state, request, request_size)
         self.progress = Progress(last_event_id=parse_last_event_id(request.req))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
-        self._remedies = StreamRemedies(context, model, request_size, self._paths, self.progress)
         self._may_have_run = False
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._crash_guard = CrashGuard(context.state, request)
-        self._last_send_s = self._last_event_s = request.received_s
+        self._silence = SilenceHandler(
+            context,
+            request,
+            self,
+            self._paths,
+            StreamRemedies(context, model, request_size, self._paths, self.progress),
+            self._engine_runs,
+            self._crash_guard,
+            self._log,
+        )
+        self._last_send_s = self.last_event_s = request.received_s
         self._last_event_has_id = True
 
     @property
@@ -101,7 +105,7 @@
         This is the stream, or a complete response without events. Raises `RequestError`.
         """
         try:
-            reason = self._send()
+            reason = self.send()
             result = await self._wait_until_begun() if reason is None else _not_sent(reason)
         except BaseException:
             self.close(cut=True)
@@ -120,27 +124,27 @@
         chunks = EventChunks(self.events(result.event), self.close)
         return StreamResponse(chunks, OK, content_type, headers)
 
-    def _may_retry(self) -> bool:
+    def may_retry(self) -> bool:
         """Return whether the request's own limits allow another send, apart from the budget."""
         return self._engine_runs.allows_another and self._may_send_again()
 
     def _may_send_again(self) -> bool:
-        """Return `_may_retry` for an engine that counts already."""
+        """Return `may_retry` for an engine that counts already."""
         return (
             self._crash_guard.allows_send
             and self.progress.sends < MAX_SENDS
             and now_s() < self._request.end_s
         )
 
-    async def _verify_may_retry(self) -> bool:
-        """Return `_may_retry`, after the engines that seem to have ended were probed again."""
-        if self._may_retry():
+    async def verify_may_retry(self) -> bool:
+        """Return `may_retry`, after the engines that seem to have ended were probed again."""
+        if self.may_retry():
             await self._engine_runs.verify_ended()
-        return self._may_retry()
+        return self.may_retry()
 
     # Sending.
 
-    def _send(self, first: UpstreamId | None = None, leaves_places: bool = False) -> str | None:
+    def send(self, first: UpstreamId | None = None, leaves_places: bool = False) -> str | None:
         """Send the request along a newly chosen path; return the reason if it can't be sent.
 
         The path starts at engine `first` if given. With `leaves_places` it isn't sent to engines
@@ -163,7 +167,7 @@
             self._request,
             path,
             self._request_size,
-            lambda: self._check_silence(sent),
+            lambda: self._silence.check(sent),
         )
         sent = SentAttempt(sends + 1, attempt, entry, self._engine_runs.add(entry))
         self._context.runs.add(self)
@@ -187,7 +191,7 @@
         return await self._openings.run_unless_finished(self._verify_and_send())
 
     async def _verify_and_send(self) -> bool:
-        return await self._verify_may_retry() and self._send() is None
+        return await self.verify_may_retry() and self.send() is None
 
     async def _wait_until_begun(self) -> StreamSendResult:
         """Wait until an attempt has begun to answer, and send again after each that fails.
@@ -349,10 +353,10 @@
             metrics = self._context.state.metrics
             metrics.observe_first_token(self._request.service, progress.first_event_s)
         else:
-            gap_s = now - self._last_event_s
+            gap_s = now - self.last_event_s
             progress.longest_gap_s = max(progress.longest_gap_s, gap_s)
             self._context.silence_threshold.observe(gap_s)
-        self._last_event_s = now
+        self.last_event_s = now
         progress.events += 1
         if event.id is not None:
             progress.last_event_id = event.id
@@ -370,7 +374,7 @@
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
         if not self._openings:
-            if not self._is_resumable:
+            if not self.is_resumable:
                 raise ExchangeError(reason)
             if not await self._send_rest():
                 raise ExchangeError(f"not resumed: {reason}")
@@ -386,14 +390,14 @@
 
         Where no further engine may run it, it goes to one on which an attempt was abandoned.
         """
-        if await self._verify_may_retry():
-            return self._send() is None
+        if await self.verify_may_retry():
+            return self.send() is None
         listed = self._context.state.active_upstreams(self._request.service)
         asked = self._engine_runs.find_abandoned(listed)
-        return self._may_send_again() and any(self._send(e.id) is None for e in asked)
+        return self._may_send_again() and any(self.send(e.id) is None for e in asked)
 
     @property
-    def _is_resumable(self) -> bool:
+    def is_resumable(self) -> bool:
         """Return whether a stream that has begun can go on in another attempt.
 
         After an event without an id it can't, as a new run would send that event once more.
@@ -422,89 +426,19 @@
         """Return the attempts in the order of their sending."""
         return [*([self._current] if self._current is not None else []), *self._openings]
 
-    async def _check_silence(self, sent: SentAttempt) -> None:
-        """Find out why an attempt is silent, and act on it.
-
-        Raises `ReplacedError` if the current attempt has been replaced, and `ExchangeError` at the
-        deadline or if the prompt is blocked.
-        """
-        sent.attempt.left_s()
-        if self._crash_guard.block is not None:
-            raise ExchangeError(BLOCKED)
-        if sent is not self._current:
-            await self._try_remedy(sent)
-            return
-        await self._settle_openings()
-        await self._try_remedy(sent)
-        await self._settle_openings()
-
-    async def _try_remedy(self, sent: SentAttempt) -> None:
-        """Do what `_remedy_silence` does; after an unexpected error the attempt just goes on."""
-        try:
-            await self._remedy_silence(sent)
-        except Exception:
-            log.exception("silence not looked into", extra={"engine": sent.entry.id})
-
-    async def _remedy_silence(self, sent: SentAttempt) -> None:
-        """Probe the engines of a silent attempt; then wait, move it or send the request again.
-
-        The attempt goes on also after the request was sent again. Only the newest one is checked.
-        """
-        if not self._is_newest(sent):
-            return
-        attempt = sent.attempt
-        silence = self._measure_silence(attempt)
-        decision = await self._remedies.choose(attempt, silence)
-        self._paths.avoid(decision.dead)
-        if self._context.probes.has_ended(sent.entry):
-            self._engine_runs.record_probe(sent.engine_run, responds=False)
-        if decision.remedy is Remedy.WAIT:
-            return
-        should_move = decision.remedy is Remedy.MOVE and not self._is_restart_better(attempt)
-        if should_move and await self._paths.move(attempt, decision.dead):
-            return
-        await self._send_replacement(sent, decision, silence)
-
-    async def _send_replacement(
-        self, sent: SentAttempt, decision: RemedyChoice, silence: Silence
-    ) -> None:
-        """Send the request again while a silent attempt goes on, if that is allowed."""
-        if not self._may_repeat() or not await self._verify_may_retry():
-            return
-        if not self._is_newest(sent):
-            return
-        if decision.dead:
-            self._paths.avoid([sent.entry.id])
-        else:
-            self._paths.avoid_silent(sent.attempt.path)
-        is_first_awaited = self.progress.first_event_s is None
-        reason = self._send(leaves_places=is_first_awaited and not decision.dead)
-        self._log.replacing(
-            sent.entry.id, reason or decision.reason, silence.silent_s, sent=reason is None
-        )
+    @property
+    def has_begun(self) -> bool:
+        """Return whether an attempt has begun to answer and goes on."""
+        return self._current is not None
 
-    def _is_newest(self, sent: SentAttempt) -> bool:
+    def is_newest(self, sent: SentAttempt) -> bool:
+        """Return whether no attempt was sent after this one that goes on."""
         return sent is (self._openings.newest or self._current)
 
-    def _measure_silence(self, attempt: StreamAttempt) -> Silence:
-        return Silence(
-            now_s() - max(attempt.sent_s, self._last_event_s),
-            self._context.silence_threshold.between_events_s,
-            self._may_repeat(),
-        )
-
-    def _may_repeat(self) -> bool:
-        """Return whether the request may be sent again while an attempt goes on."""
-        if self._current is not None and not self._is_resumable:
-            return False
-        return self._request.route.repeatable and self._may_retry()
-
-    def _is_restart_better(self, attempt: StreamAttempt) -> bool:
-        """Return whether a restart is allowed and faster than moving the attempt."""
-        remaining = self._context.budgets.remaining(self._request.service)
-        if remaining < MIN_RESTART_BUDGET or not self._may_repeat():
-            return False
-        return self._remedies.is_restart_faster(attempt)
+    async def settle_openings(self, sent: SentAttempt) -> None:
+        """Do what `_settle_openings` does if `sent` is the current attempt."""
+        if sent is self._current:
+            await self._settle_openings()
 
     # Closing.
 
