Run the tests in four processes, those on wall time in one of them

Cause: `make test` ran 3,260 tests in one process, most of the time waiting for tests on wall time.

Change: pytest-xdist with four workers. Each file is run whole and in order by one worker. The 22 files whose tests wait on wall time, use sockets or start processes are one unit, run by a single worker, so that they don't disturb each other or take each other's ports (test/conftest.py). They were found with audit events and by comparing wall and processor time of each test; a test elsewhere that binds, connects or starts a process now fails.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Each target sets up what it needs in .venv, from the package index as configured.
 PY := .venv/bin/python
 SOURCES := core daemon cli fakes spec measure platform test
+# Processes that run the tests; those on wall time share one (test/conftest.py).
+TEST_WORKERS := 4
 
 .PHONY: demo test lint check-model measure clean
 
@@ -9,7 +11,7 @@
 	$(PY) -m pip install -q -c constraints.txt setuptools wheel
 	$(PY) -m pip install -q --no-build-isolation -c constraints.txt \
 		-e core -e daemon -e fakes -e cli \
-		pytest hypothesis minicheck black ruff mypy numpy scipy
+		pytest pytest-xdist hypothesis minicheck black ruff mypy numpy scipy
 	touch $@
 
 .venv/ready-measure: .venv/ready
@@ -20,7 +22,7 @@
 	.venv/bin/minttide demo
 
 test: .venv/ready
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(TEST_WORKERS) --dist loadscope
 
 lint: .venv/ready
 	$(PY) -m black -q --check $(SOURCES)
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -1,11 +1,86 @@
-"""Lets the tests that KNOWN-RED.txt lists fail, and prints that file with the results."""
+"""Lets the tests that KNOWN-RED.txt lists fail, and runs those on wall time one at a time.
 
+With pytest-xdist each file is run whole and in order by one worker process. The files in
+`WALL_TIME_FILES` are all run by the same worker, one after the other.
+"""
+
+import sys
 from pathlib import Path
 
 import pytest
+from xdist.scheduler import LoadScopeScheduling
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
+WALL_TIME_FILES = {
+    f"test/test_{name}.py"
+    for name in (
+        "app",
+        "callers",
+        "cli",
+        "connection_ends",
+        "crashing_requests",
+        "demo",
+        "endless_answers",
+        "engine_http",
+        "fakes",
+        "gateway_entry",
+        "gateway_plain",
+        "gateway_process",
+        "gateway_recovery",
+        "gateway_retry_limits",
+        "gateway_streams",
+        "http_server",
+        "peers",
+        "platform",
+        "prompt_crashes",
+        "soak",
+        "stand_in_servers",
+        "upstream_limits",
+    )
+}
+"""Files with tests that wait on wall time, use sockets or start processes."""
+
+SHARED_RESOURCE_EVENTS = {"socket.bind", "socket.connect", "subprocess.Popen"}
+"""Audit events that only tests of these files may raise."""
+
+WALL_TIME_SCOPE = "wall time"
+
+running_file = ""  # of the test that runs in this process, empty between tests
+
+
+class FileScheduling(LoadScopeScheduling):
+    """Gives whole files to workers, and all of `WALL_TIME_FILES` to one of them."""
+
+    def _split_scope(self, nodeid):
+        file = nodeid.split("::", 1)[0]
+        return WALL_TIME_SCOPE if file in WALL_TIME_FILES else file
+
+
+def pytest_xdist_make_scheduler(config, log):
+    """Schedule by file."""
+    return FileScheduling(config, log)
+
+
+def forbid_shared_resources(event, _):
+    """Raise `RuntimeError` if a test outside `WALL_TIME_FILES` uses a socket or a process."""
+    if event in SHARED_RESOURCE_EVENTS and running_file and running_file not in WALL_TIME_FILES:
+        raise RuntimeError(f"{event} in {running_file}, which isn't listed in WALL_TIME_FILES")
+
+
+sys.addaudithook(forbid_shared_resources)
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_protocol(item):
+    """Note the file of the running test."""
+    global running_file
+    running_file = item.nodeid.split("::", 1)[0]
+    try:
+        return (yield)
+    finally:
+        running_file = ""
+
 
 def read_known_red():
     """Return the text of the file, empty where there is none, and the ids of the tests in it."""
