Wait for the answer of a keyed call while its host is only suspected

Cause: a forwarded call was given up as soon as its owner left the table of owners, which holds neither suspected nor leaving hosts. The next owner found the claim of a suspected host in the log and told unknown at once (_may_still_answer). Found beside it: after an owner that gave no answer, the rejection of the next owner was told as not run, though the first might still run the call.

Change: an owner is given up only if it is down, another process has its name, the connection broke or the deadline passed. While it is suspected the next owner is asked too, as the call may not have arrived; the log lets one of them send it. The first reply is told. Without one, all that were asked are waited for and the most cautious error is told; not run only if no owner went without an answer.

--- a/daemon/minttided/keys/key_shard.py
+++ b/daemon/minttided/keys/key_shard.py
@@ -242,13 +242,11 @@
         return UpstreamReply(entry.answer.status, entry.answer.content_type, entry.answer.body)
 
     def _may_still_answer(self, entry: KeyEntry) -> bool:
+        """Return whether the process that claimed the key isn't down; it may be suspected."""
         if (entry.host, entry.incarnation) == (self._node.cfg.host, self._node.incarnation):
             return entry.claim_id in self._live_claims or bool(self._records)
         members = self._node.members.hosts() if self._node.members else ()
-        return any(
-            (m.host, m.incarnation) == (entry.host, entry.incarnation) and not m.suspect
-            for m in members
-        )
+        return any((m.host, m.incarnation) == (entry.host, entry.incarnation) for m in members)
 
     async def _wait_for_change(self, limit_s: float) -> bool:
         if limit_s <= 0:
--- a/daemon/minttided/keys/keyed.py
+++ b/daemon/minttided/keys/keyed.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 import uuid
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from typing import Protocol
 
 from minttide.config.service import PlainService, Site
 from minttide.ids import HostId, RequestId
-from minttide.interfaces import KeyedCall, UpstreamReply
+from minttide.interfaces import KeyedCall, MemberView, UpstreamReply
 from minttide.problems import Ran, RequestError
 from minttide.rendezvous import OwnerTable, shard_of
 from minttided.drafts.log_stream import FollowStream
@@ -25,11 +26,11 @@
 SHARD_IDLE_TIMEOUT_S = 60.0
 """How long a shard that this host doesn't own stays open without a request, in seconds."""
 
-LIVE_HOSTS_MAX_AGE_S = 0.5
-"""Maximum age of the cached list of live hosts, in seconds."""
+HOSTS_MAX_AGE_S = 0.5
+"""Maximum age of the cached list of hosts, in seconds."""
 
 OWNER_CHECK_INTERVAL_S = 0.25
-"""Interval for checking whether the owner of a forwarded call is still up, in seconds."""
+"""Interval for checking whether the owner of a forwarded call is suspected or down, in seconds."""
 
 SHARD_CHECK_INTERVAL_S = 5.0
 """Interval for checking which shards to open and close, in seconds."""
@@ -45,6 +46,13 @@
         self.sent = sent
 
 
+Outcome = UpstreamReply | RequestError | ForwardError
+"""What one host that was asked to run a call returned."""
+
+_RAN_FIRST = (Ran.DONE, Ran.UNKNOWN, Ran.NOT_RUN)
+"""Of the errors of several hosts, the one that comes first here is told."""
+
+
 class Forwarder(Protocol):
     """Forwards a keyed call to the host that owns its key."""
 
@@ -64,7 +72,9 @@
         self._forwarder = forwarder
         self._shards: dict[int, KeyShard] = {}
         self._owners: OwnerTable | None = None
-        self._owners_updated_s = 0.0
+        self._owners_of: dict[HostId, MemberView] | None = None  # hosts the owners are chosen from
+        self._hosts: dict[HostId, MemberView] = {}
+        self._hosts_updated_s = -HOSTS_MAX_AGE_S
         self._lock = asyncio.Lock()
         self._stack = AsyncExitStack()
         self._shard_checker: asyncio.Task[None] | None = None
@@ -92,33 +102,78 @@
         req = self._validate(call)
         shard = shard_of(req.scope, req.key, self._site().key_shards)
         owners = self.shard_owners(shard)
-        forwarded = False
-        if self._node.cfg.host not in owners and self._forwarder is not None:
-            for owner in owners:
-                try:
-                    return await self._forward(owner, req)
-                except ForwardError as exc:
-                    forwarded = forwarded or exc.sent
-                    self._log_choice(shard, owner, owners, f"no answer: {exc}")
-        self._log_choice(shard, self._node.cfg.host, owners, "run locally")
-        try:
+        if self._node.cfg.host in owners or self._forwarder is None:
+            self._log_choice(shard, self._node.cfg.host, owners, "run locally")
             return await self._run_here(shard, req)
-        except RequestError as exc:
-            if forwarded and exc.problem.ran is Ran.NOT_RUN:
-                # The call did not run here, but an owner that gave no answer may still run it.
-                detail = "the call was forwarded without an answer: " + exc.problem.detail
-                raise problems.outcome_unknown(detail) from exc
-            raise
+        return await self._run_on_owners(shard, req, owners)
+
+    async def _run_on_owners(
+        self, shard: int, req: KeyedRequest, owners: list[HostId]
+    ) -> UpstreamReply:
+        """Ask the owners in turn, and this host last, until one of them returns a reply.
+
+        The next one is asked once every earlier one is suspected or gave no answer. A suspected one
+        may still answer and is waited for as well: the log lets only one of them send the call.
+        Raises `RequestError`.
+        """
+        unasked = [*owners, self._node.cfg.host]
+        asked: dict[asyncio.Task[Outcome], HostId] = {}
+        errors: list[RequestError] = []
+        may_run = False  # one that gave no answer may still run the call
+        try:
+            while True:
+                if unasked and not errors and all(map(self._is_suspect, asked.values())):
+                    host = unasked.pop(0)
+                    if len(unasked) < len(owners):
+                        why = "those asked before are suspected" if asked else "no answer before"
+                        self._log_choice(shard, host, owners, why)
+                    asked[asyncio.create_task(self._ask(host, shard, req))] = host
+                if not asked:
+                    break
+                done, _ = await asyncio.wait(
+                    asked, timeout=OWNER_CHECK_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    host, outcome = asked.pop(task), task.result()
+                    if isinstance(outcome, RequestError):
+                        errors.append(outcome)
+                    elif isinstance(outcome, ForwardError):
+                        may_run = may_run or outcome.sent
+                        self._log_choice(shard, host, owners, f"no answer: {outcome}")
+                    else:
+                        return outcome
+        finally:
+            for task in asked:
+                task.cancel()
+        error = min(errors, key=lambda exc: _RAN_FIRST.index(exc.problem.ran))
+        if may_run and error.problem.ran is Ran.NOT_RUN:
+            detail = "the call was forwarded without an answer: " + error.problem.detail
+            raise problems.outcome_unknown(detail) from error
+        raise error
+
+    async def _ask(self, host: HostId, shard: int, req: KeyedRequest) -> Outcome:
+        """Run the call on `host`, which may be this one; errors are returned, not raised."""
+        try:
+            if host == self._node.cfg.host:
+                return await self._run_here(shard, req)
+            return await self._forward(host, req)
+        except (RequestError, ForwardError) as exc:
+            return exc
 
     async def _forward(self, owner: HostId, req: KeyedRequest) -> UpstreamReply:
-        """Run the call on `owner`; raises `ForwardError` also once the owner is suspected."""
+        """Run the call on `owner`.
+
+        Raises `RequestError`, or `ForwardError` also once `owner` is down or a later process runs
+        under its name; not while it is only suspected or leaving.
+        """
         assert self._forwarder is not None
+        asked = next((m for m in self._list_hosts() if m.host == owner), None)
         task = asyncio.ensure_future(self._forwarder.forward(owner, req))
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=OWNER_CHECK_INTERVAL_S)
-                if not task.done() and owner not in self._owner_table().hosts:
-                    raise ForwardError(f"{owner} is suspected to be down")
+                if not task.done() and asked is not None and self._has_ended(asked):
+                    raise ForwardError(f"{owner} is down")
             return task.result()
         finally:
             task.cancel()
@@ -180,20 +235,35 @@
 
     def _owner_table(self) -> OwnerTable:
         shards = self._site().key_shards
-        now_s = asyncio.get_running_loop().time()
+        hosts = self._hosts_by_id()
         if self._owners is None or self._owners.shards != shards:
             self._owners = OwnerTable(shards)
-        elif now_s < self._owners_updated_s + LIVE_HOSTS_MAX_AGE_S:
+        elif self._owners_of is hosts:
             return self._owners
-        self._owners.update(self._live_hosts())
-        self._owners_updated_s = now_s
+        live = {m.host for m in hosts.values() if not m.leaving and not m.suspect}
+        self._owners.update(live if self._node.members else {self._node.cfg.host})
+        self._owners_of = hosts
         return self._owners
 
-    def _live_hosts(self) -> set[HostId]:
-        members = self._node.members
-        if members is None:
-            return {self._node.cfg.host}
-        return {m.host for m in members.hosts() if not m.leaving and not m.suspect}
+    def _hosts_by_id(self) -> dict[HostId, MemberView]:
+        """Return the hosts that aren't down; a new dict after `HOSTS_MAX_AGE_S`."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._hosts_updated_s + HOSTS_MAX_AGE_S:
+            self._hosts = {m.host: m for m in self._list_hosts()}
+            self._hosts_updated_s = now_s
+        return self._hosts
+
+    def _list_hosts(self) -> Sequence[MemberView]:
+        return self._node.members.hosts() if self._node.members else ()
+
+    def _is_suspect(self, host: HostId) -> bool:
+        member = self._hosts_by_id().get(host)
+        return member is None or member.suspect
+
+    def _has_ended(self, asked: MemberView) -> bool:
+        """Return whether the process that `asked` describes is down or was replaced."""
+        current = self._hosts_by_id().get(asked.host)
+        return current is None or current.incarnation > asked.incarnation
 
     def shard_owners(self, shard: int) -> list[HostId]:
         """Return the owners of a shard in order of preference, in this host's view."""
--- a/test/test_early_ends.py
+++ b/test/test_early_ends.py
@@ -74,16 +74,30 @@
 
 
 class SuspectingSite(KeySite):
-    """A site whose hosts suspect those in `suspects`."""
+    """A site whose hosts suspect those in `suspects`, and where those in `leavers` leave.
+
+    The host `silent` never answers a forwarded call.
+    """
 
     suspects = frozenset()
+    leavers = frozenset()
+    silent = None
 
     def hosts(self):
         """Return the hosts as their peers see them."""
         return [
-            msgspec.structs.replace(m, suspect=m.host in self.suspects) for m in super().hosts()
+            msgspec.structs.replace(
+                m, suspect=m.host in self.suspects, leaving=m.host in self.leavers
+            )
+            for m in super().hosts()
         ]
 
+    async def forward(self, host, call):
+        """Forward the call, or wait for ever."""
+        if host == self.silent:
+            await asyncio.Event().wait()
+        return await super().forward(host, call)
+
 
 # Guards against a call that is given up for a moment's silence of the host that runs it.
 def test_keyed_call_is_answered_when_its_owner_is_suspected_for_a_while():
@@ -100,6 +114,54 @@
     assert run_virtual(run()) == (Ran.DONE, 200)
 
 
+# Guards against the same while the host is suspected until the end, or leaves.
+@pytest.mark.parametrize("case", ["suspected", "leaving"])
+def test_keyed_call_is_answered_by_an_owner_that_is_suspected_or_leaving(case):
+    async def run():
+        async with SuspectingSite(names="abcd") as site:
+            site.forwarding, site.ledger.latency_s = True, 2.0
+            owners = site.hosts_by_name["a"].runner.shard_owners(0)
+            caller = next(h for name, h in site.hosts_by_name.items() if name not in owners)
+            attribute = "suspects" if case == "suspected" else "leavers"
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.2, setattr, site, attribute, frozenset(owners))
+            outcome = await caller.run(limit_s=6.0)
+            return outcome, site.ledger.ran.total()
+
+    assert run_virtual(run()) == ((Ran.DONE, 200), 1)
+
+
+# Guards against the same for a repeat that another owner gets.
+def test_keyed_call_repeated_at_another_owner_is_answered_while_its_first_is_suspected():
+    async def run():
+        async with SuspectingSite(names="abcd") as site:
+            site.forwarding, site.ledger.latency_s = True, 0.5
+            first, second = site.hosts_by_name["a"].runner.shard_owners(0)
+            running = asyncio.create_task(site.hosts_by_name[first].run(limit_s=6.0))
+            await asyncio.sleep(0.3)
+            site.suspects = frozenset([first])
+            outcomes = [await site.hosts_by_name[second].run(limit_s=6.0), await running]
+            return outcomes, site.ledger.ran.total()
+
+    assert run_virtual(run()) == ([(Ran.DONE, 200)] * 2, 1)
+
+
+# Guards against a call that waits for a suspected host although another one could run it.
+def test_keyed_call_is_run_by_another_owner_while_the_first_is_suspected_and_silent():
+    async def run():
+        async with SuspectingSite(names="abcd") as site:
+            site.forwarding = True
+            owners = site.hosts_by_name["a"].runner.shard_owners(0)
+            caller = next(h for name, h in site.hosts_by_name.items() if name not in owners)
+            site.silent = owners[0]
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.2, setattr, site, "suspects", frozenset(owners[:1]))
+            outcome = await caller.run(limit_s=6.0)
+            return outcome, loop.time() < 1.5
+
+    assert run_virtual(run()) == ((Ran.DONE, 200), True)
+
+
 # Guards against a shutdown that cuts a request which arrives completely while it goes on.
 def test_request_that_is_being_read_at_the_shutdown_is_answered():
     async def handle(req):
--- a/test/test_keyed.py
+++ b/test/test_keyed.py
@@ -13,6 +13,7 @@
 from minttide_fakes.faults import AppendFault, FaultInjector
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.virtual import run_virtual
+from minttided.keys.keyed import ForwardError
 
 DONE = (Ran.DONE, 200)
 UNKNOWN = (Ran.UNKNOWN, ProblemType.OUTCOME_UNKNOWN)
@@ -295,6 +296,28 @@
     assert run_scene(scene, names=("a", "b", "c")) == (UNKNOWN, 1)
 
 
+@pytest.mark.parametrize(
+    ("sent", "told"), [(True, UNKNOWN), (False, LOG_UNAVAILABLE)], ids=["sent", "not sent"]
+)
+def test_a_rejection_by_one_owner_says_nothing_of_another_that_may_run_the_call(sent, told):
+    async def scene(site):
+        site.forwarding = True
+        owners = site.hosts_by_name["a"].runner.shard_owners(0)
+        outsider = next(h for name, h in site.hosts_by_name.items() if name not in owners)
+        site.hosts_by_name[owners[1]].log.cut = True
+        forward = site.forward
+
+        async def lose_the_first(host, call):
+            if host == owners[0]:
+                raise ForwardError("the connection broke", sent=sent)
+            return await forward(host, call)
+
+        site.forward = lose_the_first
+        return await outsider.run()
+
+    assert run_scene(scene, names=("a", "b", "c")) == (told, 0)
+
+
 @pytest.mark.parametrize(("requests", "appends_per_s"), [(300, 100.0)])
 def test_waiting_claims_are_appended_in_batches(requests, appends_per_s):
     async def scene(site):
