Move layers for a suspected engine only once it has ended or stays silent

Cause: the placer passed every suspected engine to plan_orders as lost. One probe of 50 ms without an answer suspects an engine for 2 s at least, so engines with copies elsewhere gave up layers to fill a gap that wasn't there.

Change: a suspected engine counts as lost if its process is known to have ended, or if none of three more probes of 0.3 s is answered (EngineProbes.confirm_ended, as streams use it); it stays lost while it is suspected. Until then it counts as holding its layers and gets no order. plan_orders is unchanged.

With the old placer the new case "for a moment" fails.

--- a/daemon/minttided/gateway/placement/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -54,6 +54,7 @@
         self._grant: LeaseGrant | None = None
         self._valid_until_s = 0.0
         self._pending_orders: dict[UpstreamId, _PendingOrder] = {}
+        self._lost: set[UpstreamId] = set()
         self._last_engines: frozenset[UpstreamId] = frozenset()
         self._engines_changed_s = 0.0
 
@@ -129,12 +130,32 @@
         self._drop_finished(engines)
         if not any(e.layers for e in engines) and not self._is_stable(engines):
             return
-        pending = {e: o.layers for e, o in self._pending_orders.items()}
         self._probes.probe_on_trial(engines)
-        orders = plan_orders(model, engines, pending, self._state.suspects.suspected())
+        lost = await self._find_lost(engines)
+        # An engine that is only suspected counts as holding its layers, and gets no order.
+        suspected = self._state.suspects.suspected() - lost
+        lost |= {e.id for e in engines if e.id in suspected and e.layers is None}
+        pending = {e.id: e.layers for e in engines if e.id in suspected and e.layers is not None}
+        pending |= {e: o.layers for e, o in self._pending_orders.items()}
+        orders = plan_orders(model, engines, pending, lost)
         by_id = {e.id: e for e in engines}
         await asyncio.gather(*(self._send_order(model, by_id[o.engine], o) for o in orders))
 
+    async def _find_lost(self, engines: Sequence[UpstreamEntry]) -> set[UpstreamId]:
+        """Return the suspected engines whose process has ended or answers no longer probe either.
+
+        An engine that was found lost stays so until it is no longer suspected.
+        """
+        suspected = self._state.suspects.suspected()
+        self._lost &= suspected
+        unconfirmed = [e for e in engines if e.id in suspected - self._lost]
+        ended = await asyncio.gather(*(self._has_ended(e) for e in unconfirmed))
+        self._lost |= {e.id for e, has_ended in zip(unconfirmed, ended, strict=True) if has_ended}
+        return self._lost & {e.id for e in engines}
+
+    async def _has_ended(self, entry: UpstreamEntry) -> bool:
+        return self._probes.has_ended(entry) or await self._probes.confirm_ended(entry)
+
     def _is_stable(self, engines: Sequence[UpstreamEntry]) -> bool:
         engine_ids = frozenset(e.id for e in engines)
         if engine_ids != self._last_engines:
--- a/test/test_gateway_placer.py
+++ b/test/test_gateway_placer.py
@@ -43,8 +43,14 @@
     def __init__(self, found):
         self.layers_by_engine = {e.id: e.layers for e in found}
         self.busy, self.orders, self.rejecting = set(), [], False
+        self.silent_until_s = {}
 
     async def report(self, entry, timeout_s):
+        loop = asyncio.get_running_loop()
+        silent_s = self.silent_until_s.get(entry.id, 0.0) - loop.time()
+        await asyncio.sleep(min(timeout_s, max(0.0, silent_s)))
+        if silent_s > timeout_s:
+            raise SourceError("no response in time")
         layers = self.layers_by_engine[entry.id]
         return EngineReport(3, entry.id in self.busy, 0, 0, 0.0, 0.0, 1.0, layers)
 
@@ -173,3 +179,21 @@
         assert not site.fake_engines.orders
 
     run_check(check, PLACED)
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "max_orders_s"), [(0.3, None), (60.0, 1.0)], ids=["for a moment", "for good"]
+)
+def test_layers_of_a_suspected_engine_are_replaced_only_if_it_stays_silent(silent_s, max_orders_s):
+    """`max_orders_s` is when orders must have been sent, None if there must be none."""
+
+    async def check(site):
+        engine = next(e.id for e in PLACED if e.layers)
+        now_s = asyncio.get_running_loop().time()
+        site.fake_engines.silent_until_s[engine] = now_s + silent_s
+        site.state.suspects.add(engine, now_s)
+        await site.run(max_orders_s or 6.0)
+        assert bool(site.fake_engines.orders) is (max_orders_s is not None)
+        assert engine not in {e for e, *_ in site.fake_engines.orders}
+
+    run_check(check, PLACED)
