Let hosts pass requests of callers on to their peers

Cause: a host that reaches no upstream of a service had no way to let a peer run the request.

Change: the method Forward of peer.proto, whose response is a stream of a head, chunks and an end, with its messages, codec, client and server. peers/responses.py receives the parts in a task of its own, as grpclib cancels the tasks that wait for a broken stream, and a reader that is cancelled must lose no part of it. Forwards have channels of their own, at most 32 on each: a peer accepts only 100 requests at a time on a channel, and slow readers would fill the window that probes share. A peer without the method has not run the request (PeerNotSentError). PeerHandler, and SyncServer without `forward`, answer 503 and "not run".

--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -25,18 +26,36 @@
     encode,
     pack,
 )
-from minttided.http.problems import problem
-from minttided.peers.interfaces import ForwardedCall, Probe, ProbeReply, Pull, PullReply
+from minttided.http.messages import HttpResponse, StreamResponse
+from minttided.http.problems import problem, problem_response
+from minttided.peers.interfaces import (
+    ForwardedCall,
+    ForwardedRequest,
+    Probe,
+    ProbeReply,
+    Pull,
+    PullReply,
+)
 from minttided.peers.membership import Membership
 
 log = logging.getLogger(__name__)
 
 
+Forward = Callable[[ForwardedRequest], Awaitable[HttpResponse | StreamResponse]]
+"""Runs a caller's request that a peer has received."""
+
+
 class SyncServer:
-    """Implements `PeerService`: answers pulls itself, and passes probes to the membership."""
+    """Implements `PeerService`: answers pulls itself, and passes probes to the membership.
 
-    def __init__(self, context: SyncContext, membership: Membership):
+    `forward` runs the requests that peers pass on; without it they are rejected.
+    """
+
+    def __init__(
+        self, context: SyncContext, membership: Membership, forward: Forward | None = None
+    ):
         self._context = context
+        self._forward = forward
         self._state = context.state
         self._peer_loads = context.peer_loads
         self._membership = membership
@@ -52,6 +71,14 @@
         """Reject keyed calls, which a gateway doesn't run."""
         return problem(ProblemType.NOT_FOUND, "a gateway doesn't run keyed calls", Ran.NOT_RUN)
 
+    async def on_forward(self, request: ForwardedRequest) -> HttpResponse | StreamResponse:
+        """Run a caller's request that a peer has received."""
+        if self._forward is None:
+            return problem_response(
+                problem(ProblemType.NO_UPSTREAM, "this host doesn't run forwarded requests")
+            )
+        return await self._forward(request)
+
     async def on_pull(self, pull: Pull) -> PullReply:
         """Return what is newer than the requesting host's data, waiting a while for changes."""
         received_s = self._state.clock()
--- a/daemon/minttided/peers/codec.py
+++ b/daemon/minttided/peers/codec.py
@@ -1,5 +1,7 @@
 """Converts the message types of `peers.interfaces` to the messages of `peer.proto` and back."""
 
+from collections.abc import Iterable
+
 from minttide.folds.checkpoint import Checkpoint
 from minttide.gossip import Gossip, LeavingUpstream, Member, Status, Vitals
 from minttide.ids import (
@@ -15,7 +17,16 @@
 )
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.problems import Problem, ProblemType, Ran
-from minttided.peers.interfaces import ForwardedCall, Probe, ProbeReply, PullReply
+from minttided.http.messages import Headers
+from minttided.peers.interfaces import (
+    ForwardedCall,
+    ForwardedRequest,
+    Probe,
+    ProbeReply,
+    PullReply,
+    ResponseHead,
+)
+from minttided.peers.responses import ResponsePart
 from minttided.proto import peer_pb2 as pb
 
 _STATUS_TO_PROTO = {
@@ -141,6 +152,17 @@
     return PullReply(records, Checkpoint(Offset(msg.snapshot.covers), msg.snapshot.data))
 
 
+# Headers.
+
+
+def _encode_headers(headers: Headers) -> list[pb.Header]:
+    return [pb.Header(name=n, value=v) for n, v in headers]
+
+
+def _decode_headers(headers: Iterable[pb.Header]) -> Headers:
+    return [(h.name, h.value) for h in headers]
+
+
 # Keyed calls.
 
 
@@ -152,7 +174,7 @@
         key=call.key,
         method=call.call.method,
         path=call.call.path,
-        headers=[pb.Header(name=n, value=v) for n, v in call.call.headers],
+        headers=_encode_headers(call.call.headers),
         body=call.call.body,
         remaining_s=call.remaining_s,
     )
@@ -160,12 +182,11 @@
 
 def decode_forwarded_call(msg: pb.CallRequest) -> ForwardedCall:
     """Decode a forwarded keyed call."""
-    headers = [(h.name, h.value) for h in msg.headers]
     return ForwardedCall(
         AccountId(msg.account),
         ServiceName(msg.service),
         IdempotencyKey(msg.key),
-        UpstreamCall(msg.method, msg.path, headers, msg.body),
+        UpstreamCall(msg.method, msg.path, _decode_headers(msg.headers), msg.body),
         msg.remaining_s,
     )
 
@@ -202,3 +223,55 @@
         msg_problem.detail,
         retry_after_s,
     )
+
+
+# Forwarded requests.
+
+
+def encode_forwarded_request(request: ForwardedRequest) -> pb.ForwardRequest:
+    """Encode a forwarded request."""
+    return pb.ForwardRequest(
+        method=request.method,
+        target=request.target,
+        headers=_encode_headers(request.headers),
+        body=request.body,
+        age_s=request.age_s,
+        config_version=request.config_version,
+    )
+
+
+def decode_forwarded_request(msg: pb.ForwardRequest) -> ForwardedRequest:
+    """Decode a forwarded request."""
+    return ForwardedRequest(
+        msg.method,
+        msg.target,
+        _decode_headers(msg.headers),
+        msg.body,
+        msg.age_s,
+        msg.config_version,
+    )
+
+
+def encode_response_part(part: ResponsePart) -> pb.ForwardReply:
+    """Encode the head of a response, a chunk of its body, or None as its end."""
+    if part is None:
+        return pb.ForwardReply(end=pb.ResponseEnd())
+    if isinstance(part, bytes):
+        return pb.ForwardReply(chunk=part)
+    head = pb.ResponseHead(
+        status=part.status,
+        content_type=part.content_type,
+        headers=_encode_headers(part.headers),
+    )
+    return pb.ForwardReply(head=head)
+
+
+def decode_response_part(msg: pb.ForwardReply) -> ResponsePart:
+    """Decode a part of a response. Raises `ValueError` for a message without a known part."""
+    if msg.HasField("chunk"):
+        return msg.chunk
+    if msg.HasField("end"):
+        return None
+    if not msg.HasField("head"):
+        raise ValueError("the peer's reply has no known part of a response")
+    return ResponseHead(msg.head.status, msg.head.content_type, _decode_headers(msg.head.headers))
--- a/daemon/minttided/peers/grpc_net.py
+++ b/daemon/minttided/peers/grpc_net.py
@@ -1,14 +1,17 @@
 """Peer communication over gRPC: a client with a pool of channels, and a server."""
 
 import asyncio
+import contextlib
+import itertools
 import logging
 import socket
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, TypeVar
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
@@ -20,13 +23,22 @@
 from minttided.peers import codec as codec
 from minttided.peers.interfaces import (
     ForwardedCall,
+    ForwardedRequest,
     PeerError,
+    PeerNotSentError,
     PeerService,
     Probe,
     ProbeReply,
     Pull,
     PullReply,
 )
+from minttided.peers.responses import (
+    CONNECT_TIMEOUT_S,
+    ReceivedResponse,
+    ResponsePart,
+    open_response,
+    send_response,
+)
 from minttided.proto import peer_pb2 as pb
 from minttided.proto.peer_grpc import PeerBase, PeerStub
 
@@ -38,8 +50,23 @@
 CALL_TIMEOUT_MARGIN_S = 0.5
 """Time to wait for the reply of a forwarded call beyond the call's deadline."""
 
+MAX_FORWARDS_PER_CHANNEL = 32
+"""Open forwards on one channel; a peer accepts no more than 100 requests at a time on one."""
+
+END_TIMEOUT_S = 1.0
+"""Time to wait for gRPC's end of a stream after the end of a response."""
+
+RESET_TIMEOUT_S = 0.1
+"""Time in which a server that ends an open forward tells the client so."""
+
+_STREAM_WINDOW_BYTES = 256 * 1024
 _GRPC_CONFIG = Configuration(
-    http2_connection_window_size=1024 * 1024, http2_stream_window_size=256 * 1024
+    http2_connection_window_size=1024 * 1024, http2_stream_window_size=_STREAM_WINDOW_BYTES
+)
+# A response whose reader is slow then never holds up the others on its channel.
+_FORWARD_CONFIG = Configuration(
+    http2_connection_window_size=MAX_FORWARDS_PER_CHANNEL * _STREAM_WINDOW_BYTES,
+    http2_stream_window_size=_STREAM_WINDOW_BYTES,
 )
 _TRANSPORT_ERRORS = (
     OSError,
@@ -52,6 +79,13 @@
 )
 
 
+_Lane = tuple[Address, int]
+"""A peer and the number of the channel to it: 0 for short requests, from 1 on for forwards.
+
+Probes thus don't wait for forwards, which may fill a channel.
+"""
+
+
 class GrpcPeerClient:
     """Implements `PeerClient`; a context manager.
 
@@ -59,14 +93,14 @@
     """
 
     def __init__(self) -> None:
-        self._channels: OrderedDict[Address, Channel] = OrderedDict()
+        self._channels: OrderedDict[_Lane, Channel] = OrderedDict()
         self._in_use: dict[Channel, int] = {}
 
     async def __aenter__(self) -> "GrpcPeerClient":
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for channel in self._channels.values():
+        for channel in {*self._channels.values(), *self._in_use}:
             channel.close()
         self._channels.clear()
 
@@ -98,6 +132,22 @@
         except ValueError as exc:
             raise PeerError(str(exc)) from exc
 
+    async def open_forward(
+        self, address: Address, request: ForwardedRequest, end_s: float
+    ) -> ReceivedResponse:
+        """Run a caller's request on a peer. Raises `PeerNotSentError` or another `PeerError`."""
+        msg = codec.encode_forwarded_request(request)
+
+        async def receive(response: ReceivedResponse) -> None:
+            try:
+                with self._use_channel(self._find_forward_lane(address)) as channel:
+                    await _receive_forward(channel, msg, response)
+            except _TRANSPORT_ERRORS as exc:
+                error_type = PeerError if _may_have_run(response, exc) else PeerNotSentError
+                raise error_type(f"{address}: {type(exc).__name__}: {exc}") from exc
+
+        return await open_response(receive, end_s)
+
     async def _request(
         self,
         address: Address,
@@ -105,31 +155,51 @@
         timeout_s: float,
     ) -> ReplyT:
         try:
-            channel = self._get_channel(address)
-            self._in_use[channel] = self._in_use.get(channel, 0) + 1
-            try:
+            with self._use_channel((address, 0)) as channel:
                 async with asyncio.timeout(timeout_s):
                     return await send_request(PeerStub(channel))
-            finally:
-                self._release_channel(channel)
         except _TRANSPORT_ERRORS as exc:
-            self._discard_channel(address)
             raise PeerError(f"{address}: {type(exc).__name__}: {exc}") from exc
 
-    def _get_channel(self, address: Address) -> Channel:
-        channel = self._channels.get(address)
+    # Channels.
+
+    @contextlib.contextmanager
+    def _use_channel(self, lane: _Lane) -> Iterator[Channel]:
+        """Return a channel that isn't closed while in use; it isn't used again after an error."""
+        channel = self._get_channel(lane)
+        self._in_use[channel] = self._in_use.get(channel, 0) + 1
+        try:
+            yield channel
+        except _TRANSPORT_ERRORS:
+            if self._channels.get(lane) is channel:
+                del self._channels[lane]
+            raise
+        finally:
+            self._release_channel(channel)
+
+    def _find_forward_lane(self, address: Address) -> _Lane:
+        lanes = ((address, number) for number in itertools.count(1))
+        return next(lane for lane in lanes if self._count_uses(lane) < MAX_FORWARDS_PER_CHANNEL)
+
+    def _count_uses(self, lane: _Lane) -> int:
+        channel = self._channels.get(lane)
+        return 0 if channel is None else self._in_use.get(channel, 0)
+
+    def _get_channel(self, lane: _Lane) -> Channel:
+        channel = self._channels.get(lane)
         if channel is None:
-            ip, port = split_address(address)
-            channel = self._channels[address] = Channel(ip, port, config=_GRPC_CONFIG)
-        self._channels.move_to_end(address)
+            ip, port = split_address(lane[0])
+            config = _FORWARD_CONFIG if lane[1] else _GRPC_CONFIG
+            channel = self._channels[lane] = Channel(ip, port, config=config)
+        self._channels.move_to_end(lane)
         self._close_idle_channels()
         return channel
 
     def _close_idle_channels(self) -> None:
-        idle = [a for a, c in self._channels.items() if c not in self._in_use]
-        for address in idle[: max(0, len(self._channels) - MAX_CHANNELS)]:
-            if next(reversed(self._channels)) != address:
-                self._channels.pop(address).close()
+        idle = [lane for lane, c in self._channels.items() if c not in self._in_use]
+        for lane in idle[: max(0, len(self._channels) - MAX_CHANNELS)]:
+            if next(reversed(self._channels)) != lane:
+                self._channels.pop(lane).close()
 
     def _release_channel(self, channel: Channel) -> None:
         self._in_use[channel] -= 1
@@ -138,11 +208,34 @@
             if channel not in self._channels.values():
                 channel.close()
 
-    def _discard_channel(self, address: Address) -> None:
-        """Remove a channel after an error, so that the next call opens a new connection."""
-        channel = self._channels.pop(address, None)
-        if channel is not None and channel not in self._in_use:
-            channel.close()
+
+async def _receive_forward(
+    channel: Channel, msg: pb.ForwardRequest, response: ReceivedResponse
+) -> None:
+    async with PeerStub(channel).Forward.open() as stream:
+        # Sends the headers as its last step, so that nothing was sent if it raises.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await stream.send_request()
+        response.sent = True
+        await stream.send_message(msg)
+        async for reply in stream:
+            part = codec.decode_response_part(reply)
+            await response.put(part)
+            if part is None:
+                async with asyncio.timeout(END_TIMEOUT_S):
+                    await stream.recv_trailing_metadata()
+                return
+
+
+def _may_have_run(response: ReceivedResponse, exc: Exception) -> bool:
+    """Return whether a peer may have run a request; one without the method has refused it."""
+    return response.sent and not (isinstance(exc, GRPCError) and _is_unknown_method(exc))
+
+
+def _is_unknown_method(exc: GRPCError) -> bool:
+    # grpclib's server sends no content type when it refuses a request before any handler is called.
+    # Its client then reports that in place of the status, unless the stream was reset.
+    return exc.status is Status.UNIMPLEMENTED or exc.message == "Missing content-type header"
 
 
 class _GrpcHandlers(PeerBase):
@@ -169,6 +262,27 @@
             outcome = await self._service.on_call(codec.decode_forwarded_call(msg))
             await stream.send_message(codec.encode_outcome(outcome))
 
+    async def Forward(self, stream: Stream[Any, Any]) -> None:  # noqa: N802, D102
+        msg = await stream.recv_message()
+        if msg is None:
+            return
+
+        async def send(part: ResponsePart) -> None:
+            await stream.send_message(codec.encode_response_part(part))
+
+        try:
+            response = await self._service.on_forward(codec.decode_forwarded_request(msg))
+            await send_response(response, send)
+        except asyncio.CancelledError:
+            await _reset(stream)  # The server is stopping, or the client has reset the stream.
+            raise
+
+
+async def _reset(stream: Stream[Any, Any]) -> None:
+    with contextlib.suppress(H2Error, TimeoutError):
+        async with asyncio.timeout(RESET_TIMEOUT_S):
+            await stream.cancel()
+
 
 class PeerServer:
     """Serves peers; a context manager. `address` has the actual port once it is open."""
--- a/daemon/minttided/peers/handler.py
+++ b/daemon/minttided/peers/handler.py
@@ -3,10 +3,19 @@
 from collections.abc import Callable
 
 from minttide.interfaces import UpstreamReply
-from minttide.problems import Problem
+from minttide.problems import Problem, ProblemType
+from minttided.http.messages import HttpResponse
+from minttided.http.problems import problem, problem_response
 from minttided.keys.keyed import KeyedCallRunner
 from minttided.peers.forwarder import run_forwarded_call
-from minttided.peers.interfaces import ForwardedCall, Probe, ProbeReply, Pull, PullReply
+from minttided.peers.interfaces import (
+    ForwardedCall,
+    ForwardedRequest,
+    Probe,
+    ProbeReply,
+    Pull,
+    PullReply,
+)
 from minttided.peers.membership import Membership
 from minttided.peers.relay import ConfigRelay
 
@@ -35,3 +44,9 @@
     async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
         return await run_forwarded_call(self._get_runner(), call)
+
+    async def on_forward(self, request: ForwardedRequest) -> HttpResponse:
+        """Reject forwarded requests, which this host doesn't run."""
+        return problem_response(
+            problem(ProblemType.NO_UPSTREAM, "this host doesn't run forwarded requests")
+        )
--- a/daemon/minttided/peers/interfaces.py
+++ b/daemon/minttided/peers/interfaces.py
@@ -10,12 +10,17 @@
 from minttide.ids import AccountId, Address, IdempotencyKey, Offset, ServiceName
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.problems import Problem
+from minttided.http.messages import Headers, HttpResponse, StreamResponse
 
 
 class PeerError(Exception):
     """A peer could not be reached in time, or the exchange with it failed."""
 
 
+class PeerNotSentError(PeerError):
+    """No part of a request can have reached the peer, so it has not run there."""
+
+
 class Probe(msgspec.Struct, frozen=True):
     """Gossip for a peer. With `indirect`, the peer probes that address first.
 
@@ -62,6 +67,46 @@
     remaining_s: float
 
 
+class ForwardedRequest(msgspec.Struct, frozen=True):
+    """A caller's request that the first host passes on to a peer, which runs it.
+
+    `age_s` is the time in seconds since the first host received it, and `config_version` the
+    version of that host's configuration. Header values are Latin-1 text.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    age_s: float
+    config_version: int
+
+
+class ResponseHead(msgspec.Struct, frozen=True):
+    """The status and headers of a response. Header values are Latin-1 text."""
+
+    status: int
+    content_type: str
+    headers: Headers
+
+
+class ForwardedResponse(Protocol):
+    """The response to a forwarded request, whose body is read by one task at a time."""
+
+    @property
+    def head(self) -> ResponseHead:
+        """Return the status and headers."""
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next chunk of the body, or None at the end of a complete response.
+
+        Raises `PeerError` if the connection breaks, the peer fails, or `aclose` is called.
+        """
+
+    async def aclose(self) -> None:
+        """End the work at the peer unless it is complete; may be called repeatedly."""
+
+
 class PeerClient(Protocol):
     """Sends requests to peers by address. Every method raises `PeerError`."""
 
@@ -74,6 +119,17 @@
     async def call(self, address: Address, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on a peer."""
 
+    async def open_forward(
+        self, address: Address, request: ForwardedRequest, end_s: float
+    ) -> ForwardedResponse:
+        """Run a caller's request on a peer, and return the response once its head has arrived.
+
+        `end_s` is the time until which to wait for the head, in seconds of the event loop. Raises
+        `PeerNotSentError` if the request can't have run, since the connection was refused or
+        not established within 0.5 s, or the peer's version doesn't know forwarded requests. After
+        any other `PeerError` it may have run. The caller must close the response.
+        """
+
 
 class PeerService(Protocol):
     """Handles requests of peers."""
@@ -87,6 +143,12 @@
     async def on_call(self, call: ForwardedCall) -> UpstreamReply | Problem:
         """Run a keyed call on this host."""
 
+    async def on_forward(self, request: ForwardedRequest) -> HttpResponse | StreamResponse:
+        """Run a caller's request that a peer has received.
+
+        Cancelled when that peer closes the response; so are the chunks of a streamed response.
+        """
+
 
 class PeerListener(Protocol):
     """A listener for peers, at `address`."""
--- a/daemon/minttided/proto/peer_grpc.py
+++ b/daemon/minttided/proto/peer_grpc.py
@@ -26,6 +26,10 @@
     async def Call(self, stream: 'grpclib.server.Stream[minttided.proto.peer_pb2.CallRequest, minttided.proto.peer_pb2.CallReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Forward(self, stream: 'grpclib.server.Stream[minttided.proto.peer_pb2.ForwardRequest, minttided.proto.peer_pb2.ForwardReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/minttide.peer.Peer/Probe': grpclib.const.Handler(
@@ -46,6 +50,12 @@
                 minttided.proto.peer_pb2.CallRequest,
                 minttided.proto.peer_pb2.CallReply,
             ),
+            '/minttide.peer.Peer/Forward': grpclib.const.Handler(
+                self.Forward,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                minttided.proto.peer_pb2.ForwardRequest,
+                minttided.proto.peer_pb2.ForwardReply,
+            ),
         }
 
 
@@ -70,3 +80,9 @@
             minttided.proto.peer_pb2.CallRequest,
             minttided.proto.peer_pb2.CallReply,
         )
+        self.Forward = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/minttide.peer.Peer/Forward',
+            minttided.proto.peer_pb2.ForwardRequest,
+            minttided.proto.peer_pb2.ForwardReply,
+        )
