Gossip the services whose upstreams a host can't reach

Cause: hosts could not tell which of their peers reach the upstreams of a service.

ReadVitals returns a Struct, LocalVitals, in place of a tuple. A gateway reads the services from GatewayState.cut_off_services; a change of it calls on_cut_off_changed, which has the membership send gossip at once.

--- a/core/minttide/gossip.py
+++ b/core/minttide/gossip.py
@@ -7,7 +7,15 @@
 
 import msgspec
 
-from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
+from minttide.ids import (
+    Address,
+    HostId,
+    Incarnation,
+    Offset,
+    ServiceName,
+    UpstreamId,
+    ZoneId,
+)
 
 TRANSMIT_FACTOR = 3
 """Each update is sent this many times the binary logarithm of the number of hosts."""
@@ -54,13 +62,17 @@
 
 
 class Vitals(msgspec.Struct, frozen=True):
-    """A host's configuration offset and its load, from 0 to 1, at its own heartbeat `beat`."""
+    """A host's configuration offset and its load, from 0 to 1, at its own heartbeat `beat`.
+
+    `cut_off` are the services whose upstreams it can't reach.
+    """
 
     host: HostId
     incarnation: Incarnation
     beat: int
     applied: Offset
     load: float
+    cut_off: tuple[ServiceName, ...] = ()
 
 
 class LeavingUpstream(msgspec.Struct, frozen=True):
--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from minttide.gossip import Gossip, Member, Status, UpdateQueue, Vitals
-from minttide.ids import NO_OFFSET, Address, HostId, Offset
+from minttide.ids import NO_OFFSET, Address, HostId, Offset, ServiceName
 from minttide.interfaces import MemberView
 from minttide.leaving_upstreams import LeavingUpstreams
 
@@ -25,6 +25,13 @@
 
 MAX_UPDATES_PER_MESSAGE = 8
 MAX_VITALS_PER_MESSAGE = 16
+MAX_CUT_OFF_SERVICES = 16
+"""Services that a host names in its vitals as out of its reach; further ones are dropped.
+
+That is sufficient, since callers are directed to other hosts if a host names even one, and a peer
+that takes it to reach a dropped service may at worst ask it in vain to run a request.
+"""
+
 MAX_MEMBERS = 4096
 """Largest number of entry hosts in a table; further ones are ignored."""
 
@@ -115,11 +122,13 @@
         local = msgspec.structs.replace(self._local, callers=callers, peer=peer, version=version)
         self._put(local, 0.0)
 
-    def update_vitals(self, applied: Offset, load: float) -> None:
-        """Set this host's own configuration offset and load."""
+    def update_vitals(
+        self, applied: Offset, load: float, cut_off: Sequence[ServiceName] = ()
+    ) -> None:
+        """Set this host's own configuration offset, its load and the services it can't reach."""
         self._beat += 1
-        vitals = Vitals(self._local.host, self._local.incarnation, self._beat, applied, load)
-        self._put_vitals(vitals)
+        local, named = self._local, tuple(cut_off[:MAX_CUT_OFF_SERVICES])
+        self._put_vitals(Vitals(local.host, local.incarnation, self._beat, applied, load, named))
 
     # Probes.
 
@@ -294,6 +303,7 @@
             member.status is Status.SUSPECT,
             vitals.load if vitals else 0.0,
             vitals.applied if vitals else NO_OFFSET,
+            vitals.cut_off if vitals else (),
         )
 
     def _is_local(self, member: Member) -> bool:
--- a/daemon/minttided/app.py
+++ b/daemon/minttided/app.py
@@ -10,7 +10,7 @@
 from minttide.config.settings import Settings
 from minttide.folds.fold import ChangeResult, Decision
 from minttide.folds.placement import PlacementFold
-from minttide.ids import CONFIG_STREAM, Address, Incarnation, Offset
+from minttide.ids import CONFIG_STREAM, Address, Incarnation
 from minttide.interfaces import ClientFactory, HostList, PlatformLog
 from minttide.records import Publish
 from minttided.callers.server import CallerServer
@@ -28,7 +28,7 @@
 from minttided.peers.host_list_http import HttpHostList
 from minttided.peers.interfaces import PeerNetwork
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 from minttided.peers.relay import ConfigRelay
 from minttided.placement.controller import Controller
 from minttided.placement.lease_manager import LeaseManager
@@ -282,9 +282,9 @@
 
     # Configuration.
 
-    def _read_vitals(self) -> tuple[Offset, float]:
+    def _read_vitals(self) -> LocalVitals:
         load = self.callers.load if self.callers else 0.0
-        return self.node.config.applied, load
+        return LocalVitals(self.node.config.applied, load)
 
     def _handle_change_results(self, results: Sequence[ChangeResult]) -> None:
         for result in results:
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -43,7 +43,7 @@
 from minttided.peers.grpc_net import GrpcNetwork
 from minttided.peers.interfaces import PeerClient, PeerNetwork
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 from minttided.stopping import Drain
 from minttided.supervisor import Child, Ready, Supervisor, SupervisorContext, signal_ready_and_wait
 
@@ -152,6 +152,7 @@
             rng=self.state.rng,
             reclaims_id=True,
         )
+        self.state.on_cut_off_changed = self.membership.disseminate_now
         self.state.upstream_limits.find_hosts = self._find_sharing_hosts
         streams = self._make_callers()
         self._make_sync(peer_client, streams)
@@ -281,10 +282,11 @@
     def _is_ready(self) -> bool:
         return self.state.serving and not self.state.leaving
 
-    def _read_vitals(self) -> tuple[Offset, float]:
+    def _read_vitals(self) -> LocalVitals:
         table = self.state.table
         serving = self.state.serving and table is not None
-        return (Offset(table.version) if serving and table else NO_OFFSET), 0.0
+        applied = Offset(table.version) if serving and table else NO_OFFSET
+        return LocalVitals(applied, 0.0, tuple(sorted(self.state.cut_off_services)))
 
     def _count_zone_hosts(self) -> float:
         """Return the number of hosts in this zone that use its engines, including this one."""
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -79,14 +79,27 @@
     leaving: bool = False
     clock: Callable[[], float] = boot_time_s  # for the ages of data; tests replace it
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    on_cut_off_changed: Callable[[], None] = lambda: None
 
     def __post_init__(self) -> None:
+        self._cut_off_services: frozenset[ServiceName] = frozenset()
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
         self.upstream_limits = UpstreamLimits(
             self.cfg.host, self.rng, lambda _: SharingHosts((self.cfg.host,), 1)
         )
 
+    @property
+    def cut_off_services(self) -> frozenset[ServiceName]:
+        """Return the services whose upstreams this host can't reach; peers learn each change."""
+        return self._cut_off_services
+
+    @cut_off_services.setter
+    def cut_off_services(self, services: frozenset[ServiceName]) -> None:
+        if services != self._cut_off_services:
+            self._cut_off_services = services
+            self.on_cut_off_changed()
+
     def _record_crash_news(self, item: CrashNews) -> None:
         self.crash_news.append(item)
         self.notify_change()
--- a/daemon/minttided/peers/codec.py
+++ b/daemon/minttided/peers/codec.py
@@ -75,7 +75,12 @@
     """Encode a gossip message."""
     vitals = [
         pb.Vitals(
-            host=v.host, incarnation=v.incarnation, beat=v.beat, applied=v.applied, load=v.load
+            host=v.host,
+            incarnation=v.incarnation,
+            beat=v.beat,
+            applied=v.applied,
+            load=v.load,
+            cut_off=v.cut_off,
         )
         for v in gossip.vitals
     ]
@@ -93,7 +98,14 @@
 def decode_gossip(msg: pb.Gossip) -> Gossip:
     """Decode a gossip message."""
     vitals = [
-        Vitals(HostId(v.host), Incarnation(v.incarnation), v.beat, Offset(v.applied), v.load)
+        Vitals(
+            HostId(v.host),
+            Incarnation(v.incarnation),
+            v.beat,
+            Offset(v.applied),
+            v.load,
+            tuple(ServiceName(name) for name in v.cut_off),
+        )
         for v in msg.vitals
     ]
     leaving = [LeavingUpstream(UpstreamId(n.upstream), n.announced_ms) for n in msg.leaving]
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+import msgspec
+
 from minttide.gossip import Gossip, Member, Status
-from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
+from minttide.ids import Address, HostId, Incarnation, Offset, ServiceName, UpstreamId, ZoneId
 from minttide.interfaces import MemberView
 from minttide.membership import MemberTable
 from minttide.peak_count import PeakCount
@@ -43,8 +45,20 @@
 SITE_SIZE_HOLD_S = 900.0
 """How long hosts that were lost count towards the size of the site."""
 
-ReadVitals = Callable[[], tuple[Offset, float]]
-"""Returns this host's applied configuration offset and its load from 0 to 1."""
+
+class LocalVitals(msgspec.Struct, frozen=True):
+    """This host's applied configuration offset, its load from 0 to 1, and services it can't reach.
+
+    The first `MAX_CUT_OFF_SERVICES` of the services are sent to peers.
+    """
+
+    applied: Offset
+    load: float
+    cut_off: tuple[ServiceName, ...] = ()
+
+
+ReadVitals = Callable[[], LocalVitals]
+"""Returns the present vitals of this host."""
 
 OnPeerOffset = Callable[[Address, Offset], None]
 """Called with a peer's address and the configuration offset that the peer has applied."""
@@ -293,7 +307,8 @@
     # Gossip.
 
     def _update_heartbeat(self) -> None:
-        self.table.update_vitals(*self._read_vitals())
+        vitals = self._read_vitals()
+        self.table.update_vitals(vitals.applied, vitals.load, vitals.cut_off)
 
     def _disseminate_notices(self) -> None:
         if self.table.upstreams.has_new_announcement:
--- a/measure/publish.py
+++ b/measure/publish.py
@@ -34,7 +34,7 @@
 from minttided.log.follower import Follower
 from minttided.peers.handler import PeerHandler
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 from minttided.peers.relay import ConfigRelay
 from minttided.supervisor import Child, Supervisor, SupervisorContext
 
@@ -105,7 +105,7 @@
             Incarnation(1),
             client,
             HostListCache(),
-            lambda: (self.follower.applied, 0.0),
+            lambda: LocalVitals(self.follower.applied, 0.0),
             self.relay.record_peer_offset,
             rng=rng,
         )
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -27,7 +27,7 @@
 )
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 
 HOSTS = 6
 
@@ -99,7 +99,7 @@
             Incarnation(number),
             peer_client,
             HostListCache(),
-            lambda: (NO_OFFSET, 0.0),
+            lambda: LocalVitals(NO_OFFSET, 0.0),
             rng=rng,
         )
         config_read_policy = ReadPolicy(
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -10,17 +10,18 @@
 from minttide.config.settings import Settings
 from minttide.folds.checkpoint import Checkpoint
 from minttide.gossip import Gossip, Member, Status
-from minttide.ids import Address, HostId, Incarnation, Offset, UpstreamId, ZoneId
+from minttide.ids import Address, HostId, Incarnation, Offset, ServiceName, UpstreamId, ZoneId
 from minttide.interfaces import ListedHost
-from minttide.membership import MemberTable
+from minttide.membership import MAX_CUT_OFF_SERVICES, MemberTable
 from minttide_fakes.peer_network import MemoryPeerNetwork
 from minttide_fakes.virtual import run_virtual
 from minttided.peers.interfaces import PullReply
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 from minttided.peers.relay import PULL_TIMEOUT_S, SNAPSHOT_GRACE_S, ConfigRelay
 
 HOSTS = 9
+CUT_OFF = tuple(ServiceName(f"s{n}") for n in range(MAX_CUT_OFF_SERVICES + 1))
 
 
 def member(host="b", incarnation=1, version=0, status=Status.ALIVE, leaving=False, peer=None):
@@ -89,7 +90,7 @@
 
     def __init__(self, net, number, incarnation=1, seeds=("h0:1",), host_list=None, host=None):
         name = host or f"h{number}"
-        self.peer = Address(f"h{number}:1")
+        self.peer, self.cut_off = Address(f"h{number}:1"), ()
         cfg = Settings(
             HostId(name),
             ZoneId("z"),
@@ -106,7 +107,7 @@
             Incarnation(incarnation),
             net.open_client(self.peer),
             self.host_list_cache,
-            lambda: (Offset(number), 0.0),
+            lambda: LocalVitals(Offset(number), 0.0, self.cut_off),
             rng=random.Random(number),
             wall_ms=lambda: int(asyncio.get_running_loop().time() * 1000) + 10**12,
         )
@@ -171,6 +172,11 @@
     hosts[3].members.announce_upstream_leaving(UpstreamId("e1"))
 
 
+def cut_off(net, hosts, tasks):
+    hosts[3].cut_off = CUT_OFF
+    hosts[3].members.disseminate_now()
+
+
 def replace(net, hosts, tasks):
     stop(net, hosts, tasks)
     new = Host(net, 3, incarnation=2, host="new")
@@ -185,6 +191,7 @@
         (pause, lambda h: h.find("h3") is None or h.find("h3").suspect, 5.0),
         (leave, lambda h: h.find("h3").leaving, 1.0),
         (announce, lambda h: h.members.is_upstream_leaving(UpstreamId("e1")), 3.0),
+        (cut_off, lambda h: h.find("h3").cut_off == CUT_OFF[:MAX_CUT_OFF_SERVICES], 3.0),
         (replace, lambda h: h.find("h3") is None and h.find("new") is not None, 3.0),
     ],
 )
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import msgspec
 import pytest
 
 from minttide.folds.checkpoint import Checkpoint
@@ -20,6 +21,7 @@
 )
 from minttide.interfaces import LogRecord, UpstreamCall, UpstreamReply
 from minttide.problems import Problem, ProblemType, Ran
+from minttided.peers import codec
 from minttided.peers.grpc_net import MAX_CHANNELS, GrpcPeerClient, PeerServer, _bind_socket
 from minttided.peers.interfaces import ForwardedCall, PeerError, Probe, ProbeReply, Pull, PullReply
 
@@ -36,7 +38,7 @@
 GOSSIP = Gossip(
     MEMBER,
     [MEMBER],
-    [Vitals(HostId("a"), Incarnation(10**12), 7, Offset(-1), 0.5)],
+    [Vitals(HostId("a"), Incarnation(10**12), 7, Offset(-1), 0.5, (ServiceName("s"),))],
     [LeavingUpstream(UpstreamId("e"), 10**12)],
 )
 PROBE = Probe(GOSSIP, Address("127.0.0.1:9"), True, 2**64 - 1)
@@ -124,3 +126,18 @@
 def test_listening_socket_has_the_protocol_number_that_enables_tcp_nodelay():
     with _bind_socket("127.0.0.1", 0) as sock:
         assert sock.proto == socket.IPPROTO_TCP
+
+
+@pytest.mark.parametrize(
+    ("change", "cut_off"),
+    [
+        (lambda msg: msg.ClearField("cut_off"), ()),
+        (lambda msg: msg.MergeFromString(b"\xfa\x01\x01x"), (ServiceName("s"),)),  # Field 31.
+    ],
+)
+def test_vitals_of_older_and_newer_hosts_are_decoded(change, cut_off):
+    msg = codec.encode_gossip(GOSSIP)
+    change(msg.vitals[0])
+    received = type(msg).FromString(msg.SerializeToString())
+    expected = msgspec.structs.replace(GOSSIP.vitals[0], cut_off=cut_off)
+    assert codec.decode_gossip(received).vitals == [expected]
--- a/test/test_retry_budget_sharing.py
+++ b/test/test_retry_budget_sharing.py
@@ -17,7 +17,7 @@
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
 from minttided.peers.listing import HostListCache
-from minttided.peers.membership import Membership
+from minttided.peers.membership import LocalVitals, Membership
 
 SERVICE = ServiceName("s")
 RETRIES = RetryLimit(share=0.2, slack=326.0, window_s=10.0)
@@ -50,7 +50,7 @@
             Incarnation(incarnation),
             net.open_client(self.address),
             HostListCache(),
-            lambda: (NO_OFFSET, 0.0),
+            lambda: LocalVitals(NO_OFFSET, 0.0),
             rng=rng,
             reclaims_id=True,
         )
