Direct callers to hosts that are cut off from no service

Cause: a caller that is sent to a host without any upstream of its service gets an error or a longer way.

Change: choose_addresses returns hosts that are cut off from a service only if all unsuspected hosts that serve are. Its rules are a table of conditions, the most important first; the earlier rules are unchanged.

--- a/daemon/minttided/gateway/callers/directory.py
+++ b/daemon/minttided/gateway/callers/directory.py
@@ -14,20 +14,34 @@
 _OK = 200
 _UNAVAILABLE = 503
 
+_PREFERENCES: tuple[Callable[[MemberView], bool], ...] = (
+    lambda m: not m.suspect,
+    lambda m: m.applied != NO_OFFSET,
+    lambda m: not m.cut_off,
+)
+"""Conditions for the hosts to return, the most important first.
+
+The first one that no remaining host meets, and those after it, are ignored.
+"""
+
 
 def choose_addresses(members: Sequence[MemberView], rng: random.Random) -> list[Address]:
     """Return the addresses of hosts that can serve requests, in random order.
 
     Hosts that can't serve are returned only if no host can, and suspected ones only if all are
     suspected: callers that keep these addresses can reconnect as soon as an outage of the platform
-    is over. Leaving hosts are never returned.
+    is over. Hosts that are cut off from the upstreams of any service are returned only if all
+    unsuspected hosts that can serve are. Leaving hosts are never returned.
     """
-    active = [m for m in members if not m.leaving]
-    unsuspected = [m for m in active if not m.suspect]
-    serving = [m for m in unsuspected if m.applied != NO_OFFSET]
-    chosen = [m.callers for m in serving or unsuspected or active]
-    rng.shuffle(chosen)
-    return chosen[:MAX_ADDRESSES]
+    chosen = [m for m in members if not m.leaving]
+    for is_preferred in _PREFERENCES:
+        preferred = [m for m in chosen if is_preferred(m)]
+        if not preferred:
+            break
+        chosen = preferred
+    addresses = [m.callers for m in chosen]
+    rng.shuffle(addresses)
+    return addresses[:MAX_ADDRESSES]
 
 
 class ResolveBody(msgspec.Struct):
