--- a/fakes/minttide_fakes/memory_network.py
+++ b/fakes/minttide_fakes/memory_network.py
@@ -239,7 +239,8 @@
     """An event loop with virtual time whose servers and connections are in memory.
 
     A server is found by its port; hosts aren't told apart. While a port is held, nothing is
-    delivered to or from its connections, and connects to it wait.
+    delivered to or from its connections, and connects to it wait. While connects to a port are
+    blocked, they fail, and its open connections live on.
     """
 
     def __init__(self) -> None:
@@ -247,6 +248,7 @@
         self._servers: dict[int, MemoryServer] = {}
         self._transports: list[MemoryTransport] = []
         self._held: dict[int, asyncio.Event] = {}  # set once released
+        self._blocked: dict[int, Callable[[], OSError]] = {}
         self._next_port = FIRST_PORT
 
     def hold(self, port: int) -> None:
@@ -261,6 +263,14 @@
             for transport in self._transports:
                 transport.schedule_delivery()
 
+    def block_connects(self, port: int, make_error: Callable[[], OSError]) -> None:
+        """Let connects to a port fail with the error that `make_error` returns."""
+        self._blocked[port] = make_error
+
+    def unblock_connects(self, port: int) -> None:
+        """Let connects to a port succeed again."""
+        self._blocked.pop(port, None)
+
     def is_held(self, *ports: int) -> bool:
         """Return whether one of the ports is held."""
         return any(port in self._held for port in ports)
@@ -303,10 +313,15 @@
         port: int = 0,
         **_: object,
     ) -> tuple[MemoryTransport, asyncio.BaseProtocol]:
-        """Connect to the server on `port`. Raises `ConnectionRefusedError` if there is none."""
+        """Connect to the server on `port`.
+
+        Raises `ConnectionRefusedError` if there is none, or the error of `block_connects`.
+        """
         await asyncio.sleep(DELIVERY_S)
         while port in self._held:
             await self._held[port].wait()
+        if port in self._blocked:
+            raise self._blocked[port]()
         server = self._servers.get(port)
         if server is None:
             raise ConnectionRefusedError(errno.ECONNREFUSED, f"nothing listens on port {port}")
