Find out that a host is cut off from a service, and soon after that it no longer is

Cause: each upstream was avoided by itself, for 2, 4 and then 8 s, so that a host that couldn't connect to any engine went on rejecting requests after the end of the partition.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -25,6 +25,7 @@
 from minttided.gateway.callers.request_handler import RequestHandler
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.placement.placer import Placer
+from minttided.gateway.reach_monitor import ReachMonitor
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams.forwarder import StreamForwarder
@@ -153,6 +154,7 @@
             reclaims_id=True,
         )
         self.state.upstream_limits.find_hosts = self._find_sharing_hosts
+        self._reach_monitor = ReachMonitor(self.state)
         streams = self._make_callers()
         self._make_sync(peer_client, streams)
         self._placer = Placer(self.state, streams.probes, lambda: self._sync_client.is_reader)
@@ -235,6 +237,7 @@
             "root",
             [
                 Child("platform", Supervisor("platform", platform).run),
+                Child("reach", self._reach_monitor.run),
                 Child("callers", self._run_caller_server),
                 Child("directory", self._serve(resolver.handle, self.cfg.directory)),
                 Child("health", self._serve(health.handle, self.cfg.health)),
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -38,6 +38,9 @@
         self._dropped_replies = self._counter(
             "minttide_replies_dropped_total", "Replies of engines that no request was waiting for."
         )
+        self._cut_offs = self._counter(
+            "minttide_cut_offs_total", "Times that this host was cut off from a service."
+        )
         self._first_token = self._histogram(
             "minttide_first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_S
         )
@@ -94,6 +97,10 @@
         """Count a retry that the budget allowed or rejected."""
         self._retries.inc({"service": service, "allowed": "yes" if allowed else "no"})
 
+    def count_cut_off(self, service: ServiceName) -> None:
+        """Count that this host can't connect to the upstreams that a service needs."""
+        self._cut_offs.inc({"service": service})
+
     def count_dropped_reply(self) -> None:
         """Count a late, duplicate or mismatched reply."""
         self._dropped_replies.inc({})
