Report no engine as failed, and hold no placement lease, while cut off from its service

Cause: a host that is partitioned from the engines reported all of them to its reader, so that two such hosts made all others probe them, and one that held the placement lease couldn't order them.

Change: upstreams of services that this host is cut off from are left out of what it reports. The host that requests the lease for a zone is the first in reader order that isn't cut off from a model service; a zone without one leaves the lease to other zones, and if all hosts are cut off, the reader requests it as before. A host that is no candidate any more releases the lease.

test_gateway_sharing.py: the test of reported upstreams keeps its cases (no cut, no reader) and gets more.

--- a/core/minttide/routing/readers.py
+++ b/core/minttide/routing/readers.py
@@ -7,11 +7,11 @@
 on a larger site.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import msgspec
 
-from minttide.ids import HostId, ZoneId
+from minttide.ids import HostId, ServiceName, ZoneId
 from minttide.interfaces import MemberView
 from minttide.rendezvous import rank_hosts
 
@@ -85,6 +85,29 @@
     return [candidates[host] for host in rank_hosts(f"reader-{zone}", candidates)]
 
 
+def choose_lease_candidate(
+    members: Sequence[MemberView], zone: ZoneId, models: Collection[ServiceName]
+) -> MemberView | None:
+    """Return the host that requests the placement lease on behalf of a zone, None if it has none.
+
+    It is the reader of the zone, or the next one that isn't cut off from a service in `models`,
+    whose engines it couldn't order. A zone without such a host leaves the lease to other zones. If
+    all hosts are cut off, the reader requests it.
+    """
+    ranked = rank_readers(members, zone)
+    able = [m for m in ranked if not _is_cut_off(m, models)]
+    if able:
+        return able[0]
+    others = [m for m in members if not m.leaving and not m.suspect]
+    if not ranked or any(not _is_cut_off(m, models) for m in others):
+        return None
+    return ranked[0]
+
+
+def _is_cut_off(member: MemberView, services: Collection[ServiceName]) -> bool:
+    return any(service in services for service in member.cut_off)
+
+
 class SnapshotAge(msgspec.Struct, frozen=True):
     """The age of a snapshot, and the ages above which backup readers and all hosts read the store.
 
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -157,7 +157,9 @@
         self._reach_monitor = ReachMonitor(self.state)
         streams = self._make_callers()
         self._make_sync(peer_client, streams)
-        self._placer = Placer(self.state, streams.probes, lambda: self._sync_client.is_reader)
+        self._placer = Placer(
+            self.state, streams.probes, lambda: self._sync_client.is_lease_candidate
+        )
         self.drain = Drain(
             self._leave,
             lambda: self.caller_server,
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -146,6 +146,19 @@
         if changed:
             self.on_reach_changed(upstream, reached)
 
+    def find_reportable_failures(self) -> set[UpstreamId]:
+        """Return the avoided upstreams, as evidence for other hosts that these have failed.
+
+        Those of services that this host is cut off from are left out, since others may reach them.
+        """
+        avoided = self.suspects.avoided(now_s())
+        if not self.cut_off_services:
+            return avoided
+        entries = {u: self.find_upstream(u) for u in avoided}
+        return {
+            u for u, e in entries.items() if e is None or e.service not in self.cut_off_services
+        }
+
     def record_removed(self, entry: UpstreamEntry) -> None:
         """Record that an upstream is no longer listed. It may still finish its requests."""
         self.forget_upstream(entry.id)
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -9,11 +9,12 @@
 
 import msgspec
 
-from minttide.ids import HostId, UpstreamId
+from minttide.ids import HostId, ServiceName, UpstreamId
 from minttide.interfaces import MemberView
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges
 from minttide.routing.readers import (
     SnapshotAge,
+    choose_lease_candidate,
     choose_source,
     rank_readers,
     retry_factor,
@@ -68,6 +69,29 @@
         ranked = self._rank_readers()
         return not ranked or ranked[0].host == self._state.cfg.host
 
+    @property
+    def is_lease_candidate(self) -> bool:
+        """Return whether this host requests the placement lease on behalf of its zone."""
+        host = self._state.cfg.host
+        members = [self._update_own_cuts(m) for m in self._context.members()]
+        if not rank_readers(members, self._state.cfg.zone):
+            return True
+        models = self._find_model_services()
+        chosen = choose_lease_candidate(members, self._state.cfg.zone, models)
+        return chosen is not None and chosen.host == host
+
+    def _update_own_cuts(self, member: MemberView) -> MemberView:
+        """Return the view of a host, this one with the services that it is cut off from now."""
+        if member.host != self._state.cfg.host:
+            return member
+        cut_off = tuple(sorted(self._state.cut_off_services))
+        return msgspec.structs.replace(member, cut_off=cut_off)
+
+    def _find_model_services(self) -> set[ServiceName]:
+        table = self._state.table
+        services = table.services.values() if table is not None else ()
+        return {spec.name for spec in services if spec.model is not None}
+
     def should_read_config(self) -> bool:
         """Return whether this host should read the configuration from the store itself."""
         read_timing = self._state.read_timing
@@ -142,7 +166,7 @@
             self._context.loads.local_usages(),
             table.version if table is not None else NO_VERSION,
             self._list_version,
-            sorted(self._state.suspects.avoided(now_s())),
+            sorted(self._state.find_reportable_failures()),
             crashes,
         )
         return Pull(FULL_SYNC, encode(request))
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -105,7 +105,7 @@
 
     def _find_unreachable(self) -> list[UpstreamId]:
         """Return the upstreams that several hosts of this zone can't reach."""
-        unreachable = frozenset(self._state.suspects.avoided(now_s()))
+        unreachable = frozenset(self._state.find_reportable_failures())
         self._unreachable_reports.record(self._state.cfg.host, unreachable, now_s())
         return self._unreachable_reports.confirmed_unreachable(now_s())
 
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -50,6 +50,7 @@
         self.disconnected = set()
         self.calls = 0
         self.routes = ()
+        self.services = ()
 
 
 class StoreView:
@@ -65,7 +66,7 @@
         if position == self._store.version:
             await asyncio.sleep(wait_s)
             self._check()
-        config = RoutingConfig(self._store.version, self._store.routes, ())
+        config = RoutingConfig(self._store.version, self._store.routes, self._store.services)
         changed = position != self._store.version
         return ConfigReading(config if changed else None, self._store.version)
 
@@ -118,7 +119,7 @@
             self.state,
             CrashNewsState(self.state),
             peer_client,
-            self.members.hosts,
+            lambda: self.members.hosts(),
             self.loads,
             peer_loads,
             self.reported_unreachable.update,
@@ -141,17 +142,17 @@
         return [asyncio.ensure_future(run(lambda: None)) for run in runs]
 
 
-def run_hosts(check, zones=("z",), count=HOSTS):
+def run_hosts(check, zones=("z",), count=HOSTS, store=None):
     """Run hosts, assigned to the zones in turn, for 6 s; then call `check(hosts, store, net)`."""
 
     async def run():
-        net, store = MemoryPeerNetwork(), SharedStore()
+        net, read = MemoryPeerNetwork(), store or SharedStore()
         peers = count // len(zones)
-        hosts = [Host(net, store, i, zones[i % len(zones)], peers) for i in range(count)]
+        hosts = [Host(net, read, i, zones[i % len(zones)], peers) for i in range(count)]
         tasks = [task for host in hosts for task in host.start()]
         await asyncio.sleep(6.0)
         try:
-            await check(hosts, store, net)
+            await check(hosts, read, net)
         finally:
             for task in tasks:
                 task.cancel()
--- a/test/test_gateway_placer.py
+++ b/test/test_gateway_placer.py
@@ -79,7 +79,8 @@
         self.state.upstreams_known = True
         self.set_listed(found)
         probes = EngineProbes(self.state, lambda engine: None, lambda engine, report: None)
-        self.placer = Placer(self.state, probes, lambda: True)
+        self.is_candidate = True
+        self.placer = Placer(self.state, probes, lambda: self.is_candidate)
 
     def set_listed(self, found):
         self.state.upstreams = {e.id: e for e in found}
@@ -124,6 +125,22 @@
     run_check(check, EMPTY)
 
 
+def test_host_that_is_no_candidate_any_more_releases_the_lease():
+    """For example one that is cut off from the model's engines."""
+
+    async def check(site):
+        run = asyncio.ensure_future(site.run(6.0))
+        await asyncio.sleep(0.5)
+        site.is_candidate = False
+        await asyncio.sleep(0.5)
+        assert not site.lease.held
+        site.lease.held = True  # Another holder's: it isn't requested.
+        await run
+        assert not site.fake_engines.orders
+
+    run_check(check, EMPTY)
+
+
 def test_engine_that_applied_previous_holders_order_gets_no_new_order():
     """The lease holder changes while the list still lacks the layers that an engine has loaded."""
 
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 import sync_site
+from stream_site import MODEL
 from sync_site import HOSTS, MAX_PROPAGATION_S, run_hosts, upstream
 from test_gateway_entry import member
 
@@ -12,6 +14,7 @@
 from minttide.routing.readers import (
     ReadTiming,
     SnapshotAge,
+    choose_lease_candidate,
     choose_source,
     rank_readers,
     retry_factor,
@@ -22,6 +25,7 @@
     Route,
     RouteKind,
     ServiceShare,
+    ServiceSpec,
 )
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import (
@@ -298,15 +302,78 @@
     run_hosts(check)
 
 
+@pytest.mark.parametrize("with_reader", [False, True])
+@pytest.mark.parametrize("cut_off", [(), ("s",), ("other",)])
 @pytest.mark.parametrize("finders", [1, 2])
-def test_upstream_unreachable_for_several_hosts_is_reported_to_all(finders):
-    """A single host that can't reach any upstream may itself be disconnected."""
+def test_upstream_unreachable_for_several_hosts_is_reported_to_all(finders, cut_off, with_reader):
+    """A single host that can't reach any upstream may itself be disconnected.
+
+    One that knows that it is cut off from the service doesn't count.
+    """
 
     async def check(hosts, store, net):
         now_s = asyncio.get_running_loop().time()
-        for host in [h for h in hosts if not h.sync_client.is_reader][:finders]:
+        ranked = sorted(hosts, key=lambda h: h.sync_client.is_reader is not with_reader)
+        for host in ranked[:finders]:
             host.state.suspects.add(UpstreamId("u1"), now_s)
+        if cut_off:
+            ranked[0].state.cut_off_services = frozenset(map(ServiceName, cut_off))
         await asyncio.sleep(1.0)
-        assert all(("u1" in h.reported_unreachable) is (finders > 1) for h in hosts)
+        counted = finders - ("s" in cut_off)
+        assert all(("u1" in h.reported_unreachable) is (counted > 1) for h in hosts)
 
     run_hosts(check)
+
+
+LEASE_CASES = {
+    # name: (hosts in rank order as zone and services that they are cut off from, candidate of z)
+    "none cut off": ([("z", ""), ("z", "")], 0),
+    "reader cut off": ([("z", "m"), ("z", "")], 1),
+    "reader cut off from a plain service": ([("z", "p"), ("z", "")], 0),
+    "reader cut off from one of two models": ([("z", "pn"), ("z", "m"), ("z", "")], 2),
+    "zone cut off, another not": ([("z", "m"), ("z", "m"), ("y", "")], None),
+    "zone cut off, another from a plain service": ([("z", "m"), ("y", "p")], None),
+    "all cut off": ([("z", "m"), ("z", "n"), ("y", "m")], 0),
+    "no host in the zone": ([("y", "")], None),
+}
+
+
+def find_ranked(hosts):
+    """Return hosts of each zone in rank order, with the services that they are cut off from."""
+    names = iter(rank_readers([member(name) for name in "abcdef"], ZoneId("z")))
+    return [
+        msgspec.structs.replace(next(names), zone=ZoneId(zone), cut_off=tuple(cut_off))
+        for zone, cut_off in hosts
+    ]
+
+
+@pytest.mark.parametrize("case", LEASE_CASES)
+def test_lease_candidate_reaches_all_models_unless_no_host_does(case):
+    hosts, expected = LEASE_CASES[case]
+    members = find_ranked(hosts)
+    found = choose_lease_candidate(members, ZoneId("z"), {ServiceName("m"), ServiceName("n")})
+    assert found == (None if expected is None else members[expected])
+
+
+@pytest.mark.parametrize("cut_off", [(), (0,), (1,), (0, 1), tuple(range(HOSTS))])
+@pytest.mark.parametrize("told", [True, False])
+def test_host_that_is_cut_off_from_a_model_requests_no_lease(cut_off, told):
+    """A host knows of itself at once, and of others once it was told."""
+
+    async def check(hosts, store, net):
+        ranking = [m.host for m in rank_readers(hosts[0].members.hosts(), ZoneId("z"))]
+        hosts.sort(key=lambda h: ranking.index(h.cfg.host))
+        cuts = {hosts[index].cfg.host: (ServiceName("model"),) for index in cut_off}
+        for host in hosts:
+            members = host.members.hosts()
+            seen = cuts if told else {}
+            views = [msgspec.structs.replace(m, cut_off=seen.get(m.host, ())) for m in members]
+            host.members.hosts = lambda views=views: views
+            host.state.cut_off_services = frozenset(cuts.get(host.cfg.host, ()))
+        candidates = [i for i, h in enumerate(hosts) if h.sync_client.is_lease_candidate]
+        able = [i for i in range(HOSTS) if i not in cut_off] or [0]
+        assert candidates == ([able[0]] if told or 0 not in cut_off else [])
+
+    store = sync_site.SharedStore()
+    store.services = (ServiceSpec(ServiceName("model"), 100, model=MODEL),)
+    run_hosts(check, store=store)
