--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import EngineReport, ProcessEndedError, SourceError
-from minttided.gateway.connect_probe import probe, probe_connection
+from minttided.gateway.connect_probe import probe
 from minttided.gateway.shared_probe import SharedProbe
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
 
+MIN_COMMON_FAILURES = 3
+"""Concurrent probes without any answer from which on this host's own link may be the cause.
+
+A large configuration fills the link of a small host for longer than the timeout of a probe.
+"""
+
 CONFIRM_TIMEOUT_S = 0.3
 CONFIRM_PROBES = 3
 """Concurrent probes of an engine that must all fail before it counts as ended."""
@@ -23,6 +30,8 @@
 MIN_CHECK_INTERVAL_S = 1.0
 """Shortest time between two probes of an engine that other engines or hosts report as failed."""
 
+T = TypeVar("T")
+
 
 class EngineProbes:
     """Probes engines by connecting to them or by fetching their reports.
@@ -48,6 +57,8 @@
         self._reports = SharedProbe(self._fetch_report)
         self._connections = SharedProbe(self._connect)
         self._ended: dict[tuple[UpstreamId, int], None] = {}
+        self._running = 0
+        self._answered_s = float("-inf")
 
     @property
     def idle(self) -> bool:
@@ -119,7 +130,7 @@
             self._on_unresponsive(engine)
             return False
         try:
-            await probe_connection(self._state, entry)
+            await self._run(self._state.engines.check_reachable, entry)
         except SourceError as exc:
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return False
@@ -131,12 +142,10 @@
             self._on_unresponsive(engine)
             return None
         try:
-            report = await probe(self._state.engines.report, entry)
+            report = await self._run(self._state.engines.report, entry)
         except SourceError as exc:
-            self._state.record_reach(entry.id, exc.reached)
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return None
-        self._state.record_reach(entry.id, True)
         if _has_restarted(entry, report):
             self._suspect(entry, f"the engine restarted at {report.born_ms}", ended=True)
             return None
@@ -145,6 +154,33 @@
         self._on_report(entry.id, report)
         return report
 
+    async def _run(
+        self, call: Callable[[UpstreamEntry, float], Awaitable[T]], entry: UpstreamEntry
+    ) -> T:
+        """Return the result of a probe; repeat one whose failure may be this host's own.
+
+        Raises `SourceError`.
+        """
+        started_s = now_s()
+        self._running += 1
+        try:
+            result = await probe(
+                self._state, call, entry, find_repeat_s=lambda: self._find_repeat_s(started_s)
+            )
+        finally:
+            self._running -= 1
+        self._answered_s = now_s()
+        return result
+
+    def _find_repeat_s(self, started_s: float) -> float | None:
+        """Return the timeout for repeating a failed probe, `None` if the engine is the cause.
+
+        If several engines were probed and none has answered meanwhile, this host's link may have
+        been busy.
+        """
+        is_common = self._answered_s < started_s and self._running >= MIN_COMMON_FAILURES
+        return CONFIRM_TIMEOUT_S if is_common else None
+
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
         """Avoid an engine that failed a probe; `ended` if its process is known to have ended.
 
