Connect again to what failed while a host's own link was busy

Cause: if a sample failed only since this host's link was busy for some 0.1 s, the upstreams that it and the connects to all others couldn't reach counted as unreachable until a request came by, and so did the service as lacking them.

Change: where a suspected cut isn't confirmed, the unreachable upstreams are connected to once more, with 0.3 s. The new test failed for 0.15, 0.22 and 0.4 s of a busy link before.

--- a/daemon/minttided/gateway/reach_monitor.py
+++ b/daemon/minttided/gateway/reach_monitor.py
@@ -174,13 +174,20 @@
                 return False
             others = self._state.reach.find_others(self._state.active_upstreams(service))
             await self._reaches_any(others, CONNECT_TIMEOUT_S)
+        if await self._is_confirmed(service):
+            self._declare(service, detected)
+            return True
+        # This host's link may have been busy, so that connects to others failed as well.
+        unreachable = self._state.reach.find_unreachable(self._state.active_upstreams(service))
+        await self._reaches_any(unreachable, CONFIRM_TIMEOUT_S)
+        return False
+
+    async def _is_confirmed(self, service: ServiceName) -> bool:
+        """Return whether a service lacks upstreams, and those tried once more don't answer."""
         if not self._lacks(service):
             return False
         sample = self._sample_unreachable(service, SAMPLE_UPSTREAMS)
-        if await self._reaches_any(sample, CONFIRM_TIMEOUT_S) or not self._lacks(service):
-            return False
-        self._declare(service, detected)
-        return True
+        return not await self._reaches_any(sample, CONFIRM_TIMEOUT_S) and self._lacks(service)
 
     async def _retry(self, service: ServiceName) -> None:
         """Find out whether some upstream of a service that was cut off can be reached again."""
--- a/test/test_reach_monitor.py
+++ b/test/test_reach_monitor.py
@@ -299,3 +299,24 @@
             assert site.engines.most_open <= MAX_CONNECTS
 
     run_in_memory(run())
+
+
+@pytest.mark.parametrize("busy_s", [0.05, 0.15, 0.22, 0.4])
+def test_nothing_stays_unreachable_after_own_link_was_busy(busy_s):
+    """Connects to all of 40 upstreams wait until the link is free."""
+
+    async def run():
+        site = make_site(plain=[f"p{number}" for number in range(40)])
+        async with site.running(routes=()):
+            watch, names = Watch(site.state), sorted(site.names_of("plain"))
+            site.cut(names, "hang")
+            for name in names[:3]:
+                site.state.record_reach(name, False)
+            await asyncio.sleep(busy_s)
+            site.heal(names)
+            await asyncio.sleep(MAX_REGAIN_S)
+            assert not watch.changes
+            # A sample that is answered shows that these failed by themselves.
+            assert site.state.reach.unreachable <= set(names[:3] if busy_s < 0.1 else ())
+
+    run_in_memory(run())
