--- a/daemon/minttided/gateway/reach_monitor.py
+++ b/daemon/minttided/gateway/reach_monitor.py
@@ -174,13 +174,14 @@
                 return False
             others = self._state.reach.find_others(self._state.active_upstreams(service))
             await self._reaches_any(others, CONNECT_TIMEOUT_S)
-        if await self._is_confirmed(service):
-            self._declare(service, detected)
-            return True
-        # This host's link may have been busy, so that connects to others failed as well.
-        unreachable = self._state.reach.find_unreachable(self._state.active_upstreams(service))
-        await self._reaches_any(unreachable, CONFIRM_TIMEOUT_S)
-        return False
+        if not await self._is_confirmed(service):
+            # This host's link may have been busy, so that connects to others failed as well.
+            entries = self._state.active_upstreams(service)
+            await self._reaches_any(self._state.reach.find_unreachable(entries), CONFIRM_TIMEOUT_S)
+            if not await self._is_confirmed(service):
+                return False
+        self._declare(service, detected)
+        return True
 
     async def _is_confirmed(self, service: ServiceName) -> bool:
         """Return whether a service lacks upstreams, and those tried once more don't answer."""
--- a/test/reach_site.py
+++ b/test/reach_site.py
@@ -35,15 +35,24 @@
 
 
 class ConnectingEngines(FakeEngines):
-    """Engines that are reached over connections in memory; `connects` holds what was probed."""
+    """Engines that are reached over connections in memory.
+
+    `connects` holds what was probed by a connection, `most_open` the most of these at once.
+    """
 
     def __init__(self):
         super().__init__()
         self.connects = []
+        self.open = self.most_open = 0
 
     async def check_reachable(self, entry, timeout_s):
         self.connects.append(entry.id)
-        await self._connect(entry, timeout_s)
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        try:
+            await self._connect(entry, timeout_s)
+        finally:
+            self.open -= 1
 
     async def report(self, entry, timeout_s):
         await self._connect(entry, timeout_s)
