--- a/test/test_reach_monitor.py
+++ b/test/test_reach_monitor.py
@@ -232,3 +232,15 @@
         assert set(site.engines.connects) & set(names) and not changes
 
     run_check(check, plain=MANY, routes=())
+
+
+def test_cut_is_known_although_engines_of_other_layers_answer_the_last_connects():
+    async def check(site, changes):
+        names = site.names_of("model")
+        site.cut(names - {"b1", "b2"}, "refuse")
+        for name in names:
+            site.state.reach.record_unreachable(name, 0.0)
+        assert await site.monitor.verify("model")
+        assert site.state.reach.unreachable == names - {"b1", "b2"}
+
+    run_check(check, routes=())
