--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -79,7 +79,7 @@
         return exchange
 
     async def _start(self, request: h11.Request, body: bytes) -> None:
-        await self._conn.send(request, body)
+        self._conn.send(request, body)
         self.status, self.headers = await self._conn.read_head()
 
     def header(self, name: str) -> str | None:
@@ -116,7 +116,7 @@
 ) -> ClientConnection:
     """Connect by `end_s`, in loop time, and report whether that succeeded.
 
-    Raises `UnreachableError`.
+    Raises `UnreachableError`, or `NotSentError` if the address is none.
     """
     started_s = asyncio.get_running_loop().time()
     limit_s = min(end_s, started_s + CONNECT_TIMEOUT_S)
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -49,9 +49,12 @@
 
     @classmethod
     async def open(cls, address: Address, deadline: float) -> "ClientConnection":
-        """Connect by `deadline`, in loop time. Raises `UnreachableError`."""
-        host, port = split_address(address)
+        """Connect by `deadline`, in loop time.
+
+        Raises `UnreachableError`, or `NotSentError` if the address is none.
+        """
         try:
+            host, port = split_address(address)
             async with asyncio.timeout_at(deadline):
                 return cls(*await asyncio.open_connection(host, port, limit=READ_BYTES))
         except TimeoutError as exc:
@@ -60,15 +63,19 @@
             raise RefusedError(str(exc)) from exc
         except OSError as exc:
             raise UnreachableError(str(exc)) from exc
+        except (ValueError, OverflowError) as exc:  # no valid address
+            raise NotSentError(str(exc)) from exc
+
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Start to send a complete request; the rest of it is sent while the answer is awaited.
 
-    async def send(self, request: h11.Request, body: bytes) -> None:
-        """Send a complete request."""
+        An upstream may answer before it has read a long body, and then close the connection.
+        """
         parts = [self._conn.send(request)]
         if body:
             parts.append(self._conn.send(h11.Data(data=body)))
         parts.append(self._conn.send(h11.EndOfMessage()))
         self._writer.write(b"".join(p for p in parts if p))
-        await self._writer.drain()
 
     async def read_head(self) -> tuple[int, Headers]:
         """Return the status and the headers of the response, with lower-case header names."""
