Leave routes and keys out of garbage collections, which hold up a gateway that reads its configuration

A gateway that reads a large configuration doesn't answer, send or probe meanwhile: probes in flight miss their 50 ms, and above 0.5 s connects to upstreams do too (counted as not sent, and tried elsewhere). Cause of most of it: each of the thousands of records decoded counts towards Python's collections of garbage, which then scan all others.

test_routes_and_keys_are_left_out_of_collections failed before and passes now.

--- a/core/minttide/routing/routes.py
+++ b/core/minttide/routing/routes.py
@@ -1,4 +1,8 @@
-"""The routing configuration: routes, the services behind them, client accounts and limits."""
+"""The routing configuration: routes, the services behind them, client accounts and limits.
+
+Records of which there may be thousands are left out of garbage collections (`gc=False`), since
+these hold up the process. No such record can be part of a reference cycle.
+"""
 
 from enum import Enum
 
@@ -15,14 +19,14 @@
     STREAM = "stream"
 
 
-class ServiceShare(msgspec.Struct, frozen=True):
+class ServiceShare(msgspec.Struct, frozen=True, gc=False):
     """A service that a route sends requests to, with its traffic weight."""
 
     service: ServiceName
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(msgspec.Struct, frozen=True, gc=False):
     """Requests to one host name whose path begins with one prefix.
 
     Times are in seconds. `objective_s` is the latency objective, to the answer or to a stream's
@@ -105,7 +109,7 @@
     model: ModelSpec | None = None
 
 
-class AccountKeys(msgspec.Struct, frozen=True):
+class AccountKeys(msgspec.Struct, frozen=True, gc=False):
     """A client account, its bearer keys, and a priority that overrides the route's, if any."""
 
     account: AccountId
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -1,6 +1,7 @@
 """The platform adapter: decoding of its message bodies and access to its store."""
 
 import asyncio
+import gc
 import json
 import re
 import sys
@@ -127,6 +128,13 @@
 }
 
 
+# Guards against collections that hold up the process while thousands of routes and keys are read.
+def test_routes_and_keys_are_left_out_of_collections():
+    config = decode_config(json.dumps(CONFIG).encode())
+    records = [*config.routes, *(s for r in config.routes for s in r.shares), *config.accounts]
+    assert not any(gc.is_tracked(record) for record in records)
+
+
 def test_entry_is_decoded_to_upstream_with_layers():
     entry = decode_entry("i-1", json.dumps(ENTRY).encode())
     assert (entry.id, entry.address, entry.leaving) == ("i-1", "10.0.0.1:80", False)
