Refuse CONNECT instead of passing it on and losing its answer

Callers that sent CONNECT to a path of a route saw their connection reset without a byte after an upstream had run the request and answered it with 2xx: in HTTP such an answer turns the connection into a tunnel, so that h11 refuses to send its body or its end, and the connection was aborted with the head still in its buffer.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -24,6 +24,7 @@
     RequestRejectedError,
     check_body_framing,
     check_header_size,
+    check_method,
     describe_parse_error,
     make_request,
 )
@@ -207,6 +208,7 @@
             head = await self._next_event(loop.time() + self._server.bounds.header_timeout_s)
             if not isinstance(head, h11.Request):
                 return None
+            check_method(head)
             check_header_size(head, self._server.bounds.max_header_bytes)
             check_body_framing(head, self._server.bounds.max_body_bytes)
             self._body = BodyAllocation(self._server.bodies)
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -65,6 +65,16 @@
         self._reserved_bytes = 0
 
 
+def check_method(head: h11.Request) -> None:
+    """Raise `RequestRejectedError` for a CONNECT, as this is no proxy.
+
+    An answer of 2xx would turn the connection into a tunnel, which has no end of an answer.
+    """
+    if head.method == b"CONNECT":
+        detail = "the method CONNECT is not supported"
+        raise RequestRejectedError(problem(ProblemType.BAD_REQUEST, detail, status=501))
+
+
 def check_body_framing(head: h11.Request, max_body_bytes: int) -> None:
     """Raise `RequestRejectedError` for a body with ambiguous framing or a length above the limit.
 
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -310,3 +310,57 @@
 
     response = run_in_memory(run(), LIMIT_S)
     assert (response.status, response.chunks, response.complete) == (200, ALL_EVENTS, True)
+
+
+# Requests that are seldom sent. Each gets a complete answer.
+
+
+def change_request(method=None, headers=()):
+    def change(data):
+        data = data.replace(b"x-attempt: 1\r\n", b"".join([b"x-attempt: 1\r\n", *headers]))
+        return data.replace(b"POST ", method, 1) if method is not None else data
+
+    return change
+
+
+SELDOM = {
+    # name: (change of the request, status or None for what the upstream answers)
+    "CONNECT": (change_request(b"CONNECT "), 501),
+    "OPTIONS": (change_request(b"OPTIONS "), None),
+    "an upgrade": (change_request(headers=[b"Connection: upgrade\r\nUpgrade: h2c\r\n"]), None),
+    "100-continue": (change_request(headers=[b"Expect: 100-continue\r\n"]), None),
+    "length of 5,000 digits": (
+        change_request(headers=[b"Content-Length: %b\r\n" % (b"9" * 5000)]),
+        400,
+    ),
+    "tokens of 400 digits": (change_request(headers=[b"x-tokens: %b\r\n" % (b"9" * 400)]), None),
+}
+
+
+# Guards against a connection that closes without an answer after an upstream has run the request.
+@pytest.mark.parametrize("name", ["get", "draft"])
+@pytest.mark.parametrize("status", [200, 404])
+@pytest.mark.parametrize("case", SELDOM)
+def test_request_that_is_seldom_sent_gets_a_complete_answer(case, status, name):
+    change, expected = SELDOM[case]
+
+    async def run():
+        script = [plain_response(status, body=ALL_EVENTS)]
+        if (name, status) == ("draft", 200):
+            script = [STREAM_HEAD, events(1, 2, 3), END]
+        async with ChangingSite(script) as site:
+            caller = await connect(site.server)
+            caller.send(request_bytes(name))
+            first = await caller.receive()
+            site.upstream(name).scripts.append(script)
+            caller.send(change(request_bytes(name)))
+            second = await caller.receive()
+            caller.close()
+            return first, second, len(site.upstream(name).requests)
+
+    first, second, sends = run_in_memory(run(), LIMIT_S)
+    assert (first.status, first.complete, second.complete) == (status, True, True)
+    if case == "tokens of 400 digits" and name == "draft":
+        expected = 503
+    assert second.status == (expected or status)
+    assert sends == (2 if second.status == status else 1)
