Take a deadline of very many digits as infinite

Callers that name a deadline of over 308 digits got 500, "may have run", although nothing was sent: the number can't be converted.

--- a/daemon/minttided/gateway/callers/request_handler.py
+++ b/daemon/minttided/gateway/callers/request_handler.py
@@ -98,7 +98,7 @@
     def _parse_timeout_s(self, req: HttpRequest, route: Route) -> float:
         text = req.header(self._state.headers.deadline_ms) or ""
         if text.isascii() and text.isdigit():
-            return int(text) / MS_PER_S
+            return float(text) / MS_PER_S  # infinite, if it has too many digits
         return route.timeout_s
 
     def _log_error(self, req: HttpRequest, exc: RequestError) -> None:
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -329,6 +329,11 @@
     "OPTIONS": (change_request(b"OPTIONS "), None),
     "an upgrade": (change_request(headers=[b"Connection: upgrade\r\nUpgrade: h2c\r\n"]), None),
     "100-continue": (change_request(headers=[b"Expect: 100-continue\r\n"]), None),
+    "deadline of 400 digits": (
+        change_request(headers=[b"x-deadline: %b\r\n" % (b"9" * 400)]),
+        None,
+    ),
+    "deadline of 5,000": (change_request(headers=[b"x-deadline: %b\r\n" % (b"9" * 5000)]), None),
     "length of 5,000 digits": (
         change_request(headers=[b"Content-Length: %b\r\n" % (b"9" * 5000)]),
         400,
