Don't end a gateway because what reads the platform fails again and again

Callers would see all connections of a gateway close without an answer about 20 s after two of its parts that read the store or order placements began to fail by an error other than SourceError (the configuration, the list, the lease or the blocks). Cause: each restart of a part counts towards a limit of 8 in 60 s; above it the group fails, and after nine of its failures in 60 s the root, and the process. With one part that fails the backoff keeps it below that. No such error is known: the store's answers were tried with malformed JSON and random records, and only nesting deeper than Python's limit of recursion (RecursionError) gets through.

These parts are restarted without a limit, at most every 5 s; they bind no port, and requests are routed with what was read last, as when the store is out. Keys expire as before.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -45,7 +45,14 @@
 from minttided.peers.listing import HostListCache
 from minttided.peers.membership import Membership
 from minttided.stopping import Drain
-from minttided.supervisor import Child, Ready, Supervisor, SupervisorContext, signal_ready_and_wait
+from minttided.supervisor import (
+    UNLIMITED,
+    Child,
+    Ready,
+    Supervisor,
+    SupervisorContext,
+    signal_ready_and_wait,
+)
 
 log = logging.getLogger(__name__)
 
@@ -221,6 +228,7 @@
         self._zone_loads = ZoneLoadExchange(context, lambda: self._sync_client.is_reader)
 
     def _make_supervisor(self) -> Supervisor:
+        """Create the tree. Requests go on with what was read last if the platform fails."""
         platform = [
             Child("configuration", self._config_watcher.run),
             Child("upstreams", self._upstream_watcher.run),
@@ -245,7 +253,7 @@
         return Supervisor(
             "root",
             [
-                Child("platform", Supervisor("platform", platform).run),
+                Child("platform", Supervisor("platform", platform, UNLIMITED).run),
                 Child("callers", self._run_caller_server),
                 Child("directory", self._serve(resolver.handle, self.cfg.directory)),
                 Child("health", self._serve(health.handle, self.cfg.health)),
--- a/daemon/minttided/supervisor.py
+++ b/daemon/minttided/supervisor.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import sys
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -20,6 +21,9 @@
 MAX_RESTARTS = 8
 RESTART_PERIOD_S = 60.0
 
+UNLIMITED = sys.maxsize
+"""Value of `max_restarts` for children without which the others can go on."""
+
 
 class Restart(Enum):
     """When a child that has ended is restarted."""
--- a/test/test_gateway_shutdown.py
+++ b/test/test_gateway_shutdown.py
@@ -1,7 +1,7 @@
-"""The shutdown of a whole gateway on connections in memory, with short and long grace periods."""
+"""A whole gateway on connections in memory: its shutdown, and a platform that fails."""
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 from gateway_site import NAMES, GatewaySite, ScriptedUpstream, plain_response, wait_until
@@ -49,6 +49,22 @@
     return GatewaySettings(HostId("h"), ZoneId("z"), *ports, stop=StopSettings(grace_s))
 
 
+@asynccontextmanager
+async def open_gateway(site, cfg, release_error=None):
+    """Run a gateway in place of the request path of a site; yields it and its platform."""
+    async with site, AsyncExitStack() as stack:
+        entries = list(site.state.upstreams.values())
+        platform = Platform(site.state.table.config, entries, release_error)
+        wire_format = WireFormat(NAMES, "/resolve", "/health", lambda body: b"")
+        sources = (platform, platform, platform, site.engines, platform)
+        gateway = Gateway(cfg, wire_format, *sources, net=MemoryPeerNetwork(), seed=1)
+        gateway.state.clock = asyncio.get_running_loop().time
+        await stack.enter_async_context(gateway)
+        await wait_until(lambda: gateway.state.serving)
+        site.server = gateway.caller_server
+        yield gateway, platform
+
+
 def shut_down(answer_s, grace_s, first_grace_s=None, release_error=None):
     """Stop a gateway that runs a request which is answered `answer_s` later.
 
@@ -61,32 +77,16 @@
 
     async def run():
         site = GatewaySite(ScriptedUpstream("a", [pause, plain_response(body=b"whole")]))
-        async with site, AsyncExitStack() as stack:
-            entries = list(site.state.upstreams.values())
-            platform = Platform(site.state.table.config, entries, release_error)
-            gateway = Gateway(
-                settings(first_grace_s or grace_s),
-                WireFormat(NAMES, "/resolve", "/health", lambda body: b""),
-                *[platform] * 3,
-                site.engines,
-                platform,
-                net=MemoryPeerNetwork(),
-                seed=1,
-            )
-            loop = asyncio.get_running_loop()
-            gateway.state.clock = loop.time
-            await stack.enter_async_context(gateway)
-            await wait_until(lambda: gateway.state.serving)
-            site.server = gateway.caller_server
+        cfg = settings(first_grace_s or grace_s)
+        async with open_gateway(site, cfg, release_error) as (gateway, _):
             request = asyncio.create_task(site.send_request("get"))
             await site.plain[0].arrived.wait()
             gateway.apply(settings(grace_s))
-            started_s = loop.time()
+            started_s = asyncio.get_running_loop().time()
             gateway.start_drain()
             await gateway.drain.done.wait()
-            stopped_s = loop.time() - started_s
-            await stack.aclose()
-            return await request, stopped_s
+            stopped_s = asyncio.get_running_loop().time() - started_s
+        return await request, stopped_s
 
     return run_in_memory(run(), 60.0)
 
@@ -105,3 +105,24 @@
 def test_open_request_is_answered_although_the_lease_is_not_released(error):
     answer, _ = shut_down(3.0, 8.0, release_error=error)
     assert (answer.status, answer.rest) == (200, b"whole")
+
+
+# Guards against a process that ends, with all of its requests, since reading the platform's store
+# fails in an unexpected way. Requests are routed with what was read last.
+@pytest.mark.parametrize("calls", [("list",), ("renew", "list"), ("read", "list", "renew", "load")])
+def test_requests_are_answered_while_calls_to_the_platform_fail_unexpectedly(calls):
+    async def fail(*_):
+        raise ValueError("unexpected")
+
+    async def run():
+        site = GatewaySite(ScriptedUpstream("a"))
+        async with open_gateway(site, settings(8.0)) as (gateway, platform):
+            for call in calls:
+                setattr(platform, call, fail)
+            waiting = asyncio.create_task(gateway.wait())
+            await asyncio.wait([waiting], timeout=120.0)
+            has_ended = waiting.done()
+            waiting.cancel()
+            return has_ended, (await site.send_request("open")).status
+
+    assert run_in_memory(run(), 200.0) == (False, 200)
