Answer requests that outlast the time of a shutdown instead of closing their connections

Callers whose request still ran when the time for open requests was over (0.85 of grace_s) saw their connection close without a byte. Cause: the server's end cancelled the task of each connection, and nothing answers a cancelled handler.

Now 2 of 2 pass: the handler is cancelled as before, which stops the work at the upstream, and the caller gets 502, outcome unknown, in the 0.15 grace_s that are left.

--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -69,6 +69,7 @@
         self._buffered_bytes = 0  # bytes that arrived while a handler was running
         self._body = BodyAllocation(server.bodies)
         self._discarding = False  # further input is ignored
+        self._stopping = False  # the server stops; a running handler is cancelled
         self._input_ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._input_waiter: asyncio.Future[None] | None = None
         self._writable_waiter: asyncio.Future[None] | None = None
@@ -142,6 +143,11 @@
         if not self._handling and not self._has_input:
             self._transport.close()
 
+    def stop(self) -> None:
+        """End the connection; a request whose answer has not begun is answered as unknown."""
+        self._stopping = True
+        self.task.cancel()
+
     # Serving.
 
     async def _serve(self, within_limit: bool) -> None:
@@ -275,6 +281,12 @@
             return await self._server.handler(req)
         except RequestError as exc:
             return problem_response(exc.problem)
+        except asyncio.CancelledError:
+            if not self._stopping or self._transport.is_closing():
+                raise
+            self.task.uncancel()
+            detail = "this host stops, and its time to finish requests is over"
+            return problem_response(problem(ProblemType.OUTCOME_UNKNOWN, detail, Ran.UNKNOWN))
         except Exception:
             log.exception("handler failed", extra={"method": req.method, "path": req.path})
             return problem_response(problem(ProblemType.INTERNAL, "internal error", Ran.UNKNOWN))
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -45,8 +45,8 @@
     ) -> None:
         self.stop_accepting()
         tasks = [c.task for c in self._conns]
-        for task in tasks:
-            task.cancel()
+        for conn in self._conns:
+            conn.stop()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
--- a/test/test_gateway_shutdown.py
+++ b/test/test_gateway_shutdown.py
@@ -100,6 +100,15 @@
     assert 0.6 * grace_s <= stopped_s <= 0.9 * grace_s
 
 
+# Guards against a connection that closes without an answer when the grace period is over.
+@pytest.mark.parametrize("grace_s", [3.0, 1.0])
+def test_request_that_outlasts_the_grace_period_gets_an_answer(grace_s):
+    answer, stopped_s = shut_down(4.9, grace_s)
+    assert (answer.status, b'"ran":"unknown"' in answer.rest) == (502, True)
+    assert int(answer.headers["content-length"]) == len(answer.rest)
+    assert stopped_s <= 0.9 * grace_s
+
+
 # Guards against cutting off open requests since the others couldn't be told of the shutdown.
 @pytest.mark.parametrize("error", [SourceError("no response"), ValueError("unexpected")])
 def test_open_request_is_answered_although_the_lease_is_not_released(error):
