--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -90,7 +90,7 @@
             ("content-length", str(len(body))),
         ]
         method = "GET" if request.kind == "get" else "POST"
-        await conn.send(make_request(method, request.path, headers), body)
+        conn.send(make_request(method, request.path, headers), body)
         request.status, response_headers = await conn.read_head()
         pieces = []
         while (piece := await conn.read_data()) is not None:
