--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -24,6 +24,7 @@
     RequestRejectedError,
     check_body_framing,
     check_header_size,
+    check_method,
     describe_parse_error,
     make_request,
 )
@@ -68,6 +69,7 @@
         self._buffered_bytes = 0  # bytes that arrived while a handler was running
         self._body = BodyAllocation(server.bodies)
         self._discarding = False  # further input is ignored
+        self._stopping = False  # the server stops; a running handler is cancelled
         self._input_ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._input_waiter: asyncio.Future[None] | None = None
         self._writable_waiter: asyncio.Future[None] | None = None
@@ -141,6 +143,11 @@
         if not self._handling and not self._has_input:
             self._transport.close()
 
+    def stop(self) -> None:
+        """End the connection; a request whose answer has not begun is answered as unknown."""
+        self._stopping = True
+        self.task.cancel()
+
     # Serving.
 
     async def _serve(self, within_limit: bool) -> None:
@@ -207,6 +214,7 @@
             head = await self._next_event(loop.time() + self._server.bounds.header_timeout_s)
             if not isinstance(head, h11.Request):
                 return None
+            check_method(head)
             check_header_size(head, self._server.bounds.max_header_bytes)
             check_body_framing(head, self._server.bounds.max_body_bytes)
             self._body = BodyAllocation(self._server.bodies)
@@ -273,6 +281,12 @@
             return await self._server.handler(req)
         except RequestError as exc:
             return problem_response(exc.problem)
+        except asyncio.CancelledError:
+            if not self._stopping or self._transport.is_closing():
+                raise
+            self.task.uncancel()
+            detail = "this host stops, and its time to finish requests is over"
+            return problem_response(problem(ProblemType.OUTCOME_UNKNOWN, detail, Ran.UNKNOWN))
         except Exception:
             log.exception("handler failed", extra={"method": req.method, "path": req.path})
             return problem_response(problem(ProblemType.INTERNAL, "internal error", Ran.UNKNOWN))
