Pass requests on to another host while this one reaches no upstream

Cause: a host had no other way to serve a request than its own connections, and directories went on naming it. A request that found no upstream before that is declared is passed on once the cut is confirmed. With every host cut off it is rejected at once. Requests count for retries where the caller sent them.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -24,6 +24,8 @@
 from minttided.gateway.callers.plain import PlainForwarder
 from minttided.gateway.callers.request_handler import RequestHandler
 from minttided.gateway.callers.retry_budgets import RetryBudgets
+from minttided.gateway.forwarding.client import ForwardingClient
+from minttided.gateway.forwarding.server import DrainedRequests, ForwardingServer
 from minttided.gateway.placement.placer import Placer
 from minttided.gateway.reach_monitor import ReachMonitor
 from minttided.gateway.settings import GatewaySettings
@@ -174,14 +176,14 @@
         self.state.on_cut_off_changed = self.membership.disseminate_now
         self.state.upstream_limits.find_hosts = self._find_sharing_hosts
         self._reach_monitor = ReachMonitor(self.state)
-        streams = self._make_callers()
+        streams = self._make_callers(peer_client)
         self._make_sync(peer_client, streams)
         self._placer = Placer(
             self.state, streams.probes, lambda: self._sync_client.is_lease_candidate
         )
         self.drain = Drain(
             self._leave,
-            lambda: self.caller_server,
+            lambda: DrainedRequests(self.caller_server, self._forwarding_server),
             lambda: self._drain_times_s()[0],
             self._drain_times_s()[1],
         )
@@ -190,15 +192,20 @@
         stack.push_async_callback(self.drain.aclose)
         await stack.enter_async_context(self._supervisor_context)
 
-    def _make_callers(self) -> StreamForwarder:
-        """Create the server for callers and the forwarders behind it."""
+    def _make_callers(self, peer_client: PeerClient) -> StreamForwarder:
+        """Create the server for callers, the forwarders behind it, and those between hosts."""
         self._peer_loads = PeerLoads()
         self._loads = EngineLoads(self._count_zone_hosts, self._peer_loads)
         budgets = RetryBudgets(self.state, self.membership.count_hosts, now_s())
         plain = PlainForwarder(self.state, budgets)
         streams = StreamForwarder(self.state, budgets, self._loads)
+        handler = RequestHandler(self.state, plain, streams, budgets)
+        handler.forwarding = ForwardingClient(
+            self.state, budgets, peer_client, self.membership.hosts, self._reach_monitor.verify
+        )
+        self._forwarding_server = ForwardingServer(self.state, handler.handle_forwarded)
         self.caller_server = HttpServer(
-            RequestHandler(self.state, plain, streams).handle,
+            handler.handle,
             self.cfg.callers,
             Bounds(max_connections=self.cfg.max_connections),
         )
@@ -225,7 +232,7 @@
         self._config_watcher = ConfigWatcher(self.state, self._apply_limits, config_policy)
         self._upstream_watcher = UpstreamWatcher(self.state, list_policy)
         self._sync_client = SyncClient(context, self._config_watcher, self._upstream_watcher)
-        self._sync_server = SyncServer(context, self.membership)
+        self._sync_server = SyncServer(context, self.membership, self._forwarding_server.handle)
         self._crash_sender = CrashNewsSender(context)
         self._block_keeper = BlockKeeper(
             self.state, self._block_source, lambda: self._sync_client.is_reader
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -58,7 +58,6 @@
 
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
-        self._budgets.record_request(request.service)
         guard = CrashGuard(self._state, request, has_prompt=False)
         tried: list[UpstreamId] = []
         ran = 0
--- a/daemon/minttided/gateway/callers/request_handler.py
+++ b/daemon/minttided/gateway/callers/request_handler.py
@@ -2,6 +2,8 @@
 
 import logging
 import random
+from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from minttide.ids import ServiceName
 from minttide.problems import ProblemType, RequestError
@@ -10,6 +12,7 @@
 from minttided.gateway.callers.errors import client_error, error_response, not_run_error
 from minttided.gateway.callers.plain import PlainForwarder
 from minttided.gateway.callers.request import MS_PER_S, GatewayRequest
+from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams.forwarder import StreamForwarder
 from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
@@ -18,48 +21,105 @@
 
 BEARER = "bearer"
 
+RunRequest = Callable[[GatewayRequest], Awaitable[HttpResponse | StreamResponse]]
 
-class RequestHandler:
-    """Routes and authenticates requests of callers, and passes them to a forwarder."""
 
-    def __init__(self, state: GatewayState, plain: PlainForwarder, streams: StreamForwarder):
+class Forwarding(Protocol):
+    """Passes requests on to other hosts while this host is cut off from the upstreams."""
+
+    def is_needed(self, request: GatewayRequest) -> bool:
+        """Return whether this host is known to be cut off from the service of a request."""
+
+    async def is_needed_after(self, request: GatewayRequest, exc: RequestError) -> bool:
+        """Return whether to pass on a request that failed here with `exc`."""
+
+    async def run(self, request: GatewayRequest) -> HttpResponse | StreamResponse:
+        """Return the response of another host. Raises `RequestError`."""
+
+
+class RequestHandler:
+    """Routes and authenticates requests of callers, and passes them to a forwarder.
+
+    Requests are passed on to other hosts by `forwarding`, if it is set.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+        budgets: RetryBudgets,
+    ):
         self._state = state
         self._plain = plain
         self._streams = streams
+        self._budgets = budgets
+        self.forwarding: Forwarding | None = None
 
     async def handle(self, req: HttpRequest) -> HttpResponse | StreamResponse:
-        """Return the response to one request."""
+        """Return the response to one request of a caller."""
+        return await self._handle(req, self._run_or_forward, now_s())
+
+    async def handle_forwarded(
+        self, req: HttpRequest, received_s: float
+    ) -> HttpResponse | StreamResponse:
+        """Return the response to a request that another host received at `received_s`.
+
+        It isn't passed on again, and counts towards the retries of that host.
+        """
+        return await self._handle(req, self._run_here, received_s)
+
+    async def _handle(
+        self, req: HttpRequest, run: RunRequest, received_s: float
+    ) -> HttpResponse | StreamResponse:
         try:
-            return await self._run(req)
+            return await run(self._parse(req, received_s))
         except RequestError as exc:
             self._log_error(req, exc)
             return error_response(exc.problem)
 
-    async def _run(self, req: HttpRequest) -> HttpResponse | StreamResponse:
-        received_s = now_s()
+    async def _run_or_forward(self, request: GatewayRequest) -> HttpResponse | StreamResponse:
+        """Run a request, or pass it on if this host doesn't reach the upstreams."""
+        self._budgets.record_request(request.service)
+        forwarding = self.forwarding
+        if forwarding is None:
+            return await self._run_here(request)
+        if forwarding.is_needed(request):
+            return await forwarding.run(request)
+        try:
+            return await self._run_here(request)
+        except RequestError as exc:
+            if not await forwarding.is_needed_after(request, exc):
+                raise
+            return await forwarding.run(request)
+
+    async def _run_here(self, request: GatewayRequest) -> HttpResponse | StreamResponse:
+        table = self._state.table
+        spec = table.services.get(request.service) if table is not None else None
+        if spec is not None and spec.model is not None:
+            return await self._streams.run(request, spec.model)
+        return await self._plain.run(request)
+
+    def _parse(self, req: HttpRequest, received_s: float) -> GatewayRequest:
+        """Return a request with its route, service and account. Raises `RequestError`."""
         table = self._state.table
         if table is None or not self._state.upstreams_known:
             raise not_run_error(ProblemType.CONFIG_UNKNOWN, "no configuration has been read yet")
         route = self._find_route(table, req)
         account = self._find_account(table, route, req)
-        service = choose_service(route, self._state.rng)
-        request = GatewayRequest(
+        if self._state.awaits_blocks:
+            detail = "the blocked requests haven't been read yet"
+            raise not_run_error(ProblemType.CONFIG_UNKNOWN, detail)
+        return GatewayRequest(
             req,
             req.header(self._state.headers.attempt) or "",
             route,
-            service,
+            choose_service(route, self._state.rng),
             account,
             received_s,
             received_s + self._parse_timeout_s(req, route),
             received_s + route.timeout_s,
         )
-        spec = table.services.get(service)
-        if self._state.awaits_blocks:
-            detail = "the blocked requests haven't been read yet"
-            raise not_run_error(ProblemType.CONFIG_UNKNOWN, detail)
-        if spec is not None and spec.model is not None:
-            return await self._streams.run(request, spec.model)
-        return await self._plain.run(request)
 
     def _find_route(self, table: RouteTable, req: HttpRequest) -> Route:
         host = req.header("host")
--- /dev/null
+++ b/daemon/minttided/gateway/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that one host sends for another one, which is cut off from the upstreams."""
--- /dev/null
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -0,0 +1,122 @@
+"""A stream that another host runs, and its resumption on a third one if that host fails."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from typing import Protocol
+
+from minttide.ids import HostId
+from minttide.interfaces import MemberView
+from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
+from minttided.gateway.streams.events import Event, EventSplitter, EventTooLongError
+from minttided.http.client import ExchangeError
+from minttided.peers.interfaces import ForwardedResponse, PeerError
+
+
+class OpenForward:
+    """A request that a helper runs, until `end_s` in loop seconds.
+
+    `on_close` is called once when it is closed.
+    """
+
+    def __init__(
+        self,
+        helper: MemberView,
+        response: ForwardedResponse,
+        end_s: float,
+        on_close: Callable[[], None],
+    ):
+        self.helper = helper
+        self.response = response
+        self._end_s = end_s
+        self._on_close: Callable[[], None] | None = on_close
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next chunk of the body, or `None` at its end. Raises `PeerError`."""
+        try:
+            async with asyncio.timeout_at(self._end_s):
+                return await self.response.read_chunk()
+        except TimeoutError as exc:
+            raise PeerError("the response was not complete in time") from exc
+
+    async def read_body(self) -> bytes:
+        """Return the complete body. Raises `PeerError`."""
+        body = bytearray()
+        while (chunk := await self.read_chunk()) is not None:
+            body += chunk
+        return bytes(body)
+
+    async def aclose(self) -> None:
+        """End the work of the helper unless it is complete."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
+        await self.response.aclose()
+
+
+class Resumer(Protocol):
+    """Passes a stream that broke off on to another helper."""
+
+    async def resume(
+        self, request: GatewayRequest, last_event_id: int, tried: list[HostId]
+    ) -> OpenForward:
+        """Return the stream from after `last_event_id` on. Raises `PeerError`."""
+
+
+class ForwardedStream:
+    """The events of one stream as chunks of a response body. It can be iterated once."""
+
+    def __init__(self, resumer: Resumer, request: GatewayRequest, opened: OpenForward):
+        self._resumer = resumer
+        self._request = request
+        self._opened = opened
+        self._tried = [opened.helper.host]
+        self._last_event_id = parse_last_event_id(request.req)
+        self._last_event_has_id = True
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._iterate()
+
+    async def _iterate(self) -> AsyncGenerator[bytes, None]:
+        """Yield the events. Raises `ExchangeError` if the stream breaks off and can't go on."""
+        splitter = EventSplitter()
+        while True:
+            event = splitter.next_event()
+            if event is not None:
+                if self._is_new(event):
+                    self._record(event)
+                    yield event.raw
+                continue
+            try:
+                chunk = await self._opened.read_chunk()
+                if chunk is None:
+                    return
+                splitter.feed(chunk)
+            except (PeerError, EventTooLongError) as exc:
+                await self._resume(str(exc))
+                splitter = EventSplitter()
+
+    def _is_new(self, event: Event) -> bool:
+        last = self._last_event_id
+        return event.id is None or last is None or event.id > last
+
+    def _record(self, event: Event) -> None:
+        if event.id is not None:
+            self._last_event_id = event.id
+        if not event.is_comment:
+            self._last_event_has_id = event.id is not None
+
+    async def _resume(self, reason: str) -> None:
+        """Go on at another helper. Raises `ExchangeError` if that isn't possible."""
+        await self._opened.aclose()
+        last = self._last_event_id
+        if not self._request.route.resumable or last is None or not self._last_event_has_id:
+            raise ExchangeError(reason)
+        try:
+            self._opened = await self._resumer.resume(self._request, last, self._tried)
+        except PeerError as exc:
+            raise ExchangeError(f"not resumed: {reason}; {exc}") from exc
+        self._tried.append(self._opened.helper.host)
+
+    async def aclose(self) -> None:
+        """End the work of the helper, whether the stream has been sent completely or not."""
+        await self._opened.aclose()
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -41,7 +41,6 @@
 
         Raises `RequestError`.
         """
-        self.budgets.record_request(request.service)
         request_size = parse_request_size(request.req, self.state.headers, model)
         return await StreamRun(self, request, model, request_size).start()
 
--- a/fakes/minttide_fakes/peer_network.py
+++ b/fakes/minttide_fakes/peer_network.py
@@ -48,6 +48,10 @@
         for response in [r for r, target in self._forwards.items() if target == address]:
             response.fail(PeerError(f"{address}: connection lost"))
 
+    def is_served(self, address: Address) -> bool:
+        """Return whether something serves `address`."""
+        return address in self._services
+
     def pause(self, address: Address, paused: bool = True) -> None:
         """Drop all messages to and from a host, as if its process were paused."""
         (self._paused.add if paused else self._paused.discard)(address)
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -239,8 +239,10 @@
         self.loads = EngineLoads(lambda: 1.0, PeerLoads())
         budgets = RetryBudgets(self.state, lambda: 1, started_s=now - STARTED_AGO_S)
         self.streams = StreamForwarder(self.state, budgets, self.loads)
-        front = RequestHandler(self.state, PlainForwarder(self.state, budgets), self.streams)
-        self.server = HttpServer(front.handle, ANY_PORT, Bounds())
+        plain = PlainForwarder(self.state, budgets)
+        self.front = RequestHandler(self.state, plain, self.streams, budgets)
+        self.budgets = budgets
+        self.server = HttpServer(self.front.handle, ANY_PORT, Bounds())
         await self._stack.enter_async_context(self.server)
         return self
 
