--- a/core/minttide/interfaces.py
+++ b/core/minttide/interfaces.py
@@ -202,4 +202,4 @@
     suspect: bool
     load: float  # open streams as a fraction of their limit, 0 to 1
     applied: Offset  # configuration offset in force there
-    cut_off: tuple[ServiceName, ...] = ()
+    cut_off: tuple[ServiceName, ...] = ()  # services whose upstreams it can't reach
