--- a/daemon/minttided/gateway/connect_probe.py
+++ b/daemon/minttided/gateway/connect_probe.py
@@ -9,41 +9,52 @@
 
 PROBE_TIMEOUT_S = 0.05
 
+CONFIRM_TIMEOUT_S = 0.3
+"""Time for a last probe: of a host whose link may have been busy, or that lost a packet."""
+
 HELD_UP_MARGIN_S = 0.01
 """How late a probe's timeout fires at most while this process isn't held up."""
 
 T = TypeVar("T")
 
 
-def _find_no_repeat() -> float | None:
-    """Return None: the upstream is the cause of a failure."""
-    return None
-
-
 async def probe(
     state: GatewayState,
     call: Callable[[UpstreamEntry, float], Awaitable[T]],
     entry: UpstreamEntry,
     timeout_s: float = PROBE_TIMEOUT_S,
-    find_repeat_s: Callable[[], float | None] = _find_no_repeat,
 ) -> T:
-    """Return the result of `call` with a timeout, and record whether the upstream can be reached.
-
-    A call that failed is repeated once with the timeout that `find_repeat_s` returns, if any, and
-    while this process was held up: the timeout may then have passed although the upstream responds.
-    One to a process that has ended isn't repeated.
+    """Return the result of a probe; repeat one whose failure may be this host's own.
 
-    Raises `SourceError`, as `ProcessEndedError` if the process has ended.
+    Raises `SourceError`.
     """
-    try:
-        result = await _call_twice(call, entry, timeout_s, find_repeat_s)
-    except SourceError as exc:
-        state.record_reach(entry.id, exc.reached)
-        raise
-    state.record_reach(entry.id, True)
+    started_s = now_s()
+    with state.probe_evidence.probing():
+        try:
+            result = await call(entry, timeout_s)
+        except ProcessEndedError:
+            raise
+        except SourceError:
+            repeat_timeout_s = _repeat_timeout_s(state, started_s, timeout_s)
+            if repeat_timeout_s is None:
+                raise
+            result = await call(entry, repeat_timeout_s)
+    state.probe_evidence.record_answer(now_s())
     return result
 
 
+def _repeat_timeout_s(state: GatewayState, started_s: float, timeout_s: float) -> float | None:
+    """Return the timeout for repeating a failed probe, `None` if the upstream is the cause.
+
+    This process may have been held up, so that the timeout passed although the upstream responds.
+    If several upstreams were probed and none has answered, this host's link may have been busy.
+    """
+    if timeout_s <= PROBE_TIMEOUT_S and state.probe_evidence.is_inconclusive(started_s):
+        return CONFIRM_TIMEOUT_S
+    is_held_up = now_s() - started_s > timeout_s + HELD_UP_MARGIN_S
+    return timeout_s if is_held_up else None
+
+
 async def probe_connection(
     state: GatewayState, entry: UpstreamEntry, timeout_s: float = PROBE_TIMEOUT_S
 ) -> None:
@@ -51,24 +62,9 @@
 
     Raises `SourceError` if it can't, as `ProcessEndedError` if nothing listens at its address.
     """
-    await probe(state, state.engines.check_reachable, entry, timeout_s)
-
-
-async def _call_twice(
-    call: Callable[[UpstreamEntry, float], Awaitable[T]],
-    entry: UpstreamEntry,
-    timeout_s: float,
-    find_repeat_s: Callable[[], float | None],
-) -> T:
-    started_s = now_s()
     try:
-        return await call(entry, timeout_s)
-    except ProcessEndedError:
+        await probe(state, state.engines.check_reachable, entry, timeout_s)
+    except SourceError as exc:
+        state.record_reach(entry.id, exc.reached)
         raise
-    except SourceError:
-        repeat_s = find_repeat_s()
-        if repeat_s is None and now_s() - started_s > timeout_s + HELD_UP_MARGIN_S:
-            repeat_s = timeout_s
-        if repeat_s is None:
-            raise
-    return await call(entry, repeat_s)
+    state.record_reach(entry.id, True)
--- a/daemon/minttided/gateway/reach_monitor.py
+++ b/daemon/minttided/gateway/reach_monitor.py
@@ -11,7 +11,7 @@
 from minttide.ids import ServiceName, UpstreamId
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import SourceError
-from minttided.gateway.connect_probe import probe_connection
+from minttided.gateway.connect_probe import CONFIRM_TIMEOUT_S, probe_connection
 from minttided.gateway.shared_probe import SharedProbe
 from minttided.gateway.state import GatewayState, now_s
 from minttided.supervisor import Ready
@@ -26,9 +26,6 @@
 
 CONNECT_TIMEOUT_S = 0.1
 
-CONFIRM_TIMEOUT_S = 0.3
-"""Time for the last connects before a cut is declared; it covers a packet that was lost."""
-
 CHECK_INTERVAL_S = 1.0
 """Shortest time between two checks of a service that weren't asked for by requests."""
 
@@ -159,7 +156,6 @@
 
     def _publish(self) -> None:
         self._state.cut_off_services = frozenset(self._cut_off_s)
-        self._state.on_cut_off_changed()
 
     # Probes.
 
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -12,6 +12,7 @@
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_news import CrashNewsLog
 from minttide.policy.crash_reports import CrashNews
+from minttide.policy.probe_evidence import ProbeEvidence
 from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.reach import Reach
 from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
@@ -81,6 +82,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     suspects: AvoidedUpstreams = field(default_factory=AvoidedUpstreams)
     reach: Reach = field(default_factory=Reach)
+    probe_evidence: ProbeEvidence = field(default_factory=ProbeEvidence)
     list_history: ListHistory = field(default_factory=_create_list_history)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
@@ -91,19 +93,30 @@
     blocks_awaited_until_s: float = float("-inf")
     prompt_crashes: PromptCrashes = field(default_factory=PromptCrashes)
     leaving: bool = False
-    cut_off_services: frozenset[ServiceName] = frozenset()
     on_cut_off_changed: Callable[[], None] = _ignore_cut_off_change
     on_reach_changed: Callable[[UpstreamId, bool], None] = _ignore_reach_change
     clock: Callable[[], float] = boot_time_s  # for the ages of data; tests replace it
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
+        self._cut_off_services: frozenset[ServiceName] = frozenset()
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
         self.upstream_limits = UpstreamLimits(
             self.cfg.host, self.rng, lambda _: SharingHosts((self.cfg.host,), 1)
         )
 
+    @property
+    def cut_off_services(self) -> frozenset[ServiceName]:
+        """Return the services whose upstreams this host can't reach; peers learn each change."""
+        return self._cut_off_services
+
+    @cut_off_services.setter
+    def cut_off_services(self, services: frozenset[ServiceName]) -> None:
+        if services != self._cut_off_services:
+            self._cut_off_services = services
+            self.on_cut_off_changed()
+
     def _record_crash_news(self, item: CrashNews) -> None:
         self.crash_news.append(item)
         self.notify_change()
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -32,6 +32,7 @@
         "gateway_retry_limits",
         "gateway_streams",
         "http_server",
+        "peer_forwards",
         "peers",
         "platform",
         "prompt_crashes",
