Count a crash only if other hosts can't reach the upstream either

Cause: a report of a crash rested on this host's own view. Change: before a report counts, two other hosts, one of another availability zone, connect to the upstream. If one reaches it, or none answers although there are others, it doesn't count; nor while this host is cut off from the service. Requests aren't held up by the question.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -37,6 +37,7 @@
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.crash_news import CrashNewsState
 from minttided.gateway.sync.crash_sender import CrashNewsSender
+from minttided.gateway.sync.end_confirmation import EndConfirmation
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
@@ -234,6 +235,7 @@
         self._sync_client = SyncClient(context, self._config_watcher, self._upstream_watcher)
         self._sync_server = SyncServer(context, self.membership, self._forwarding_server.handle)
         self._crash_sender = CrashNewsSender(context)
+        self.state.report_crash = EndConfirmation(context).report
         self._block_keeper = BlockKeeper(
             self.state, self._block_source, lambda: self._sync_client.is_reader
         )
--- a/daemon/minttided/gateway/callers/crash_guard.py
+++ b/daemon/minttided/gateway/callers/crash_guard.py
@@ -112,7 +112,7 @@
             now_s(),
             self._state.cfg.host,
         )
-        self._state.prompt_crashes.add([report], own=True)
+        self._state.report_crash(entry, report)
 
     def _is_leaving(self, entry: UpstreamEntry) -> bool:
         listed = self._state.upstreams.get(entry.id, entry)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -11,7 +11,7 @@
 from minttide.ids import ServiceName, UpstreamId
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_news import CrashNewsLog
-from minttide.policy.crash_reports import CrashNews
+from minttide.policy.crash_reports import CrashNews, CrashReport
 from minttide.policy.probe_evidence import ProbeEvidence
 from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.reach import Reach
@@ -102,6 +102,7 @@
         self._cut_off_services: frozenset[ServiceName] = frozenset()
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
+        self.report_crash: Callable[[UpstreamEntry, CrashReport], None] = self._add_crash
         self.upstream_limits = UpstreamLimits(
             self.cfg.host, self.rng, lambda _: SharingHosts((self.cfg.host,), 1)
         )
@@ -117,6 +118,10 @@
             self._cut_off_services = services
             self.on_cut_off_changed()
 
+    def _add_crash(self, entry: UpstreamEntry, report: CrashReport) -> None:
+        """Add the report of a crash of `entry` as it is; a gateway asks other hosts first."""
+        self.prompt_crashes.add([report], own=True)
+
     def _record_crash_news(self, item: CrashNews) -> None:
         self.crash_news.append(item)
         self.notify_change()
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -25,6 +25,9 @@
 CRASHES_ONLY = Offset(-3)
 """Start offset of a request that exchanges the news of crashes only, which is answered at once."""
 
+REACH_ONLY = Offset(-4)
+"""Start offset of a request that asks which upstreams the host can't reach; it probes them."""
+
 NO_VERSION = -1
 
 _COMPRESSION_LEVEL = 1  # the fastest, to save processor time
@@ -47,7 +50,8 @@
 
     `usages` is the load of the requesting host, or of its whole zone with `LOADS_ONLY`.
     `list_version` is the version of the replying host's list that the requesting host has. `silent`
-    are the upstreams that the requesting host can't reach.
+    are the upstreams that the requesting host can't reach; with `REACH_ONLY`, the replying host
+    probes these and returns those that it can't reach either.
     """
 
     host: HostId
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -14,12 +14,15 @@
 from minttide.problems import Problem, ProblemType, Ran
 from minttide.routing.list_history import ListVersion
 from minttide.routing.routes import RoutingConfig
+from minttide.routing.sources import SourceError
+from minttided.gateway.connect_probe import probe_connection
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import (
     CRASHES_ONLY,
     FULL_SYNC,
     LOADS_ONLY,
+    REACH_ONLY,
     SyncReply,
     SyncRequest,
     decode_request,
@@ -40,6 +43,9 @@
 
 log = logging.getLogger(__name__)
 
+MAX_PROBED = 4
+"""Upstreams that are probed for one request of another host."""
+
 
 Forward = Callable[[ForwardedRequest], Awaitable[HttpResponse | StreamResponse]]
 """Runs a caller's request that a peer has received."""
@@ -87,6 +93,8 @@
         except msgspec.DecodeError as exc:
             log.info("peer sync request not decoded", extra={"reason": str(exc)})
             return PullReply()
+        if pull.start == REACH_ONLY:
+            return PullReply(snapshot=await self._probe_upstreams(request))
         self._context.crash_news.apply_request(request.crashes)
         if pull.start == CRASHES_ONLY:
             return PullReply(snapshot=self._make_brief_snapshot(pull.start, request, {}))
@@ -97,6 +105,24 @@
         await self._wait_for_changes(request)
         return PullReply(snapshot=self._make_snapshot(request, received_s))
 
+    async def _probe_upstreams(self, request: SyncRequest) -> Checkpoint:
+        """Return which of the upstreams in a request this host can't reach."""
+        upstreams = request.silent[:MAX_PROBED]
+        found = await asyncio.gather(*(self._reaches(u) for u in upstreams))
+        reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s)
+        reply.silent = [u for u, reached in zip(upstreams, found, strict=True) if not reached]
+        return Checkpoint(REACH_ONLY, encode(reply))
+
+    async def _reaches(self, upstream: UpstreamId) -> bool:
+        entry = self._state.find_upstream(upstream)
+        if entry is None:
+            return False
+        try:
+            await probe_connection(self._state, entry)
+        except SourceError:
+            return False
+        return True
+
     def _record_peer_state(self, request: SyncRequest) -> None:
         if request.zone == self._state.cfg.zone:
             self._peer_loads.hosts.record(request.host, request.usages, now_s())
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -115,7 +115,7 @@
         peer_loads = PeerLoads()
         self.reported_unreachable = set()
         self.loads = EngineLoads(lambda: float(peers), peer_loads)
-        context = SyncContext(
+        context = self.context = SyncContext(
             self.state,
             CrashNewsState(self.state),
             peer_client,
