--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -13,6 +13,7 @@
 from minttide.layers.usage import Usage
 from minttide.policy.crash_news import NO_NEWS, NewsVersion
 from minttide.policy.crash_reports import CrashReport, PartBlock, PartStart
+from minttide.routing.config_changes import ConfigChanges
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges, ListVersion
 from minttide.routing.routes import RoutingConfig, UpstreamEntry
 
@@ -47,7 +48,8 @@
 
     `usages` is the load of the requesting host, or of its whole zone with `LOADS_ONLY`.
     `list_version` is the version of the replying host's list that the requesting host has. `silent`
-    are the upstreams that the requesting host can't reach.
+    are the upstreams that the requesting host can't reach. `takes_config_changes` says that it can
+    apply changes to its version of the configuration; a release before these leaves it out.
     """
 
     host: HostId
@@ -57,13 +59,15 @@
     list_version: ListVersion = NO_LIST_VERSION
     silent: list[UpstreamId] = []
     crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
+    takes_config_changes: bool = False
 
 
 class SyncReply(msgspec.Struct):
     """A sync reply. Ages are in seconds at the time of the reply.
 
-    `held_s` is how long the request waited for changes. `config` is packed, and absent if the
-    requesting host has this version. The list of upstreams is sent as `changes`, or completely and
+    `held_s` is how long the request waited for changes. The configuration is sent as packed changes
+    in `config_changes`, or completely and packed as `config`; both are absent if the requesting
+    host has this version. The list of upstreams is sent as `changes`, or completely and
     packed as `upstreams`. `usages` is the total load of all hosts except the requesting one, and
     `silent` are the upstreams that several hosts can't reach. `blocks_known` says whether the
     replying host knows which parts of prompts were blocked before it started.
@@ -80,6 +84,7 @@
     silent: list[UpstreamId] = []
     crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
     blocks_known: bool = False
+    config_changes: bytes | None = None
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -87,11 +92,12 @@
 decode_request = msgspec.msgpack.Decoder(SyncRequest).decode
 
 _decode_config = msgspec.msgpack.Decoder(RoutingConfig).decode
+_decode_config_changes = msgspec.msgpack.Decoder(ConfigChanges).decode
 _decode_entries = msgspec.msgpack.Decoder(list[UpstreamEntry]).decode
 
 
 def pack(value: Any) -> bytes:
-    """Encode and compress a configuration or a list of upstreams."""
+    """Encode and compress a configuration, its changes or a list of upstreams."""
     return zlib.compress(encode(value), _COMPRESSION_LEVEL)
 
 
@@ -100,6 +106,11 @@
     return _decode_config(zlib.decompress(data))
 
 
+def unpack_config_changes(data: bytes) -> ConfigChanges:
+    """Decode packed changes. Raises `msgspec.DecodeError` or `zlib.error`."""
+    return _decode_config_changes(zlib.decompress(data))
+
+
 def unpack_entries(data: bytes) -> list[UpstreamEntry]:
     """Decode a packed list of upstreams. Raises `msgspec.DecodeError` or `zlib.error`."""
     return _decode_entries(zlib.decompress(data))
