--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -14,6 +14,7 @@
     "takeover",
     "limit_error",
     "news_cost",
+    "config_cost",
 ]
 
 
--- a/measure/news_cost.py
+++ b/measure/news_cost.py
@@ -31,6 +31,7 @@
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.context import SyncContext
+from minttided.gateway.sync.crash_news import CrashNewsState
 from minttided.gateway.sync.messages import FULL_SYNC, SyncRequest, encode
 from minttided.gateway.sync.server import SyncServer
 from minttided.peers.interfaces import Pull
@@ -92,6 +93,7 @@
         loads = EngineLoads(lambda: float(hosts), self._peer_loads)
         context = SyncContext(
             self.state,
+            CrashNewsState(self.state),
             None,  # type: ignore[arg-type]
             lambda: (),
             loads,
