--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -364,8 +364,11 @@
 
 
 @pytest.mark.parametrize("ahead", [0, 1], ids=["same version", "newer during the pull"])
-def test_host_with_another_configuration_gets_the_whole(caplog, ahead):
-    """The host's version isn't what the reader sends the changes to; it logs this and asks once."""
+def test_host_with_another_configuration_gets_the_whole(caplog, monkeypatch, ahead):
+    """The host's version isn't what the reader sends the changes to; it logs this and asks once.
+
+    Until it has the newest, what it has isn't confirmed.
+    """
 
     async def check(hosts, store, net):
         store.routes = make_routes(20)
@@ -379,6 +382,13 @@
         newest = RoutingConfig(store.version, store.routes, ())
         for source in (h for h in hosts if h is not host):
             source.config.update(newest, source.state.clock())
+        confirmed = []
+        monkeypatch.setattr(
+            host.state.freshness, "confirm", lambda _: confirmed.append(host.state.table.version)
+        )
+        await asyncio.sleep(0.3)
+        monkeypatch.undo()
+        assert set(confirmed) == {store.version}
         await asyncio.sleep(MAX_PROPAGATION_S)
         assert host.state.table.version == store.version
         assert host.state.table.config.routes == store.routes
