End a blocked stream at once, also while its engines are probed

Callers saw: nothing but a later 502. One that has queued such a request ends as soon as it runs it. Cause: a block ends the wait of an attempt. While the silence is looked into nothing waits, so that the block was lost until the next silence. The engine was then probed before the attempt was closed. Change: what looks into the silence is cancelled, and called again at once, which finds the block. A read that is done by then isn't lost, and a cancelled one has ended before the next begins. An engine isn't probed after its stream was given up for a block.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -69,6 +69,7 @@
         self._exchange: Exchange | None = None
         self._splitter = EventSplitter()
         self._timeout: asyncio.Timeout | None = None
+        self._check_timeout: asyncio.Timeout | None = None
         self._read: Callable[[], Awaitable[object]] | None = None  # while silence is looked into
         self._early_read: asyncio.Future[Any] | None = None
         self._closed = False
@@ -198,21 +199,33 @@
         """Await `read`, and call `on_silence` whenever it takes longer than the threshold.
 
         The threshold starts at `threshold_s` and rises each time. `read` may be called again after
-        it was cancelled.
+        it was cancelled. `on_silence` is cancelled when it is interrupted.
         """
+        wait_s = threshold_s
         while True:
             try:
-                return await self._wait(read, threshold_s)
+                return await self._wait(read, wait_s)
             except TimeoutError:
                 self._read = read
             try:
-                await self._on_silence()
-            except ResumedError:
-                assert self._early_read is not None
-                return cast(T, self._early_read.result())
+                await self._check()
+                wait_s = threshold_s = SilenceThreshold.increase(threshold_s)
+            except (ResumedError, TimeoutError):
+                if self._early_read is not None:
+                    await asyncio.wait({self._early_read})  # Only one task may read at a time.
+                    if not self._early_read.cancelled():
+                        return cast(T, self._early_read.result())
+                wait_s = 0.0  # Calls `on_silence` again.
             finally:
                 self._read = self._early_read = None
-            threshold_s = SilenceThreshold.increase(threshold_s)
+
+    async def _check(self) -> None:
+        """Call `on_silence`. Raises `TimeoutError` when interrupted."""
+        try:
+            async with asyncio.timeout(None) as self._check_timeout:
+                await self._on_silence()
+        finally:
+            self._check_timeout = None
 
     async def unless_resumed(self, work: Coroutine[Any, Any, W]) -> W:
         """Return what `work` returns, unless the attempt goes on before that.
@@ -228,9 +241,9 @@
         finally:
             reading.cancel()
             working.cancel()
+            self._early_read = reading
         await asyncio.wait({reading, working})
         if not reading.cancelled():
-            self._early_read = reading
             failure = None if working.cancelled() else working.exception()
             raise ResumedError from failure
         return working.result()
@@ -250,9 +263,12 @@
 
     def interrupt_wait(self) -> None:
         """End the current wait, so that `on_silence` is called now."""
-        timeout = self._timeout
-        if timeout is not None and not timeout.expired():
-            timeout.reschedule(now_s())
+        _expire(self._timeout)
+
+    def interrupt_check(self) -> None:
+        """End the current wait, or a call of `on_silence`, so that it is called now."""
+        _expire(self._timeout)
+        _expire(self._check_timeout)
 
     def left_s(self) -> float:
         """Return the time left until the deadline in seconds. Raises `ExchangeError` after it."""
@@ -262,6 +278,11 @@
         return left_s
 
 
+def _expire(timeout: asyncio.Timeout | None) -> None:
+    if timeout is not None and not timeout.expired():
+        timeout.reschedule(now_s())
+
+
 def _close_late_exchange(opening: "asyncio.Task[Exchange]") -> None:
     """Close an exchange that was opened after its attempt had been abandoned."""
     if not opening.cancelled() and opening.exception() is None:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -12,7 +12,7 @@
 from minttide.layers.paths import RequestSize
 from minttide.problems import Ran
 from minttide.routing.outcome import ExchangeOutcome, may_retry
-from minttide.routing.routes import ModelSpec
+from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
@@ -256,17 +256,22 @@
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        responds = result.event is not None or await self._responds(first)
+        responds = result.event is not None or await self._responds(sent.entry, result.reason)
         self._engine_runs.record_probe(sent.engine_run, responds)
         if not responds and probes.has_ended(sent.entry):
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
-    async def _responds(self, engine: UpstreamId) -> bool:
-        """Return whether an engine that failed still answers; true if it can't be probed."""
+    async def _responds(self, entry: UpstreamEntry, reason: str) -> bool:
+        """Return whether an engine that failed still answers; true if it can't be probed.
+
+        It isn't probed after a block, which ends the stream: the engine would keep the request.
+        """
+        if reason == BLOCKED:
+            return not self._context.probes.has_ended(entry)
         try:
-            return await self._context.probes.responds(engine)
+            return await self._context.probes.responds(entry.id)
         except Exception:
-            log.exception("probe failed unexpectedly", extra={"engine": engine})
+            log.exception("probe failed unexpectedly", extra={"engine": entry.id})
             return True
 
     def _choose_attempt(self, sent: SentAttempt) -> None:
@@ -366,11 +371,11 @@
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
         assert self._current is not None
-        first = self._current.entry.id
+        entry = self._current.entry
         engine_run = self._current.engine_run
         self._end_current()
-        self._paths.avoid([first])
-        responds = await self._responds(first)
+        self._paths.avoid([entry.id])
+        responds = await self._responds(entry, reason)
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
         if not self._openings:
@@ -420,7 +425,7 @@
         """Abandon the attempts if the prompt has been blocked since they were sent."""
         if self._crash_guard.block is not None:
             for sent in self._live_attempts():
-                sent.attempt.interrupt_wait()
+                sent.attempt.interrupt_check()
 
     def _live_attempts(self) -> list[SentAttempt]:
         """Return the attempts in the order of their sending."""
