End a stream at its deadline, also while its engines are probed

Callers got 504, or the end of a stream that had begun, up to 0.35 s after their deadline: after 0.41 s with a deadline of 0.1 s, 1.05 s with one of 0.7 s. Cause: the deadline bounds the waits of an attempt, but not the probes between them, nor the probe of the engine once the attempt has ended, for which the answer waits. Change: what looks into a silence ends at the deadline. After it an engine isn't probed, since nothing is sent any more; what earlier probes found still counts, as for a crash.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -199,7 +199,7 @@
         """Await `read`, and call `on_silence` whenever it takes longer than the threshold.
 
         The threshold starts at `threshold_s` and rises each time. `read` may be called again after
-        it was cancelled. `on_silence` is cancelled when it is interrupted.
+        it was cancelled. At the deadline, or when interrupted, `on_silence` is cancelled.
         """
         wait_s = threshold_s
         while True:
@@ -215,14 +215,14 @@
                     await asyncio.wait({self._early_read})  # Only one task may read at a time.
                     if not self._early_read.cancelled():
                         return cast(T, self._early_read.result())
-                wait_s = 0.0  # Calls `on_silence` again.
+                wait_s = 0.0  # Calls `on_silence` again, or ends at the deadline.
             finally:
                 self._read = self._early_read = None
 
     async def _check(self) -> None:
-        """Call `on_silence`. Raises `TimeoutError` when interrupted."""
+        """Call `on_silence`. Raises `TimeoutError` at the deadline, or when interrupted."""
         try:
-            async with asyncio.timeout(None) as self._check_timeout:
+            async with asyncio.timeout(self.left_s()) as self._check_timeout:
                 await self._on_silence()
         finally:
             self._check_timeout = None
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -264,9 +264,9 @@
     async def _responds(self, entry: UpstreamEntry, reason: str) -> bool:
         """Return whether an engine that failed still answers; true if it can't be probed.
 
-        It isn't probed after a block, which ends the stream: the engine would keep the request.
+        It isn't probed after the deadline or a block, which end the stream: its answer would wait.
         """
-        if reason == BLOCKED:
+        if reason == BLOCKED or now_s() >= self._request.end_s:
             return not self._context.probes.has_ended(entry)
         try:
             return await self._context.probes.responds(entry.id)
--- a/test/test_probe_wait.py
+++ b/test/test_probe_wait.py
@@ -61,6 +61,25 @@
     assert took_s < AT_ONCE_S
 
 
+@pytest.mark.parametrize("deadline_ms", [100, 190, 210, 250, 300, 500, 700])
+@pytest.mark.parametrize("route", ["draft", "once"])
+@pytest.mark.parametrize("before", [[], [STREAM_HEAD], [STREAM_HEAD, events(1)]])
+def test_stream_ends_at_its_deadline_while_its_engines_are_probed(route, deadline_ms, before):
+    """Guards against an answer that waits beyond the deadline for probes that decide nothing."""
+    site = make_silent_site(before)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with site:
+            started_s = loop.time()
+            headers = [("x-deadline", str(deadline_ms))]
+            reply = await site.send_request(route, "POST", headers=headers)
+            return reply, loop.time() - started_s
+
+    reply, took_s = run_in_memory(run(), 60.0)
+    assert took_s < deadline_ms / 1000 + AT_ONCE_S
+
+
 async def _go_on_during_check(read_steps, work_steps, interrupt_steps, data):
     """Return what an attempt reads that goes on, is looked into and interrupted at about one time.
 
