Take a refused connection as a sign that this host's own link works

Callers saw: where some engines of a path refuse connections and others don't answer, as after the loss of a machine with some processes restarting elsewhere, a silent stream was looked after at 0.35 s in place of 0.05 s. Cause: since probes that fail together are repeated with 0.3 s, unless one was answered meanwhile. A refusal shows as well that the link works, but wasn't counted. Evidence: test_silent_engines_are_suspected_at_once_while_others_refuse failed before (0.35 s, 0.1 allowed) and passes; 1,434 tests of silences and streams pass.

--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -178,6 +178,9 @@
                 if timeout_s is None:
                     raise
                 result = await probe(entry, timeout_s)
+        except ProcessEndedError:
+            self._answered_s = now_s()
+            raise
         finally:
             self._running -= 1
         self._answered_s = now_s()
@@ -187,8 +190,8 @@
         """Return the timeout for repeating a failed probe, `None` if the engine is the cause.
 
         This process may have been held up, so that the timeout passed although the engine responds.
-        If several engines were probed and none has answered meanwhile, this host's link may have
-        been busy.
+        If several engines were probed and none has answered meanwhile, not even by refusing, this
+        host's link may have been busy.
         """
         if self._answered_s < started_s and self._running >= MIN_COMMON_FAILURES:
             return CONFIRM_TIMEOUT_S
--- a/test/test_busy_link.py
+++ b/test/test_busy_link.py
@@ -113,3 +113,27 @@
     assert (response.status, response.complete) == (200, True)
     first_s = min(at_s for count, at_s in received_s if count == 2)
     assert first_s - resumed_s[0] < MAX_GAP_S - PAUSE_S
+
+
+DETECT_S = 0.1
+"""Time after a silence has been noticed in which an engine that doesn't answer is found."""
+
+
+def test_silent_engines_are_suspected_at_once_while_others_refuse():
+    """Guards against a refused connection that isn't taken as a sign of a link that works."""
+    site = BusyLinkSite(0.0)
+    engines = site.gateway.engines
+
+    async def run():
+        async with site.gateway:
+            loop = asyncio.get_running_loop()
+            engines.dead |= {"a", "b"}
+            engines.ended |= {"m", "n"}
+            started_s = loop.time()
+            probes = site.gateway.streams.probes
+            await asyncio.gather(probes.find_unreachable(LAYERS), probes.fetch_reports(["a"]))
+            return site.gateway.state.suspects.suspected(), loop.time() - started_s
+
+    suspects, took_s = run_in_memory(run(), 60.0)
+    assert suspects == set(LAYERS)
+    assert took_s < DETECT_S
