Resume a stream on another engine that was left if the first one is full

Callers of routes with a limit of three engines and more saw a stream cut: its engine broke off, the limit was used up by engines where this host had ended an attempt itself, and the one of them that was asked had no place. The others weren't asked. Cause: asks these engines only for the first send after an interruption; a rejection was followed by the usual check of the limit. Evidence: test_stream_is_resumed_on_another_engine_that_was_left_... failed before (cut after event 2) and passes. Change: after a failure of the rest, the next of these engines is asked, each once per interruption, within the five sends, the budget and the limit of engines as before.

--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -90,6 +90,7 @@
         )
         self._last_send_s = self.last_event_s = request.received_s
         self._last_event_has_id = True
+        self._asked_again: set[UpstreamId] = set()  # since the last interruption
 
     @property
     def attempt(self) -> StreamAttempt | None:
@@ -191,6 +192,8 @@
         return await self._openings.run_unless_finished(self._verify_and_send())
 
     async def _verify_and_send(self) -> bool:
+        if self._current is None and self.progress.events:
+            return await self._send_rest()
         return await self.verify_may_retry() and self.send() is None
 
     async def _wait_until_begun(self) -> StreamSendResult:
@@ -375,6 +378,7 @@
         engine_run = self._current.engine_run
         self._end_current()
         self._paths.avoid([entry.id])
+        self._asked_again.clear()
         responds = await self._responds(entry, reason)
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
@@ -393,13 +397,18 @@
     async def _send_rest(self) -> bool:
         """Send the request for the rest of an interrupted stream; return whether it was sent.
 
-        Where no further engine may run it, it goes to one on which an attempt was abandoned.
+        Where no further engine may run it, it goes to one on which an attempt was abandoned; each
+        of these is asked once.
         """
         if await self.verify_may_retry():
             return self.send() is None
         listed = self._context.state.active_upstreams(self._request.service)
-        asked = self._engine_runs.find_abandoned(listed)
-        return self._may_send_again() and any(self.send(e.id) is None for e in asked)
+        for entry in self._engine_runs.find_abandoned(listed):
+            if entry.id not in self._asked_again and self._may_send_again():
+                self._asked_again.add(entry.id)
+                if self.send(entry.id) is None:
+                    return True
+        return False
 
     @property
     def is_resumable(self) -> bool:
--- a/test/test_failure_after_silence.py
+++ b/test/test_failure_after_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import gateway_site
 import pytest
 from gateway_site import END, NOT_RUN, RESET, STREAM_HEAD, events, plain_response
 from stream_site import ALL_EVENTS, find_engine, make_site
@@ -94,3 +95,39 @@
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
     assert (len(sent), len(set(sent))) == (3, 2)
     assert sent[2] == sent[1 if fails == "the first" else 0]
+
+
+def test_stream_is_resumed_on_another_engine_that_was_left_if_the_first_one_is_full(monkeypatch):
+    """Guards against a cut where one of several engines that may go on has no place."""
+    make_route = gateway_site.route
+    limit = {"max_attempts": 3}
+
+    def route(name, *args, **overrides):
+        return make_route(name, *args, **(overrides | limit if name == "draft" else overrides))
+
+    monkeypatch.setattr(gateway_site, "route", route)
+    scripts = [
+        [STREAM_HEAD, events(1), sleep(SILENCE_S), events(2), sleep(1.5), RESET],
+        [sleep(5.0)],  # left as the first one goes on
+        [sleep(5.0)],
+        FULL,
+        [STREAM_HEAD, events(3), END],
+    ]
+    site = make_site(a=(0, 4), b=(0, 4), c=(0, 4), d=(0, 4))
+    sent = []
+
+    def take_script(name):
+        sent.append(name)
+        return scripts.pop(0)
+
+    for engine in (find_engine(site, name) for name in "abcd"):
+        engine.next_script = lambda head, name=engine.name: take_script(name)
+
+    async def run():
+        async with site:
+            return await site.send_request("draft", "POST")
+
+    response = run_in_memory(run(), 30.0)
+    assert (response.chunks, response.complete) == (ALL_EVENTS, True)
+    assert (len(sent), len(set(sent))) == (5, 3)
+    assert set(sent[3:]) == set(sent[1:3])
