--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -2,30 +2,18 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
-from typing import Generic, TypeVar
+from collections.abc import Callable, Iterable
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import EngineReport, ProcessEndedError, SourceError
+from minttided.gateway.connect_probe import CONFIRM_TIMEOUT_S, probe, probe_connection
+from minttided.gateway.shared_probe import SharedProbe
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
 
-PROBE_TIMEOUT_S = 0.05
-MAX_PROBE_S = 0.06
-"""Duration of a probe above which this process was held up, since its timeout fired late."""
 
-RESULT_MAX_AGE_S = 0.1
-"""How long the result of a probe is reused."""
-
-MIN_COMMON_FAILURES = 3
-"""Concurrent probes without any answer from which on this host's own link may be the cause.
-
-A large configuration fills the link of a small host for longer than the timeout of a probe.
-"""
-
-CONFIRM_TIMEOUT_S = 0.3
 CONFIRM_PROBES = 3
 """Concurrent probes of an engine that must all fail before it counts as ended."""
 
@@ -35,8 +23,6 @@
 MIN_CHECK_INTERVAL_S = 1.0
 """Shortest time between two probes of an engine that other engines or hosts report as failed."""
 
-T = TypeVar("T")
-
 
 class EngineProbes:
     """Probes engines by connecting to them or by fetching their reports.
@@ -59,11 +45,9 @@
         self._state = state
         self._on_unresponsive = on_unresponsive
         self._on_report = on_report
-        self._reports = _SharedProbe(self._fetch_report)
-        self._connections = _SharedProbe(self._connect)
+        self._reports = SharedProbe(self._fetch_report)
+        self._connections = SharedProbe(self._connect)
         self._ended: dict[tuple[UpstreamId, int], None] = {}
-        self._running = 0
-        self._answered_s = float("-inf")
 
     @property
     def idle(self) -> bool:
@@ -135,7 +119,7 @@
             self._on_unresponsive(engine)
             return False
         try:
-            await self._run(self._state.engines.check_reachable, entry)
+            await probe_connection(self._state, entry)
         except SourceError as exc:
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return False
@@ -147,10 +131,12 @@
             self._on_unresponsive(engine)
             return None
         try:
-            report = await self._run(self._state.engines.report, entry)
+            report = await probe(self._state, self._state.engines.report, entry)
         except SourceError as exc:
+            self._state.record_reach(entry.id, exc.reached)
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return None
+        self._state.record_reach(entry.id, True)
         if _has_restarted(entry, report):
             self._suspect(entry, f"the engine restarted at {report.born_ms}", ended=True)
             return None
@@ -159,44 +145,6 @@
         self._on_report(entry.id, report)
         return report
 
-    async def _run(
-        self, probe: Callable[[UpstreamEntry, float], Awaitable[T]], entry: UpstreamEntry
-    ) -> T:
-        """Return the result of a probe; repeat one whose failure may be this host's own.
-
-        Raises `SourceError`.
-        """
-        started_s = now_s()
-        self._running += 1
-        try:
-            try:
-                result = await probe(entry, PROBE_TIMEOUT_S)
-            except ProcessEndedError:
-                raise
-            except SourceError:
-                timeout_s = self._repeat_timeout_s(started_s)
-                if timeout_s is None:
-                    raise
-                result = await probe(entry, timeout_s)
-        except ProcessEndedError:
-            self._answered_s = now_s()
-            raise
-        finally:
-            self._running -= 1
-        self._answered_s = now_s()
-        return result
-
-    def _repeat_timeout_s(self, started_s: float) -> float | None:
-        """Return the timeout for repeating a failed probe, `None` if the engine is the cause.
-
-        This process may have been held up, so that the timeout passed although the engine responds.
-        If several engines were probed and none has answered meanwhile, not even by refusing, this
-        host's link may have been busy.
-        """
-        if self._answered_s < started_s and self._running >= MIN_COMMON_FAILURES:
-            return CONFIRM_TIMEOUT_S
-        return PROBE_TIMEOUT_S if now_s() - started_s > MAX_PROBE_S else None
-
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
         """Avoid an engine that failed a probe; `ended` if its process is known to have ended.
 
@@ -218,49 +166,3 @@
 
 def _has_restarted(entry: UpstreamEntry, report: EngineReport) -> bool:
     return bool(entry.born_ms and report.born_ms and report.born_ms != entry.born_ms)
-
-
-class _SharedProbe(Generic[T]):
-    """One kind of probe. Concurrent callers share a probe, and its result is reused for a while."""
-
-    def __init__(self, probe: Callable[[UpstreamId], Awaitable[T]]):
-        self._probe = probe
-        self._running: dict[UpstreamId, asyncio.Task[T]] = {}
-        self._results: dict[UpstreamId, tuple[float, T]] = {}
-
-    @property
-    def idle(self) -> bool:
-        return not self._running
-
-    async def get(
-        self, engines: Iterable[UpstreamId], since_s: float = float("-inf")
-    ) -> dict[UpstreamId, T]:
-        """Return a recent result for each engine, none from before `since_s` in loop seconds."""
-        names = list(engines)
-        found = await asyncio.gather(*(self._get_one(e, since_s) for e in names))
-        return dict(zip(names, found, strict=True))
-
-    async def _get_one(self, engine: UpstreamId, since_s: float) -> T:
-        result = self._results.get(engine)
-        if result is not None and result[0] >= max(since_s, now_s() - RESULT_MAX_AGE_S):
-            return result[1]
-        return await asyncio.shield(self.start(engine))
-
-    def age_s(self, engine: UpstreamId) -> float:
-        """Return the age of the last result in seconds, failed probes included."""
-        result = self._results.get(engine)
-        return now_s() - result[0] if result is not None else float("inf")
-
-    def start(self, engine: UpstreamId) -> "asyncio.Task[T]":
-        """Return the probe of an engine that is in progress, after starting it if there is none."""
-        task = self._running.get(engine)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(self._run(engine))
-            self._running[engine] = task
-            task.add_done_callback(lambda _: self._running.pop(engine, None))
-        return task
-
-    async def _run(self, engine: UpstreamId) -> T:
-        result = await self._probe(engine)
-        self._results[engine] = (now_s(), result)
-        return result
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -3,6 +3,7 @@
 `silence.py` handles its silences.
 """
 
+import asyncio
 import logging
 from collections.abc import AsyncGenerator
 
@@ -44,6 +45,10 @@
 """Time after a send in which engines that failed aren't tried again while an attempt goes on."""
 
 
+LAST_PROBE_S = 0.06
+"""Time after the deadline for a probe that shows whether the engine can be reached."""
+
+
 class ReplacedError(Exception):
     """Another attempt has begun to answer while the current one was silent."""
 
@@ -267,12 +272,17 @@
     async def _responds(self, entry: UpstreamEntry, reason: str) -> bool:
         """Return whether an engine that failed still answers; true if it can't be probed.
 
-        It isn't probed after the deadline or a block, which end the stream: its answer would wait.
+        A block ends the stream without a probe, and after the deadline a probe isn't repeated: the
+        answer would wait.
         """
-        if reason == BLOCKED or now_s() >= self._request.end_s:
-            return not self._context.probes.has_ended(entry)
+        probes = self._context.probes
+        if reason == BLOCKED:
+            return not probes.has_ended(entry)
         try:
-            return await self._context.probes.responds(entry.id)
+            async with asyncio.timeout_at(max(now_s(), self._request.end_s) + LAST_PROBE_S):
+                return await probes.responds(entry.id)
+        except TimeoutError:
+            return not probes.has_ended(entry)
         except Exception:
             log.exception("probe failed unexpectedly", extra={"engine": entry.id})
             return True
