--- a/daemon/minttided/gateway/connect_probe.py
+++ b/daemon/minttided/gateway/connect_probe.py
@@ -29,16 +29,20 @@
     Raises `SourceError`.
     """
     started_s = now_s()
-    with state.probe_evidence.probing():
-        try:
-            result = await call(entry, timeout_s)
-        except ProcessEndedError:
-            raise
-        except SourceError:
-            repeat_timeout_s = _repeat_timeout_s(state, started_s, timeout_s)
-            if repeat_timeout_s is None:
+    try:
+        with state.probe_evidence.probing():
+            try:
+                result = await call(entry, timeout_s)
+            except ProcessEndedError:
                 raise
-            result = await call(entry, repeat_timeout_s)
+            except SourceError:
+                repeat_timeout_s = _repeat_timeout_s(state, started_s, timeout_s)
+                if repeat_timeout_s is None:
+                    raise
+                result = await call(entry, repeat_timeout_s)
+    except ProcessEndedError:
+        state.probe_evidence.record_answer(now_s())
+        raise
     state.probe_evidence.record_answer(now_s())
     return result
 
@@ -47,7 +51,8 @@
     """Return the timeout for repeating a failed probe, `None` if the upstream is the cause.
 
     This process may have been held up, so that the timeout passed although the upstream responds.
-    If several upstreams were probed and none has answered, this host's link may have been busy.
+    If several upstreams were probed and none has answered, not even by refusing, this host's link
+    may have been busy.
     """
     if timeout_s <= PROBE_TIMEOUT_S and state.probe_evidence.is_inconclusive(started_s):
         return CONFIRM_TIMEOUT_S
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -3,6 +3,7 @@
 `silence.py` handles its silences.
 """
 
+import asyncio
 import logging
 from collections.abc import AsyncGenerator
 
@@ -12,7 +13,7 @@
 from minttide.layers.paths import RequestSize
 from minttide.problems import Ran
 from minttide.routing.outcome import ExchangeOutcome, may_retry
-from minttide.routing.routes import ModelSpec
+from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
@@ -44,6 +45,10 @@
 """Time after a send in which engines that failed aren't tried again while an attempt goes on."""
 
 
+LAST_PROBE_S = 0.06
+"""Time after the deadline for a probe that shows whether the engine can be reached."""
+
+
 class ReplacedError(Exception):
     """Another attempt has begun to answer while the current one was silent."""
 
@@ -90,6 +95,7 @@
         )
         self._last_send_s = self.last_event_s = request.received_s
         self._last_event_has_id = True
+        self._asked_again: set[UpstreamId] = set()  # since the last interruption
 
     @property
     def attempt(self) -> StreamAttempt | None:
@@ -191,6 +197,8 @@
         return await self._openings.run_unless_finished(self._verify_and_send())
 
     async def _verify_and_send(self) -> bool:
+        if self._current is None and self.progress.events:
+            return await self._send_rest()
         return await self.verify_may_retry() and self.send() is None
 
     async def _wait_until_begun(self) -> StreamSendResult:
@@ -256,17 +264,27 @@
         if result.outcome is ExchangeOutcome.UNKNOWN:
             self._paths.avoid([first])
         self._may_have_run = True
-        responds = result.event is not None or await self._responds(first)
+        responds = result.event is not None or await self._responds(sent.entry, result.reason)
         self._engine_runs.record_probe(sent.engine_run, responds)
         if not responds and probes.has_ended(sent.entry):
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
-    async def _responds(self, engine: UpstreamId) -> bool:
-        """Return whether an engine that failed still answers; true if it can't be probed."""
+    async def _responds(self, entry: UpstreamEntry, reason: str) -> bool:
+        """Return whether an engine that failed still answers; true if it can't be probed.
+
+        A block ends the stream without a probe, and after the deadline a probe isn't repeated: the
+        answer would wait.
+        """
+        probes = self._context.probes
+        if reason == BLOCKED:
+            return not probes.has_ended(entry)
         try:
-            return await self._context.probes.responds(engine)
+            async with asyncio.timeout_at(max(now_s(), self._request.end_s) + LAST_PROBE_S):
+                return await probes.responds(entry.id)
+        except TimeoutError:
+            return not probes.has_ended(entry)
         except Exception:
-            log.exception("probe failed unexpectedly", extra={"engine": engine})
+            log.exception("probe failed unexpectedly", extra={"engine": entry.id})
             return True
 
     def _choose_attempt(self, sent: SentAttempt) -> None:
@@ -366,11 +384,12 @@
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
         assert self._current is not None
-        first = self._current.entry.id
+        entry = self._current.entry
         engine_run = self._current.engine_run
         self._end_current()
-        self._paths.avoid([first])
-        responds = await self._responds(first)
+        self._paths.avoid([entry.id])
+        self._asked_again.clear()
+        responds = await self._responds(entry, reason)
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
         if not self._openings:
@@ -388,13 +407,18 @@
     async def _send_rest(self) -> bool:
         """Send the request for the rest of an interrupted stream; return whether it was sent.
 
-        Where no further engine may run it, it goes to one on which an attempt was abandoned.
+        Where no further engine may run it, it goes to one on which an attempt was abandoned; each
+        of these is asked once.
         """
         if await self.verify_may_retry():
             return self.send() is None
         listed = self._context.state.active_upstreams(self._request.service)
-        asked = self._engine_runs.find_abandoned(listed)
-        return self._may_send_again() and any(self.send(e.id) is None for e in asked)
+        for entry in self._engine_runs.find_abandoned(listed):
+            if entry.id not in self._asked_again and self._may_send_again():
+                self._asked_again.add(entry.id)
+                if self.send(entry.id) is None:
+                    return True
+        return False
 
     @property
     def is_resumable(self) -> bool:
@@ -420,7 +444,7 @@
         """Abandon the attempts if the prompt has been blocked since they were sent."""
         if self._crash_guard.block is not None:
             for sent in self._live_attempts():
-                sent.attempt.interrupt_wait()
+                sent.attempt.interrupt_check()
 
     def _live_attempts(self) -> list[SentAttempt]:
         """Return the attempts in the order of their sending."""
