--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -80,23 +80,33 @@
         """Return the response of a helper, or the last rejection if all that were asked reject it.
 
         Raises `RequestError`: if no helper could be asked, it has not run; if one may have run it
-        and its answer is lost, that is unknown.
+        and its answer is lost, that is unknown, whatever others answered after that.
         """
         tried: list[HostId] = []
+        lost: list[PeerError] = []  # one for each helper that may have run it
         rejection: HttpResponse | StreamResponse | None = None
         while len(tried) < MAX_HELPERS and now_s() < request.end_s:
             helper = self._choose(request, tried)
-            if helper is None:
+            if helper is None or (lost and not self._may_repeat(request, len(lost), len(tried))):
                 break
             tried.append(helper.host)
-            opened = await self._try_open(helper, request, len(tried))
-            if opened is None:
+            try:
+                opened = await self._open(helper, request, None)
+                self._log(request, helper, len(tried), str(opened.response.head.status))
+                is_rejection = _is_rejection(opened)
+                response = await self._to_response(request, opened)
+            except PeerNotSentError as exc:
+                self._log(request, helper, len(tried), f"not sent: {exc}")
+                continue
+            except PeerError as exc:
+                self._log(request, helper, len(tried), f"lost: {exc}")
+                lost.append(exc)
                 continue
-            is_rejection = _is_rejection(opened)
-            response = await self._to_response(request, opened)
             if not is_rejection:
                 return response
             rejection = response
+        if lost:
+            raise self._lost(request, str(lost[-1])) from lost[-1]
         if rejection is None:
             raise self._reject(request)
         return rejection
@@ -110,40 +120,24 @@
         )
         return not_run_error(ProblemType.NO_UPSTREAM, detail, retry_after_s)
 
-    async def _try_open(
-        self, helper: MemberView, request: GatewayRequest, sends: int
-    ) -> OpenForward | None:
-        """Pass the request on; return `None` if another helper may be asked instead.
-
-        Raises `RequestError` if the request may have run and may not run again.
-        """
-        try:
-            opened = await self._open(helper, request, None)
-        except PeerNotSentError as exc:
-            self._log(request, helper, sends, f"not sent: {exc}")
-            return None
-        except PeerError as exc:
-            self._log(request, helper, sends, f"lost: {exc}")
-            if self._may_repeat(request, sends):
-                return None
-            raise self._lost(request, str(exc)) from exc
-        self._log(request, helper, sends, str(opened.response.head.status))
-        return opened
-
     def _choose(self, request: GatewayRequest, tried: Sequence[HostId]) -> MemberView | None:
         cfg = self._state.cfg
         helpers = find_helpers(self._members(), cfg.host, request.service)
         return choose_helper(helpers, tried, self._running, cfg.zone, self._state.rng)
 
-    def _may_repeat(self, request: GatewayRequest, sends: int) -> bool:
-        return request.route.repeatable and self._budgets.try_spend(request, sends)
+    def _may_repeat(self, request: GatewayRequest, ran: int, sends: int) -> bool:
+        """Return whether a request may run again that may have run `ran` times; take a retry."""
+        route = request.route
+        may_run = route.repeatable and ran < route.max_attempts
+        return may_run and self._budgets.try_spend(request, sends)
 
     async def resume(
         self, request: GatewayRequest, last_event_id: int, tried: Sequence[HostId]
     ) -> OpenForward:
         """Pass a stream that broke off on to another helper. Raises `PeerError`."""
         helper = self._choose(request, tried)
-        if helper is None or now_s() >= request.end_s or not self._may_repeat(request, len(tried)):
+        may_send = now_s() < request.end_s and self._budgets.try_spend(request, len(tried))
+        if helper is None or not may_send:
             raise PeerError("no other helper")
         opened = await self._open(helper, request, last_event_id)
         self._log(request, helper, len(tried) + 1, str(opened.response.head.status))
@@ -190,14 +184,13 @@
     async def _to_response(
         self, request: GatewayRequest, opened: OpenForward
     ) -> HttpResponse | StreamResponse:
+        """Return the response, complete unless it is a stream. Raises `PeerError`."""
         head = opened.response.head
         if request.route.kind is RouteKind.STREAM and head.status == OK:
             stream = ForwardedStream(self, request, opened)
             return StreamResponse(stream, head.status, head.content_type, head.headers)
         try:
             body = await opened.read_body()
-        except PeerError as exc:
-            raise self._lost(request, str(exc)) from exc
         finally:
             await opened.aclose()
         return HttpResponse(head.status, body, head.content_type, head.headers)
--- a/test/cut_site.py
+++ b/test/cut_site.py
@@ -73,11 +73,19 @@
         """End `cut_all`."""
         self.heal(list(self.state.upstreams))
 
+    @property
+    def scripted(self):
+        """Return all upstreams of this host."""
+        return (*self.plain, *(engine[0] for engine in self.path_engines))
+
+    def find_received(self, tag):
+        """Return the requests with a tag: upstream, head and body."""
+        line = f"x-tag: {tag}\r".encode()
+        return [(u, h, body) for u in self.scripted for h, body in u.requests if line in h.lower()]
+
     def count_received(self, tag):
         """Return how often this host's upstreams received a request with a tag."""
-        upstreams = (*self.plain, *(engine[0] for engine in self.path_engines))
-        line = f"x-tag: {tag}\r".encode()
-        return sum(line in head.lower() for u in upstreams for head, _ in u.requests)
+        return len(self.find_received(tag))
 
 
 class CutSite:
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -71,8 +71,8 @@
 class ScriptedUpstream:
     """Answers each request with its next script; `requests` holds the received heads and bodies.
 
-    A step of a script is bytes to send, `RESET`, a function that returns the bytes to send, or a
-    coroutine function to await.
+    A step of a script is bytes to send, `RESET`, `UNTIL_CLOSED`, a function that returns the bytes
+    to send, or a coroutine function to await.
     """
 
     def __init__(self, name, *scripts):
@@ -110,7 +110,9 @@
         script = self.next_script(head)
         try:
             for step in script:
-                if step is RESET:
+                if step is UNTIL_CLOSED:
+                    await reader.read()
+                elif step is RESET:
                     sock = writer.get_extra_info("socket")
                     if sock is not None:  # An end in memory resets its peer without this.
                         linger = struct.pack("ii", 1, 0)
@@ -134,6 +136,8 @@
 
 
 RESET = object()
+UNTIL_CLOSED = object()
+"""A step that waits until the gateway closes the connection."""
 
 
 def plain_response(status=200, body=b"ok", attempt=b"1", headers=b""):
@@ -295,7 +299,8 @@
                     on_data(data)
         except ConnectionError:
             pass
-        writer.close()
+        finally:
+            writer.close()
         return RawResponse(data)
 
 
