--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -132,19 +132,26 @@
         return may_run and self._budgets.try_spend(request, sends)
 
     async def resume(
-        self, request: GatewayRequest, last_event_id: int, tried: Sequence[HostId]
+        self, request: GatewayRequest, last_event_id: int, tried: list[HostId]
     ) -> OpenForward:
-        """Pass a stream that broke off on to another helper. Raises `PeerError`."""
-        helper = self._choose(request, tried)
-        may_send = now_s() < request.end_s and self._budgets.try_spend(request, len(tried))
-        if helper is None or not may_send:
-            raise PeerError("no other helper")
-        opened = await self._open(helper, request, last_event_id)
-        self._log(request, helper, len(tried) + 1, str(opened.response.head.status))
-        if opened.response.head.status != OK:
+        """Pass a stream that broke off on to the first other helper that takes it.
+
+        Appends each helper that is asked to `tried`. Raises `PeerError`.
+        """
+        while helper := self._choose(request, tried):
+            if now_s() >= request.end_s or not self._budgets.try_spend(request, len(tried)):
+                break
+            tried.append(helper.host)
+            try:
+                opened = await self._open(helper, request, last_event_id)
+            except PeerError as exc:
+                self._log(request, helper, len(tried), f"not resumed: {exc}")
+                continue
+            self._log(request, helper, len(tried), str(opened.response.head.status))
+            if opened.response.head.status == OK:
+                return opened
             await opened.aclose()
-            raise PeerError(f"the helper answered {opened.response.head.status}")
-        return opened
+        raise PeerError("no other helper")
 
     async def _open(
         self, helper: MemberView, request: GatewayRequest, last_event_id: int | None
--- a/daemon/minttided/gateway/forwarding/stream.py
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -59,7 +59,10 @@
     async def resume(
         self, request: GatewayRequest, last_event_id: int, tried: list[HostId]
     ) -> OpenForward:
-        """Return the stream from after `last_event_id` on. Raises `PeerError`."""
+        """Return the stream from after `last_event_id` on. Raises `PeerError`.
+
+        Appends each helper that is asked to `tried`.
+        """
 
 
 class ForwardedStream:
@@ -115,7 +118,6 @@
             self._opened = await self._resumer.resume(self._request, last, self._tried)
         except PeerError as exc:
             raise ExchangeError(f"not resumed: {reason}; {exc}") from exc
-        self._tried.append(self._opened.helper.host)
 
     async def aclose(self) -> None:
         """End the work of the helper, whether the stream has been sent completely or not."""
--- a/test/test_cut_off_steps.py
+++ b/test/test_cut_off_steps.py
@@ -161,6 +161,26 @@
     run_steps(steps)
 
 
+@pytest.mark.parametrize("fault", ["rejects", "refuses"])
+def test_stream_goes_on_although_the_next_helper_does_not_take_it(fault):
+    async def steps(site):
+        task, helper = await site.start("draft", "middle")
+        preferred, last = [h for h in site.hosts[1:] if h is not helper]
+        last.suspect = True
+        if fault == "rejects":
+            preferred.state.table = None
+        else:
+            site.net.remove(preferred.peer)
+            is_served = site.net.is_served
+            site.net.is_served = lambda peer: peer == preferred.peer or is_served(peer)
+        site.fail(helper)
+        response = await task
+        assert response.complete and count_events(response) == [1, 1, 1]
+        assert last.count_received("held") == 1
+
+    run_steps(steps)
+
+
 @pytest.mark.parametrize("point", POINTS)
 @pytest.mark.parametrize("route", ROUTES)
 def test_caller_leaves(route, point):
