--- a/daemon/minttided/gateway/forwarding/server.py
+++ b/daemon/minttided/gateway/forwarding/server.py
@@ -31,6 +31,8 @@
     async def handle(self, forwarded: ForwardedRequest) -> HttpResponse | StreamResponse:
         """Return the response to a request of another host."""
         table = self._state.table
+        if self._state.leaving:
+            return _rejection(ProblemType.LEAVING, "this host is stopping")
         if self.open_requests >= MAX_FORWARDED:
             return _rejection(ProblemType.OVERLOADED, "too many requests of other hosts are open")
         if table is None or table.version < forwarded.config_version:
