--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -132,7 +132,7 @@
         return may_run and self._budgets.try_spend(request, sends)
 
     async def resume(
-        self, request: GatewayRequest, last_event_id: int, tried: list[HostId]
+        self, request: GatewayRequest, last_event_id: int | None, tried: list[HostId]
     ) -> OpenForward:
         """Pass a stream that broke off on to the first other helper that takes it.
 
--- a/daemon/minttided/gateway/forwarding/stream.py
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -57,9 +57,11 @@
     """Passes a stream that broke off on to another helper."""
 
     async def resume(
-        self, request: GatewayRequest, last_event_id: int, tried: list[HostId]
+        self, request: GatewayRequest, last_event_id: int | None, tried: list[HostId]
     ) -> OpenForward:
-        """Return the stream from after `last_event_id` on. Raises `PeerError`.
+        """Return the stream from after `last_event_id` on, all of it if `None`.
+
+        Raises `PeerError`.
 
         Appends each helper that is asked to `tried`.
         """
@@ -109,11 +111,14 @@
             self._last_event_has_id = event.id is not None
 
     async def _resume(self, reason: str) -> None:
-        """Go on at another helper. Raises `ExchangeError` if that isn't possible."""
+        """Go on at another helper, from the beginning if the caller has no event yet.
+
+        Raises `ExchangeError` if that isn't possible.
+        """
         await self._opened.aclose()
-        last = self._last_event_id
-        if not self._request.route.resumable or last is None or not self._last_event_has_id:
+        if not self._request.route.resumable or not self._last_event_has_id:
             raise ExchangeError(reason)
+        last = self._last_event_id
         try:
             self._opened = await self._resumer.resume(self._request, last, self._tried)
         except PeerError as exc:
--- a/test/test_cut_off_steps.py
+++ b/test/test_cut_off_steps.py
@@ -10,6 +10,7 @@
     END,
     HOST,
     KEY,
+    RESET,
     STREAM_HEAD,
     UNTIL_CLOSED,
     event,
@@ -24,6 +25,7 @@
 from minttide.routing.table import RouteTable
 from minttide_fakes.memory_network import run_in_memory
 from minttided.gateway.forwarding.server import MAX_FORWARDED, DrainedRequests
+from minttided.http.messages import StreamResponse
 from minttided.peers.interfaces import ForwardedRequest
 
 SETTLE_S = 0.5
@@ -48,7 +50,7 @@
     async def prepare(self, cut=(0,)):
         """Cut hosts off and let each find that out, by a request to each service."""
         self.gate, self.point, self.waiting = asyncio.Event(), None, []
-        self.held_step = None
+        self.held_steps = [self.gate.wait]
         for host in self.hosts:
             for upstream in host.scripted:
                 upstream.next_script = lambda head, host=host: self._answer(host, head)
@@ -71,7 +73,7 @@
 
         def at(point):
             held = self.point == point and b"x-tag: held" in head
-            return [mark, self.held_step or self.gate.wait] if held else []
+            return [mark, *self.held_steps] if held else []
 
         if head.split()[1].split(b"/")[1] in (b"get", b"post"):
             head_part, _, body = plain_response().partition(b"\r\n\r\n")
@@ -160,6 +162,55 @@
     run_steps(steps)
 
 
+class BreakingChunks:
+    """A response body that breaks off after the given chunks."""
+
+    def __init__(self, *chunks):
+        self._chunks = chunks
+
+    async def __aiter__(self):
+        for piece in self._chunks:
+            yield piece
+        raise ConnectionError
+
+    async def aclose(self):
+        pass
+
+
+@pytest.mark.parametrize(("route", "status"), [("get", 200), ("post", 502), ("draft", 200)])
+@pytest.mark.parametrize("sent", [(), (b": comment\n\n",)])
+def test_helper_that_fails_between_the_head_and_the_first_event_or_the_end(route, status, sent):
+    async def steps(site):
+        async def on_forward(request):
+            return StreamResponse(BreakingChunks(*sent))
+
+        site.hosts[1].on_forward = on_forward
+        site.hosts[2].suspect = site.hosts[3].suspect = True
+        response = await send(site.hosts[0], route, "new")
+        assert (response.status, site.count_received("new")) == (status, status == 200)
+        assert route != "draft" or (response.complete and count_events(response) == [1, 1, 1])
+
+    run_steps(steps)
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_partition_of_a_helper_that_resets_its_connections(route):
+    async def steps(site):
+        site.held_steps = [site.gate.wait, RESET]
+        task, helper = await site.start(route, "middle")
+        site.cut(site.hosts.index(helper))
+        site.point = None
+        site.gate.set()
+        response = await task
+        if route == "draft":
+            assert response.complete and count_events(response) == [1, 1, 1]
+        else:  # It may have run, and isn't passed on to a third host, even if it may run again.
+            assert response.status == (502 if route in PLAIN_ROUTES else 200)
+            assert not response.complete and site.count_received("held") == 1
+
+    run_steps(steps)
+
+
 @pytest.mark.parametrize("route", ["get", "draft"])
 def test_request_that_may_have_run_is_never_reported_as_not_run(route):
     async def steps(site):
@@ -210,7 +261,7 @@
 @pytest.mark.parametrize("route", ROUTES)
 def test_caller_leaves(route, point):
     async def steps(site):
-        site.held_step = UNTIL_CLOSED
+        site.held_steps = [UNTIL_CLOSED]
         task, helper = await site.start(route, point)
         used = [upstream for upstream, *_ in helper.find_received("held")]
         assert used and not any(upstream.disconnected.is_set() for upstream in used)
@@ -352,7 +403,7 @@
 
 def test_host_that_stops_ends_what_it_has_passed_on():
     async def steps(site):
-        site.held_step = UNTIL_CLOSED
+        site.held_steps = [UNTIL_CLOSED]
         tasks = [await site.start(route, "middle") for route in ROUTES]
         helpers = {helper for _, helper in tasks}
         used = [u for helper in helpers for u, *_ in helper.find_received("held")]
