Spread at once that a host is cut off, also beyond the first hosts that hear of it

What callers would see: on a site of 71 hosts, requests passed on to hosts that are cut off themselves for 7.7 to 16 s, and directories that name them. Cause: only the host itself sent a changed cut_off at once; after that it travelled with the 16 latest vitals of a message. Change: each host that learns of a change passes it on at once, as it does for hosts that leave, and changed ones go with up to 16 others in a message for as many sends as other updates. test_all_hosts_learn_soon_that_some_are_cut_off (a third of the hosts at the same time, within 2.5 s): 30 and 71 hosts failed before.

--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -55,6 +55,8 @@
         self._since: dict[HostId, float] = {}  # when a host became suspect or down
         self._by_address: dict[Address, HostId] = {}
         self._updates = UpdateQueue()
+        self._cut_off_updates = UpdateQueue()
+        self.has_new_cut_off = False  # a host that is cut off, or no longer, was learned of
         self.upstreams = LeavingUpstreams()
         self._probe_order: list[HostId] = []
         self._beat = 0
@@ -262,6 +264,7 @@
         self._since.pop(member.host, None)
         self._vitals.pop(member.host, None)
         self._updates.drop(member.host)
+        self._cut_off_updates.drop(member.host)
         if self._by_address.get(member.peer) == member.host:
             del self._by_address[member.peer]
 
@@ -276,14 +279,19 @@
             self._put_vitals(vitals)
 
     def _put_vitals(self, vitals: Vitals) -> None:
-        self._vitals.pop(vitals.host, None)
+        before = self._vitals.pop(vitals.host, None)
         self._vitals[vitals.host] = vitals  # Ordered by time of receipt, the latest last.
+        if vitals.cut_off != (before.cut_off if before is not None else ()):
+            self._cut_off_updates.add(vitals.host)
+            self.has_new_cut_off = True
         self._update_view(vitals.host)
 
     def _latest_vitals(self) -> list[Vitals]:
-        latest = list(itertools.islice(reversed(self._vitals.values()), MAX_VITALS_PER_MESSAGE))
-        own = self._vitals.get(self._local.host)
-        return latest if own is None or own in latest else [own, *latest]
+        """Return this host's vitals, the latest ones, and those with a changed `cut_off`."""
+        latest = itertools.islice(reversed(self._vitals), MAX_VITALS_PER_MESSAGE)
+        changed = self._cut_off_updates.take(MAX_VITALS_PER_MESSAGE, len(self._members))
+        hosts = dict.fromkeys((self._local.host, *latest, *map(HostId, changed)))
+        return [self._vitals[host] for host in hosts if host in self._vitals]
 
     def _update_view(self, host: HostId) -> None:
         member = self._members[host]
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -326,6 +326,9 @@
             _log_member_change(member)
         if any(m.leaving or m.status is not Status.ALIVE for m in changed):
             self.disseminate_now()
+        if self.table.has_new_cut_off:
+            self.table.has_new_cut_off = False
+            self.disseminate_now()
         self._disseminate_notices()
         for vitals in gossip.vitals:
             if vitals.host == gossip.sender.host:
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -101,9 +101,10 @@
             Incarnation(number),
             peer_client,
             HostListCache(),
-            lambda: LocalVitals(NO_OFFSET, 0.0),
+            lambda: LocalVitals(NO_OFFSET, 0.0, tuple(sorted(self.state.cut_off_services))),
             rng=rng,
         )
+        self.state.on_cut_off_changed = self.members.disseminate_now
         config_read_policy = ReadPolicy(
             lambda: self.sync_client.should_read_config(), lambda: self.sync_client.retry_factor()
         )
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from sync_site import run_hosts
 
 from minttide.config.settings import Settings
 from minttide.folds.checkpoint import Checkpoint
@@ -21,6 +22,9 @@
 from minttided.peers.relay import PULL_TIMEOUT_S, SNAPSHOT_GRACE_S, ConfigRelay
 
 HOSTS = 9
+MAX_SPREAD_S = 2.5
+"""Time in which all hosts must know of a cut: 4 s, less the time to find out about it."""
+
 CUT_OFF = tuple(ServiceName(f"s{n}") for n in range(MAX_CUT_OFF_SERVICES + 1))
 
 
@@ -317,3 +321,21 @@
     peer.merge(restarted.gossip(), 2.0)
     entry = peer.find(HostId("a"))
     assert entry.incarnation == restarted.local_member.incarnation and not entry.leaving
+
+
+@pytest.mark.parametrize("count", [9, 30, 71])
+def test_all_hosts_learn_soon_that_some_are_cut_off(count):
+    """Guards against passing requests on to hosts that are cut off themselves."""
+
+    async def check(hosts, store, net):
+        await asyncio.sleep(10.0)  # Hosts of a large site take a while to find each other.
+        cut = hosts[: count // 3]
+        for services in (frozenset([ServiceName("s")]), frozenset()):
+            for host in cut:
+                host.state.cut_off_services = services
+            await asyncio.sleep(MAX_SPREAD_S)
+            for host in hosts:
+                views = {m.host: m.cut_off for m in host.members.hosts()}
+                assert all(views[c.cfg.host] == tuple(services) for c in cut)
+
+    run_hosts(check, ("a", "b", "c"), count)
