--- a/core/minttide/policy/helpers.py
+++ b/core/minttide/policy/helpers.py
@@ -30,10 +30,15 @@
     """Return the helper with the fewest requests of this host, preferring those of its zone.
 
     Hosts that were tried and hosts that are suspected are left out, the latter unless there are no
-    others.
+    others. After a helper that didn't run the request, one of another zone is preferred, since the
+    whole zone may be cut off.
     """
+    tried_zones = {m.zone for m in helpers if m.host in tried}
     untried = [m for m in helpers if m.host not in tried]
     candidates = [m for m in untried if not m.suspect] or untried
     if not candidates:
         return None
-    return min(candidates, key=lambda m: (running[m.host], m.zone != zone, rng.random()))
+    return min(
+        candidates,
+        key=lambda m: (m.zone in tried_zones, running[m.host], m.zone != zone, rng.random()),
+    )
