Close a streamed response in the memory network of peers whenever its reader leaves

Cause: MemoryPeerNetwork slept between on_forward and send_response, where nothing closes the chunks. GrpcPeerNetwork awaits nothing there, so callers of a site never met this. Why it works: the delay comes before the head is sent, within send_response, which closes the chunks. Also: cases for the retry budget, for what is left of the timeout when a request is passed on late, and the exact event to go on after.

--- a/fakes/minttide_fakes/peer_network.py
+++ b/fakes/minttide_fakes/peer_network.py
@@ -16,6 +16,7 @@
     ProbeReply,
     Pull,
     PullReply,
+    ResponseHead,
 )
 from minttided.peers.responses import (
     CONNECT_TIMEOUT_S,
@@ -110,6 +111,8 @@
         """Run a request at `target`, and pass on the parts of its response while connected."""
 
         async def send(part: ResponsePart) -> None:
+            if isinstance(part, ResponseHead):
+                await asyncio.sleep(self.delay_s)
             await self.wait_connected(source, target)
             await response.put(part)
 
@@ -119,7 +122,6 @@
             response.sent = True
             await self.wait_connected(source, target)
             answer = await self._services[target].on_forward(request)
-            await asyncio.sleep(self.delay_s)
             await send_response(answer, send)
         finally:
             del self._forwards[response]
--- a/test/test_cut_off_steps.py
+++ b/test/test_cut_off_steps.py
@@ -158,6 +158,12 @@
         else:
             assert (response.status, received) == (200, 2)
             assert route == "get" or (response.complete and count_events(response) == [1, 1, 1])
+            after = {"head": b"", "middle": b"2", "end": b"3"}[point]
+            assert (
+                route == "get"
+                or LAST_EVENT_ID + after + b"\r" in b"".join(site.heads("held"))
+                or not after
+            )
 
     run_steps(steps)
 
@@ -299,6 +305,18 @@
     run_steps(steps)
 
 
+def test_request_that_is_passed_on_late_has_what_is_left_of_the_timeout():
+    async def steps(site):
+        task, helper = await site.start("get", "head")
+        await asyncio.sleep(4.0)
+        site.fail(helper)
+        assert (await task).status == 200
+        left = [int(head.partition(b"x-deadline: ")[2].split()[0]) for head in site.heads("held")]
+        assert min(left) < 1000 < 4900 < max(left)
+
+    run_steps(steps)
+
+
 def test_hosts_cut_off_one_after_the_other_reject_at_once_without_passing_on_twice():
     async def steps(site):
         loop = asyncio.get_running_loop()
@@ -360,6 +378,7 @@
                 routes = msgspec.structs.replace(host._config(), version=2)
                 host.state.table = RouteTable(routes)
         helper.state.table = RouteTable(RoutingConfig(1, (), (), ()))
+        helper.freshness.confirm(asyncio.get_running_loop().time())  # It would answer 404.
     elif reason == "leaving":
         helper.state.leaving = True
     else:
@@ -456,3 +475,28 @@
         assert found == [body]
 
     run_steps(steps)
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_caller_that_leaves_at_any_moment_leaves_no_work_behind(route):
+    async def steps(site):
+        for step in range(80):
+            task = asyncio.create_task(send(site.hosts[0], route, "left"))
+            await asyncio.sleep(step * 0.00025)
+            task.cancel()
+        assert 20 < site.count_received("left") < 80
+
+    run_steps(steps)
+
+
+@pytest.mark.parametrize("route", ["get", "draft"])
+def test_nothing_runs_again_beyond_the_retry_budget(route):
+    async def steps(site):
+        site.hosts[0].budgets.try_spend = lambda request, sends: False
+        task, helper = await site.start(route, "middle")
+        site.fail(helper)
+        response = await task
+        assert site.count_received("held") == 1 and not response.complete
+        assert response.status == (502 if route == "get" else 200)
+
+    run_steps(steps)
