--- a/test/test_failure_after_silence.py
+++ b/test/test_failure_after_silence.py
@@ -65,33 +65,41 @@
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
 
 
-# Guards against a cut where an engine that was left for another could go on, and against running a
-# request on more engines than its route allows.
-@pytest.mark.parametrize("fails", ["the first", "the replacement"])
-def test_stream_whose_engine_fails_is_resumed_on_the_engine_that_was_left(fails):
-    goes_on, breaks_off = [sleep(2 * SILENCE_S)], [events(2), sleep(0.5), RESET]
-    scripts = [
-        [STREAM_HEAD, events(1), sleep(SILENCE_S), *breaks_off],
-        [sleep(2 * SILENCE_S)],
-        [STREAM_HEAD, events(3), END],
-    ]
-    if fails == "the replacement":
-        scripts[:2] = [[STREAM_HEAD, events(1), *goes_on], [STREAM_HEAD, *breaks_off]]
-    site = make_site(a=(0, 4), b=(0, 4), c=(0, 4))
+def run_scripts(names, scripts):
+    """Send one stream to engines that take the next script each time one of them is asked.
+
+    Returns the response and the names of the engines in the order of the sends.
+    """
+    site = make_site(**dict.fromkeys(names, (0, 4)))
     sent = []
 
     def take_script(name):
         sent.append(name)
         return scripts.pop(0)
 
-    for engine in (find_engine(site, name) for name in "abc"):
+    for engine in (find_engine(site, name) for name in names):
         engine.next_script = lambda head, name=engine.name: take_script(name)
 
     async def run():
         async with site:
             return await site.send_request("draft", "POST")
 
-    response = run_in_memory(run(), 30.0)
+    return run_in_memory(run(), 30.0), sent
+
+
+# Guards against a cut where an engine that was left for another could go on, and against running a
+# request on more engines than its route allows.
+@pytest.mark.parametrize("fails", ["the first", "the replacement"])
+def test_stream_whose_engine_fails_is_resumed_on_the_engine_that_was_left(fails):
+    goes_on, breaks_off = [sleep(2 * SILENCE_S)], [events(2), sleep(0.5), RESET]
+    scripts = [
+        [STREAM_HEAD, events(1), sleep(SILENCE_S), *breaks_off],
+        [sleep(2 * SILENCE_S)],
+        [STREAM_HEAD, events(3), END],
+    ]
+    if fails == "the replacement":
+        scripts[:2] = [[STREAM_HEAD, events(1), *goes_on], [STREAM_HEAD, *breaks_off]]
+    response, sent = run_scripts("abc", scripts)
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
     assert (len(sent), len(set(sent))) == (3, 2)
     assert sent[2] == sent[1 if fails == "the first" else 0]
@@ -113,21 +121,7 @@
         FULL,
         [STREAM_HEAD, events(3), END],
     ]
-    site = make_site(a=(0, 4), b=(0, 4), c=(0, 4), d=(0, 4))
-    sent = []
-
-    def take_script(name):
-        sent.append(name)
-        return scripts.pop(0)
-
-    for engine in (find_engine(site, name) for name in "abcd"):
-        engine.next_script = lambda head, name=engine.name: take_script(name)
-
-    async def run():
-        async with site:
-            return await site.send_request("draft", "POST")
-
-    response = run_in_memory(run(), 30.0)
+    response, sent = run_scripts("abcd", scripts)
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
     assert (len(sent), len(set(sent))) == (5, 3)
     assert set(sent[3:]) == set(sent[1:3])
