Work out the end of a passed-on request once

ForwardingClient._open had the same sum in two places. No behaviour changes; 94 tests of cut-off hosts pass, formatter, linter and mypy too.

--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -170,15 +170,13 @@
             now_s() - request.received_s,
             table.version if table is not None else 0,
         )
+        end_s = request.end_s + END_MARGIN_S
         self._running[helper.host] += 1
         try:
-            response = await self._peer_client.open_forward(
-                helper.peer, forwarded, request.end_s + END_MARGIN_S
-            )
+            response = await self._peer_client.open_forward(helper.peer, forwarded, end_s)
         except BaseException:
             self._release(helper.host)
             raise
-        end_s = request.end_s + END_MARGIN_S
         return OpenForward(helper, response, end_s, lambda: self._release(helper.host))
 
     def _release(self, host: HostId) -> None:
