Reuse no client connection on which more bytes arrive than its response

Cause: the HTTP client of the daemons, their log and the command line paired responses with requests on a kept connection by order alone. A response that a server wrote a second time, at once, while the connection rested or as the next request arrived, was returned for the next request: a response with another's body, or a 503 that says 'not run' for a call that ran, or for an append that the log took.

Change: a connection that has received more bytes than its response is closed, also if they are still unread when it is to be reused. A copy that arrives with the next request can't be told apart, so calls of callers, appends, orders and exports are each sent on a connection of their own.

--- a/core/minttide/interfaces.py
+++ b/core/minttide/interfaces.py
@@ -173,8 +173,8 @@
 class UpstreamClient(Protocol):
     """A client of one process of a plain service."""
 
-    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
-        """Make one call; with `fresh`, on a new connection.
+    async def call(self, call: UpstreamCall, timeout_s: float) -> UpstreamReply:
+        """Make one call, on a connection that no other call has used.
 
         Raises `CallNotSentError` or `CallOutcomeUnknownError`.
         """
--- a/daemon/minttided/callers/calls.py
+++ b/daemon/minttided/callers/calls.py
@@ -108,7 +108,7 @@
     async def dispatch(
         self, request: RequestId, service: ServiceName, call: UpstreamCall, deadline: float
     ) -> UpstreamReply:
-        """Send a call to one upstream, once, on a fresh connection; see `Dispatcher`.
+        """Send a call to one upstream, once; see `Dispatcher`.
 
         Another upstream is tried only as long as no byte of the call has been sent.
         """
@@ -116,7 +116,7 @@
         while True:
             upstream = self._choose_upstream(request, service, deadline, tried)
             try:
-                return await self._send(upstream, call, True, deadline)
+                return await self._send(upstream, call, deadline)
             except CallNotSentError as exc:
                 tried.add(upstream.id)
                 extra = {"request": request, "upstream": upstream.id, "reason": str(exc)}
@@ -162,9 +162,7 @@
         members = self._node.members
         return {u.id for u in upstreams if members and members.is_upstream_leaving(u.id)}
 
-    async def _send(
-        self, upstream: Upstream, call: UpstreamCall, fresh: bool, deadline: float
-    ) -> UpstreamReply:
+    async def _send(self, upstream: Upstream, call: UpstreamCall, deadline: float) -> UpstreamReply:
         """Send a call to one upstream and record the outcome in its circuit breaker."""
         loop = asyncio.get_running_loop()
         circuit = self._circuits.get(upstream.id)
@@ -173,7 +171,7 @@
         client = self._node.clients.upstream(upstream.address)
         circuit.record_start(loop.time())
         try:
-            reply = await client.call(call, fresh, deadline - loop.time())
+            reply = await client.call(call, deadline - loop.time())
         except (CallNotSentError, CallOutcomeUnknownError):
             circuit.record_result(loop.time(), False)
             raise
@@ -211,7 +209,7 @@
         self, upstream: Upstream, call: UpstreamCall, deadline: float, previous: "_Attempt"
     ) -> "_Attempt":
         try:
-            reply = await self._send(upstream, call, False, deadline)
+            reply = await self._send(upstream, call, deadline)
         except CallNotSentError as exc:
             return _Attempt(detail=str(exc), may_have_run=previous.may_have_run)
         except CallOutcomeUnknownError as exc:
--- a/daemon/minttided/callers/upstream_http.py
+++ b/daemon/minttided/callers/upstream_http.py
@@ -20,11 +20,11 @@
     def __init__(self, client: HttpClient):
         self._client = client
 
-    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
-        """Send one call; see `UpstreamClient`."""
+    async def call(self, call: UpstreamCall, timeout_s: float) -> UpstreamReply:
+        """Send one call on a new connection; see `UpstreamClient`."""
         try:
             response = await self._client.request(
-                call.method, call.path, call.body, call.headers, timeout_s, fresh
+                call.method, call.path, call.body, call.headers, timeout_s, fresh=True
             )
         except NotSentError as exc:
             raise CallNotSentError(str(exc)) from exc
--- a/daemon/minttided/engines/engine_http.py
+++ b/daemon/minttided/engines/engine_http.py
@@ -66,7 +66,7 @@
     ) -> EngineState:
         """Send an order, if `may_send` returns true once the connection is established."""
         body = _encoder.encode(order)
-        reply = await self._request("POST", "/v1/order", body, may_send=may_send)
+        reply = await self._request("POST", "/v1/order", body, fresh=True, may_send=may_send)
         if reply.status == _CONFLICT:
             raise StaleFencingError(reply.body[:200].decode("utf-8", "replace"))
         return _decode(_state_decoder, reply)
@@ -84,7 +84,8 @@
     async def export_kv(self, request: RequestId) -> str:
         """Export a request's KV cache and return the handle for its import."""
         body = _encoder.encode(KvExportRequest(request))
-        return _decode(_handle_decoder, await self._request("POST", "/v1/kv/export", body)).handle
+        reply = await self._request("POST", "/v1/kv/export", body, fresh=True)
+        return _decode(_handle_decoder, reply).handle
 
     async def _request(
         self,
@@ -92,11 +93,12 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CONTROL_TIMEOUT_S,
+        fresh: bool = False,
         may_send: Callable[[], bool] = always_allowed,
     ) -> ClientResponse:
         try:
             return await self._client.request(
-                method, path, body, _HEADERS, timeout_s, may_send=may_send
+                method, path, body, _HEADERS, timeout_s, fresh, may_send
             )
         except (NotSentError, ExchangeError) as exc:
             raise EngineError(str(exc)) from exc
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -38,7 +38,12 @@
 
 
 class HttpClient:
-    """Sends requests to one address; call `close` when done."""
+    """Sends requests to one address; call `close` when done.
+
+    A server that writes a response a second time just as the next request arrives can't be told
+    from one that answers it. What must not get such a copy is sent with `fresh`: whatever may run
+    only once, and what is answered to callers.
+    """
 
     def __init__(self, address: Address, max_response_bytes: int = MAX_RESPONSE_BYTES):
         self._address = address
@@ -85,6 +90,7 @@
     async def _acquire(self, fresh: bool, deadline: float) -> ClientConnection:
         while self._idle and not fresh:
             conn = self._idle.pop()
+            await _receive_pending()
             if conn.is_reusable(asyncio.get_running_loop().time(), MAX_IDLE_S):
                 return conn
             conn.close()
@@ -119,3 +125,9 @@
             raise h11.RemoteProtocolError("the response is too long")
         chunks.append(chunk)
     return ClientResponse(status, headers, b"".join(chunks))
+
+
+async def _receive_pending() -> None:
+    """Let the event loop receive what has arrived, which takes it up to two turns."""
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from typing import Any
 
 import h11
 
@@ -38,14 +39,30 @@
         raise NotSentError(f"invalid HTTP request: {exc}") from exc
 
 
+class _CountingReader(asyncio.StreamReader):
+    """A stream reader that counts the bytes that have arrived."""
+
+    received_bytes = 0
+
+    def feed_data(self, data: Any) -> None:
+        """Add bytes to the buffer."""
+        self.received_bytes += len(data)
+        super().feed_data(data)
+
+
 class ClientConnection:
-    """A connection to one address. Methods raise `OSError` or `h11.ProtocolError` if it fails."""
+    """A connection to one address. Methods raise `OSError` or `h11.ProtocolError` if it fails.
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    Responses are paired with requests by their order alone. So a connection on which more bytes
+    arrive than its response has, such as a second copy of it, is not reused.
+    """
+
+    def __init__(self, reader: _CountingReader, writer: asyncio.StreamWriter):
         self._reader = reader
         self._writer = writer
         self._conn = h11.Connection(h11.CLIENT)
         self._idle_since = 0.0
+        self._read_bytes = 0
 
     @classmethod
     async def open(cls, address: Address, deadline: float) -> "ClientConnection":
@@ -56,7 +73,7 @@
         try:
             host, port = split_address(address)
             async with asyncio.timeout_at(deadline):
-                return cls(*await asyncio.open_connection(host, port, limit=READ_BYTES))
+                return cls(*await _open_streams(host, port))
         except TimeoutError as exc:
             raise UnreachableError("no connection in time") from exc
         except ConnectionRefusedError as exc:
@@ -95,18 +112,27 @@
 
     async def _next_event(self) -> object:
         while (event := self._conn.next_event()) is h11.NEED_DATA:
-            self._conn.receive_data(await self._reader.read(READ_BYTES))
+            data = await self._reader.read(READ_BYTES)
+            self._read_bytes += len(data)
+            self._conn.receive_data(data)
         return event
 
     def is_reusable(self, now: float, max_idle_s: float) -> bool:
         """Return whether an idle connection can be reused. `now` is in loop time, in seconds."""
         expired = now - self._idle_since > max_idle_s
-        return not expired and not self._reader.at_eof() and not self._writer.is_closing()
+        is_open = not self._reader.at_eof() and not self._writer.is_closing()
+        return is_open and not expired and not self._has_unread_bytes
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that belong to no response."""
+        unparsed = self._conn.trailing_data[0]
+        return bool(unparsed) or self._reader.received_bytes > self._read_bytes
 
     def reset(self, now: float) -> bool:
         """Prepare for the next request; return False if the connection can't be reused."""
         states = (self._conn.our_state, self._conn.their_state)
-        if states != (h11.DONE, h11.DONE) or self._reader.at_eof():
+        if states != (h11.DONE, h11.DONE) or self._reader.at_eof() or self._has_unread_bytes:
             return False
         self._conn.start_next_cycle()
         self._idle_since = now
@@ -119,3 +145,12 @@
     def abort(self) -> None:
         """Close the connection immediately, without flushing."""
         self._writer.transport.abort()
+
+
+async def _open_streams(host: str, port: int) -> tuple[_CountingReader, asyncio.StreamWriter]:
+    """Do what `asyncio.open_connection` does, with a reader that counts."""
+    loop = asyncio.get_running_loop()
+    reader = _CountingReader(limit=READ_BYTES, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/daemon/minttided/log/log_http.py
+++ b/daemon/minttided/log/log_http.py
@@ -44,7 +44,12 @@
         """
         try:
             response = await self._client.request(
-                "POST", f"/v1/streams/{stream}/records", payload, _HEADERS, APPEND_TIMEOUT_S
+                "POST",
+                f"/v1/streams/{stream}/records",
+                payload,
+                _HEADERS,
+                APPEND_TIMEOUT_S,
+                fresh=True,
             )
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
--- a/daemon/minttided/node.py
+++ b/daemon/minttided/node.py
@@ -76,7 +76,7 @@
     async def dispatch(
         self, request: RequestId, service: ServiceName, call: UpstreamCall, deadline: float
     ) -> UpstreamReply:
-        """Send the call to one upstream, once, on a fresh connection.
+        """Send the call to one upstream, once.
 
         Raises `RequestError`, whose problem says that the call was not run or that this is unknown.
         """
--- a/fakes/minttide_fakes/plain.py
+++ b/fakes/minttide_fakes/plain.py
@@ -51,7 +51,7 @@
         """Schedule `fault` for the next `times` calls."""
         self.faults.extend([fault] * times)
 
-    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
+    async def call(self, call: UpstreamCall, timeout_s: float) -> UpstreamReply:
         """Run one call as `UpstreamClient.call`."""
         if self.down:
             raise CallNotSentError(f"{self.name} is down")
--- a/fakes/minttide_fakes/site.py
+++ b/fakes/minttide_fakes/site.py
@@ -175,8 +175,8 @@
         self._upstream = upstream
         self._address = address
 
-    async def call(self, call: UpstreamCall, fresh: bool, timeout_s: float) -> UpstreamReply:
+    async def call(self, call: UpstreamCall, timeout_s: float) -> UpstreamReply:
         """Make one call."""
         if self._address in self._clients.cut:
             raise CallNotSentError("the link to the upstream is cut")
-        return await self._upstream.call(call, fresh, timeout_s)
+        return await self._upstream.call(call, timeout_s)
--- a/test/test_calls.py
+++ b/test/test_calls.py
@@ -161,12 +161,12 @@
     assert run_with_host(scenario) == [["b0", "b1"], ["b1"]]
 
 
-def test_dispatched_call_uses_new_connection_and_respects_deadline():
+def test_dispatched_call_respects_deadline():
     seen = []
 
     class Client:
-        async def call(self, call, fresh, timeout_s):
-            seen.append((fresh, round(timeout_s, 6)))
+        async def call(self, call, timeout_s):
+            seen.append(round(timeout_s, 6))
             raise CallNotSentError("closed")
 
     async def scenario(host):
@@ -181,7 +181,7 @@
         return outcomes
 
     assert run_with_host(scenario) == [("no-upstream", "not run"), ("deadline-exceeded", "not run")]
-    assert seen == [(True, 2.0)] * 3
+    assert seen == [2.0] * 3
 
 
 @pytest.mark.parametrize(
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server and client: bad requests, limits, timeouts, cancellation and shutdown."""
 
 import asyncio
+from contextlib import suppress
 
 import msgspec
 import pytest
@@ -284,3 +285,30 @@
     reply = asyncio.run(run())
     assert reply.status == 500
     assert msgspec.json.decode(reply.body)["ran"] == "unknown"
+
+
+# Guards against a copy of a response that is taken for that of the next request, since it lies in
+# the socket's buffer, unread, when that is made.
+def test_the_client_reads_what_has_arrived_before_it_reuses_a_connection():
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+    writers = []
+
+    async def run():
+        async def serve(reader, writer):
+            writers.append(writer)
+            with suppress(asyncio.IncompleteReadError):
+                while True:
+                    path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+                    writer.write(response % (len(path), path))
+            writer.close()
+
+        async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            client = HttpClient(Address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"))
+            await client.request("GET", "/first")
+            writers[0].write(response % (6, b"/first"))
+            reply = await client.request("GET", "/second")
+            client.close()
+            await asyncio.sleep(0.01)  # The server closes its ends, too.
+            return reply.body, len(writers)
+
+    assert asyncio.run(run()) == (b"/second", 2)
--- a/test/test_stand_in_servers.py
+++ b/test/test_stand_in_servers.py
@@ -53,13 +53,13 @@
             upstream = booking.upstreams[0]
             call = UpstreamCall("POST", "/bookings", [("idempotency-key", "k")], b"{}")
             client = clients.upstream(upstream.address)
-            assert (await client.call(call, fresh=True, timeout_s=2)).status == 200
+            assert (await client.call(call, timeout_s=2)).status == 200
             counts = []
             for fault in (CallFault.BREAKS_BEFORE, CallFault.BREAKS_AFTER):
                 for fake_upstream in served.fakes.upstreams.values():
                     fake_upstream.inject_fault(fault)
                 with pytest.raises(CallOutcomeUnknownError):
-                    await client.call(call, fresh=True, timeout_s=2)
+                    await client.call(call, timeout_s=2)
                 counts.append(served.fakes.ledgers["booking"]["k"])
             return counts
 
