Take nothing for the rest of a stream, or for a rejection, that isn't this request's

Cause, two faults. (1) After a stream had broken off, each 200 of the next engine was delivered: an error with another content type, an event without an id such as the text or the whole head of an error, and an empty body that ended with its connection, which ended the stream as complete. (2) The attempt id that upstreams echo was checked only of responses that are no rejection (plain services) or of status 200 (streams). So the rejection of another request said 'not run' of this one, which was then sent to a second upstream or answered 503 while it ran. New connections to upstreams hide it today; nothing says that these must stay.

Change: the id is checked once, before anything of a response counts. A rest has the content type of the beginning, each of its events has an id, and without framing it isn't empty. What isn't a rest ends that attempt as failed, and the stream goes on elsewhere or ends visibly cut.

--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -21,6 +21,8 @@
 )
 from minttided.http.messages import Headers
 
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
 CONNECT_TIMEOUT_S = 0.5
 
 MIN_CONNECT_S = 0.1
@@ -86,6 +88,25 @@
         """Return the first value of a response header; `name` is in lower case."""
         return next((v for n, v in self.headers if n == name), None)
 
+    @property
+    def content_type(self) -> str:
+        """Return the media type of the body in lower case, without parameters."""
+        return media_type(self.header("content-type") or "")
+
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the end of the body is marked, and isn't that of the connection."""
+        return any(n in _FRAMING_HEADERS for n, _ in self.headers)
+
+    def check_attempt(self, header: str, attempt_id: str) -> None:
+        """Raise `ExchangeError` if the response names another attempt than this one.
+
+        What such a response says, also that a request has not run, is true of the other one.
+        """
+        echoed = self.header(header)
+        if echoed is not None and echoed != attempt_id:
+            raise ExchangeError("the response is for another request")
+
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end. Raises `ExchangeError`."""
         try:
@@ -111,6 +132,11 @@
         self._conn.abort()
 
 
+def media_type(content_type: str) -> str:
+    """Return the media type of a content type in lower case, without parameters."""
+    return content_type.partition(";")[0].strip().lower()
+
+
 async def _connect(
     address: Address, end_s: float, on_connect: Callable[[bool], None]
 ) -> ClientConnection:
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -162,17 +162,14 @@
             lambda: self._state.are_active([upstream.id]),
             partial(self._state.record_reach, upstream.id),
         )
-        self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
         try:
+            exchange.check_attempt(names.attempt, request.attempt_id)
+            self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
             exchange.close()
         self._state.suspects.clear(upstream.id)
         outcome = classify_response(exchange.status, exchange.header(names.not_run) is not None)
-        if outcome is not ExchangeOutcome.REJECTED and not _is_response_to(
-            exchange, request, names.attempt
-        ):
-            raise ExchangeError("the response is for another request")
         return SendResult(outcome, upstream.id, str(exchange.status), to_response(exchange, body))
 
     def _finish(
@@ -250,9 +247,3 @@
     forwarded = [(n, v) for n, v in end_to_end_headers(headers) if n != "content-length"]
     content_type = next((v for n, v in forwarded if n == "content-type"), "")
     return [(n, v) for n, v in forwarded if n != "content-type"], content_type
-
-
-def _is_response_to(exchange: Exchange, request: GatewayRequest, name: str) -> bool:
-    """Return whether the response belongs to the request, by the attempt id that upstreams echo."""
-    echoed = exchange.header(name)
-    return echoed is None or echoed == request.attempt_id
--- a/daemon/minttided/gateway/forwarding/stream.py
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -6,8 +6,9 @@
 
 from minttide.ids import HostId
 from minttide.interfaces import MemberView
+from minttided.gateway.callers.exchange import media_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
-from minttided.gateway.streams.events import Event, EventSplitter, EventTooLongError
+from minttided.gateway.streams.events import DeliveredEvents, EventSplitter, EventTooLongError
 from minttided.http.client import ExchangeError
 from minttided.peers.interfaces import ForwardedResponse, PeerError
 
@@ -75,8 +76,8 @@
         self._request = request
         self._opened = opened
         self._tried = [opened.helper.host]
-        self._last_event_id = parse_last_event_id(request.req)
-        self._last_event_has_id = True
+        self._delivered = DeliveredEvents(parse_last_event_id(request.req))
+        self._content_type = media_type(opened.response.head.content_type)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self._iterate()
@@ -86,43 +87,37 @@
         splitter = EventSplitter()
         while True:
             event = splitter.next_event()
-            if event is not None:
-                if self._is_new(event):
-                    self._record(event)
-                    yield event.raw
-                continue
             try:
-                chunk = await self._opened.read_chunk()
-                if chunk is None:
-                    return
-                splitter.feed(chunk)
+                if event is None:
+                    chunk = await self._opened.read_chunk()
+                    if chunk is None:
+                        return
+                    splitter.feed(chunk)
+                elif not self._delivered.allows(event):
+                    raise PeerError("an event without an id in the rest of a stream")
+                elif self._delivered.is_new(event):
+                    self._delivered.record(event)
+                    yield event.raw
             except (PeerError, EventTooLongError) as exc:
                 await self._resume(str(exc))
                 splitter = EventSplitter()
 
-    def _is_new(self, event: Event) -> bool:
-        last = self._last_event_id
-        return event.id is None or last is None or event.id > last
-
-    def _record(self, event: Event) -> None:
-        if event.id is not None:
-            self._last_event_id = event.id
-        if not event.is_comment:
-            self._last_event_has_id = event.id is not None
-
     async def _resume(self, reason: str) -> None:
         """Go on at another helper, from the beginning if the caller has no event yet.
 
         Raises `ExchangeError` if that isn't possible.
         """
         await self._opened.aclose()
-        if not self._request.route.resumable or not self._last_event_has_id:
+        if not self._request.route.resumable or not self._delivered.allows_continuation:
             raise ExchangeError(reason)
-        last = self._last_event_id
+        last = self._delivered.last_id
         try:
             self._opened = await self._resumer.resume(self._request, last, self._tried)
         except PeerError as exc:
             raise ExchangeError(f"not resumed: {reason}; {exc}") from exc
+        if media_type(self._opened.response.head.content_type) != self._content_type:
+            raise ExchangeError(f"not resumed: {reason}; the rest is of another type")
+        self._delivered.record_continuation()
 
     async def aclose(self) -> None:
         """End the work of the helper, whether the stream has been sent completely or not."""
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -88,6 +88,12 @@
         assert self._exchange is not None
         return self._exchange.headers
 
+    @property
+    def content_type(self) -> str:
+        """Return the media type of the response of the first engine."""
+        assert self._exchange is not None
+        return self._exchange.content_type
+
     def follow(self, path: Path) -> None:
         """Update the path and the loads after the first engine has moved the stream to `path`."""
         self._context.loads.remove(self._path, self._request_size)
@@ -117,13 +123,15 @@
             opening.cancel()
             opening.add_done_callback(_close_late_exchange)
             raise
-        exchange = self._exchange
+        exchange, names = self._exchange, self._context.state.headers
+        exchange.check_attempt(names.attempt, self._request.attempt_id)
+        limit = exchange.header(names.limit)
+        self._context.state.record_limit(self._path[0].engine, exchange.status, limit)
         if exchange.status != OK:
             return await self._read_failure(exchange)
-        echoed = exchange.header(self._context.state.headers.attempt)
-        if echoed is not None and echoed != self._request.attempt_id:
-            raise ExchangeError("the response is for another request")
         event = await self.next_event()
+        if event is None and not exchange.is_framed:
+            raise ExchangeError("the connection ended before the first event")
         if event is None:
             return StreamSendResult(
                 ExchangeOutcome.ANSWERED, "no events", response=to_response(exchange, b"")
@@ -143,7 +151,7 @@
         )
         req = request.req
         engines = [stage.engine for stage in self._path]
-        exchange = await Exchange.open(
+        return await Exchange.open(
             first.address,
             req.method,
             req.target,
@@ -153,9 +161,6 @@
             lambda: state.are_active(engines),
             partial(state.record_reach, first.engine),
         )
-        limit = exchange.header(state.headers.limit)
-        state.record_limit(first.engine, exchange.status, limit)
-        return exchange
 
     async def _read_failure(self, exchange: Exchange) -> StreamSendResult:
         names = self._context.state.headers
--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -22,6 +22,48 @@
         return all(line.startswith(b":") for line in self.raw.splitlines() if line)
 
 
+class DeliveredEvents:
+    """The events of one stream that its caller has, whichever attempt they came from.
+
+    `last_id` is the id of the last one that had an id, or the one that the caller resumes after.
+    """
+
+    def __init__(self, last_id: int | None):
+        self.last_id = last_id
+        self._count = 0
+        self._last_has_id = True
+        self._continued = False
+
+    @property
+    def allows_continuation(self) -> bool:
+        """Return whether another attempt can go on without sending the last event once more."""
+        return self._last_has_id
+
+    def is_new(self, event: Event) -> bool:
+        """Return whether the caller has neither the event nor a later one."""
+        return event.id is None or self.last_id is None or event.id > self.last_id
+
+    def record(self, event: Event) -> None:
+        """Record a new event that is delivered."""
+        self._count += 1
+        if event.id is not None:
+            self.last_id = event.id
+        if not event.is_comment:  # a comment may come twice
+            self._last_has_id = event.id is not None
+
+    def record_continuation(self) -> None:
+        """Record that the next events come from another attempt than the ones so far."""
+        self._continued = self._count > 0
+
+    def allows(self, event: Event) -> bool:
+        """Return whether an event may follow; one of a further attempt needs an id.
+
+        An attempt goes on after an event with an id. Without one, its event is no later part of the
+        same stream, and may be the text of an error.
+        """
+        return event.id is not None or event.is_comment or not self._continued
+
+
 class EventTooLongError(Exception):
     """An event exceeds `MAX_EVENT_BYTES`."""
 
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -7,8 +7,6 @@
 import logging
 from collections.abc import AsyncGenerator
 
-import msgspec
-
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
 from minttide.problems import Ran
@@ -21,7 +19,7 @@
 from minttided.gateway.streams.attempt import OK, StreamAttempt, StreamSendResult
 from minttided.gateway.streams.context import StreamContext
 from minttided.gateway.streams.engine_runs import EngineRuns
-from minttided.gateway.streams.events import Event, EventTooLongError
+from minttided.gateway.streams.events import DeliveredEvents, Event, EventTooLongError
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.openings import Openings, SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
@@ -94,7 +92,8 @@
             self._log,
         )
         self._last_send_s = self.last_event_s = request.received_s
-        self._last_event_has_id = True
+        self._delivered = DeliveredEvents(self.progress.last_event_id)
+        self._content_type = ""  # of the first attempt that has begun to answer
         self._asked_again: set[UpstreamId] = set()  # since the last interruption
 
     @property
@@ -126,6 +125,7 @@
                 self._crash_guard.rejection(),
                 self._paths.limit_delay_s(),
             )
+        self._content_type = self._current.attempt.content_type
         headers, content_type = split_content_type(self._current.attempt.headers)
         chunks = EventChunks(self.events(result.event), self.close)
         return StreamResponse(chunks, OK, content_type, headers)
@@ -218,7 +218,7 @@
         """Return the result of an attempt once it has begun to answer or failed."""
         path = sent.attempt.path
         try:
-            result = self._reject_error(await sent.attempt.open(last_event_id))
+            result = self._reject_other(sent, await sent.attempt.open(last_event_id))
         except NotSentError as exc:
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
         except (ExchangeError, EventTooLongError) as exc:
@@ -239,14 +239,18 @@
             sent.attempt.close()
         return result
 
-    def _reject_error(self, result: StreamSendResult) -> StreamSendResult:
-        """Return a client error of an engine as a failure if the caller has events already.
+    def _reject_other(self, sent: SentAttempt, result: StreamSendResult) -> StreamSendResult:
+        """Return a response as a failure that isn't the rest of a stream that has begun.
 
-        It can't be forwarded any more, and doesn't end the stream.
+        That is a client error, or a body of another type than the events that the caller has. It
+        can't be forwarded any more, and doesn't end the stream.
         """
-        if result.status and result.outcome is ExchangeOutcome.ANSWERED and self.progress.events:
-            return msgspec.structs.replace(result, outcome=ExchangeOutcome.FAILED)
-        return result
+        if result.outcome is not ExchangeOutcome.ANSWERED or not self.progress.events:
+            return result
+        if not result.status and sent.attempt.content_type == self._content_type:
+            return result
+        reason = f"no rest of the stream: {result.status or sent.attempt.content_type}"
+        return StreamSendResult(ExchangeOutcome.FAILED, reason, status=result.status)
 
     async def _record_result(self, sent: SentAttempt, result: StreamSendResult) -> None:
         """Record the result of a send, and avoid an engine that caused a failure."""
@@ -294,6 +298,7 @@
             self._engine_runs.abandon(self._current.engine_run)
             self._current.attempt.close()
         self._current = sent
+        self._delivered.record_continuation()
         self._close_openings()
 
     def _close_openings(self) -> None:
@@ -315,7 +320,7 @@
         """
         event: Event | None = first
         while event is not None:
-            if self._is_new(event):
+            if self._delivered.is_new(event):
                 self._record_event(event)
                 yield event.raw
             event = await self._next_event()
@@ -323,6 +328,16 @@
         self._context.budgets.record_served(self._request.service)
 
     async def _next_event(self) -> Event | None:
+        """Return the next event that may follow, or `None` at the end of the stream.
+
+        Raises `ExchangeError` if it can't go on.
+        """
+        event = await self._receive_event()
+        while event is not None and not self._delivered.allows(event):
+            event = await self._resume("an event without an id in the rest of a stream")
+        return event
+
+    async def _receive_event(self) -> Event | None:
         """Return the next event of the current attempt, or of one that replaces it.
 
         Returns `None` at the end of the stream. Raises `ExchangeError` if it can't go on.
@@ -358,10 +373,6 @@
         if self._current is not None:
             self._current.attempt.interrupt_wait()
 
-    def _is_new(self, event: Event) -> bool:
-        last_event_id = self.progress.last_event_id
-        return event.id is None or last_event_id is None or event.id > last_event_id
-
     def _record_event(self, event: Event) -> None:
         now = now_s()
         progress = self.progress
@@ -376,10 +387,8 @@
             self._context.silence_threshold.observe(gap_s)
         self.last_event_s = now
         progress.events += 1
-        if event.id is not None:
-            progress.last_event_id = event.id
-        if not event.is_comment:  # a comment may come twice
-            self._last_event_has_id = event.id is not None
+        self._delivered.record(event)
+        progress.last_event_id = self._delivered.last_id
 
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
@@ -429,7 +438,7 @@
         return (
             self._request.route.resumable
             and self.progress.last_event_id is not None
-            and self._last_event_has_id
+            and self._delivered.allows_continuation
         )
 
     # Engine failures.
