Count only new events as the progress of a stream

Cause: the wait for an event began anew with each piece of the body. A stalled engine that sent part of an event, a comment or an event that it had sent before, each within the threshold, was never looked into; comments counted as answers to the search for its silence and ended the replacement that was being opened. Such a stream lasted until its deadline, long after callers give one up.

Change: an attempt is silent until an event that isn't only a comment, with a new id or without one, is complete. What arrives during a check is kept and delivered after it. A stream of which only comments were delivered starts again from the beginning. test_probe_wait calls the changed methods; what it asserts is the same.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to run a stream on a path: the exchange with the first engine, and its timeouts."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from typing import Any, TypeVar, cast
@@ -51,7 +52,9 @@
     """One attempt on one path. `close` makes the engines stop their work on it.
 
     `on_silence` is awaited whenever the stream has been silent for longer than the threshold. What
-    it raises ends the wait.
+    it raises ends the wait. A stream is silent until an event with a new id or without one is
+    complete; comments, repeated events and parts of an event may arrive meanwhile. `progress_s` is
+    when that was last, or when the request was sent, in loop seconds.
     """
 
     def __init__(
@@ -69,12 +72,15 @@
         self._on_silence = on_silence
         self._exchange: Exchange | None = None
         self._splitter = EventSplitter()
+        self._received: deque[Event | None] = deque()  # events that were read during a check
+        self._last_id = -1  # the highest id of an event
+        self._restarts_wait = True  # there was progress since the last wait
         self._timeout: asyncio.Timeout | None = None
         self._check_timeout: asyncio.Timeout | None = None
         self._read: Callable[[], Awaitable[object]] | None = None  # while silence is looked into
         self._early_read: asyncio.Future[Any] | None = None
         self._closed = False
-        self.sent_s = now_s()
+        self.sent_s = self.progress_s = now_s()
         context.loads.add(path, request_size)
 
     @property
@@ -180,42 +186,83 @@
 
         Raises `ExchangeError` or `EventTooLongError`.
         """
+        if not self._received and (event := self._splitter.next_event()) is not None:
+            self._is_progress(event)
+            return event
+        if self._restarts_wait:
+            self._restart_wait(self._context.silence_threshold.between_events_s)
+        return await self._read_with_checks(self._read_event, self._read_progress)
+
+    async def _read_event(self) -> Event | None:
+        """Return the next complete event; it may be called again after it was cancelled."""
         assert self._exchange is not None
-        while True:
-            event = self._splitter.next_event()
-            if event is not None:
-                return event
-            chunk = await self._read_chunk(self._exchange)
+        if self._received:
+            return self._received.popleft()
+        while (event := self._splitter.next_event()) is None:
+            chunk = await self._exchange.read_chunk()
             if chunk is None:
                 if self._splitter.buffered:
                     raise ExchangeError("the stream ended in the middle of an event")
                 return None
             self._splitter.feed(chunk)
+        self._is_progress(event)
+        return event
 
-    async def _read_chunk(self, exchange: Exchange) -> bytes | None:
-        return await self._read_with_checks(
-            exchange.read_chunk, self._context.silence_threshold.between_events_s
-        )
+    async def _read_progress(self) -> Event | None:
+        """Return the next event once there was progress, or the stream has ended."""
+        before_s = self.progress_s
+        received: deque[Event | None] = deque()
+        try:
+            while True:
+                event = await self._read_event()
+                received.append(event)
+                if event is None or self.progress_s > before_s:
+                    return received.popleft()
+        finally:
+            self._received.extendleft(reversed(received))
+
+    def _is_progress(self, event: Event) -> bool:
+        """Return whether an event that was read goes on with the stream, and record that."""
+        if event.is_comment or (event.id is not None and event.id <= self._last_id):
+            return False
+        if event.id is not None:
+            self._last_id = event.id
+        self.progress_s = now_s()
+        self._restarts_wait = True
+        return True
 
     async def _await_response(self, opening: "asyncio.Task[Exchange]") -> Exchange:
-        threshold_s = self._context.silence_threshold.first_event_s
-        return await self._read_with_checks(lambda: asyncio.shield(opening), threshold_s)
-
-    async def _read_with_checks(self, read: Callable[[], Awaitable[T]], threshold_s: float) -> T:
-        """Await `read`, and call `on_silence` whenever it takes longer than the threshold.
-
-        The threshold starts at `threshold_s` and rises each time. `read` may be called again after
-        it was cancelled. At the deadline, or when interrupted, `on_silence` is cancelled.
+        def read() -> Awaitable[Exchange]:
+            return asyncio.shield(opening)
+
+        self._restart_wait(self._context.silence_threshold.first_event_s)
+        return await self._read_with_checks(read, read)
+
+    def _restart_wait(self, threshold_s: float) -> None:
+        """Begin to wait for progress, for `threshold_s` until the first check."""
+        self._threshold_s = threshold_s
+        self._check_s = now_s() + threshold_s
+        self._restarts_wait = False
+
+    async def _read_with_checks(
+        self, read: Callable[[], Awaitable[T]], read_progress: Callable[[], Awaitable[T]]
+    ) -> T:
+        """Await `read`, and call `on_silence` whenever the silence exceeds the threshold.
+
+        The threshold rises each time. `read` may be called again after it was cancelled. During a
+        check, `read_progress` is awaited in its place. At the deadline, or when interrupted,
+        `on_silence` is cancelled.
         """
-        wait_s = threshold_s
+        wait_s = max(0.0, self._check_s - now_s())
         while True:
             try:
                 return await self._wait(read, wait_s)
             except TimeoutError:
-                self._read = read
+                self._read = read_progress
             try:
                 await self._check()
-                wait_s = threshold_s = SilenceThreshold.increase(threshold_s)
+                self._threshold_s = wait_s = SilenceThreshold.increase(self._threshold_s)
+                self._check_s = now_s() + wait_s
             except (ResumedError, TimeoutError):
                 if self._early_read is not None:
                     await asyncio.wait({self._early_read})  # Only one task may read at a time.
--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -30,7 +30,7 @@
 
     def __init__(self, last_id: int | None):
         self.last_id = last_id
-        self._count = 0
+        self._has_begun = False  # an event that isn't only a comment was delivered
         self._last_has_id = True
         self._continued = False
 
@@ -45,15 +45,15 @@
 
     def record(self, event: Event) -> None:
         """Record a new event that is delivered."""
-        self._count += 1
         if event.id is not None:
             self.last_id = event.id
         if not event.is_comment:  # a comment may come twice
+            self._has_begun = True
             self._last_has_id = event.id is not None
 
     def record_continuation(self) -> None:
         """Record that the next events come from another attempt than the ones so far."""
-        self._continued = self._count > 0
+        self._continued = self._has_begun
 
     def allows(self, event: Event) -> bool:
         """Return whether an event may follow; one of a further attempt needs an id.
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -91,7 +91,7 @@
             self._crash_guard,
             self._log,
         )
-        self._last_send_s = self.last_event_s = request.received_s
+        self._last_send_s = self._last_event_s = request.received_s
         self._delivered = DeliveredEvents(self.progress.last_event_id)
         self._content_type = ""  # of the first attempt that has begun to answer
         self._asked_again: set[UpstreamId] = set()  # since the last interruption
@@ -354,7 +354,8 @@
         except (ExchangeError, EventTooLongError) as exc:
             return await self._resume(str(exc))
         self._engine_runs.record_answer(self._current.engine_run)
-        self._close_openings()
+        if event is None or (not event.is_comment and self._delivered.is_new(event)):
+            self._close_openings()
         return event
 
     async def _settle_openings(self) -> None:
@@ -374,6 +375,14 @@
             self._current.attempt.interrupt_wait()
 
     def _record_event(self, event: Event) -> None:
+        self.progress.events += 1
+        if not event.is_comment:
+            self._record_progress()
+        self._delivered.record(event)
+        self.progress.last_event_id = self._delivered.last_id
+
+    def _record_progress(self) -> None:
+        """Record the time of an event that isn't only a comment."""
         now = now_s()
         progress = self.progress
         if progress.first_event_s is None:
@@ -382,13 +391,10 @@
             metrics = self._context.state.metrics
             metrics.observe_first_token(self._request.service, progress.first_event_s)
         else:
-            gap_s = now - self.last_event_s
+            gap_s = now - self._last_event_s
             progress.longest_gap_s = max(progress.longest_gap_s, gap_s)
             self._context.silence_threshold.observe(gap_s)
-        self.last_event_s = now
-        progress.events += 1
-        self._delivered.record(event)
-        progress.last_event_id = self._delivered.last_id
+        self._last_event_s = now
 
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
@@ -433,13 +439,10 @@
     def is_resumable(self) -> bool:
         """Return whether a stream that has begun can go on in another attempt.
 
-        After an event without an id it can't, as a new run would send that event once more.
+        After an event without an id it can't, as a new run would send that event once more. After
+        comments alone it starts again from the beginning.
         """
-        return (
-            self._request.route.resumable
-            and self.progress.last_event_id is not None
-            and self._delivered.allows_continuation
-        )
+        return self._request.route.resumable and self._delivered.allows_continuation
 
     # Engine failures.
 
--- a/daemon/minttided/gateway/streams/silence.py
+++ b/daemon/minttided/gateway/streams/silence.py
@@ -33,7 +33,6 @@
     """The stream whose silence is handled. Times are in loop seconds."""
 
     progress: Progress
-    last_event_s: float
 
     @property
     def is_resumable(self) -> bool:
@@ -150,7 +149,7 @@
 
     def _measure_silence(self, attempt: StreamAttempt) -> Silence:
         return Silence(
-            now_s() - max(attempt.sent_s, self._stream.last_event_s),
+            now_s() - attempt.progress_s,
             self._context.silence_threshold.between_events_s,
             self._may_repeat(),
         )
--- a/test/test_probe_wait.py
+++ b/test/test_probe_wait.py
@@ -107,8 +107,9 @@
     loads = SimpleNamespace(add=lambda *_: None, remove=lambda *_: None)
     request = SimpleNamespace(end_s=asyncio.get_running_loop().time() + 100.0)
     attempt = StreamAttempt(SimpleNamespace(loads=loads), request, (), None, check)
+    attempt._restart_wait(THRESHOLD_S)  # noqa: SLF001
     reading = asyncio.create_task(
-        attempt._read_with_checks(lambda: reader.read(100), THRESHOLD_S)  # noqa: SLF001
+        attempt._read_with_checks(*[lambda: reader.read(100)] * 2)  # noqa: SLF001
     )
     error = ConnectionResetError()
     receive = (reader.set_exception, error) if data is None else (reader.feed_data, data)
