Serve what waits in the sockets when accepting ends, and trust only named rejections

Cause: (1) In a planned stop the listening socket was closed with the connections that waited to be accepted, and idle connections with requests that had arrived but weren't read: the kernel reset both. In a process whose event loop is busy that is every request of the last turn. (2) A rejection without the attempt id still counted as 'not run', although upstreams echo the id in each response.

Change: accepting ends after all that wait were accepted and the loop has received what lies in the sockets. A connection that was accepted just before has 0.5 s for its first request, in which the shutdown waits for it. A rejection without the id leaves it unknown whether the request has run; a request without an id has none to be named.

--- a/core/minttide/routing/outcome.py
+++ b/core/minttide/routing/outcome.py
@@ -16,20 +16,22 @@
     FAILED = "failed"  # a complete response to a request that ran and failed
     REJECTED = "rejected"  # the upstream states that the request has not run
     NOT_SENT = "not-sent"  # no byte left this host
-    UNKNOWN = "unknown"  # the connection broke; the request may have run
+    UNKNOWN = "unknown"  # the connection broke, or another's rejection came; it may have run
 
 
 NOT_RUN_OUTCOMES = frozenset({ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT})
 """Outcomes after which even a request that must not run twice may be retried."""
 
 
-def classify_response(status: int, reports_not_run: bool) -> ExchangeOutcome:
+def classify_response(status: int, reports_not_run: bool, names_request: bool) -> ExchangeOutcome:
     """Return the outcome of an exchange with a complete response.
 
-    `reports_not_run` says whether the response carries the header of requests that did not run.
+    `reports_not_run` says whether the response carries the header of requests that did not run,
+    `names_request` whether it carries the id of its request. Without that, it may be the copy of a
+    response to another one, and doesn't show that this one has not run.
     """
     if reports_not_run or status == MISDIRECTED_REQUEST:
-        return ExchangeOutcome.REJECTED
+        return ExchangeOutcome.REJECTED if names_request else ExchangeOutcome.UNKNOWN
     return (
         ExchangeOutcome.FAILED
         if status >= MIN_SERVER_ERROR or status in NOT_RUN_STATUSES
--- a/daemon/minttided/callers/server.py
+++ b/daemon/minttided/callers/server.py
@@ -87,9 +87,9 @@
         """Close each connection after its next response; new ones are still accepted."""
         self._server.announce_close()
 
-    def stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Accept no more connections; requests in progress continue."""
-        self._server.stop_accepting()
+        await self._server.stop_accepting()
 
     # Routes.
 
--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -98,14 +98,16 @@
         """Return whether the end of the body is marked, and isn't that of the connection."""
         return any(n in _FRAMING_HEADERS for n, _ in self.headers)
 
-    def check_attempt(self, header: str, attempt_id: str) -> None:
-        """Raise `ExchangeError` if the response names another attempt than this one.
+    def check_attempt(self, header: str, attempt_id: str) -> bool:
+        """Return whether the response names this attempt, as all of its kind do.
 
-        What such a response says, also that a request has not run, is true of the other one.
+        A request without an id has none that a response could name. Raises `ExchangeError` if it
+        names another one: what it says, also that a request has not run, is true of that one.
         """
         echoed = self.header(header)
         if echoed is not None and echoed != attempt_id:
             raise ExchangeError("the response is for another request")
+        return echoed is not None or not attempt_id
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end. Raises `ExchangeError`."""
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -163,13 +163,14 @@
             partial(self._state.record_reach, upstream.id),
         )
         try:
-            exchange.check_attempt(names.attempt, request.attempt_id)
+            is_named = exchange.check_attempt(names.attempt, request.attempt_id)
             self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
             exchange.close()
         self._state.suspects.clear(upstream.id)
-        outcome = classify_response(exchange.status, exchange.header(names.not_run) is not None)
+        not_run = exchange.header(names.not_run) is not None
+        outcome = classify_response(exchange.status, not_run, is_named)
         return SendResult(outcome, upstream.id, str(exchange.status), to_response(exchange, body))
 
     def _finish(
--- a/daemon/minttided/gateway/forwarding/server.py
+++ b/daemon/minttided/gateway/forwarding/server.py
@@ -77,9 +77,9 @@
         """Close each connection of a caller after its next response."""
         self._callers.announce_close()
 
-    def stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Accept no more connections of callers; requests in progress continue."""
-        self._callers.stop_accepting()
+        await self._callers.stop_accepting()
 
 
 class _CountedChunks:
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -130,11 +130,11 @@
             opening.add_done_callback(_close_late_exchange)
             raise
         exchange, names = self._exchange, self._context.state.headers
-        exchange.check_attempt(names.attempt, self._request.attempt_id)
+        is_named = exchange.check_attempt(names.attempt, self._request.attempt_id)
         limit = exchange.header(names.limit)
         self._context.state.record_limit(self._path[0].engine, exchange.status, limit)
         if exchange.status != OK:
-            return await self._read_failure(exchange)
+            return await self._read_failure(exchange, is_named)
         event = await self.next_event()
         if event is None and not exchange.is_framed:
             raise ExchangeError("the connection ended before the first event")
@@ -168,10 +168,11 @@
             partial(state.record_reach, first.engine),
         )
 
-    async def _read_failure(self, exchange: Exchange) -> StreamSendResult:
+    async def _read_failure(self, exchange: Exchange, is_named: bool) -> StreamSendResult:
         names = self._context.state.headers
         body = await exchange.read_body(MAX_RESPONSE_BYTES, self._request.end_s)
-        outcome = classify_response(exchange.status, exchange.header(names.not_run) is not None)
+        not_run = exchange.header(names.not_run) is not None
+        outcome = classify_response(exchange.status, not_run, is_named)
         fault = exchange.header(names.fault_address)
         reason = f"{exchange.status} at {fault}" if fault else str(exchange.status)
         response = to_response(exchange, body)
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -14,7 +14,7 @@
     NotSentError,
     make_request,
 )
-from minttided.http.messages import Headers
+from minttided.http.messages import Headers, receive_pending
 
 __all__ = ["ExchangeError", "HttpClient", "ClientResponse", "NotSentError"]
 
@@ -90,7 +90,7 @@
     async def _acquire(self, fresh: bool, deadline: float) -> ClientConnection:
         while self._idle and not fresh:
             conn = self._idle.pop()
-            await _receive_pending()
+            await receive_pending()
             if conn.is_reusable(asyncio.get_running_loop().time(), MAX_IDLE_S):
                 return conn
             conn.close()
@@ -125,9 +125,3 @@
             raise h11.RemoteProtocolError("the response is too long")
         chunks.append(chunk)
     return ClientResponse(status, headers, b"".join(chunks))
-
-
-async def _receive_pending() -> None:
-    """Let the event loop receive what has arrived, which takes it up to two turns."""
-    await asyncio.sleep(0)
-    await asyncio.sleep(0)
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -34,6 +34,9 @@
 BODY_TIMEOUT_S = 30.0
 WRITE_STALL_TIMEOUT_S = 30.0
 CLOSE_TIMEOUT_S = 1.0
+FIRST_REQUEST_S = 0.5
+"""Time for the first request on a connection that was accepted just before the server stops."""
+
 RETRY_AFTER_S = 1.0
 
 
@@ -70,6 +73,8 @@
         self._body = BodyAllocation(server.bodies)
         self._discarding = False  # further input is ignored
         self._stopping = False  # the server stops; a running handler is cancelled
+        self._accepted_s = asyncio.get_running_loop().time()
+        self._is_new = True  # no request has arrived yet
         self._input_ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._input_waiter: asyncio.Future[None] | None = None
         self._writable_waiter: asyncio.Future[None] | None = None
@@ -99,6 +104,7 @@
             self._conn = _make_parser(self._server.bounds)
         self._conn.receive_data(data)
         self._has_input = True
+        self._is_new = False
         if self._handling:
             self._buffered_bytes += len(data)
             if self._buffered_bytes > self._server.bounds.max_header_bytes:
@@ -134,15 +140,30 @@
 
     @property
     def is_transferring(self) -> bool:
-        """Return whether a request is being read, or the end of a response has yet to be sent."""
+        """Return whether a request is read or expected, or the end of a response is unsent."""
         unsent_bytes = self._transport.get_write_buffer_size()
-        return not self._handling and (self._has_input or unsent_bytes > 0)
+        has_input = self._has_input or self._expects_request()
+        return not self._handling and (has_input or unsent_bytes > 0)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being read or handled."""
-        if not self._handling and not self._has_input:
+        """Close the connection unless a request is being read or handled.
+
+        One that was accepted just before is closed a little later: its request is on the way.
+        """
+        if self._handling or self._has_input:
+            return
+        if self._expects_request():
+            end_s = self._accepted_s + FIRST_REQUEST_S
+            asyncio.get_running_loop().call_at(end_s, self.close_if_idle)
+        else:
             self._transport.close()
 
+    def _expects_request(self) -> bool:
+        """Return whether the first request on a new connection may be on the way."""
+        if not self._is_new or self._transport.is_closing():
+            return False
+        return asyncio.get_running_loop().time() < self._accepted_s + FIRST_REQUEST_S
+
     def stop(self) -> None:
         """End the connection; a request whose answer has not begun is answered as unknown."""
         self._stopping = True
--- a/daemon/minttided/http/messages.py
+++ b/daemon/minttided/http/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as passed to and from handlers."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -80,3 +81,12 @@
 def join_address(host: str, port: int) -> Address:
     """Join an IP address and a port; an IPv6 address is put in brackets."""
     return Address(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+
+
+async def receive_pending() -> None:
+    """Let the event loop receive what lies in the buffers of its sockets.
+
+    It polls them once a turn, after what was ready before. So that takes it up to two turns.
+    """
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -4,13 +4,15 @@
 """
 
 import asyncio
+import socket
+from contextlib import suppress
 from types import TracebackType
 from typing import Self
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
 from minttided.http.connection import Connection
-from minttided.http.messages import Handler, join_address, split_address
+from minttided.http.messages import Handler, join_address, receive_pending, split_address
 from minttided.http.request import BodyBudget
 
 BACKLOG = 1024
@@ -43,7 +45,7 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self.stop_accepting()
+        await self.stop_accepting()
         tasks = [c.task for c in self._conns]
         for conn in self._conns:
             conn.stop()
@@ -77,12 +79,22 @@
         """Close each connection after its next response; new ones are still accepted."""
         self.closing = True
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections; requests in progress continue."""
+    async def stop_accepting(self) -> None:
+        """Close the listening socket and idle connections; requests in progress continue.
+
+        Connections that wait to be accepted, and requests that have arrived, are served first:
+        closing their sockets would reset them.
+        """
         self.closing = True
-        if self._server is not None:
+        loop = asyncio.get_running_loop()
+        if self._server is not None and self._server.sockets:
+            listening = self._server.sockets[0].dup()
             self._server.close()
-        for conn in self._conns:
+            for sock in _accept_all(listening):
+                with suppress(OSError):  # it may have been closed meanwhile
+                    await loop.connect_accepted_socket(lambda: Connection(self), sock)
+        await receive_pending()
+        for conn in list(self._conns):
             conn.close_if_idle()
 
     def add(self, conn: "Connection") -> bool:
@@ -93,3 +105,16 @@
     def remove(self, conn: "Connection") -> None:
         """Unregister a closed connection."""
         self._conns.discard(conn)
+
+
+def _accept_all(listening: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a non-blocking socket, and close it."""
+    accepted: list[socket.socket] = []
+    with listening:
+        listening.setblocking(False)
+        with suppress(OSError):  # none waits any more, or no descriptor is left
+            while True:
+                accepted.append(listening.accept()[0])
+    for sock in accepted:
+        sock.setblocking(False)
+    return accepted
--- a/daemon/minttided/stopping.py
+++ b/daemon/minttided/stopping.py
@@ -20,7 +20,7 @@
     def announce_close(self) -> None:
         """Close each connection after its next response; new ones are still accepted."""
 
-    def stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Accept no more connections; requests in progress continue."""
 
 
@@ -79,7 +79,7 @@
         await self._announce()
         await asyncio.sleep(accept_duration_s)
         if listener is not None:
-            listener.stop_accepting()
+            await listener.stop_accepting()
             await self._wait_for_requests(listener)
 
     async def _announce(self) -> None:
--- a/fakes/minttide_fakes/memory_network.py
+++ b/fakes/minttide_fakes/memory_network.py
@@ -31,6 +31,26 @@
     def getsockname(self) -> SocketAddress:
         return self.address
 
+    def dup(self) -> "_EmptyQueue":
+        """Return a socket without connections to accept, as they are accepted at once."""
+        return _EmptyQueue()
+
+
+class _EmptyQueue:
+    """Stands in for the listening socket of a server."""
+
+    def __enter__(self) -> "_EmptyQueue":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        pass
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def accept(self) -> None:
+        raise BlockingIOError
+
 
 class MemoryTransport(asyncio.Transport):
     """One end of a connection in memory."""
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -38,6 +38,7 @@
         "prompt_crashes",
         "soak",
         "stand_in_servers",
+        "stop_under_load",
         "upstream_limits",
     )
 }
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -235,7 +235,7 @@
             busy_reader, busy = await asyncio.open_connection(*split_address(address))
             busy.write(b"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
             await busy_reader.readuntil(b"\r\n2\r\n")
-            server.stop_accepting()
+            await server.stop_accepting()
             with pytest.raises(NotSentError):
                 await client.request("GET", "/", fresh=True)
             assert server.open_requests == 1
--- a/test/test_resumed_answers.py
+++ b/test/test_resumed_answers.py
@@ -115,11 +115,19 @@
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
 
 
+def unnamed(response):
+    """Return a response without the id of its request."""
+    return response.replace(b"x-attempt: 1\r\n", b"")
+
+
 OTHERS_REJECTIONS = {
     "not run": plain_response(503, b"full", attempt=b"2", headers=NOT_RUN),
     "misdirected": plain_response(421, b"other", attempt=b"2"),
     "too many": plain_response(429, b"", attempt=b"2", headers=NOT_RUN),
     "bad": plain_response(400, b"", attempt=b"2", headers=NOT_RUN),
+    "not run, without an id": unnamed(plain_response(503, b"full", headers=NOT_RUN)),
+    "misdirected, without an id": unnamed(plain_response(421, b"other")),
+    "bad, without an id": unnamed(plain_response(400, b"", headers=NOT_RUN)),
 }
 
 
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -68,7 +68,9 @@
     ],
 )
 def test_classify_response(status, says_not_run, expected):
-    assert classify_response(status, says_not_run) is expected
+    assert classify_response(status, says_not_run, names_request=True) is expected
+    unnamed = ExchangeOutcome.UNKNOWN if expected is ExchangeOutcome.REJECTED else expected
+    assert classify_response(status, says_not_run, names_request=False) is unnamed
 
 
 @pytest.mark.parametrize(
