Ask others before a lone probe that isn't answered counts against its engine

Cause: three concurrent probes without an answer show that this host's own link is busy; an engine with all layers is probed alone. After 0.2 s of a busy link a sound engine was avoided for 2 s, after 0.4 s both, and the next request was refused at once (KNOWN-RED).

Change: when a lone probe of 50 ms fails and nothing has answered since it began, it is repeated with the longer timeout beside connections to up to three other upstreams that seem sound. One that answers shows that the link works, and the engine counts as failed at once; if none answers, nothing is held against the engine. Refused connections are conclusive without all this.

--- a/core/minttide/policy/probe_evidence.py
+++ b/core/minttide/policy/probe_evidence.py
@@ -30,6 +30,10 @@
         """Record that an upstream has answered a probe."""
         self._answered_s = now_s
 
+    def has_answer_since(self, started_s: float) -> bool:
+        """Return whether an upstream has answered a probe since `started_s`."""
+        return self._answered_s >= started_s
+
     def is_inconclusive(self, started_s: float) -> bool:
         """Return whether the failure of a probe that began at `started_s` may be this host's own.
 
--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -20,6 +20,10 @@
         self.reached = reached
 
 
+class InconclusiveError(SourceError):
+    """Neither the process that was asked nor any other answered, which may be due to this host."""
+
+
 class ProcessEndedError(SourceError):
     """The process that was asked has ended: its address refuses connections, or another answers.
 
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -6,7 +6,12 @@
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
-from minttide.routing.sources import EngineReport, ProcessEndedError, SourceError
+from minttide.routing.sources import (
+    EngineReport,
+    InconclusiveError,
+    ProcessEndedError,
+    SourceError,
+)
 from minttided.gateway.connect_probe import CONFIRM_TIMEOUT_S, probe, probe_connection
 from minttided.gateway.shared_probe import SharedProbe
 from minttided.gateway.state import GatewayState, now_s
@@ -120,6 +125,8 @@
             return False
         try:
             await probe_connection(self._state, entry)
+        except InconclusiveError:
+            return False
         except SourceError as exc:
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
             return False
@@ -132,6 +139,9 @@
             return None
         try:
             report = await probe(self._state, self._state.engines.report, entry)
+        except InconclusiveError as exc:
+            self._state.record_reach(entry.id, exc.reached)
+            return None
         except SourceError as exc:
             self._state.record_reach(entry.id, exc.reached)
             self._suspect(entry, str(exc), isinstance(exc, ProcessEndedError))
