Give extra copies of layers only to engines that have been empty for a while

Change: an engine that holds nothing fills gaps at once, as before, but gets an extra copy only after 2 s. The opening of a stream's attempts has its own module; nothing else changes in it.

--- a/core/minttide/layers/repair.py
+++ b/core/minttide/layers/repair.py
@@ -4,6 +4,9 @@
 layers, else by engines whose own range has another copy: in their zone, or, if no engine of the
 site holds the missing range, in any zone. An engine gets one order at a time, and no order removes
 the last copy of a range.
+
+Engines that hold nothing also get extra copies, but not while they are new: one that joins often
+replaces another of its kind, which leaves a moment later, and then fits into its place.
 """
 
 from collections import Counter, defaultdict
@@ -36,11 +39,12 @@
     engines: Sequence[UpstreamEntry],
     ordered: Mapping[UpstreamId, LayerRange],
     lost: Collection[UpstreamId] = (),
+    new: Collection[UpstreamId] = (),
 ) -> list[PlacementOrder]:
     """Return the orders to send now.
 
     `ordered` holds layers that engines were ordered to load and don't report yet. Engines in `lost`
-    count as holding nothing and get no order.
+    count as holding nothing and get no order. Those in `new` get no extra copy yet.
     """
     usable = [e for e in engines if not e.leaving and e.id not in lost and model.kind(e.kind)]
     holdings = {e.id: ordered.get(e.id) or e.layers for e in usable}
@@ -52,7 +56,7 @@
             for e, r in sorted(layout.items())
             if held.get(e) != r and e not in ordered
         ]
-    return _Repair(model, usable, held, ordered).plan()
+    return _Repair(model, usable, held, ordered, new).plan()
 
 
 def _count_covered(model: ModelSpec, ranges: Collection[LayerRange]) -> int:
@@ -71,11 +75,13 @@
         engines: Sequence[UpstreamEntry],
         held: dict[UpstreamId, LayerRange],
         ordered: Mapping[UpstreamId, LayerRange],
+        new: Collection[UpstreamId],
     ):
         self._model = model
         self._engines = {e.id: e for e in engines}
         self._held = held
         self._ordered = ordered
+        self._new = new
         self._orders: list[PlacementOrder] = []
         self._zones: dict[ZoneId, list[UpstreamId]] = defaultdict(list)
         for engine in sorted(engines, key=lambda e: e.id):
@@ -185,7 +191,7 @@
         """Order copies of the zone's least replicated ranges onto engines that hold nothing."""
         counts = Counter(self._held.values())
         for engine, entry in sorted(self._engines.items()):
-            if engine in self._held or not self._is_free(engine):
+            if engine in self._held or engine in self._new or not self._is_free(engine):
                 continue
             limit = self._max_layers(engine, REPAIR_STREAMS * stream_tokens(self._model))
             in_zone = Counter(self._held[e] for e in self._zones[entry.zone] if e in self._held)
--- a/daemon/minttided/gateway/placement/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -28,6 +28,12 @@
 ORDER_MARGIN_S = 3.0
 """How long an order counts as pending beyond the time that its layers take to load."""
 
+EXTRA_COPY_DELAY_S = 2.0
+"""How long an engine must have been empty before it gets a copy of what others hold.
+
+In a rolling replacement, the engine that it replaces leaves in this time.
+"""
+
 REPORT_TIMEOUT_S = 0.3
 
 
@@ -55,6 +61,7 @@
         self._valid_until_s = 0.0
         self._pending_orders: dict[UpstreamId, _PendingOrder] = {}
         self._lost: set[UpstreamId] = set()
+        self._empty_since_s: dict[tuple[UpstreamId, int], float] = {}  # by engine and start
         self._last_engines: frozenset[UpstreamId] = frozenset()
         self._engines_changed_s = 0.0
 
@@ -137,7 +144,7 @@
         lost |= {e.id for e in engines if e.id in suspected and e.layers is None}
         pending = {e.id: e.layers for e in engines if e.id in suspected and e.layers is not None}
         pending |= {e: o.layers for e, o in self._pending_orders.items()}
-        orders = plan_orders(model, engines, pending, lost)
+        orders = plan_orders(model, engines, pending, lost, self._find_new())
         by_id = {e.id: e for e in engines}
         await asyncio.gather(*(self._send_order(model, by_id[o.engine], o) for o in orders))
 
@@ -156,6 +163,17 @@
     async def _has_ended(self, entry: UpstreamEntry) -> bool:
         return self._probes.has_ended(entry) or await self._probes.confirm_ended(entry)
 
+    def _find_new(self) -> set[UpstreamId]:
+        """Return the engines that haven't been without layers for `EXTRA_COPY_DELAY_S` yet."""
+        now, listed = now_s(), self._state.upstreams.values()
+        empty = {(e.id, e.born_ms) for e in listed if e.layers is None}
+        self._empty_since_s = {key: self._empty_since_s.get(key, now) for key in empty}
+        return {
+            engine
+            for (engine, _), since_s in self._empty_since_s.items()
+            if now < since_s + EXTRA_COPY_DELAY_S
+        }
+
     def _is_stable(self, engines: Sequence[UpstreamEntry]) -> bool:
         engine_ids = frozenset(e.id for e in engines)
         if engine_ids != self._last_engines:
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -3,7 +3,6 @@
 `silence.py` handles its silences.
 """
 
-import asyncio
 import logging
 from collections.abc import AsyncGenerator
 
@@ -11,13 +10,14 @@
 from minttide.layers.paths import RequestSize
 from minttide.problems import Ran
 from minttide.routing.outcome import ExchangeOutcome, may_retry
-from minttide.routing.routes import ModelSpec, UpstreamEntry
+from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.permissions import find_obstacle
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
 from minttided.gateway.state import now_s
 from minttided.gateway.streams.attempt import OK, StreamAttempt, StreamSendResult
+from minttided.gateway.streams.attempt_opener import AttemptOpener
 from minttided.gateway.streams.context import StreamContext
 from minttided.gateway.streams.engine_runs import EngineRuns
 from minttided.gateway.streams.events import DeliveredEvents, Event, EventTooLongError
@@ -28,7 +28,7 @@
 from minttided.gateway.streams.response import EventChunks
 from minttided.gateway.streams.silence import BLOCKED, SilenceHandler
 from minttided.gateway.streams.unstarted import finish_unstarted
-from minttided.http.client import ExchangeError, NotSentError
+from minttided.http.client import ExchangeError
 from minttided.http.messages import HttpResponse, StreamResponse
 
 log = logging.getLogger(__name__)
@@ -44,10 +44,6 @@
 """Time after a send in which engines that failed aren't tried again while an attempt goes on."""
 
 
-LAST_PROBE_S = 0.06
-"""Time after the deadline for a probe that shows whether the engine can be reached."""
-
-
 class ReplacedError(Exception):
     """Another attempt has begun to answer while the current one was silent."""
 
@@ -79,9 +75,17 @@
         self._log = StreamLog(context.state, request, request_size)
         self.progress = Progress(last_event_id=parse_last_event_id(request.req))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
-        self._may_have_run = False
         self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
         self._crash_guard = CrashGuard(context.state, request)
+        self._opener = AttemptOpener(
+            context,
+            request,
+            self.progress,
+            self._paths,
+            self._engine_runs,
+            self._crash_guard,
+            self._log,
+        )
         self._silence = SilenceHandler(
             context,
             request,
@@ -94,7 +98,6 @@
         )
         self._last_send_s = self._last_event_s = request.received_s
         self._delivered = DeliveredEvents(self.progress.last_event_id)
-        self._content_type = ""  # of the first attempt that has begun to answer
         self._asked_again: set[UpstreamId] = set()  # since the last interruption
 
     @property
@@ -122,11 +125,11 @@
                 self._context,
                 self._request,
                 result,
-                self._may_have_run,
+                self._opener.may_have_run,
                 self._crash_guard.rejection(),
                 self._paths.limit_delay_s(),
             )
-        self._content_type = self._current.attempt.content_type
+        self._opener.content_type = self._current.attempt.content_type
         headers, content_type = split_content_type(self._current.attempt.headers)
         chunks = EventChunks(self.events(result.event), self.close)
         return StreamResponse(chunks, OK, content_type, headers)
@@ -181,7 +184,7 @@
         self.progress.sends += 1
         self._last_send_s = attempt.sent_s
         self._context.state.metrics.count_decision("path")
-        self._openings.add(sent, self._open(sent, self.progress.last_event_id))
+        self._openings.add(sent, self._opener.open(sent, self.progress.last_event_id))
         return None
 
     def _is_repeat_early(self) -> bool:
@@ -215,83 +218,6 @@
             if not await self._send_again(result) and not self._openings:
                 return result
 
-    async def _open(self, sent: SentAttempt, last_event_id: int | None) -> StreamSendResult:
-        """Return the result of an attempt once it has begun to answer or failed."""
-        path = sent.attempt.path
-        try:
-            result = self._reject_other(sent, await sent.attempt.open(last_event_id))
-        except NotSentError as exc:
-            result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
-        except (ExchangeError, EventTooLongError) as exc:
-            result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
-        except Exception as exc:  # ends this attempt, and not the stream
-            log.exception("attempt failed unexpectedly")
-            result = StreamSendResult(ExchangeOutcome.UNKNOWN, repr(exc))
-        await self._record_result(sent, result)
-        self._log.sent(
-            path,
-            result.outcome,
-            result.reason,
-            sent.number,
-            self.progress.last_event_id,
-            self._engine_runs.count,
-        )
-        if result.event is None:
-            sent.attempt.close()
-        return result
-
-    def _reject_other(self, sent: SentAttempt, result: StreamSendResult) -> StreamSendResult:
-        """Return a response as a failure that isn't the rest of a stream that has begun.
-
-        That is a client error, or a body of another type than the events that the caller has. It
-        can't be forwarded any more, and doesn't end the stream.
-        """
-        if result.outcome is not ExchangeOutcome.ANSWERED or not self.progress.events:
-            return result
-        if not result.status and sent.attempt.content_type == self._content_type:
-            return result
-        reason = f"no rest of the stream: {result.status or sent.attempt.content_type}"
-        return StreamSendResult(ExchangeOutcome.FAILED, reason, status=result.status)
-
-    async def _record_result(self, sent: SentAttempt, result: StreamSendResult) -> None:
-        """Record the result of a send, and avoid an engine that caused a failure."""
-        first = sent.entry.id
-        if result.outcome is ExchangeOutcome.REJECTED:
-            self._engine_runs.remove(sent.engine_run)
-            self._paths.avoid_rejecting_engine(sent.attempt, result.status, result.fault)
-            return
-        probes = self._context.probes
-        if result.outcome is ExchangeOutcome.NOT_SENT:
-            self._engine_runs.remove(sent.engine_run)
-            self._paths.avoid([first])
-            probes.check_engine(first)
-            return
-        if result.outcome is ExchangeOutcome.UNKNOWN:
-            self._paths.avoid([first])
-        self._may_have_run = True
-        responds = result.event is not None or await self._responds(sent.entry, result.reason)
-        self._engine_runs.record_probe(sent.engine_run, responds)
-        if not responds and probes.has_ended(sent.entry):
-            self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
-
-    async def _responds(self, entry: UpstreamEntry, reason: str) -> bool:
-        """Return whether an engine that failed still answers; true if it can't be probed.
-
-        A block ends the stream without a probe, and after the deadline a probe isn't repeated: the
-        answer would wait.
-        """
-        probes = self._context.probes
-        if reason == BLOCKED:
-            return not probes.has_ended(entry)
-        try:
-            async with asyncio.timeout_at(max(now_s(), self._request.end_s) + LAST_PROBE_S):
-                return await probes.responds(entry.id)
-        except TimeoutError:
-            return not probes.has_ended(entry)
-        except Exception:
-            log.exception("probe failed unexpectedly", extra={"engine": entry.id})
-            return True
-
     def _choose_attempt(self, sent: SentAttempt) -> None:
         """Make an attempt that has begun to answer the current one, and end the others."""
         if self._current is not None and self._current is not sent:
@@ -405,7 +331,7 @@
         self._end_current()
         self._paths.avoid([entry.id])
         self._asked_again.clear()
-        responds = await self._responds(entry, reason)
+        responds = await self._opener.responds(entry, reason)
         self._engine_runs.record_probe(engine_run, responds)
         self._log.interrupted(reason, self.progress)
         if not self._openings:
--- a/test/test_gateway_placer.py
+++ b/test/test_gateway_placer.py
@@ -14,7 +14,12 @@
 from minttide.routing.sources import EngineReport, LeaseGrant, OrderOutcome, SourceError
 from minttide.routing.table import RouteTable
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.placement.placer import LEASE_TTL_S, LEASE_VALID_FRACTION, Placer
+from minttided.gateway.placement.placer import (
+    EXTRA_COPY_DELAY_S,
+    LEASE_TTL_S,
+    LEASE_VALID_FRACTION,
+    Placer,
+)
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.probes import EngineProbes
@@ -137,6 +142,41 @@
     run_check(check, EMPTY)
 
 
+# Guards against a large engine that gets an extra copy just before the one that it replaces leaves,
+# so that small ones have to fill the gap.
+@pytest.mark.parametrize("leaves_after_s", [0.4, 0.9, 1.5])
+@pytest.mark.parametrize("kind", ["large", "middle"])
+def test_engine_that_joins_takes_the_place_of_the_one_that_leaves_after_it(kind, leaves_after_s):
+    old = next(e for e in PLACED if e.kind == kind and e.layers)
+    joined = msgspec.structs.replace(old, id="joined", address="joined:1", layers=None)
+    left = [msgspec.structs.replace(e, leaving=e.id == old.id) for e in PLACED]
+
+    async def check(site):
+        site.fake_engines.layers_by_engine["joined"] = None
+        run = asyncio.ensure_future(site.run(8.0))
+        await asyncio.sleep(1.0)
+        site.set_listed([*PLACED, joined])
+        await asyncio.sleep(leaves_after_s)
+        site.set_listed([*left, joined])
+        await run
+        assert {e: layers for e, layers, *_ in site.fake_engines.orders} == {"joined": old.layers}
+
+    run_check(check, PLACED)
+
+
+def test_engine_that_joins_gets_an_extra_copy_if_none_leaves():
+    old = next(e for e in PLACED if e.kind == "large" and e.layers)
+    joined = msgspec.structs.replace(old, id="joined", address="joined:1", layers=None)
+
+    async def check(site):
+        site.fake_engines.layers_by_engine["joined"] = None
+        site.set_listed([*PLACED, joined])
+        await site.run(EXTRA_COPY_DELAY_S + 1.0)
+        assert [e for e, *_ in site.fake_engines.orders] == ["joined"]
+
+    run_check(check, PLACED)
+
+
 @pytest.mark.parametrize("paused_s", [1.0, 3.0, 8.0])
 def test_paused_host_sends_no_order_after_its_lease(paused_s):
     async def check(site):
--- a/test/test_probe_wait.py
+++ b/test/test_probe_wait.py
@@ -17,7 +17,7 @@
 from minttide_fakes.memory_network import run_in_memory
 from minttide_fakes.virtual import run_virtual
 from minttided.gateway.streams.attempt import StreamAttempt
-from minttided.gateway.streams.run import LAST_PROBE_S
+from minttided.gateway.streams.attempt_opener import LAST_PROBE_S
 
 PARTS = [("x-parts", "first:40,bad:100,own:7"), ("x-tokens", "147")]
 SILENT_S = 5.0
