Fill a gap of all zones with engines that have a copy in their own zone first

Cause: for layers that no engine of the site holds, the engine whose range had the most copies on the site was chosen, also if it was the last one in its zone while others had a copy there (KNOWN-RED, eight engines lost). Change: those with a copy in their zone come first.

Where no engine has a copy in its zone, a gap of the whole site still goes before a zone's last copy, as the module says.

--- a/core/minttide/layers/repair.py
+++ b/core/minttide/layers/repair.py
@@ -151,15 +151,18 @@
     ) -> UpstreamId | None:
         """Return the engine to load up to `layers` layers, or None.
 
-        Engines that hold nothing are preferred, then those whose range has the most other copies.
-        Among these, the smallest that fits all layers is chosen, else the largest.
+        Engines that hold nothing are preferred, then those whose range has other copies in their
+        zone, then those whose range has the most. Among these, the smallest that fits all layers is
+        chosen, else the largest.
         """
         tokens = REPAIR_STREAMS * stream_tokens(self._model)
         free = [m for m in members if m not in taken and self._is_free(m)]
         copies = {e: count_copies(e, taken) for e in free if e in self._held}
+        ranks = {e: (self._zone_copies(e, taken) > 0, n) for e, n in copies.items() if n > 0}
         groups = [[e for e in free if e not in self._held]]
-        groups += [[e for e in copies if copies[e] == n] for n in sorted({*copies.values()} - {0})][
-            ::-1
+        groups += [
+            [e for e in ranks if ranks[e] == rank]
+            for rank in sorted(set(ranks.values()), reverse=True)
         ]
         for candidates in groups:
             usable = [
