--- a/test/upstream_fuzz.py
+++ b/test/upstream_fuzz.py
@@ -53,14 +53,15 @@
         answer, runs = self._rng.choice(draws)
         if runs:
             self._runs[attempt.decode()] += 1
-        run = self._runs[attempt.decode()]
         last = int(_field(head, b"last-event-id") or 0)
-        steps = answer(_Draw(self._rng, attempt, last, run))
+        draw = _Draw(self._rng, attempt, last, self._runs[attempt.decode()])
+        steps = answer(draw)
         copies = [data for other, data in self._earlier.items() if other != attempt]
         self._earlier[attempt] = b"".join(s for s in steps if isinstance(s, bytes))
         if copies and not runs and self._rng.random() < COPY_SHARE:
-            self._runs[attempt.decode()] += 1  # it runs the request behind the copy
-            steps = [self._rng.choice(copies), *steps]
+            self._runs[attempt.decode()] += 1
+            steps = _stream(draw) if stream else _whole(draw)
+            steps = [self._rng.choice(copies), *steps]  # it runs the request behind the copy
         return self._split(steps)
 
     def _split(self, steps):
