Weigh the room of an extra copy by its growth, so that its own engine keeps some

Change: the value of a copy is the sum over its layers of the logarithm of the growth of their room.

Figures: the new test fails before (room for 77,000 tokens, where the zone's narrowest has 125,000) and passes.

--- a/core/minttide/layers/repair.py
+++ b/core/minttide/layers/repair.py
@@ -11,6 +11,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from math import log
 
 import msgspec
 
@@ -202,6 +203,8 @@
     def _choose_extra_copy(self, engine: UpstreamId) -> LayerRange | None:
         """Return the layers that give an engine's zone the most room where it has the least.
 
+        The value of a range is the sum over its layers of the logarithm of the factor by which
+        their room grows. So neither does an engine take so many layers that it has no room itself.
         The range joins others of the zone at both ends, since a path can't use part of a range. In
         a zone without a whole path, the ranges of all zones count.
         """
@@ -215,12 +218,15 @@
         ends = {self._model.layers, *(r.first for r in held.values())}
         ranges = [LayerRange(a, b) for a in starts for b in ends if 0 < b - a <= limit]
 
-        def room_with(added: LayerRange) -> list[float]:
+        def value(added: LayerRange) -> float:
             tokens = self._token_capacity(engine, len(added))
-            inside = [added.first <= p.first and p.last <= added.last for p in parts]
-            return sorted(r + tokens * i for r, i in zip(room, inside, strict=True))
+            return sum(
+                len(p) * log(1.0 + tokens / max(r, stream_tokens(self._model)))
+                for p, r in zip(parts, room, strict=True)
+                if added.first <= p.first and p.last <= added.last
+            )
 
-        return max(ranges, key=lambda r: (room_with(r), -len(r), r), default=None)
+        return max(ranges, key=lambda r: (value(r), -len(r), r), default=None)
 
     def _measure_room(
         self, held: Mapping[UpstreamId, LayerRange]
--- a/test/test_layers.py
+++ b/test/test_layers.py
@@ -319,3 +319,11 @@
     empty = [e for i in range(5) for e in hold("z", ("small", 100 + i, 0))]
     orders = plan_orders(MODEL, [*zone, *empty], {})
     assert len({o.layers for o in orders}) == 5
+
+
+# Guards against an engine that takes so many layers that it has little memory left for requests.
+def test_extra_copy_leaves_room_on_its_own_engine():
+    zone = fill("z", 7, "middle", 0, "middle")
+    (order,) = plan_orders(MODEL, [*zone, *hold("z", ("large", 99, 0))], {})
+    own = token_capacity(MODEL, MODEL.kind("large"), len(order.layers))
+    assert own >= min(token_capacity(MODEL, MODEL.kind(e.kind), len(e.layers)) for e in zone)
