Look at the key again only until a request may have run

Found in reading the change: the key was also looked at again before retries and before a stream went on at another engine. While the store is away for longer than keys are valid without it, a stream that had begun would have been cut when its engine failed. Users lose more by that than by a request that was sent with a valid key and is tried again; the bound on withdrawn keys counts from when a request was sent.

Change: the key counts until the request may have run.

--- a/daemon/minttided/gateway/callers/permissions.py
+++ b/daemon/minttided/gateway/callers/permissions.py
@@ -43,30 +43,32 @@
         raise not_run_error(ProblemType.CONFIG_UNKNOWN, f"{detail}, and the configuration is stale")
 
 
-def find_obstacle(state: GatewayState, request: GatewayRequest) -> str | None:
-    """Return why a request may be sent to no upstream any more, or `None` if it may."""
-    if left_s(state, request) <= 0.0:
-        return "its time is over"
-    if request.account is None:
-        return None
-    try:
-        account = find_account(state, request.req)
-    except RequestError as exc:
-        return exc.problem.detail
-    return None if account.account == request.account.account else "its key has another account"
-
-
 def check_may_send(
-    state: GatewayState, request: GatewayRequest, upstreams: Iterable[UpstreamId]
+    state: GatewayState, request: GatewayRequest, upstreams: Iterable[UpstreamId], checks_key: bool
 ) -> None:
-    """Raise `NotSentError` unless a request may be sent to `upstreams` now."""
-    obstacle = find_obstacle(state, request)
-    if obstacle is not None:
-        raise NotPermittedError(obstacle)
+    """Raise `NotSentError` unless a request may be sent to `upstreams` now.
+
+    The key counts with `checks_key`, until the request may have run. One that was sent while its
+    key was valid may be tried again, and its stream go on, although the key can't be confirmed
+    meanwhile.
+    """
+    if left_s(state, request) <= 0.0:
+        raise NotPermittedError("its time is over")
+    if checks_key and request.account is not None:
+        _check_key(state, request, request.account)
     if not state.are_active(upstreams):
         raise NotSentError("the upstream is leaving")
 
 
+def _check_key(state: GatewayState, request: GatewayRequest, account: AccountKeys) -> None:
+    try:
+        found = find_account(state, request.req)
+    except RequestError as exc:
+        raise NotPermittedError(exc.problem.detail) from exc
+    if found.account != account.account:
+        raise NotPermittedError("its key has another account")
+
+
 def left_s(state: GatewayState, request: GatewayRequest) -> float:
     """Return the time in seconds until a request ends.
 
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -25,7 +25,6 @@
 from minttided.gateway.callers.permissions import (
     NotPermittedError,
     check_may_send,
-    find_obstacle,
     left_s,
 )
 from minttided.gateway.callers.request import GatewayRequest, end_to_end_headers, upstream_headers
@@ -74,7 +73,7 @@
                 break
             self._state.upstream_limits.take(upstream, now_s())
             sent_s = now_s()
-            result = await self._send(request, upstream)
+            result = await self._send(request, upstream, checks_key=not ran)
             await self._record_result(guard, request, result, upstream, sent_s)
             tried.append(upstream.id)
             ran += result.outcome not in (ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT)
@@ -84,7 +83,7 @@
                 and ran < request.route.max_attempts
                 and len(tried) < MAX_SENDS
                 and guard.allows_send
-                and find_obstacle(self._state, request) is None
+                and left_s(self._state, request) > 0.0
                 and self._budgets.try_spend(request, len(tried))
             )
             if not again:
@@ -115,10 +114,12 @@
         available = [u for u in untried if u.id not in suspected] or untried
         return choose_upstream(available, self._running, self._state.cfg.zone, self._state.rng)
 
-    async def _send(self, request: GatewayRequest, upstream: UpstreamEntry) -> SendResult:
+    async def _send(
+        self, request: GatewayRequest, upstream: UpstreamEntry, checks_key: bool
+    ) -> SendResult:
         self._running[upstream.id] += 1
         try:
-            return await self._exchange(request, upstream)
+            return await self._exchange(request, upstream, checks_key)
         except NotPermittedError as exc:
             return SendResult(ExchangeOutcome.NOT_SENT, upstream.id, str(exc))
         except NotSentError as exc:
@@ -155,12 +156,14 @@
             return False
         return False
 
-    async def _exchange(self, request: GatewayRequest, upstream: UpstreamEntry) -> SendResult:
+    async def _exchange(
+        self, request: GatewayRequest, upstream: UpstreamEntry, checks_key: bool
+    ) -> SendResult:
         names = self._state.headers
         req = request.req
 
         def prepare() -> Headers:
-            check_may_send(self._state, request, [upstream.id])
+            check_may_send(self._state, request, [upstream.id], checks_key)
             headers = upstream_headers(request, names, left_s(self._state, request))
             return [*headers, (names.expect_instance, upstream.id)]
 
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -65,7 +65,9 @@
         path: Path,
         request_size: RequestSize,
         on_silence: Callable[[], Awaitable[None]],
+        checks_key: bool,
     ):
+        self._checks_key = checks_key
         self._context = context
         self._request = request
         self._path = path
@@ -152,7 +154,7 @@
         path = self._path
 
         def prepare() -> Headers:
-            check_may_send(state, request, [stage.engine for stage in path])
+            check_may_send(state, request, [stage.engine for stage in path], self._checks_key)
             return stream_headers(
                 request,
                 state.headers,
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -12,7 +12,7 @@
 from minttide.routing.outcome import ExchangeOutcome, may_retry
 from minttide.routing.routes import ModelSpec
 from minttided.gateway.callers.crash_guard import CrashGuard
-from minttided.gateway.callers.permissions import find_obstacle
+from minttided.gateway.callers.permissions import left_s
 from minttided.gateway.callers.plain import split_content_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
 from minttided.gateway.state import now_s
@@ -143,7 +143,7 @@
         return (
             self._crash_guard.allows_send
             and self.progress.sends < MAX_SENDS
-            and find_obstacle(self._context.state, self._request) is None
+            and left_s(self._context.state, self._request) > 0.0
         )
 
     async def verify_may_retry(self) -> bool:
@@ -178,6 +178,7 @@
             path,
             self._request_size,
             lambda: self._silence.check(sent),
+            checks_key=not self._opener.may_have_run and not self._engine_runs.count,
         )
         sent = SentAttempt(sends + 1, attempt, entry, self._engine_runs.add(entry))
         self._context.runs.add(self)
--- a/test/test_paused_sends.py
+++ b/test/test_paused_sends.py
@@ -5,6 +5,7 @@
 import pytest
 from gateway_site import (
     END,
+    RESET,
     STREAM_HEAD,
     GatewaySite,
     ScriptedUpstream,
@@ -124,6 +125,34 @@
     assert run_in_memory(run(), LIMIT_S) == (503, [])
 
 
+# Guards against a stream that is cut because its key can't be confirmed while it goes on elsewhere.
+@pytest.mark.parametrize("name", ["get", "draft"])
+def test_request_that_was_sent_is_tried_again_although_its_key_is_unconfirmed(name, monkeypatch):
+    async def run():
+        async with make_site() as site:
+            site.state.freshness = ConfigFreshness(KEYS_VALID_S)
+            site.state.freshness.confirm(asyncio.get_running_loop().time())
+
+            async def outlast():
+                await asyncio.sleep(KEYS_VALID_S)
+
+            engine = site.path_engines[0][0]
+            broken = {
+                "get": [outlast, RESET],
+                "draft": [STREAM_HEAD, events(1), outlast, RESET],
+            }[name]
+            site.plain[0].next_script = engine.next_script = lambda head: (
+                first.pop() if first else rest
+            )
+            first = [broken]
+            rest = [plain_response()] if name == "get" else [STREAM_HEAD, events(1, 2), END]
+            return await send(site, name, 20.0)
+
+    response = run_in_memory(run(), LIMIT_S)
+    assert response.status == 200
+    assert response.rest.endswith(b"ok") if name == "get" else response.complete
+
+
 # A host whose own pause ended a request holds nothing against the upstream.
 def test_upstream_is_not_avoided_after_a_pause(monkeypatch):
     async def run():
