--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -194,7 +194,7 @@
         Raises `ExchangeError` or `EventTooLongError`.
         """
         if not self._received and (event := self._splitter.next_event()) is not None:
-            self._is_progress(event)
+            self._record_progress(event)
             return event
         if self._restarts_wait:
             self._restart_wait(self._context.silence_threshold.between_events_s)
@@ -212,7 +212,7 @@
                     raise ExchangeError("the stream ended in the middle of an event")
                 return None
             self._splitter.feed(chunk)
-        self._is_progress(event)
+        self._record_progress(event)
         return event
 
     async def _read_progress(self) -> Event | None:
@@ -228,15 +228,14 @@
         finally:
             self._received.extendleft(reversed(received))
 
-    def _is_progress(self, event: Event) -> bool:
-        """Return whether an event that was read goes on with the stream, and record that."""
+    def _record_progress(self, event: Event) -> None:
+        """Record the time of an event that was read if the stream goes on with it."""
         if event.is_comment or (event.id is not None and event.id <= self._last_id):
-            return False
+            return
         if event.id is not None:
             self._last_id = event.id
         self.progress_s = now_s()
         self._restarts_wait = True
-        return True
 
     async def _await_response(self, opening: "asyncio.Task[Exchange]") -> Exchange:
         def read() -> Awaitable[Exchange]:
