--- a/core/minttide/policy/probe_evidence.py
+++ b/core/minttide/policy/probe_evidence.py
@@ -39,4 +39,4 @@
 
         Several upstreams are being probed, and none has answered since.
         """
-        return self._answered_s < started_s and self._running >= MIN_COMMON_FAILURES
+        return self._running >= MIN_COMMON_FAILURES and not self.has_answer_since(started_s)
--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -10,6 +10,8 @@
 import h11
 
 from minttide.ids import Address
+from minttide.routing.headers import HeaderNames
+from minttide.routing.outcome import ExchangeOutcome, classify_response
 from minttided.http.client_connection import (
     ClientConnection,
     ExchangeError,
@@ -92,16 +94,19 @@
         """Return whether the end of the body is marked, and isn't that of the connection."""
         return any(n in _FRAMING_HEADERS for n, _ in self.headers)
 
-    def check_attempt(self, header: str, attempt_id: str) -> bool:
-        """Return whether the response names this attempt, as all of its kind do.
+    def classify(self, names: HeaderNames, attempt_id: str) -> ExchangeOutcome:
+        """Return the outcome that the response to an attempt has once it is complete.
 
         A request without an id has none that a response could name. Raises `ExchangeError` if it
         names another one: what it says, also that a request has not run, is true of that one.
         """
-        echoed = self.header(header)
+        echoed = self.header(names.attempt)
         if echoed is not None and echoed != attempt_id:
             raise ExchangeError("the response is for another request")
-        return echoed is not None or not attempt_id
+        reports_not_run = self.header(names.not_run) is not None
+        return classify_response(
+            self.status, reports_not_run, names_request=echoed is not None or not attempt_id
+        )
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end. Raises `ExchangeError`."""
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -12,7 +12,6 @@
 from minttide.problems import ProblemType, Ran, RequestError
 from minttide.routing.outcome import (
     ExchangeOutcome,
-    classify_response,
     has_run,
     may_forward_failure,
     may_retry,
@@ -177,14 +176,12 @@
             partial(self._state.record_reach, upstream.id),
         )
         try:
-            is_named = exchange.check_attempt(names.attempt, request.attempt_id)
+            outcome = exchange.classify(names, request.attempt_id)
             self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
             exchange.close()
         self._state.suspects.clear(upstream.id)
-        not_run = exchange.header(names.not_run) is not None
-        outcome = classify_response(exchange.status, not_run, is_named)
         return SendResult(outcome, upstream.id, str(exchange.status), to_response(exchange, body))
 
     def _finish(
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -10,7 +10,7 @@
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import Path, RequestSize
-from minttide.routing.outcome import ExchangeOutcome, classify_response
+from minttide.routing.outcome import ExchangeOutcome
 from minttided.gateway.callers.exchange import Exchange
 from minttided.gateway.callers.permissions import check_may_send, left_s
 from minttided.gateway.callers.plain import MAX_RESPONSE_BYTES, to_response
@@ -78,6 +78,7 @@
         self._received: deque[Event | None] = deque()  # events that were read during a check
         self._last_id = -1  # the highest id of an event
         self._restarts_wait = True  # there was progress since the last wait
+        self._threshold_s = self._check_s = 0.0  # how long to wait for it, and until when
         self._timeout: asyncio.Timeout | None = None
         self._check_timeout: asyncio.Timeout | None = None
         self._read: Callable[[], Awaitable[object]] | None = None  # while silence is looked into
@@ -133,11 +134,11 @@
             opening.add_done_callback(_close_late_exchange)
             raise
         exchange, names = self._exchange, self._context.state.headers
-        is_named = exchange.check_attempt(names.attempt, self._request.attempt_id)
+        outcome = exchange.classify(names, self._request.attempt_id)
         limit = exchange.header(names.limit)
         self._context.state.record_limit(self._path[0].engine, exchange.status, limit)
         if exchange.status != OK:
-            return await self._read_failure(exchange, is_named)
+            return await self._read_failure(exchange, outcome)
         event = await self.next_event()
         if event is None and not exchange.is_framed:
             raise ExchangeError("the connection ended before the first event")
@@ -174,12 +175,9 @@
             partial(state.record_reach, first.engine),
         )
 
-    async def _read_failure(self, exchange: Exchange, is_named: bool) -> StreamSendResult:
-        names = self._context.state.headers
+    async def _read_failure(self, exchange: Exchange, outcome: ExchangeOutcome) -> StreamSendResult:
         body = await exchange.read_body(MAX_RESPONSE_BYTES, self._request.end_s)
-        not_run = exchange.header(names.not_run) is not None
-        outcome = classify_response(exchange.status, not_run, is_named)
-        fault = exchange.header(names.fault_address)
+        fault = exchange.header(self._context.state.headers.fault_address)
         reason = f"{exchange.status} at {fault}" if fault else str(exchange.status)
         response = to_response(exchange, body)
         return StreamSendResult(
@@ -267,8 +265,8 @@
                 self._read = read_progress
             try:
                 await self._check()
-                self._threshold_s = wait_s = SilenceThreshold.increase(self._threshold_s)
-                self._check_s = now_s() + wait_s
+                wait_s = SilenceThreshold.increase(self._threshold_s)
+                self._restart_wait(wait_s)
             except (ResumedError, TimeoutError):
                 if self._early_read is not None:
                     await asyncio.wait({self._early_read})  # Only one task may read at a time.
--- a/test/test_resumed_answers.py
+++ b/test/test_resumed_answers.py
@@ -13,7 +13,7 @@
     events,
     plain_response,
 )
-from stream_site import ALL_EVENTS, find_engine, make_site
+from stream_site import ALL_EVENTS, make_site
 
 from minttide_fakes.memory_network import run_in_memory
 
@@ -48,20 +48,24 @@
 }
 
 
+def send(site, name="draft"):
+    """Send one request in virtual time and return its response."""
+
+    async def run():
+        async with site:
+            return await site.send_request(name, "POST")
+
+    return run_in_memory(run(), LIMIT_S)
+
+
 def run_broken_stream(case, third=None):
     """Break a stream after two events, let the next engine answer `case` and the third `third`."""
     scripts = [BROKEN, NO_REST[case]] + ([third] if third else [])
     site = make_site(**dict.fromkeys("abc"[: len(scripts)], (0, 4)))
     for upstream, *_ in site.path_engines:
         upstream.scripts = scripts
-
-    async def run():
-        async with site:
-            for upstream, *_ in site.path_engines:
-                site.engines.ended.add(upstream.name)  # so that their attempts don't count
-            return await site.send_request("draft", "POST")
-
-    return run_in_memory(run(), LIMIT_S)
+        site.engines.ended.add(upstream.name)  # so that their attempts don't count
+    return send(site)
 
 
 # Guards against an answer of the next engine in the middle of a stream.
@@ -95,23 +99,13 @@
 @pytest.mark.parametrize("case", RESTS)
 def test_rest_of_a_stream_is_sent_in_each_form(case):
     site = make_site(a=(0, 4, BROKEN, RESTS[case]))
-
-    async def run():
-        async with site:
-            return await site.send_request("draft", "POST")
-
-    response = run_in_memory(run(), LIMIT_S)
+    response = send(site)
     assert response.complete and response.chunks.replace(b": wait\n\n", b"") == ALL_EVENTS
 
 
 def test_stream_that_had_all_its_events_is_completed_by_an_empty_rest():
     site = make_site(a=(0, 4, [STREAM_HEAD, events(1, 2, 3), RESET], [STREAM_HEAD, END]))
-
-    async def run():
-        async with site:
-            return await site.send_request("draft", "POST")
-
-    response = run_in_memory(run(), LIMIT_S)
+    response = send(site)
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
 
 
@@ -136,21 +130,13 @@
 @pytest.mark.parametrize("name", ["post", "once"])
 def test_rejection_of_another_request_does_not_say_that_this_one_has_not_run(name, case):
     scripts = [[OTHERS_REJECTIONS[case]], [STREAM_HEAD, events(1), END]]
-    upstreams = [ScriptedUpstream(n) for n in "ab"]
-    for upstream in upstreams:
-        upstream.scripts = scripts
     if name == "post":
-        site = GatewaySite(*upstreams)
+        site = GatewaySite(ScriptedUpstream("a"), ScriptedUpstream("b"))
     else:
         site = make_site(a=(0, 4), b=(0, 4))
-        upstreams = [find_engine(site, n) for n in "ab"]
-        for upstream in upstreams:
-            upstream.scripts = scripts
-
-    async def run():
-        async with site:
-            return await site.send_request(name, "POST")
-
-    response = run_in_memory(run(), LIMIT_S)
+    upstreams = [*site.plain, *(engine for engine, *_ in site.path_engines)]
+    for upstream in upstreams:
+        upstream.scripts = scripts
+    response = send(site, name)
     assert response.status == 502
     assert sum(len(u.requests) for u in upstreams) == 1
