Keep finalizers out of the parser while a test's report is made

A failed test's report parses the source of the test. If the collector runs meanwhile, the finalizer of a writer that a test left open raises, and its traceback is parsed too: CPython 3.11 raises SystemError ('AST constructor recursion depth mismatch') as its parser isn't reentrant, and the worker process ends. Whether it happens depends on when the collector runs. Ruled out: load, memory. It is also the known failure of the summary of a single file, which imports hypothesis.

Change: no collection while a report is made; one collection before the summary, none during it.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -4,6 +4,7 @@
 `WALL_TIME_FILES` are all run by the same worker, one after the other.
 """
 
+import gc
 import sys
 from pathlib import Path
 
@@ -36,6 +37,7 @@
         "peers",
         "platform",
         "prompt_crashes",
+        "reports",
         "soak",
         "stand_in_servers",
         "stop_under_load",
@@ -85,6 +87,26 @@
         running_file = ""
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport():
+    """Keep the collector off while a report parses the source of its test.
+
+    The collector runs finalizers, and an error of one has its traceback parsed. CPython 3.11 raises
+    `SystemError` if its parser is entered from within itself, which would end the process.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
+def pytest_sessionfinish():
+    """Run the finalizers of what is left, and none while the summary imports and parses modules."""
+    gc.collect()
+    gc.disable()
+
+
 def read_known_red():
     """Return the text of the file, empty where there is none, and the ids of the tests in it."""
     text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
