Block a request that explains as many crashes as one that is blocked already

Of the reports on one upstream each host keeps one, by the name of the host that sent it, so that a sound request that was tried on each in turn may reach three crashes in a row first. It was blocked, and the crashes that it explained no longer counted for the bad one, which explains as many half a second later. The next burst then sent four, three are allowed.

Change: crashes that a blocked request explains still count for another whole request that explains as many. A sound one that is blocked beside it is let through after 5 s as before. Weighed: not to block either until the next crash, which leaves the next burst as it is.

The tests of crashes pass.

--- a/core/minttide/policy/prompt_crashes.py
+++ b/core/minttide/policy/prompt_crashes.py
@@ -17,7 +17,9 @@
 - Parts that only ever occurred together are blocked only together.
 
 Of a whole request and a part of its prompt that explain the same crashes, the request is blocked,
-as others aren't concerned. `CrashCounter` says which of its crashes count beside those in a row.
+as others aren't concerned. A whole request is also blocked if it explains as many crashes as one
+that is blocked: a sound one is free again once it is let through. `CrashCounter` says which of its
+crashes count beside those in a row.
 """
 
 from collections import Counter, defaultdict
@@ -299,13 +301,30 @@
             if of_service != service or len(reports) < MIN_CRASHES:
                 continue
             found = self._find_unrefuted((service, part))
-            by_others = max((explained.get(report.process, 0) for report in found), default=0)
-            if counter.count(part, found) <= by_others:
+            if self._is_explained((service, part), found, explained, counter):
                 found = [report for report in found if report.process not in explained]
             if len(found) >= MIN_CRASHES:
                 evidence[part] = found
         return evidence
 
+    def _is_explained(
+        self,
+        key: PartKey,
+        found: Collection[CrashReport],
+        explained: Mapping[Process, int],
+        counter: CrashCounter,
+    ) -> bool:
+        """Return whether the parts blocked so far explain the crashes `found` for a part as well.
+
+        A whole request that explains as many as they do is as likely the cause: which of two
+        reached its third crash first depends on the order of the reports.
+        """
+        by_others = max((explained.get(report.process, 0) for report in found), default=0)
+        crashes = counter.count(key[1], found)
+        if is_request_part(key[1]) and key not in self._blocks_by_part:
+            return crashes < by_others
+        return crashes <= by_others
+
     def _find_unrefuted(self, key: PartKey) -> list[CrashReport]:
         """Return the reports of a part since a request with it last began to answer."""
         since_s = self._starts.last_s(key)
