Close the connections of a loop in memory with the loop

Found with a collection after each test: 52 tests that leave some, 43 of them of silent engines.

Change: connections that are open when their loop is closed count as closed.

--- a/fakes/minttide_fakes/memory_network.py
+++ b/fakes/minttide_fakes/memory_network.py
@@ -158,6 +158,10 @@
             self._lose(None)
             self.schedule_delivery()
 
+    def abort_with_loop(self) -> None:
+        """Count as closed from now on; no callbacks follow, as the loop doesn't run any more."""
+        self._closing = self._lost = True
+
     def _lose(self, exc: Exception | None) -> None:
         if not self._lost:
             self._closing = self._lost = True
@@ -271,6 +275,12 @@
         self._blocked: dict[int, Callable[[], OSError]] = {}
         self._next_port = FIRST_PORT
 
+    def close(self) -> None:
+        """Close the loop, and with it the connections that are still open."""
+        for transport in self._transports:
+            transport.abort_with_loop()
+        super().close()
+
     def hold(self, port: int) -> None:
         """Deliver nothing to or from the connections of a port."""
         self._held.setdefault(port, asyncio.Event())
--- a/test/test_memory_network.py
+++ b/test/test_memory_network.py
@@ -215,3 +215,17 @@
     assert sorted(s for _, s in first if isinstance(s, bytes)) == sorted(
         b"%d" % n for n in range(50)
     )
+
+
+def test_connections_that_are_left_open_end_with_their_loop():
+    """Guards against writers that raise once they are collected, as their loop is closed."""
+    left = []
+
+    async def run():
+        server = await asyncio.start_server(lambda *_: asyncio.sleep(60.0), "127.0.0.1", 0)
+        left.append(await asyncio.open_connection(*server.sockets[0].getsockname()))
+
+    run_in_memory(run())
+    ((_, writer),) = left
+    assert writer.transport.is_closing()
+    writer.close()
