Look for the best way into each zone once in a path search

Cause: each engine that can follow was compared with the best partial path of each zone, so that a search over the large fleet's 218 engines in 5 zones worked out some 900 links. Which of them is best depends on the zone of the engine alone.

Change: the best partial path into each zone is chosen first. The order of random draws is the same.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -125,10 +125,10 @@
             partial_paths = [(zone, p) for (at, zone), p in best.items() if at == start]
             if not partial_paths:
                 continue
-            for engine in self._starts[start]:
-                if start == 0 and not _may_be_first(engine.id, first, not_first):
-                    continue
-                self._extend(best, partial_paths, engine, size, loads, rng)
+            engines = self._starts[start]
+            if start == 0:
+                engines = [e for e in engines if _may_be_first(e.id, first, not_first)]
+            self._extend(best, partial_paths, engines, size, loads, rng)
         complete = [p for (at, _), p in best.items() if at == self._model.layers]
         return min(complete, key=lambda p: p.cost_ms).path if complete else None
 
@@ -136,28 +136,56 @@
         self,
         best: dict[tuple[int, ZoneId], _PartialPath],
         partial_paths: Sequence[tuple[ZoneId, _PartialPath]],
-        engine: UpstreamEntry,
+        engines: Sequence[UpstreamEntry],
         size: RequestSize,
         loads: Mapping[str, EngineLoad],
         rng: random.Random,
     ) -> None:
-        """Append `engine` to partial paths that end where its layers begin, if that is cheaper."""
-        assert engine.layers is not None
-        engine_ms = self._engine_cost_ms(engine, size, loads.get(engine.id))
-        if engine_ms is None:
-            return
-        engine_ms *= 1.0 + COST_JITTER * rng.random()
-        stage = Stage(engine.id, engine.address, engine.zone, engine.layers, engine.kind)
-        key = (engine.layers.last, engine.zone)
-        for zone, partial in partial_paths:
-            link_ms = self._link_cost_ms(zone, engine.zone, size, partial, loads)
-            if link_ms is None:
+        """Append engines whose layers begin where the partial paths end, where that is cheaper.
+
+        Which partial path is best depends only on the zone of the engine.
+        """
+        by_zone = {
+            zone: self._reach_zone(zone, partial_paths, size, loads)
+            for zone in {engine.zone for engine in engines}
+        }
+        for engine in engines:
+            engine_ms = self._engine_cost_ms(engine, size, loads.get(engine.id))
+            if engine_ms is None:
+                continue
+            engine_ms *= 1.0 + COST_JITTER * rng.random()
+            partial = by_zone[engine.zone]
+            if partial is None:
                 continue
-            cost_ms = partial.cost_ms + engine_ms + link_ms
+            assert engine.layers is not None
+            cost_ms = partial.cost_ms + engine_ms
+            key = (engine.layers.last, engine.zone)
             cheapest = best.get(key)
             if cheapest is None or cost_ms < cheapest.cost_ms:
+                stage = Stage(engine.id, engine.address, engine.zone, engine.layers, engine.kind)
                 best[key] = _PartialPath(cost_ms, (*partial.path, stage))
 
+    def _reach_zone(
+        self,
+        target: ZoneId,
+        partial_paths: Sequence[tuple[ZoneId, _PartialPath]],
+        size: RequestSize,
+        loads: Mapping[str, EngineLoad],
+    ) -> _PartialPath | None:
+        """Return the partial path from which a zone is reached at the lowest cost, with its link.
+
+        None if the prompt would overload every link to it.
+        """
+        reached: _PartialPath | None = None
+        for zone, partial in partial_paths:
+            link_ms = self._link_cost_ms(zone, target, size, partial, loads)
+            if link_ms is None:
+                continue
+            cost_ms = partial.cost_ms + link_ms
+            if reached is None or cost_ms < reached.cost_ms:
+                reached = _PartialPath(cost_ms, partial.path)
+        return reached
+
     def _engine_cost_ms(
         self, engine: UpstreamEntry, size: RequestSize, load: EngineLoad | None
     ) -> float | None:
