Keep the ranking of readers, and let all polling tasks of a host wake it up once

Change: the member table returns one list until something changes; a ranking is kept while the candidates are the same hosts. Tasks that poll wait for common ticks, whose phase differs between hosts so that they don't ask the store at the same moment. What is decided, and how soon, is the same.

--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -51,6 +51,7 @@
         self._rng = rng
         self._members: dict[HostId, Member] = {}
         self._views: dict[HostId, MemberView] = {}
+        self._listed_views: tuple[MemberView, ...] | None = None
         self._vitals: dict[HostId, Vitals] = {}
         self._since: dict[HostId, float] = {}  # when a host became suspect or down
         self._by_address: dict[Address, HostId] = {}
@@ -84,8 +85,13 @@
         ]
 
     def views(self) -> Sequence[MemberView]:
-        """Return every host that isn't down, including this one."""
-        return list(self._views.values())
+        """Return every host that isn't down, including this one.
+
+        The same object is returned until something has changed.
+        """
+        if self._listed_views is None:
+            self._listed_views = tuple(self._views.values())
+        return self._listed_views
 
     def count_up(self) -> int:
         """Return the number of hosts that aren't down, including this one."""
@@ -299,6 +305,7 @@
         return [self._vitals[host] for host in hosts if host in self._vitals]
 
     def _update_view(self, host: HostId) -> None:
+        self._listed_views = None
         member = self._members[host]
         if member.status is Status.DOWN:
             self._views.pop(host, None)
--- a/core/minttide/routing/readers.py
+++ b/core/minttide/routing/readers.py
@@ -7,7 +7,7 @@
 on a larger site.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
 
@@ -81,20 +81,49 @@
 
 def rank_readers(members: Sequence[MemberView], zone: ZoneId) -> list[MemberView]:
     """Return the candidates for reading on behalf of a zone, in rank order; the first reads."""
-    candidates = {m.host: m for m in members if m.zone == zone and not m.leaving and not m.suspect}
+    candidates = _find_candidates(members, zone)
     return [candidates[host] for host in rank_hosts(f"reader-{zone}", candidates)]
 
 
+def _find_candidates(members: Sequence[MemberView], zone: ZoneId) -> dict[HostId, MemberView]:
+    return {m.host: m for m in members if m.zone == zone and not m.leaving and not m.suspect}
+
+
+class ReaderRanking:
+    """Ranks the candidates of a zone as `rank_readers` does, and keeps the result.
+
+    It is asked for many times a second, and the candidates change seldom. `members` must be another
+    object once they have changed.
+    """
+
+    def __init__(self, zone: ZoneId):
+        self._zone = zone
+        self._members: Sequence[MemberView] = ()
+        self._ranked: list[MemberView] = []
+
+    def rank(self, members: Sequence[MemberView]) -> Sequence[MemberView]:
+        """Return the candidates among `members` in rank order."""
+        if members is not self._members:
+            self._members = members
+            self._ranked = self._rank_again(_find_candidates(members, self._zone))
+        return self._ranked
+
+    def _rank_again(self, candidates: Mapping[HostId, MemberView]) -> list[MemberView]:
+        before = [m.host for m in self._ranked]
+        if len(before) == len(candidates) and all(host in candidates for host in before):
+            return [candidates[host] for host in before]  # Only their load or offset has changed.
+        return [candidates[host] for host in rank_hosts(f"reader-{self._zone}", candidates)]
+
+
 def choose_lease_candidate(
-    members: Sequence[MemberView], zone: ZoneId, models: Collection[ServiceName]
+    ranked: Sequence[MemberView], members: Sequence[MemberView], models: Collection[ServiceName]
 ) -> MemberView | None:
     """Return the host that requests the placement lease on behalf of a zone, None if it has none.
 
-    It is the reader of the zone, or the next one that isn't cut off from a service in `models`,
-    whose engines it couldn't order. A zone without such a host leaves the lease to other zones. If
-    all hosts are cut off, the reader requests it.
+    It is the reader of the zone, the first of `ranked`, or the next one that isn't cut off from a
+    service in `models`, whose engines it couldn't order. A zone without such a host leaves the
+    lease to other zones. If all hosts are cut off, the reader requests it.
     """
-    ranked = rank_readers(members, zone)
     able = [m for m in ranked if not _is_cut_off(m, models)]
     if able:
         return able[0]
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -25,6 +25,7 @@
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.ticks import Ticks
 from minttided.operators.metrics import Metrics
 
 log = logging.getLogger(__name__)
@@ -99,6 +100,7 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
+        self.ticks = Ticks(self.cfg.host)
         self._cut_off_services: frozenset[ServiceName] = frozenset()
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
--- a/daemon/minttided/gateway/sync/block_keeper.py
+++ b/daemon/minttided/gateway/sync/block_keeper.py
@@ -17,7 +17,6 @@
 
 log = logging.getLogger(__name__)
 
-POLL_INTERVAL_S = 0.1
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
 
@@ -41,10 +40,10 @@
         while True:
             if not self._is_reader():
                 self._stored = None  # Another reader may write.
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._state.ticks.wait()
             elif await self._synchronize():
                 self._backoff.reset()
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._state.ticks.wait()
             else:
                 await asyncio.sleep(self._backoff.next_delay_s())
 
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import zlib
+from collections.abc import Sequence
 
 import msgspec
 
@@ -17,7 +18,6 @@
     SnapshotAge,
     choose_lease_candidate,
     choose_source,
-    rank_readers,
     retry_factor,
     should_read_store,
 )
@@ -75,13 +75,12 @@
     @property
     def is_lease_candidate(self) -> bool:
         """Return whether this host requests the placement lease on behalf of its zone."""
-        host = self._state.cfg.host
-        members = [self._update_own_cuts(m) for m in self._context.members()]
-        if not rank_readers(members, self._state.cfg.zone):
+        ranked = [self._update_own_cuts(m) for m in self._rank_readers()]
+        if not ranked:
             return True
-        models = self._find_model_services()
-        chosen = choose_lease_candidate(members, self._state.cfg.zone, models)
-        return chosen is not None and chosen.host == host
+        members = [self._update_own_cuts(m) for m in self._context.members()]
+        chosen = choose_lease_candidate(ranked, members, self._find_model_services())
+        return chosen is not None and chosen.host == self._state.cfg.host
 
     def _update_own_cuts(self, member: MemberView) -> MemberView:
         """Return the view of a host, this one with the services that it is cut off from now."""
@@ -121,7 +120,7 @@
         while True:
             source = self._choose_source()
             if self.is_reader or source is None:
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._state.ticks.wait()
             elif not await self._pull(source):
                 self._failures += 1
                 self._failed_s = now_s()
@@ -133,8 +132,8 @@
             self._failures = 0
         return choose_source(self._rank_readers(), self._state.cfg.host, self._failures)
 
-    def _rank_readers(self) -> list[MemberView]:
-        return rank_readers(self._context.members(), self._state.cfg.zone)
+    def _rank_readers(self) -> Sequence[MemberView]:
+        return self._context.rank_readers(self._state.cfg.zone)
 
     async def _pull(self, reader: MemberView) -> bool:
         """Pull from one host; return whether it replied and its data is recent enough."""
--- a/daemon/minttided/gateway/sync/context.py
+++ b/daemon/minttided/gateway/sync/context.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from minttide.ids import UpstreamId
+from minttide.ids import UpstreamId, ZoneId
 from minttide.interfaces import MemberView
+from minttide.routing.readers import ReaderRanking
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.config_versions import ConfigVersions
@@ -29,3 +30,11 @@
     peer_loads: PeerLoads
     on_unreachable: Callable[[Sequence[UpstreamId]], None]
     config_versions: ConfigVersions = field(default_factory=ConfigVersions)
+    _rankings: dict[ZoneId, ReaderRanking] = field(default_factory=dict)
+
+    def rank_readers(self, zone: ZoneId) -> Sequence[MemberView]:
+        """Return the candidates for reading on behalf of a zone, in rank order; the first reads."""
+        ranking = self._rankings.get(zone)
+        if ranking is None:
+            ranking = self._rankings[zone] = ReaderRanking(zone)
+        return ranking.rank(self.members())
--- a/daemon/minttided/gateway/sync/crash_sender.py
+++ b/daemon/minttided/gateway/sync/crash_sender.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from minttide.interfaces import MemberView
-from minttide.routing.readers import rank_readers
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import CRASHES_ONLY, SyncRequest, decode_reply, encode
@@ -56,13 +55,13 @@
     def _find_receivers(self) -> Sequence[MemberView]:
         """Return the readers of this zone and, if this host is one, those of the other zones."""
         cfg, members = self._state.cfg, self._context.members()
-        own_zone = rank_readers(members, cfg.zone)[:READERS_TOLD]
+        own_zone = self._context.rank_readers(cfg.zone)[:READERS_TOLD]
         found = [m for m in own_zone if m.host != cfg.host]
         if cfg.host not in {m.host for m in own_zone}:
             return found
         other_zones = sorted({m.zone for m in members} - {cfg.zone})
         for zone in other_zones:
-            found += rank_readers(members, zone)[:1]
+            found += self._context.rank_readers(zone)[:1]
         return found
 
     async def _send(self, peer: MemberView) -> bool:
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -106,7 +106,7 @@
         while True:
             if not self._policy.should_read():
                 self._position = None
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._state.ticks.wait()
             elif await self._read():
                 retry_delay.reset()
                 await asyncio.sleep(MIN_READ_INTERVAL_S)
@@ -185,7 +185,7 @@
         while True:
             sent_s = self._state.clock()
             if not self._policy.should_read():
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._state.ticks.wait()
             elif await self._read(sent_s):
                 retry_delay.reset()
                 await asyncio.sleep(
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -8,7 +8,6 @@
 
 from minttide.ids import ZoneId
 from minttide.layers.usage import add_usages
-from minttide.routing.readers import rank_readers
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import LOADS_ONLY, SyncRequest, decode_reply, encode
@@ -51,7 +50,7 @@
         return self._last_zone
 
     async def _pull(self, zone: ZoneId) -> None:
-        readers = rank_readers(self._context.members(), zone)
+        readers = self._context.rank_readers(zone)
         if not readers:
             return
         cfg = self._state.cfg
--- a/test/test_gateway_sharing.py
+++ b/test/test_gateway_sharing.py
@@ -375,7 +375,8 @@
 def test_lease_candidate_reaches_all_models_unless_no_host_does(case):
     hosts, expected = LEASE_CASES[case]
     members = find_ranked(hosts)
-    found = choose_lease_candidate(members, ZoneId("z"), {ServiceName("m"), ServiceName("n")})
+    ranked = rank_readers(members, ZoneId("z"))
+    found = choose_lease_candidate(ranked, members, {ServiceName("m"), ServiceName("n")})
     assert found == (None if expected is None else members[expected])
 
 
