--- a/daemon/minttided/gateway/callers/permissions.py
+++ b/daemon/minttided/gateway/callers/permissions.py
@@ -70,9 +70,14 @@
 
 
 def left_s(state: GatewayState, request: GatewayRequest) -> float:
-    """Return the time in seconds until a request ends.
+    """Return the time in seconds until a request ends, on the caller's clock."""
+    return request.end_s - request.received_s - age_s(state, request)
+
+
+def age_s(state: GatewayState, request: GatewayRequest) -> float:
+    """Return the time in seconds since a request was received, on the caller's clock.
 
     The event loop's time stands still while the machine is suspended, and the caller's doesn't.
     """
     suspended_s = state.suspended_s - request.suspended_s
-    return request.end_s - now_s() - suspended_s
+    return now_s() - request.received_s + suspended_s
--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -11,6 +11,7 @@
 from minttide.routing.outcome import NOT_RUN_STATUSES
 from minttide.routing.routes import RouteKind
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
+from minttided.gateway.callers.permissions import age_s, left_s
 from minttided.gateway.callers.request import LAST_EVENT_ID, GatewayRequest, end_to_end_headers
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.forwarding.stream import ForwardedStream, OpenForward
@@ -161,19 +162,24 @@
         if last_event_id is not None:
             headers = [(n, v) for n, v in headers if n != LAST_EVENT_ID]
             headers.append((LAST_EVENT_ID, str(last_event_id)))
-        table = self._state.table
-        forwarded = ForwardedRequest(
-            request.req.method,
-            request.req.target,
-            headers,
-            request.req.body,
-            now_s() - request.received_s,
-            table.version if table is not None else 0,
-        )
+
+        def make_request() -> ForwardedRequest:
+            if left_s(self._state, request) <= 0.0:
+                raise PeerNotSentError("its time is over")
+            table = self._state.table
+            return ForwardedRequest(
+                request.req.method,
+                request.req.target,
+                headers,
+                request.req.body,
+                age_s(self._state, request),
+                table.version if table is not None else 0,
+            )
+
         end_s = request.end_s + END_MARGIN_S
         self._running[helper.host] += 1
         try:
-            response = await self._peer_client.open_forward(helper.peer, forwarded, end_s)
+            response = await self._peer_client.open_forward(helper.peer, make_request, end_s)
         except BaseException:
             self._release(helper.host)
             raise
--- a/daemon/minttided/peers/grpc_net.py
+++ b/daemon/minttided/peers/grpc_net.py
@@ -23,7 +23,7 @@
 from minttided.peers import codec as codec
 from minttided.peers.interfaces import (
     ForwardedCall,
-    ForwardedRequest,
+    MakeRequest,
     PeerError,
     PeerNotSentError,
     PeerService,
@@ -133,15 +133,14 @@
             raise PeerError(str(exc)) from exc
 
     async def open_forward(
-        self, address: Address, request: ForwardedRequest, end_s: float
+        self, address: Address, make_request: MakeRequest, end_s: float
     ) -> ReceivedResponse:
         """Run a caller's request on a peer. Raises `PeerNotSentError` or another `PeerError`."""
-        msg = codec.encode_forwarded_request(request)
 
         async def receive(response: ReceivedResponse) -> None:
             try:
                 with self._use_channel(self._find_forward_lane(address)) as channel:
-                    await _receive_forward(channel, msg, response)
+                    await _receive_forward(channel, make_request, response)
             except _TRANSPORT_ERRORS as exc:
                 error_type = PeerError if _may_have_run(response, exc) else PeerNotSentError
                 raise error_type(f"{address}: {type(exc).__name__}: {exc}") from exc
@@ -210,12 +209,13 @@
 
 
 async def _receive_forward(
-    channel: Channel, msg: pb.ForwardRequest, response: ReceivedResponse
+    channel: Channel, make_request: MakeRequest, response: ReceivedResponse
 ) -> None:
     async with PeerStub(channel).Forward.open() as stream:
         # Sends the headers as its last step, so that nothing was sent if it raises.
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await stream.send_request()
+        msg = codec.encode_forwarded_request(make_request())
         response.sent = True
         await stream.send_message(msg)
         async for reply in stream:
--- a/daemon/minttided/peers/interfaces.py
+++ b/daemon/minttided/peers/interfaces.py
@@ -1,5 +1,6 @@
 """Messages between peers and the interfaces of their transport."""
 
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -82,6 +83,10 @@
     config_version: int
 
 
+MakeRequest = Callable[[], ForwardedRequest]
+"""Returns a request with its present age. Raises `PeerNotSentError` if its time is over."""
+
+
 class ResponseHead(msgspec.Struct, frozen=True):
     """The status and headers of a response. Header values are Latin-1 text."""
 
@@ -120,14 +125,15 @@
         """Run a keyed call on a peer."""
 
     async def open_forward(
-        self, address: Address, request: ForwardedRequest, end_s: float
+        self, address: Address, make_request: MakeRequest, end_s: float
     ) -> ForwardedResponse:
         """Run a caller's request on a peer, and return the response once its head has arrived.
 
-        `end_s` is the time until which to wait for the head, in seconds of the event loop. Raises
-        `PeerNotSentError` if the request can't have run, since the connection was refused or
-        not established within 0.5 s, or the peer's version doesn't know forwarded requests. After
-        any other `PeerError` it may have run. The caller must close the response.
+        The request is made once connected, right before it is sent. `end_s` is the time until which
+        to wait for the head, in seconds of the event loop. Raises `PeerNotSentError` if the request
+        can't have run, since the connection was refused or not established within 0.5 s, or the
+        peer's version doesn't know forwarded requests. After any other `PeerError` it may have run.
+        The caller must close the response.
         """
 
 
--- a/fakes/minttide_fakes/peer_network.py
+++ b/fakes/minttide_fakes/peer_network.py
@@ -8,7 +8,7 @@
 from minttide.problems import Problem
 from minttided.peers.interfaces import (
     ForwardedCall,
-    ForwardedRequest,
+    MakeRequest,
     PeerError,
     PeerNotSentError,
     PeerService,
@@ -105,7 +105,7 @@
         self,
         source: Address,
         target: Address,
-        request: ForwardedRequest,
+        make_request: MakeRequest,
         response: ReceivedResponse,
     ) -> None:
         """Run a request at `target`, and pass on the parts of its response while connected."""
@@ -119,6 +119,7 @@
         self._forwards[response] = target
         try:
             await self.connect_forward(source, target)
+            request = make_request()
             response.sent = True
             await self.wait_connected(source, target)
             answer = await self._services[target].on_forward(request)
@@ -177,13 +178,13 @@
         return outcome
 
     async def open_forward(
-        self, address: Address, request: ForwardedRequest, end_s: float
+        self, address: Address, make_request: MakeRequest, end_s: float
     ) -> ReceivedResponse:
         """Run a caller's request on a peer. `aclose` ends its work even while the link is cut."""
 
         async def receive(response: ReceivedResponse) -> None:
             self._forwards.add(response)
-            await self._network.run_forward(self._source, address, request, response)
+            await self._network.run_forward(self._source, address, make_request, response)
 
         return await open_response(receive, end_s)
 
--- a/test/test_cut_off_hosts.py
+++ b/test/test_cut_off_hosts.py
@@ -82,3 +82,39 @@
         assert all(host.count_received(f"after-{route}") == 1 for route in ROUTES)
 
     run_site(check)
+
+
+DEADLINE_S = 2.0
+
+
+@pytest.mark.parametrize("route", ROUTES)
+@pytest.mark.parametrize("pause_s", [1.0, 3.0, 8.0])
+def test_paused_host_passes_on_no_more_time_than_is_left(pause_s, route, monkeypatch):
+    """Guards against an age that was measured before a pause, or a slow connect, to the helper."""
+
+    async def check(site):
+        host, tag = site.hosts[0], f"paused-{route}"
+        host.cut_all("refuse")
+        await asyncio.sleep(DETECTION_S)
+        connect, pauses = site.net.connect_forward, [pause_s]
+
+        async def connect_and_pause(source, target):
+            await connect(source, target)
+            if pauses:
+                asyncio.get_running_loop().freeze(pauses.pop())
+
+        monkeypatch.setattr(site.net, "connect_forward", connect_and_pause)
+        headers = [("x-deadline", str(int(DEADLINE_S * 1e3)))]
+        response = await send(host, route, tag, headers)
+        lefts_s = [
+            int(head.lower().split(b"x-deadline: ")[1].split(b"\r\n")[0]) / 1e3
+            for other in site.hosts
+            for _, head, _ in other.find_received(tag)
+        ]
+        if pause_s > DEADLINE_S:
+            assert response.status in (503, 504) and not lefts_s
+        else:
+            assert response.status == 200
+            assert lefts_s and max(lefts_s) <= DEADLINE_S - pause_s
+
+    run_site(check)
--- a/test/test_peer_forwards.py
+++ b/test/test_peer_forwards.py
@@ -78,7 +78,8 @@
 
 
 async def open_forward(client, address, request=REQUEST, wait_s=5.0):
-    return await client.open_forward(address, request, asyncio.get_running_loop().time() + wait_s)
+    end_s = asyncio.get_running_loop().time() + wait_s
+    return await client.open_forward(address, lambda: request, end_s)
 
 
 async def read_all(response):
