--- a/test/conftest.py
+++ b/test/conftest.py
@@ -33,6 +33,7 @@
         "gateway_retry_limits",
         "gateway_streams",
         "http_server",
+        "losses",
         "peer_forwards",
         "peers",
         "platform",
