Probe hosts by a schedule that all follow, so that each is probed in every period

Cause: hosts of a small site took the others in random orders of their own. Change: in a period of the wall clock each host probes the one at a common distance in the order of ids. Weighed: vitals' age first (docs/design/membership.md).

--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -16,6 +16,7 @@
 from minttide.ids import NO_OFFSET, Address, HostId, Offset, ServiceName
 from minttide.interfaces import MemberView
 from minttide.leaving_upstreams import LeavingUpstreams
+from minttide.probe_schedule import ProbeSchedule
 
 SUSPICION_TIMEOUT_S = 4.0
 """Time to refute a suspicion in a site of ten hosts; it grows with the logarithm of hosts."""
@@ -59,7 +60,7 @@
         self._cut_off_updates = UpdateQueue()
         self.has_new_cut_off = False  # a host that is cut off, or no longer, was learned of
         self.upstreams = LeavingUpstreams()
-        self._probe_order: list[HostId] = []
+        self._probe_schedule = ProbeSchedule()
         self._beat = 0
         self._digest = 0
         self.superseded = False
@@ -140,16 +141,11 @@
 
     # Probes.
 
-    def next_probe(self) -> Member | None:
-        """Return the next host to probe, each once per round in random order, or None."""
-        for _ in range(2):
-            while self._probe_order:
-                member = self._members.get(self._probe_order.pop())
-                if member is not None and self._is_probed(member):
-                    return member
-            self._probe_order = list(self._members)
-            self._rng.shuffle(self._probe_order)
-        return None
+    def next_probe(self, period: int) -> Member | None:
+        """Return the host to probe in this period of `ProbeSchedule`, or None if there is none."""
+        hosts = sorted(m.host for m in self._members.values() if m.status is not Status.DOWN)
+        target = self._probe_schedule.target(self._local.host, hosts, period)
+        return self._members[target] if target is not None else None
 
     def random_alive_peers(self, excluded: HostId, count: int) -> list[Member]:
         """Return up to `count` random hosts that are alive, other than `excluded`."""
@@ -254,10 +250,6 @@
         if self._is_local(member):
             self._local = member
         old = self._members.get(member.host)
-        if old is None and not self._is_local(member):
-            # In this round already: in a large site the next one is minutes away.
-            place = self._rng.randrange(len(self._probe_order) + 1)
-            self._probe_order.insert(place, member.host)
         self._digest ^= member.fingerprint ^ (old.fingerprint if old else 0)
         self._members[member.host] = member
         if member.status is not Status.DOWN:
@@ -328,6 +320,3 @@
 
     def _is_local(self, member: Member) -> bool:
         return member.host == self._local.host
-
-    def _is_probed(self, member: Member) -> bool:
-        return not self._is_local(member) and member.status is not Status.DOWN
--- a/daemon/minttided/peers/membership.py
+++ b/daemon/minttided/peers/membership.py
@@ -122,6 +122,7 @@
         self._site_size = PeakCount(SITE_SIZE_HOLD_S)
         self._seed_contact_due_s = 0.0
         self._full_sync_due_s = 0.0
+        self._last_period = -1  # of the last scheduled probe
 
     # The interface `Members`.
 
@@ -231,12 +232,20 @@
         self.count_hosts()  # Records the number, so that the largest is known when it is needed.
         self.table.upstreams.expire(self._wall_ms())
         await self._contact_seeds()
-        targets = [self.table.next_probe()]
+        targets = [self._choose_probed()]
         if urgent:
             targets.extend(self.table.random_alive_peers(self._settings.host, URGENT_FANOUT - 1))
         targets_by_host = {member.host: member for member in targets if member is not None}
         await asyncio.gather(*(self._probe(member) for member in targets_by_host.values()))
 
+    def _choose_probed(self) -> Member | None:
+        """Return the host to probe now, a random one if that of this period was probed."""
+        period = int(self._wall_ms() / 1000 / PROBE_PERIOD_S)
+        if period != self._last_period:
+            self._last_period = period
+            return self.table.next_probe(period)
+        return next(iter(self.table.random_alive_peers(self._settings.host, 1)), None)
+
     async def _probe(self, member: Member) -> None:
         if await self._probe_directly(member) or await self._probe_indirectly(member):
             return
--- a/fakes/minttide_fakes/virtual.py
+++ b/fakes/minttide_fakes/virtual.py
@@ -7,6 +7,9 @@
 
 T = TypeVar("T")
 
+START_MS = 10**12
+"""The wall clock of `read_wall_ms` when the loop's time is 0."""
+
 
 class StalledError(Exception):
     """All tasks are waiting and no timer is set, so virtual time can't advance."""
@@ -45,6 +48,11 @@
         self._virtual_selector.now_s += seconds
 
 
+def read_wall_ms() -> int:
+    """Return a wall clock in milliseconds that runs with the loop's time."""
+    return START_MS + int(asyncio.get_running_loop().time() * 1000)
+
+
 def run_virtual(coro: Coroutine[Any, Any, T], limit_s: float = 3600.0) -> T:
     """Run `coro` on a new virtual loop and return its result.
 
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -15,7 +15,7 @@
 from minttide.interfaces import ListedHost
 from minttide.membership import MAX_CUT_OFF_SERVICES, MemberTable
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import run_virtual
+from minttide_fakes.virtual import read_wall_ms, run_virtual
 from minttided.peers.interfaces import PullReply
 from minttided.peers.listing import HostListCache
 from minttided.peers.membership import LocalVitals, Membership
@@ -113,7 +113,7 @@
             self.host_list_cache,
             lambda: LocalVitals(Offset(number), 0.0, self.cut_off),
             rng=random.Random(number),
-            wall_ms=lambda: int(asyncio.get_running_loop().time() * 1000) + 10**12,
+            wall_ms=read_wall_ms,
         )
         net.put(self.peer, self)
         self.on_probe = self.members.on_probe
