Name the requests that the demo's engines keep when its check of them fails

Cause: a listed failure of the demo ('engines keep nothing of ended requests', seen once) didn't say what was kept, so that it can't be traced. The entry stays listed.

--- a/fakes/minttide_fakes/stage.py
+++ b/fakes/minttide_fakes/stage.py
@@ -37,6 +37,11 @@
         """Return the number of caches and outputs."""
         return len(self._caches) + len(self._fabric.outputs_of(self._engine))
 
+    @property
+    def requests(self) -> list[RequestId]:
+        """Return the requests with a cache or an output."""
+        return list(dict.fromkeys([*self._caches, *self._fabric.outputs_of(self._engine)]))
+
     @property
     def streams(self) -> int:
         """Return the number of requests with a cache."""
