--- a/test/test_gateway_process.py
+++ b/test/test_gateway_process.py
@@ -6,7 +6,10 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
+import sysconfig
+import tomllib
 
 import msgspec
 import pytest
@@ -244,3 +247,25 @@
             return gateway.process.returncode
 
     assert run_check(check) == 0
+
+
+START = """
+import builtins, gc, runpy, sys
+runpy.run_path(sys.argv[1], run_name="imported")
+print(hasattr(builtins, "exit"), gc.isenabled(), gc.get_freeze_count() > 10_000)
+"""
+"""Imports a gateway; prints whether `site` was run, and what is collected from then on."""
+
+
+# Guards against a start that takes a third longer, while callers wait for hosts that were killed.
+@pytest.mark.parametrize("on_path", [True, False], ids=["packages on the path", "environment"])
+def test_start_runs_site_only_where_needed_and_leaves_imports_out_of_collections(on_path):
+    env = {"PYTHONPATH": sysconfig.get_path("purelib")} if on_path else {}
+    command = [sys.executable, "-S", "-c", START, str(ROOT / "platform" / "run.py")]
+    printed = subprocess.run(command, env=env, check=True, capture_output=True, text=True).stdout
+    assert printed.split() == [str(not on_path), "True", "True"]
+
+
+def test_build_compiles_what_hosts_may_only_read():
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    assert build.endswith(" && python3 -m compileall -q core daemon platform")
