Work out each link of a path search once, and look kinds up by name

Cause: a search over 218 engines asked for the cost of a link 375 times, though there are 30 (two zones, and whether the host is before it), and went through the kinds for each engine. Change: both are kept for one search.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -83,6 +83,18 @@
     compared_tokens: float | None = None
 
 
+class _Search(msgspec.Struct):
+    """What one search for a path is about, and the costs of links that it has worked out.
+
+    `links` is by the zones of a link, and whether nothing of the path is before it.
+    """
+
+    size: RequestSize
+    loads: Mapping[str, EngineLoad]
+    rng: random.Random
+    links: dict[tuple[ZoneId, ZoneId, bool], float | None] = {}
+
+
 class _PartialPath(msgspec.Struct):
     """The cheapest path found so far up to some layer."""
 
@@ -100,6 +112,7 @@
         avoid: Collection[UpstreamId] = (),
     ):
         self._model = model
+        self._kinds = {kind.name: kind for kind in model.kinds}
         self._starts: dict[int, list[UpstreamEntry]] = defaultdict(list)
         for engine in engines:
             if engine.layers is not None and engine.id not in avoid:
@@ -120,6 +133,7 @@
         may be used further on. Returns None if engines with free capacity
         don't cover all layers.
         """
+        search = _Search(size, loads, rng)
         best: dict[tuple[int, ZoneId], _PartialPath] = {(0, local_zone): _PartialPath(0.0, ())}
         for start in sorted(self._starts):
             partial_paths = [(zone, p) for (at, zone), p in best.items() if at == start]
@@ -128,7 +142,7 @@
             engines = self._starts[start]
             if start == 0:
                 engines = [e for e in engines if _may_be_first(e.id, first, not_first)]
-            self._extend(best, partial_paths, engines, size, loads, rng)
+            self._extend(best, partial_paths, engines, search)
         complete = [p for (at, _), p in best.items() if at == self._model.layers]
         return min(complete, key=lambda p: p.cost_ms).path if complete else None
 
@@ -137,23 +151,21 @@
         best: dict[tuple[int, ZoneId], _PartialPath],
         partial_paths: Sequence[tuple[ZoneId, _PartialPath]],
         engines: Sequence[UpstreamEntry],
-        size: RequestSize,
-        loads: Mapping[str, EngineLoad],
-        rng: random.Random,
+        search: _Search,
     ) -> None:
         """Append engines whose layers begin where the partial paths end, where that is cheaper.
 
         Which partial path is best depends only on the zone of the engine.
         """
         by_zone = {
-            zone: self._reach_zone(zone, partial_paths, size, loads)
+            zone: self._reach_zone(zone, partial_paths, search)
             for zone in {engine.zone for engine in engines}
         }
         for engine in engines:
-            engine_ms = self._engine_cost_ms(engine, size, loads.get(engine.id))
+            engine_ms = self._engine_cost_ms(engine, search.size, search.loads.get(engine.id))
             if engine_ms is None:
                 continue
-            engine_ms *= 1.0 + COST_JITTER * rng.random()
+            engine_ms *= 1.0 + COST_JITTER * search.rng.random()
             partial = by_zone[engine.zone]
             if partial is None:
                 continue
@@ -169,8 +181,7 @@
         self,
         target: ZoneId,
         partial_paths: Sequence[tuple[ZoneId, _PartialPath]],
-        size: RequestSize,
-        loads: Mapping[str, EngineLoad],
+        search: _Search,
     ) -> _PartialPath | None:
         """Return the partial path from which a zone is reached at the lowest cost, with its link.
 
@@ -178,7 +189,10 @@
         """
         reached: _PartialPath | None = None
         for zone, partial in partial_paths:
-            link_ms = self._link_cost_ms(zone, target, size, partial, loads)
+            link = (zone, target, not partial.path)
+            if link not in search.links:
+                search.links[link] = self._link_cost_ms(*link, search.size, search.loads)
+            link_ms = search.links[link]
             if link_ms is None:
                 continue
             cost_ms = partial.cost_ms + link_ms
@@ -190,7 +204,7 @@
         self, engine: UpstreamEntry, size: RequestSize, load: EngineLoad | None
     ) -> float | None:
         """Return the expected cost of an engine, or None if it has no capacity left."""
-        kind = self._model.kind(engine.kind)
+        kind = self._kinds.get(engine.kind)
         if kind is None or engine.layers is None:
             return None
         load = load or EngineLoad()
@@ -213,14 +227,17 @@
         self,
         source: ZoneId,
         target: ZoneId,
+        is_first: bool,
         size: RequestSize,
-        partial: _PartialPath,
         loads: Mapping[str, EngineLoad],
     ) -> float | None:
-        """Return the cost of a link between engines, or None if the prompt would overload it."""
+        """Return the cost of a link between engines, or None if the prompt would overload it.
+
+        With `is_first`, the source is the zone of the host.
+        """
         if source == target:
             return HOP_MS * size.answer
-        if not partial.path:
+        if is_first:
             return REMOTE_ENTRY_MS
         prompt_ms = transfer_ms(self._model, size.prompt)
         load = loads.get(link_name(source, target))
--- a/test/test_path_search.py
+++ b/test/test_path_search.py
@@ -81,8 +81,7 @@
         return HOP_MS * SIZE.answer
     if number == 0:
         return REMOTE_ENTRY_MS
-    behind = type("Behind", (), {"path": (1,)})
-    return finder._link_cost_ms(source, target, SIZE, behind, loads)  # noqa: SLF001
+    return finder._link_cost_ms(source, target, False, SIZE, loads)  # noqa: SLF001
 
 
 @pytest.mark.parametrize("seed", range(60))
