Let a host that has announced that it is down still choose whom to probe

Cause: found in reading the change. Since a host looks up its own place among the hosts that aren't down; after it had announced that it is down, its next probe period would have ended with a ValueError. Change: its own id is always among them. The test fails before.

--- a/core/minttide/membership.py
+++ b/core/minttide/membership.py
@@ -79,11 +79,7 @@
 
     def active_peers(self) -> list[Member]:
         """Return every other host that isn't down."""
-        return [
-            m
-            for m in self._members.values()
-            if m.status is not Status.DOWN and not self._is_local(m)
-        ]
+        return [m for m in self._members.values() if _is_up(m) and not self._is_local(m)]
 
     def views(self) -> Sequence[MemberView]:
         """Return every host that isn't down, including this one.
@@ -143,8 +139,9 @@
 
     def next_probe(self, period: int) -> Member | None:
         """Return the host to probe in this period of `ProbeSchedule`, or None if there is none."""
-        hosts = sorted(m.host for m in self._members.values() if m.status is not Status.DOWN)
-        target = self._probe_schedule.target(self._local.host, hosts, period)
+        local = self._local.host  # also after it has announced that it is down
+        hosts = sorted({local, *(m.host for m in self._members.values() if _is_up(m))})
+        target = self._probe_schedule.target(local, hosts, period)
         return self._members[target] if target is not None else None
 
     def random_alive_peers(self, excluded: HostId, count: int) -> list[Member]:
@@ -320,3 +317,7 @@
 
     def _is_local(self, member: Member) -> bool:
         return member.host == self._local.host
+
+
+def _is_up(member: Member) -> bool:
+    return member.status is not Status.DOWN
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -81,6 +81,14 @@
     assert table.local_member.status is Status.ALIVE
 
 
+# Guards against an error in the last probes of a host that is ending.
+def test_host_that_has_announced_that_it_is_down_probes_the_others():
+    table = MemberTable(member("b"), random.Random(1))
+    table.merge(Gossip(member("a"), [member("c"), member("d", status=Status.SUSPECT)]), 0.0)
+    table.announce_down(0.0)
+    assert {table.next_probe(period).host for period in range(30)} == {"a", "c", "d"}
+
+
 def test_updates_are_gossiped_in_bounded_number_and_size_of_messages():
     table = MemberTable(member("a"), random.Random(1))
     table.merge(Gossip(member("b"), [member(f"h{i}") for i in range(200)]), 0.0)
