Let a fixed number of turns pass in the test of a caller that stops reading

Traced: the caller's stream still takes 128 KB into its own buffer, which counts as progress, and 10 ms of wall time after each step of the clock are fewer turns of a slow loop than the timeout needs to be noticed. Change: the steps begin once the caller's buffer is full, and each lets 20 turns pass.

--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -722,6 +722,10 @@
     await wait_until(lambda: conn._transport.get_write_buffer_size() < unsent_bytes)
 
 
+TURNS = 20
+"""Turns of the loop in which all that follows from a timeout has happened."""
+
+
 # Guards against cutting off an answer whose caller reads it slowly but steadily.
 @pytest.mark.parametrize("is_read", [True, False])
 def test_answer_is_cut_off_only_if_its_caller_stops_reading(is_read, monkeypatch):
@@ -739,6 +743,9 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             caller.send(request_bytes("get"))
             loop = asyncio.get_running_loop()
+            if not is_read:
+                # Until then the caller's own buffer takes more of the answer in each turn.
+                await wait_until(lambda: not caller.writer.transport.is_reading())
             for _ in range(4):
                 await wait_until(lambda: conn._writable_waiter is not None)
                 unsent_bytes = conn._transport.get_write_buffer_size()
@@ -747,7 +754,8 @@
                     await wait_until_sent(conn, unsent_bytes)
                 clock = loop.time
                 loop.time = lambda clock=clock: clock() + 0.7
-                await asyncio.sleep(0.01)
+                for _ in range(TURNS):
+                    await asyncio.sleep(0)
                 if conn not in server._conns:
                     break
             answer = await caller.receive()
