Rank readers in one place, and name a fake clock and two pauses after what they are

ReaderRanking had the ranking of rank_readers a second time, and calls it now; only tests had been left calling that. The fake wall clock had the name of the real one in node.py. Two constants were named after polling, which ticks do since: one is the delay after a failed pull, one how often a wait is reckoned again. No behaviour changes.

--- a/core/minttide/routing/readers.py
+++ b/core/minttide/routing/readers.py
@@ -7,7 +7,7 @@
 on a larger site.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 
 import msgspec
 
@@ -105,14 +105,15 @@
         """Return the candidates among `members` in rank order."""
         if members is not self._members:
             self._members = members
-            self._ranked = self._rank_again(_find_candidates(members, self._zone))
+            self._ranked = self._rank_again(members)
         return self._ranked
 
-    def _rank_again(self, candidates: Mapping[HostId, MemberView]) -> list[MemberView]:
+    def _rank_again(self, members: Sequence[MemberView]) -> list[MemberView]:
+        candidates = _find_candidates(members, self._zone)
         before = [m.host for m in self._ranked]
         if len(before) == len(candidates) and all(host in candidates for host in before):
             return [candidates[host] for host in before]  # Only their load or offset has changed.
-        return [candidates[host] for host in rank_hosts(f"reader-{self._zone}", candidates)]
+        return rank_readers(members, self._zone)
 
 
 def choose_lease_candidate(
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -48,7 +48,8 @@
 BACKUP_PERIOD_S = 2.0
 """How long to pull from a backup reader after a pull from the reader has failed."""
 
-POLL_INTERVAL_S = 0.1
+RETRY_DELAY_S = 0.1
+"""Delay of the next pull after one that has failed."""
 
 
 class SyncClient:
@@ -124,7 +125,7 @@
             elif not await self._pull(source):
                 self._failures += 1
                 self._failed_s = now_s()
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await asyncio.sleep(RETRY_DELAY_S)
 
     def _choose_source(self) -> MemberView | None:
         """Return the reader, or a backup reader for a while after a failed or outdated pull."""
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -24,7 +24,8 @@
 FULL_WAIT_FRACTION = 0.9
 """A read without changes that took this fraction of its wait counts as one that waited it out."""
 
-POLL_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.1
+"""How often a wait asks again how long it may be."""
 
 LAPSE_AFTER_S = 2.0
 """Length of an outage of the store after which entries of running upstreams may have expired."""
@@ -75,7 +76,7 @@
         delay_s = self._backoff.next_delay_s()
         remaining_s = delay_s
         while remaining_s > 0:
-            await asyncio.sleep(min(POLL_INTERVAL_S, remaining_s))
+            await asyncio.sleep(min(CHECK_INTERVAL_S, remaining_s))
             remaining_s = started_s + delay_s * self._policy.retry_factor() - now_s()
 
 
--- a/fakes/minttide_fakes/virtual.py
+++ b/fakes/minttide_fakes/virtual.py
@@ -8,7 +8,7 @@
 T = TypeVar("T")
 
 START_MS = 10**12
-"""The wall clock of `read_wall_ms` when the loop's time is 0."""
+"""The wall clock of `read_virtual_wall_ms` when the loop's time is 0."""
 
 
 class StalledError(Exception):
@@ -48,7 +48,7 @@
         self._virtual_selector.now_s += seconds
 
 
-def read_wall_ms() -> int:
+def read_virtual_wall_ms() -> int:
     """Return a wall clock in milliseconds that runs with the loop's time."""
     return START_MS + int(asyncio.get_running_loop().time() * 1000)
 
--- a/measure/publish.py
+++ b/measure/publish.py
@@ -30,7 +30,7 @@
 from minttide.records import RECORD_FORMAT, Envelope, Publish, ServiceChange, encode
 from minttide_fakes.memory import MemoryLog
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import read_wall_ms, run_virtual
+from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
 from minttided.log.follower import Follower
 from minttided.peers.handler import PeerHandler
 from minttided.peers.listing import HostListCache
@@ -108,7 +108,7 @@
             lambda: LocalVitals(self.follower.applied, 0.0),
             self.relay.record_peer_offset,
             rng=rng,
-            wall_ms=read_wall_ms,
+            wall_ms=read_virtual_wall_ms,
         )
         self.relay.attach(self.follower)
         net.put(self.peer, PeerHandler(self.membership, self.relay, lambda: None))
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -11,7 +11,7 @@
 )
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import read_wall_ms, run_virtual
+from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
@@ -103,7 +103,7 @@
             HostListCache(),
             lambda: LocalVitals(NO_OFFSET, 0.0, tuple(sorted(self.state.cut_off_services))),
             rng=rng,
-            wall_ms=read_wall_ms,
+            wall_ms=read_virtual_wall_ms,
         )
         self.state.on_cut_off_changed = self.members.disseminate_now
         config_read_policy = ReadPolicy(
--- a/test/test_large_membership.py
+++ b/test/test_large_membership.py
@@ -9,7 +9,7 @@
 from minttide.gossip import UpdateQueue
 from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ZoneId
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import read_wall_ms, run_virtual
+from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
 from minttided.peers.listing import HostListCache
 from minttided.peers.membership import LocalVitals, Membership
 
@@ -49,7 +49,7 @@
         HostListCache(),
         lambda: LocalVitals(NO_OFFSET, 0.0),
         rng=random.Random(rng.random()),
-        wall_ms=lambda: read_wall_ms() + int(1000 * clock_error_s),
+        wall_ms=lambda: read_virtual_wall_ms() + int(1000 * clock_error_s),
         reclaims_id=True,
     )
     net.put(address, membership)
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -15,7 +15,7 @@
 from minttide.interfaces import ListedHost
 from minttide.membership import MAX_CUT_OFF_SERVICES, MemberTable
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import read_wall_ms, run_virtual
+from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
 from minttided.peers.interfaces import PullReply
 from minttided.peers.listing import HostListCache
 from minttided.peers.membership import LocalVitals, Membership
@@ -121,7 +121,7 @@
             self.host_list_cache,
             lambda: LocalVitals(Offset(number), 0.0, self.cut_off),
             rng=random.Random(number),
-            wall_ms=read_wall_ms,
+            wall_ms=read_virtual_wall_ms,
         )
         net.put(self.peer, self)
         self.on_probe = self.members.on_probe
--- a/test/test_retry_budget_sharing.py
+++ b/test/test_retry_budget_sharing.py
@@ -11,7 +11,7 @@
 from minttide.policy.shared_retries import RetryLimit
 from minttide.routing.freshness import ConfigFreshness
 from minttide_fakes.peer_network import MemoryPeerNetwork
-from minttide_fakes.virtual import read_wall_ms, run_virtual
+from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
 from minttided.gateway.callers.request import GatewayRequest
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.settings import GatewaySettings
@@ -52,7 +52,7 @@
             HostListCache(),
             lambda: LocalVitals(NO_OFFSET, 0.0),
             rng=rng,
-            wall_ms=read_wall_ms,
+            wall_ms=read_virtual_wall_ms,
             reclaims_id=True,
         )
         self.on_probe = self.members.on_probe
