Log pauses that upstreams ask for, that they leave, and what shows the end of an engine

The lines couldn't tell the hypotheses of the incident apart: no line said that an answer had one of the two headers, and none why an engine that ran a request no longer counts. No decision changes. What upstreams say in their answers is read in one place now (UpstreamNotices), which had been the limits alone.

Counters: decisions 'pause of upstream' and 'leaving of upstream'.

--- a/core/minttide/policy/upstream_limits.py
+++ b/core/minttide/policy/upstream_limits.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -126,10 +126,6 @@
             limited.next_s = now_s + self._draw_pause_s(part)
         return max(0.0, limited.next_s - now_s)
 
-    def exhausted(self, entries: Iterable[UpstreamEntry], now_s: float) -> set[UpstreamId]:
-        """Return the upstreams to which this host may send no request now because of a limit."""
-        return {entry.id for entry in entries if self.delay_s(entry, now_s) > 0.0}
-
     def take(self, entry: UpstreamEntry, now_s: float) -> None:
         """Count a request that is being sent to an upstream."""
         limited = self._limited.get(entry.id)
--- a/core/minttide/routing/headers.py
+++ b/core/minttide/routing/headers.py
@@ -14,7 +14,8 @@
     `length_hint` the expected number of tokens of the answer. `prompt_parts` lists the parts of the
     prompt in order, each as "<id>:<tokens>"; the last part belongs to the request itself.
     `limit` is the number of requests a second that an upstream takes from all hosts together, in
-    its answers while it has such a limit.
+    its answers while it has such a limit. `leaving` is "1" in the answers of an upstream that
+    leaves.
     """
 
     attempt: str
@@ -29,3 +30,4 @@
     length_hint: str
     prompt_parts: str
     limit: str
+    leaving: str
--- a/core/minttide/routing/outcome.py
+++ b/core/minttide/routing/outcome.py
@@ -6,6 +6,7 @@
 """Statuses by which a client may conclude that its request has not run and never will."""
 
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
 MIN_SERVER_ERROR = 500
 
 
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -175,7 +175,7 @@
             reclaims_id=True,
         )
         self.state.on_cut_off_changed = self.membership.disseminate_now
-        self.state.upstream_limits.find_hosts = self._find_sharing_hosts
+        self.state.notices.limits.find_hosts = self._find_sharing_hosts
         self._reach_monitor = ReachMonitor(self.state)
         streams = self._make_callers(peer_client)
         self._make_sync(peer_client, streams)
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -70,7 +70,7 @@
             upstream = self._choose(request, tried)
             if upstream is None:
                 break
-            self._state.upstream_limits.take(upstream, now_s())
+            self._state.notices.take(upstream, now_s())
             sent_s = now_s()
             result = await self._send(request, upstream, checks_key=not ran)
             await self._record_result(guard, request, result, upstream, sent_s)
@@ -98,16 +98,16 @@
             self._state.metrics.count_request(request.service, Ran.NOT_RUN)
             return blocked_error
         upstreams, now = self._state.active_upstreams(request.service), now_s()
-        limits = self._state.upstream_limits
-        delay_s = min((limits.delay_s(entry, now) for entry in upstreams), default=0.0)
+        notices = self._state.notices
+        delay_s = min((notices.delay_s(entry, now) for entry in upstreams), default=0.0)
         retry_after_s = self._budgets.record_rejection(request.service, delay_s)
         detail = f"no upstream of {request.service} is available"
         return not_run_error(ProblemType.NO_UPSTREAM, detail, retry_after_s)
 
     def _choose(self, request: GatewayRequest, tried: Sequence[UpstreamId]) -> UpstreamEntry | None:
         active = self._state.active_upstreams(request.service)
-        exhausted = self._state.upstream_limits.exhausted(active, now_s())
-        candidates = [u for u in active if u.id not in exhausted]
+        closed = self._state.notices.closed(active, now_s())
+        candidates = [u for u in active if u.id not in closed]
         untried = [u for u in candidates if u.id not in tried] or candidates
         suspected = self._state.suspects.avoided(now_s())
         available = [u for u in untried if u.id not in suspected] or untried
@@ -177,7 +177,7 @@
         )
         try:
             outcome = exchange.classify(names, request.attempt_id)
-            self._state.record_limit(upstream.id, exchange.status, exchange.header(names.limit))
+            self._state.record_answer(upstream.id, exchange.status, exchange.header)
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
             exchange.close()
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -15,17 +15,16 @@
 from minttide.policy.probe_evidence import ProbeEvidence
 from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.reach import Reach
-from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
 from minttide.routing.list_history import ListHistory
-from minttide.routing.outcome import MISDIRECTED_REQUEST
 from minttide.routing.readers import ReadTiming
 from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.ticks import Ticks
+from minttided.gateway.upstream_notices import ReadHeader, UpstreamNotices
 from minttided.operators.metrics import Metrics
 
 log = logging.getLogger(__name__)
@@ -105,9 +104,7 @@
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
         self.report_crash: Callable[[UpstreamEntry, CrashReport], None] = self._add_crash
-        self.upstream_limits = UpstreamLimits(
-            self.cfg.host, self.rng, lambda _: SharingHosts((self.cfg.host,), 1)
-        )
+        self.notices = UpstreamNotices(self.headers, self.metrics, self.cfg.host, self.rng)
 
     @property
     def cut_off_services(self) -> frozenset[ServiceName]:
@@ -150,7 +147,7 @@
         """Forget what is known of a process that is no longer listed, or has restarted."""
         self.suspects.clear(upstream)
         self.reach.forget(upstream)
-        self.upstream_limits.forget(upstream)
+        self.notices.forget(upstream)
 
     def record_reach(self, upstream: UpstreamId, reached: bool) -> None:
         """Record whether a connection to an upstream could be established.
@@ -191,19 +188,9 @@
         """Return the entry of an upstream, its last one if it was removed from the list."""
         return self.upstreams.get(upstream) or self.former_upstreams.get(upstream)
 
-    def record_limit(self, upstream: UpstreamId, status: int, text: str | None) -> None:
-        """Record the limit that an answer of an upstream names, None if it names none.
-
-        A text that isn't a number is ignored, and so is the answer of another process.
-        """
-        if status == MISDIRECTED_REQUEST:
-            return
-        limit_per_s = parse_limit(text) if text is not None else None
-        if text is not None and limit_per_s is None:
-            log.warning("limit ignored", extra={"upstream": upstream, "limit": text})
-        elif self.upstream_limits.record(upstream, limit_per_s, now_s()):
-            event = "upstream limited" if limit_per_s is not None else "upstream limit ended"
-            log.info(event, extra={"upstream": upstream, "limit_per_s": limit_per_s})
+    def record_answer(self, upstream: UpstreamId, status: int, read_header: ReadHeader) -> None:
+        """Record what the head of an upstream's answer says of the upstream."""
+        self.notices.record(upstream, status, read_header, now_s())
 
     def active_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service, except those that are leaving."""
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -135,8 +135,7 @@
             raise
         exchange, names = self._exchange, self._context.state.headers
         outcome = exchange.classify(names, self._request.attempt_id)
-        limit = exchange.header(names.limit)
-        self._context.state.record_limit(self._path[0].engine, exchange.status, limit)
+        self._context.state.record_answer(self._path[0].engine, exchange.status, exchange.header)
         if exchange.status != OK:
             return await self._read_failure(exchange, outcome)
         event = await self.next_event()
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -77,7 +77,7 @@
         untrusted = self.state.suspects.suspected()
         failing = self.state.suspects.avoided(now_s())
         reported = self._reported_engines.avoided(now_s())
-        exhausted = self.state.upstream_limits.exhausted(engines, now_s())
+        closed = self.state.notices.closed(engines, now_s())
         # If no path is left, allow engines that may have recovered or have free capacity again.
         avoid_sets = (
             untrusted | reported | avoided,
@@ -88,7 +88,7 @@
         for avoid in dict.fromkeys(frozenset(s) for s in avoid_sets):
             finder = PathFinder(model, engines, avoid - {first})
             path = finder.choose(
-                request_size, self.state.cfg.zone, loads, self.state.rng, first, exhausted
+                request_size, self.state.cfg.zone, loads, self.state.rng, first, closed
             )
             if path is not None and is_complete_path(path, model.layers):
                 return path
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -60,12 +60,12 @@
             self._request.service, self._model, self._request_size, self._avoided, first
         )
 
-    def limit_delay_s(self) -> float:
-        """Return the time until some first engine takes a request, by the limits they name."""
+    def send_delay_s(self) -> float:
+        """Return the time until some first engine takes a request, by what they say."""
         state = self._context.state
         engines = state.active_upstreams(self._request.service)
         first = [e for e in engines if e.layers is not None and e.layers.first == 0]
-        return min((state.upstream_limits.delay_s(e, now_s()) for e in first), default=0.0)
+        return min((state.notices.delay_s(e, now_s()) for e in first), default=0.0)
 
     def leaves_places(self, path: Path) -> bool:
         """Return whether a second attempt on a path leaves its engines places for other streams."""
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -100,23 +100,35 @@
                 self._reports.start(entry.id)
 
     async def confirm_ended(self, entry: UpstreamEntry) -> bool:
-        """Return whether the process of `entry` answers none of several longer probes."""
-        probes = [asyncio.create_task(self._is_running(entry)) for _ in range(CONFIRM_PROBES)]
+        """Return whether the process of `entry` answers none of several longer probes.
+
+        Logs what each of them showed.
+        """
+        found: list[str] = []
+        probes = [
+            asyncio.create_task(self._is_running(entry, found)) for _ in range(CONFIRM_PROBES)
+        ]
         try:
             for probe in asyncio.as_completed(probes):
                 if await probe:
+                    log.info("engine end denied", extra={"engine": entry.id, "probes": found})
                     return False
+            log.warning("engine end confirmed", extra={"engine": entry.id, "probes": found})
             return True
         finally:
             for task in probes:
                 task.cancel()
 
-    async def _is_running(self, entry: UpstreamEntry) -> bool:
+    async def _is_running(self, entry: UpstreamEntry, found: list[str]) -> bool:
+        """Return whether a probe shows that a process runs; append what it showed to `found`."""
         try:
             report = await self._state.engines.report(entry, CONFIRM_TIMEOUT_S)
-        except SourceError:
+        except SourceError as exc:
+            found.append(f"{exc} (reached={exc.reached})")
             return False
-        return not _has_restarted(entry, report)
+        has_restarted = _has_restarted(entry, report)
+        found.append(f"restarted at {report.born_ms}" if has_restarted else "reports")
+        return not has_restarted
 
     async def _connect(self, engine: UpstreamId) -> bool:
         entry = self._state.find_upstream(engine)
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -127,7 +127,7 @@
                 result,
                 self._opener.may_have_run,
                 self._crash_guard.rejection(),
-                self._paths.limit_delay_s(),
+                self._paths.send_delay_s(),
             )
         self._opener.content_type = self._current.attempt.content_type
         headers, content_type = split_content_type(self._current.attempt.headers)
@@ -171,7 +171,7 @@
         if sends and not self._context.budgets.try_spend(self._request, sends):
             return NO_RETRY
         entry = self._context.state.upstreams[path[0].engine]
-        self._context.state.upstream_limits.take(entry, now_s())
+        self._context.state.notices.take(entry, now_s())
         attempt = StreamAttempt(
             self._context,
             self._request,
--- a/daemon/minttided/gateway/streams/unstarted.py
+++ b/daemon/minttided/gateway/streams/unstarted.py
@@ -16,12 +16,12 @@
     result: StreamSendResult,
     may_have_run: bool,
     blocked_error: RequestError | None,
-    limit_delay_s: float,
+    send_delay_s: float,
 ) -> HttpResponse:
     """Return the response of a stream that has not begun, by the result of its last send.
 
     Raises `RequestError` if there is none: `blocked_error` for a blocked request that has not run.
-    `limit_delay_s` is the time until an engine takes a request, by the limits they name.
+    `send_delay_s` is the time until an engine takes a request, by what they say.
     """
     metrics, service = context.state.metrics, request.service
     response = result.response
@@ -33,7 +33,7 @@
         if blocked_error is not None:
             raise blocked_error
         detail = f"no path accepted the request: {result.reason}"
-        retry_after_s = context.budgets.record_rejection(service, limit_delay_s)
+        retry_after_s = context.budgets.record_rejection(service, send_delay_s)
         raise not_run_error(ProblemType.NO_CHAIN, detail, retry_after_s)
     metrics.count_request(service, Ran.UNKNOWN)
     failed = result.outcome is ExchangeOutcome.FAILED  # a rejection would say that nothing ran
--- /dev/null
+++ b/daemon/minttided/gateway/upstream_notices.py
@@ -0,0 +1,73 @@
+"""What upstreams say of themselves in the headers of their answers, beside the answer itself."""
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+from minttide.ids import HostId, UpstreamId, ZoneId
+from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
+from minttide.routing.headers import HeaderNames
+from minttide.routing.outcome import MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE
+from minttide.routing.routes import UpstreamEntry
+from minttided.operators.metrics import Metrics
+
+log = logging.getLogger(__name__)
+
+RETRY_AFTER = "retry-after"
+IS_LEAVING = "1"
+
+ReadHeader = Callable[[str], str | None]
+"""Returns the first value of a response header, None without one. Names are in lower case."""
+
+
+class UpstreamNotices:
+    """The notices of upstreams to this host. Times are in loop seconds."""
+
+    def __init__(self, names: HeaderNames, metrics: Metrics, host: HostId, rng: random.Random):
+        self._names = names
+        self._metrics = metrics
+        self.limits = UpstreamLimits(host, rng, _share_with_none(host))
+
+    def record(
+        self, upstream: UpstreamId, status: int, read_header: ReadHeader, now_s: float
+    ) -> None:
+        """Record what the head of an answer says; that of another process says nothing."""
+        if status == MISDIRECTED_REQUEST:
+            return
+        self._record_limit(upstream, read_header(self._names.limit), now_s)
+        pause = read_header(RETRY_AFTER)
+        if status == SERVICE_UNAVAILABLE and pause is not None:
+            self._metrics.count_decision("pause of upstream")
+            log.warning("upstream asked for a pause", extra={"upstream": upstream, "pause": pause})
+        if read_header(self._names.leaving) == IS_LEAVING:
+            self._metrics.count_decision("leaving of upstream")
+            log.warning("upstream says it leaves", extra={"upstream": upstream, "status": status})
+
+    def _record_limit(self, upstream: UpstreamId, text: str | None, now_s: float) -> None:
+        """Record the limit that an answer names, None if it names none; ignore odd texts."""
+        limit_per_s = parse_limit(text) if text is not None else None
+        if text is not None and limit_per_s is None:
+            log.warning("limit ignored", extra={"upstream": upstream, "limit": text})
+        elif self.limits.record(upstream, limit_per_s, now_s):
+            event = "upstream limited" if limit_per_s is not None else "upstream limit ended"
+            log.info(event, extra={"upstream": upstream, "limit_per_s": limit_per_s})
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop the notices of a process that is no longer listed, or has restarted."""
+        self.limits.forget(upstream)
+
+    def delay_s(self, entry: UpstreamEntry, now_s: float) -> float:
+        """Return the time until this host may send a request to an upstream, 0 if it may now."""
+        return self.limits.delay_s(entry, now_s)
+
+    def closed(self, entries: Iterable[UpstreamEntry], now_s: float) -> set[UpstreamId]:
+        """Return the upstreams to which this host may send no request now."""
+        return {entry.id for entry in entries if self.delay_s(entry, now_s) > 0.0}
+
+    def take(self, entry: UpstreamEntry, now_s: float) -> None:
+        """Count a request that is being sent to an upstream."""
+        self.limits.take(entry, now_s)
+
+
+def _share_with_none(host: HostId) -> Callable[[ZoneId | None], SharingHosts]:
+    return lambda _: SharingHosts((host,), 1)
--- a/test/gateway_site.py
+++ b/test/gateway_site.py
@@ -46,6 +46,7 @@
     length_hint="x-hint",
     prompt_parts="x-parts",
     limit="x-limit",
+    leaving="x-leaving",
 )
 ANY_PORT = Address("127.0.0.1:0")
 KEY = "secret"
--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -182,7 +182,7 @@
     limits = UpstreamLimits("h", random.Random(1), lambda _: SharingHosts(("h",), 1))
     entry = upstream("u1")
     assert limits.record(entry.id, 0.1, 0.0)
-    assert limits.exhausted([entry], 1.0) == {"u1"}
+    assert limits.delay_s(entry, 1.0) > 0.0
     assert limits.record(entry.id, None, 2.0)
     assert limits.delay_s(entry, 2.0) == 0.0
 
