Send an upstream nothing in the pause that it asks for

Cause: nothing read Retry-After in an upstream's 503. It counted as a rejection like any other: engines were avoided for 0.3 s, plain upstreams not at all. Now a pause closes the upstream for requests, reports and orders of this host until it is over, looked at again right before the first byte, and the host returns to it gradually. Also found: a stream that asks an engine again on which it was abandoned didn't look at the limit that the engine names.

--- a/core/minttide/routing/routes.py
+++ b/core/minttide/routing/routes.py
@@ -149,6 +149,10 @@
         return self.last - self.first
 
 
+ProcessKey = tuple[UpstreamId, int]
+"""An upstream's id and `born_ms`, which name one process of it."""
+
+
 class UpstreamEntry(msgspec.Struct, frozen=True):
     """One upstream process as listed by the platform.
 
@@ -166,3 +170,8 @@
     kind: str = ""
     busy: bool = False
     layers: LayerRange | None = None
+
+    @property
+    def process(self) -> ProcessKey:
+        """Return the key of the process."""
+        return (self.id, self.born_ms)
--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -124,8 +124,17 @@
     fault: Address | None = None
 
 
+OnAnswer = Callable[[UpstreamEntry, int, Callable[[str], str | None]], None]
+"""Called with an engine, the status of its answer, and a function that returns a header of it."""
+
+
 class PathEngines(Protocol):
-    """A client for engines that pass a request along a whole path of stages themselves."""
+    """A client for engines that pass a request along a whole path of stages themselves.
+
+    `on_answer` is called for each of their answers.
+    """
+
+    on_answer: OnAnswer
 
     async def check_reachable(self, entry: UpstreamEntry, timeout_s: float) -> None:
         """Check that an engine accepts a connection, and close it. Raises `SourceError`."""
--- a/daemon/minttided/gateway/callers/permissions.py
+++ b/daemon/minttided/gateway/callers/permissions.py
@@ -22,6 +22,10 @@
     """The request may no longer be sent, and not because of the upstream."""
 
 
+class UpstreamClosedError(NotSentError):
+    """The upstream takes no request from this host any more: it leaves, or asked for a pause."""
+
+
 def find_account(state: GatewayState, req: HttpRequest) -> AccountKeys:
     """Return the account of a request's key by the newest configuration. Raises `RequestError`."""
     if state.table is None or not state.freshness.keys_usable(state.clock()):
@@ -46,7 +50,9 @@
 def check_may_send(
     state: GatewayState, request: GatewayRequest, upstreams: Iterable[UpstreamId], checks_key: bool
 ) -> None:
-    """Raise `NotSentError` unless a request may be sent to `upstreams` now.
+    """Raise `NotSentError` unless a request may be sent to the first of `upstreams` now.
+
+    The others are those through which it would pass.
 
     The key counts with `checks_key`, until the request may have run. One that was sent while its
     key was valid may be tried again, and its stream go on, although the key can't be confirmed
@@ -56,8 +62,11 @@
         raise NotPermittedError("its time is over")
     if checks_key and request.account is not None:
         _check_key(state, request, request.account)
-    if not state.are_active(upstreams):
-        raise NotSentError("the upstream is leaving")
+    names = list(upstreams)
+    if not state.are_active(names):
+        raise UpstreamClosedError("the upstream is leaving")
+    if state.notices.is_paused(state.upstreams[names[0]], now_s()):
+        raise UpstreamClosedError("the upstream asked for a pause")
 
 
 def _check_key(state: GatewayState, request: GatewayRequest, account: AccountKeys) -> None:
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -23,6 +23,7 @@
 from minttided.gateway.callers.exchange import Exchange
 from minttided.gateway.callers.permissions import (
     NotPermittedError,
+    UpstreamClosedError,
     check_may_send,
     left_s,
 )
@@ -119,7 +120,7 @@
         self._running[upstream.id] += 1
         try:
             return await self._exchange(request, upstream, checks_key)
-        except NotPermittedError as exc:
+        except (NotPermittedError, UpstreamClosedError) as exc:
             return SendResult(ExchangeOutcome.NOT_SENT, upstream.id, str(exc))
         except NotSentError as exc:
             self._state.suspects.add(upstream.id, now_s())
@@ -177,7 +178,7 @@
         )
         try:
             outcome = exchange.classify(names, request.attempt_id)
-            self._state.record_answer(upstream.id, exchange.status, exchange.header)
+            self._state.record_answer(upstream, exchange.status, exchange.header)
             body = await exchange.read_body(MAX_RESPONSE_BYTES, request.end_s)
         finally:
             exchange.close()
--- a/daemon/minttided/gateway/placement/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -146,6 +146,8 @@
         pending |= {e: o.layers for e, o in self._pending_orders.items()}
         orders = plan_orders(model, engines, pending, lost, self._find_new())
         by_id = {e.id: e for e in engines}
+        notices = self._state.notices
+        orders = [o for o in orders if not notices.is_paused(by_id[o.engine], now_s())]
         await asyncio.gather(*(self._send_order(model, by_id[o.engine], o) for o in orders))
 
     async def _find_lost(self, engines: Sequence[UpstreamEntry]) -> set[UpstreamId]:
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -188,9 +188,9 @@
         """Return the entry of an upstream, its last one if it was removed from the list."""
         return self.upstreams.get(upstream) or self.former_upstreams.get(upstream)
 
-    def record_answer(self, upstream: UpstreamId, status: int, read_header: ReadHeader) -> None:
+    def record_answer(self, entry: UpstreamEntry, status: int, read_header: ReadHeader) -> None:
         """Record what the head of an upstream's answer says of the upstream."""
-        self.notices.record(upstream, status, read_header, now_s())
+        self.notices.record(entry, status, read_header, now_s())
 
     def active_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service, except those that are leaving."""
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -126,6 +126,8 @@
 
         Raises `NotSentError`, `ExchangeError` or `EventTooLongError`.
         """
+        state = self._context.state
+        first = state.find_upstream(self._path[0].engine)
         opening = asyncio.create_task(self._open_exchange(last_event_id))
         try:
             self._exchange = await self._await_response(opening)
@@ -133,9 +135,10 @@
             opening.cancel()
             opening.add_done_callback(_close_late_exchange)
             raise
-        exchange, names = self._exchange, self._context.state.headers
-        outcome = exchange.classify(names, self._request.attempt_id)
-        self._context.state.record_answer(self._path[0].engine, exchange.status, exchange.header)
+        exchange = self._exchange
+        outcome = exchange.classify(state.headers, self._request.attempt_id)
+        if first is not None:
+            state.record_answer(first, exchange.status, exchange.header)
         if exchange.status != OK:
             return await self._read_failure(exchange, outcome)
         event = await self.next_event()
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -60,6 +60,17 @@
             self._request.service, self._model, self._request_size, self._avoided, first
         )
 
+    def choose_moved(self, first: UpstreamId) -> Path | None:
+        """Return the best path to which engine `first` can be ordered to move the stream.
+
+        None if there is none, or if the engine asked for a pause and wants no orders either.
+        """
+        state = self._context.state
+        entry = state.upstreams.get(first)
+        if entry is not None and state.notices.is_paused(entry, now_s()):
+            return None
+        return self.choose(first)
+
     def send_delay_s(self) -> float:
         """Return the time until some first engine takes a request, by what they say."""
         state = self._context.state
@@ -132,7 +143,7 @@
         first = attempt.path[0]
         while self._progress.moves < MAX_MOVES:
             entry = self._context.state.upstreams.get(first.engine)
-            path = self.choose(first.engine)
+            path = self.choose_moved(first.engine)
             if entry is None or path is None or any(s.engine in dead for s in path):
                 return False
             self._progress.moves += 1
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -33,7 +33,8 @@
     """Probes engines by connecting to them or by fetching their reports.
 
     A connection only shows whether the engine can be reached. A report contains more, but costs the
-    engine a request. Concurrent probes of one kind to one engine are merged into one.
+    engine a request. Concurrent probes of one kind to one engine are merged into one. An engine
+    that asked for a pause is only connected to.
 
     An engine that was removed from the list is probed at its last address: it may still finish its
     requests.
@@ -122,7 +123,7 @@
     async def _is_running(self, entry: UpstreamEntry, found: list[str]) -> bool:
         """Return whether a probe shows that a process runs; append what it showed to `found`."""
         try:
-            report = await self._state.engines.report(entry, CONFIRM_TIMEOUT_S)
+            report = await self._report_or_connect(entry, CONFIRM_TIMEOUT_S)
         except SourceError as exc:
             found.append(f"{exc} (reached={exc.reached})")
             return False
@@ -150,7 +151,7 @@
             self._on_unresponsive(engine)
             return None
         try:
-            report = await probe(self._state, self._state.engines.report, entry)
+            report = await probe(self._state, self._report_or_connect, entry)
         except InconclusiveError as exc:
             self._state.record_reach(entry.id, exc.reached)
             return None
@@ -164,9 +165,20 @@
             return None
         self._state.suspects.clear(entry.id)
         self._ended.pop((entry.id, entry.born_ms), None)
-        self._on_report(entry.id, report)
+        if not self._is_paused(entry):
+            self._on_report(entry.id, report)
         return report
 
+    def _is_paused(self, entry: UpstreamEntry) -> bool:
+        return self._state.notices.is_paused(entry, now_s())
+
+    async def _report_or_connect(self, entry: UpstreamEntry, timeout_s: float) -> EngineReport:
+        """Return an engine's report, or a substitute if it asked for a pause."""
+        if not self._is_paused(entry):
+            return await self._state.engines.report(entry, timeout_s)
+        await self._state.engines.check_reachable(entry, timeout_s)
+        return _substitute_report(entry)
+
     def _suspect(self, entry: UpstreamEntry, reason: str, ended: bool = False) -> None:
         """Avoid an engine that failed a probe; `ended` if its process is known to have ended.
 
@@ -186,5 +198,20 @@
         self._on_unresponsive(entry.id)
 
 
+def _substitute_report(entry: UpstreamEntry) -> EngineReport:
+    """Return the report of an engine that can be reached and counts as busy."""
+    return EngineReport(
+        seq=0,
+        busy=False,
+        waiting=1,
+        running=0,
+        memory_used=0.0,
+        memory_total=0.0,
+        pace=1.0,
+        layers=entry.layers,
+        born_ms=entry.born_ms,
+    )
+
+
 def _has_restarted(entry: UpstreamEntry, report: EngineReport) -> bool:
     return bool(entry.born_ms and report.born_ms and report.born_ms != entry.born_ms)
--- a/daemon/minttided/gateway/streams/remedies.py
+++ b/daemon/minttided/gateway/streams/remedies.py
@@ -64,7 +64,7 @@
         new_path = self._paths.choose()
         if new_path is None:
             return False
-        moved_path = self._paths.choose(attempt.path[0].engine)
+        moved_path = self._paths.choose_moved(attempt.path[0].engine)
         if moved_path is None:
             return True
         tokens = self._request_size.prompt + self._model.event_tokens * self._progress.events
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -162,16 +162,19 @@
         """
         if self._crash_guard.block is not None:
             return BLOCKED
+        notices = self._context.state.notices
         path = self._paths.choose(first)
         if path is None or (self._paths.uses_avoided(path) and self._is_repeat_early()):
             return NO_PATH
+        entry = self._context.state.upstreams[path[0].engine]
+        if notices.delay_s(entry, now_s()) > 0.0:
+            return NO_PATH
         if leaves_places and not self._paths.leaves_places(path):
             return FEW_PLACES
         sends = self.progress.sends
         if sends and not self._context.budgets.try_spend(self._request, sends):
             return NO_RETRY
-        entry = self._context.state.upstreams[path[0].engine]
-        self._context.state.notices.take(entry, now_s())
+        notices.take(entry, now_s())
         attempt = StreamAttempt(
             self._context,
             self._request,
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -31,10 +31,14 @@
     headers: Headers
     body: bytes
 
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header; `name` is in lower case."""
+        return next((v for n, v in self.headers if n == name), None)
+
     @property
     def content_type(self) -> str:
         """Return the content type, or an empty string if there is none."""
-        return next((v for n, v in self.headers if n == "content-type"), "")
+        return self.header("content-type") or ""
 
 
 class HttpClient:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -36,6 +36,7 @@
     StoreUpstreams,
 )
 from minttide_platform.store import Store, TrimmedError  # noqa: E402
+from minttide_platform.wire import HEADERS  # noqa: E402
 from minttided.gateway.callers.directory import ResolveBody  # noqa: E402
 from minttided.gateway.settings import GatewaySettings  # noqa: E402
 from minttided.http.server import HttpServer  # noqa: E402
@@ -378,6 +379,35 @@
     assert len(orders) == may_send
 
 
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_what_an_engine_says_of_itself_beside_a_report_is_passed_on(status):
+    head = (
+        f"HTTP/1.1 {status} X\r\nRetry-After: 2\r\nServer-Leaving: 1\r\ncontent-length: 0\r\n\r\n"
+    )
+    answers = []
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head.encode())
+        writer.close()
+
+    async def check():
+        async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            entry = msgspec.structs.replace(
+                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
+            )
+            engines = HttpPathEngines()
+            engines.on_answer = lambda entry, status, read_header: answers.append(
+                (entry.id, status, read_header("retry-after"), read_header(HEADERS.leaving))
+            )
+            with suppress(SourceError):
+                await engines.report(entry, 5.0)
+
+    asyncio.run(check())
+    assert answers == [("i-1", status, "2", "1")]
+
+
 ENDED_ENGINES = {
     "nothing listens": (None, ProcessEndedError),
     "another process has its address": (b"HTTP/1.1 421 X\r\n\r\n", ProcessEndedError),
