Send nothing to an upstream that says in its answers that it leaves

Cause: nothing read the header; only the platform's list counted, which may be late, out of reach or an older copy. Now the process counts as leaving on this host from the answer on, whatever the list says, until another process has its id. Other hosts are told by a new field of the sync request, which releases before this pass over.

--- a/core/minttide/policy/requested_pauses.py
+++ b/core/minttide/policy/requested_pauses.py
@@ -42,7 +42,7 @@
 
 
 class RequestedPauses:
-    """The pauses that processes of upstreams have asked this host for. Times are in loop seconds."""
+    """The pauses that upstreams have asked this host for, by process. Times are in loop seconds."""
 
     def __init__(self, rng: random.Random):
         self._rng = rng
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from minttide.ids import ServiceName, UpstreamId
@@ -17,9 +17,10 @@
 from minttide.policy.reach import Reach
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
+from minttide.routing.leaving_processes import LeavingProcesses
 from minttide.routing.list_history import ListHistory
 from minttide.routing.readers import ReadTiming
-from minttide.routing.routes import UpstreamEntry
+from minttide.routing.routes import ProcessKey, UpstreamEntry
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
@@ -104,7 +105,14 @@
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
         self.report_crash: Callable[[UpstreamEntry, CrashReport], None] = self._add_crash
-        self.notices = UpstreamNotices(self.headers, self.metrics, self.cfg.host, self.rng)
+        self.leaving_processes = LeavingProcesses()
+        self.notices = UpstreamNotices(
+            self.headers,
+            self.metrics,
+            self.cfg.host,
+            self.rng,
+            lambda entry: self.record_leaving(entry.process, "answer"),
+        )
 
     @property
     def cut_off_services(self) -> frozenset[ServiceName]:
@@ -192,6 +200,24 @@
         """Record what the head of an upstream's answer says of the upstream."""
         self.notices.record(entry, status, read_header, now_s())
 
+    def record_leaving(self, process: ProcessKey, source: str) -> None:
+        """Record that a process of an upstream leaves, as it or another host says."""
+        if not self.leaving_processes.add(process, now_s()):
+            return
+        self.metrics.count_decision("leaving of upstream")
+        extra = {"upstream": process[0], "source": source}
+        log.warning("upstream says it leaves", extra=extra)
+        self.set_upstreams(self.upstreams)
+
+    def set_upstreams(self, entries: Mapping[UpstreamId, UpstreamEntry]) -> None:
+        """Replace the list of upstreams, in which processes that leave are marked."""
+        before, after = self.upstreams, self.leaving_processes.mark(entries, now_s())
+        if before == after:
+            return
+        self.upstreams = after
+        self.list_history.record(before, after)
+        self.notify_change()
+
     def active_upstreams(self, service: ServiceName) -> list[UpstreamEntry]:
         """Return the upstreams of a service, except those that are leaving."""
         return [u for u in self.upstreams.values() if u.service == service and not u.leaving]
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -15,7 +15,7 @@
 from minttide.policy.crash_reports import CrashReport, PartBlock, PartStart
 from minttide.routing.config_changes import ConfigChanges
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges, ListVersion
-from minttide.routing.routes import RoutingConfig, UpstreamEntry
+from minttide.routing.routes import ProcessKey, RoutingConfig, UpstreamEntry
 
 FULL_SYNC = Offset(-1)
 """Start offset of a request for everything newer; the reply may wait until there is something."""
@@ -31,6 +31,9 @@
 
 NO_VERSION = -1
 
+MAX_LEAVING = 64
+"""Processes that leave in one request."""
+
 _COMPRESSION_LEVEL = 1  # the fastest, to save processor time
 
 
@@ -54,7 +57,8 @@
     are the upstreams that the requesting host can't reach; with `REACH_ONLY`, the replying host
     probes these and returns those that it can't reach either. `takes_config_changes` says that the
     requesting host can apply changes to its version of the configuration; a release before these
-    leaves it out.
+    leaves it out. `leaving` are processes that have said in their answers that they leave, a hint;
+    releases before it neither send nor read it.
     """
 
     host: HostId
@@ -65,6 +69,7 @@
     silent: list[UpstreamId] = []
     crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
     takes_config_changes: bool = False
+    leaving: list[ProcessKey] = []
 
 
 class SyncReply(msgspec.Struct):
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -22,6 +22,7 @@
     CRASHES_ONLY,
     FULL_SYNC,
     LOADS_ONLY,
+    MAX_LEAVING,
     REACH_ONLY,
     SyncReply,
     SyncRequest,
@@ -124,6 +125,8 @@
         return True
 
     def _record_peer_state(self, request: SyncRequest) -> None:
+        for process in request.leaving[:MAX_LEAVING]:
+            self._state.record_leaving(process, "peer")
         if request.zone == self._state.cfg.zone:
             self._peer_loads.hosts.record(request.host, request.usages, now_s())
             self._unreachable_reports.record(request.host, frozenset(request.silent), now_s())
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -231,7 +231,9 @@
     def _apply_entries(self, entries: dict[UpstreamId, UpstreamEntry]) -> None:
         before = self._state.upstreams
         self._state.upstreams_known = True
-        if before == entries:
+        self._state.set_upstreams(entries)
+        entries = self._state.upstreams
+        if before is entries:
             return
         for upstream, entry in entries.items():
             old = before.get(upstream)
@@ -243,9 +245,6 @@
             if upstream not in entries:
                 self._state.record_removed(entry)
                 _log_change("upstream removed", entry)
-        self._state.upstreams = entries
-        self._state.list_history.record(before, entries)
-        self._state.notify_change()
 
 
 def _differs(old: UpstreamEntry, new: UpstreamEntry) -> bool:
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -10,7 +10,13 @@
 from minttide.layers.usage import add_usages
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
-from minttided.gateway.sync.messages import LOADS_ONLY, SyncRequest, decode_reply, encode
+from minttided.gateway.sync.messages import (
+    LOADS_ONLY,
+    MAX_LEAVING,
+    SyncRequest,
+    decode_reply,
+    encode,
+)
 from minttided.peers.interfaces import PeerError, Pull
 from minttided.supervisor import Ready
 
@@ -59,7 +65,10 @@
         )
         peer = readers[0]
         crashes = self._context.crash_news.make_request(peer.host)
-        sync_request = SyncRequest(cfg.host, cfg.zone, zone_usages, crashes=crashes)
+        leaving = self._state.leaving_processes.recent(now_s())[:MAX_LEAVING]
+        sync_request = SyncRequest(
+            cfg.host, cfg.zone, zone_usages, crashes=crashes, leaving=leaving
+        )
         request = Pull(LOADS_ONLY, encode(sync_request))
         try:
             pulled = await self._context.peer_client.pull(peer.peer, request, PULL_TIMEOUT_S)
--- a/daemon/minttided/gateway/upstream_notices.py
+++ b/daemon/minttided/gateway/upstream_notices.py
@@ -22,9 +22,20 @@
 
 
 class UpstreamNotices:
-    """The notices of upstreams to this host. Times are in loop seconds."""
-
-    def __init__(self, names: HeaderNames, metrics: Metrics, host: HostId, rng: random.Random):
+    """The notices of upstreams to this host. Times are in loop seconds.
+
+    `on_leaving` is called with the entry of an upstream that says that it leaves.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        metrics: Metrics,
+        host: HostId,
+        rng: random.Random,
+        on_leaving: Callable[[UpstreamEntry], None],
+    ):
+        self._on_leaving = on_leaving
         self._names = names
         self._metrics = metrics
         self.limits = UpstreamLimits(host, rng, _share_with_none(host))
@@ -40,8 +51,7 @@
         if status == SERVICE_UNAVAILABLE:
             self._record_pause(entry, read_header(RETRY_AFTER), now_s)
         if read_header(self._names.leaving) == IS_LEAVING:
-            self._metrics.count_decision("leaving of upstream")
-            log.warning("upstream says it leaves", extra={"upstream": entry.id, "status": status})
+            self._on_leaving(entry)
 
     def _record_limit(self, upstream: UpstreamId, text: str | None, now_s: float) -> None:
         """Record the limit that an answer names, None if it names none; ignore odd texts."""
