Count an engine as ended only if something shows that its process has ended

Cause: an engine that ran a stream stops counting once three probes in a row fail, and every failure was one: a report answered 503, one that can't be read, a connection that was accepted and reset or then silent. Each shows a process that runs. And 0.3 s of silence were taken for an end, while a sound engine may be silent for a second or so. Now an engine has ended if its address refuses connections, another process answers, or it has accepted no connection for 1.5 s.

--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from minttide.routing.routes import UpstreamEntry
-from minttided.gateway.streams.probes import EngineProbes
+from minttided.gateway.state import now_s
+from minttided.gateway.streams.probes import EngineProbes, ProcessState
+
+MIN_SILENCE_S = 1.5
+"""Silence after which an engine counts as ended; a sound one may be silent for a second or so."""
 
 
 class Liveness(Enum):
@@ -15,20 +19,22 @@
 
     RUNNING = "running"
     SEEMS_ENDED = "seems ended"  # one probe failed
-    ENDED = "ended"  # confirmed by more probes
+    ENDED = "ended"  # shown by more probes, or silent for `MIN_SILENCE_S`
 
 
 class EngineRun(msgspec.Struct, eq=False):
     """One engine that may have run the request, as it was listed when the request was sent.
 
     `abandoned` says that this host has ended the attempt there, in favour of another one, `earlier`
-    is such a run of the same process that this one has taken the place of.
+    is such a run of the same process that this one has taken the place of. `failed_s` is when the
+    first probe failed of those since the engine answered last, in loop seconds.
     """
 
     entry: UpstreamEntry
     liveness: Liveness
     abandoned: bool = False
     earlier: "EngineRun | None" = None
+    failed_s: float = 0.0
 
 
 class EngineRuns:
@@ -75,27 +81,49 @@
 
     def record_probe(self, run: EngineRun, responds: bool) -> None:
         """Record whether an engine answers; one that is confirmed to have ended stays so."""
-        if run.liveness is not Liveness.ENDED:
-            run.liveness = Liveness.RUNNING if responds else Liveness.SEEMS_ENDED
+        if run.liveness is Liveness.ENDED:
+            return
+        if run.liveness is Liveness.RUNNING:
+            run.failed_s = now_s()
+        run.liveness = Liveness.RUNNING if responds else Liveness.SEEMS_ENDED
 
     def record_answer(self, run: EngineRun) -> None:
         """Record that an engine answers the request, so that it has not ended."""
         run.liveness = Liveness.RUNNING
 
-    async def verify_ended(self) -> None:
-        """Probe engines that seem to have ended again, if the limit depends on them.
+    @property
+    def needs_verification(self) -> bool:
+        """Return whether the limit depends on engines that seem to have ended."""
+        return bool(self._doubtful) and self.count + len(self._doubtful) >= self._max_engines
 
-        A single probe may fail on an engine that runs, behind a link that loses packets or on a
-        busy host. An engine that is confirmed to have ended stays so until it answers this request.
+    @property
+    def _doubtful(self) -> list[EngineRun]:
+        return [run for run in self._runs if run.liveness is Liveness.SEEMS_ENDED]
+
+    async def verify_another(self, can_wait: bool) -> bool:
+        """Return `allows_another`, after engines that seem to have ended were probed again.
+
+        They are if the limit depends on them. A single probe may fail on an engine that runs,
+        behind a link that loses packets or on a busy host. An engine that only was silent counts as
+        ended after `MIN_SILENCE_S`, which is waited for with `can_wait`. One that is confirmed to
+        have ended stays so until it answers this request.
         """
-        doubtful = [run for run in self._runs if run.liveness is Liveness.SEEMS_ENDED]
-        if self.count + len(doubtful) < self._max_engines:
-            return
-        confirmed = await asyncio.gather(
-            *(self._probes.confirm_ended(run.entry) for run in doubtful)
-        )
-        for run, ended in zip(doubtful, confirmed, strict=True):
-            run.liveness = Liveness.ENDED if ended else Liveness.RUNNING
+        if self.needs_verification:
+            await asyncio.gather(*(self._settle(run, can_wait) for run in self._doubtful))
+        return self.count + len(self._doubtful) < self._max_engines
+
+    async def _settle(self, run: EngineRun, can_wait: bool) -> None:
+        """Probe an engine until it is clear whether it has ended, or once unless `can_wait`."""
+        while run.liveness is Liveness.SEEMS_ENDED:
+            state = await self._probes.find_state(run.entry)
+            if run.liveness is not Liveness.SEEMS_ENDED:
+                return  # It has answered this request meanwhile.
+            if state is ProcessState.RUNNING:
+                run.liveness = Liveness.RUNNING
+            elif state is ProcessState.ENDED or now_s() >= run.failed_s + MIN_SILENCE_S:
+                run.liveness = Liveness.ENDED
+            elif not can_wait:
+                return
 
 
 def _is_same(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 from minttide.ids import UpstreamId
 from minttide.routing.routes import UpstreamEntry
@@ -29,6 +30,14 @@
 """Shortest time between two probes of an engine that other engines or hosts report as failed."""
 
 
+class ProcessState(Enum):
+    """What probes show of a process, what shows most first."""
+
+    RUNNING = "running"  # it answers, or accepts a connection
+    ENDED = "ended"  # its address refuses connections, or another process answers
+    SILENT = "silent"  # no connection in time
+
+
 class EngineProbes:
     """Probes engines by connecting to them or by fetching their reports.
 
@@ -101,35 +110,50 @@
                 self._reports.start(entry.id)
 
     async def confirm_ended(self, entry: UpstreamEntry) -> bool:
-        """Return whether the process of `entry` answers none of several longer probes.
+        """Return whether the process of `entry` answers none of several longer probes."""
+        return await self.find_state(entry) is not ProcessState.RUNNING
 
-        Logs what each of them showed.
+    async def find_state(self, entry: UpstreamEntry) -> ProcessState:
+        """Return what several longer probes show of the process of `entry`, and log it.
+
+        One that shows that it runs is enough.
         """
         found: list[str] = []
         probes = [
-            asyncio.create_task(self._is_running(entry, found)) for _ in range(CONFIRM_PROBES)
+            asyncio.create_task(self._probe_state(entry, found)) for _ in range(CONFIRM_PROBES)
         ]
+        states: set[ProcessState] = set()
         try:
             for probe in asyncio.as_completed(probes):
-                if await probe:
-                    log.info("engine end denied", extra={"engine": entry.id, "probes": found})
-                    return False
-            log.warning("engine end confirmed", extra={"engine": entry.id, "probes": found})
-            return True
+                states.add(await probe)
+                if ProcessState.RUNNING in states:
+                    break
         finally:
             for task in probes:
                 task.cancel()
-
-    async def _is_running(self, entry: UpstreamEntry, found: list[str]) -> bool:
-        """Return whether a probe shows that a process runs; append what it showed to `found`."""
+        state = next(s for s in ProcessState if s in states)
+        is_running = state is ProcessState.RUNNING
+        log.log(
+            logging.INFO if is_running else logging.WARNING,
+            "engine end denied" if is_running else "engine end confirmed",
+            extra={"engine": entry.id, "state": state.value, "probes": found},
+        )
+        return state
+
+    async def _probe_state(self, entry: UpstreamEntry, found: list[str]) -> ProcessState:
+        """Return what one probe shows; append its result to `found`."""
         try:
             report = await self._report_or_connect(entry, CONFIRM_TIMEOUT_S)
+        except ProcessEndedError as exc:
+            found.append(str(exc))
+            return ProcessState.ENDED
         except SourceError as exc:
+            # A process that accepts a connection runs, however it answers.
             found.append(f"{exc} (reached={exc.reached})")
-            return False
+            return ProcessState.RUNNING if exc.reached else ProcessState.SILENT
         has_restarted = _has_restarted(entry, report)
         found.append(f"restarted at {report.born_ms}" if has_restarted else "reports")
-        return not has_restarted
+        return ProcessState.ENDED if has_restarted else ProcessState.RUNNING
 
     async def _connect(self, engine: UpstreamId) -> bool:
         entry = self._state.find_upstream(engine)
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -146,10 +146,13 @@
             and left_s(self._context.state, self._request) > 0.0
         )
 
-    async def verify_may_retry(self) -> bool:
-        """Return `may_retry`, after the engines that seem to have ended were probed again."""
-        if self.may_retry():
-            await self._engine_runs.verify_ended()
+    async def verify_may_retry(self, can_wait: bool) -> bool:
+        """Return `may_retry`, after the engines that seem to have ended were probed again.
+
+        With `can_wait`, until it is clear whether they have ended.
+        """
+        if not self.may_retry() or not await self._engine_runs.verify_another(can_wait):
+            return False
         return self.may_retry()
 
     # Sending.
@@ -207,7 +210,9 @@
     async def _verify_and_send(self) -> bool:
         if self._current is None and self.progress.events:
             return await self._send_rest()
-        return await self.verify_may_retry() and self.send() is None
+        # Events of an attempt that goes on mustn't wait.
+        can_wait = self._current is None
+        return await self.verify_may_retry(can_wait) and self.send() is None
 
     async def _wait_until_begun(self) -> StreamSendResult:
         """Wait until an attempt has begun to answer, and send again after each that fails.
@@ -356,7 +361,7 @@
         Where no further engine may run it, it goes to one on which an attempt was abandoned; each
         of these is asked once.
         """
-        if await self.verify_may_retry():
+        if await self.verify_may_retry(can_wait=True):
             return self.send() is None
         listed = self._context.state.active_upstreams(self._request.service)
         for entry in self._engine_runs.find_abandoned(listed):
--- a/daemon/minttided/gateway/streams/silence.py
+++ b/daemon/minttided/gateway/streams/silence.py
@@ -48,8 +48,11 @@
     def may_retry(self) -> bool:
         """Return whether the request's own limits allow another send, apart from the budget."""
 
-    async def verify_may_retry(self) -> bool:
-        """Return `may_retry`, after the engines that seem to have ended were probed again."""
+    async def verify_may_retry(self, can_wait: bool) -> bool:
+        """Return `may_retry`, after the engines that seem to have ended were probed again.
+
+        With `can_wait`, until it is clear whether they have ended.
+        """
 
     def send(self, first: UpstreamId | None = None, leaves_places: bool = False) -> str | None:
         """Send the request along a newly chosen path; return the reason if it can't be sent."""
@@ -132,9 +135,16 @@
     async def _send_replacement(
         self, sent: SentAttempt, decision: RemedyChoice, silence: Silence
     ) -> None:
-        """Send the request again while a silent attempt goes on, if that is allowed."""
-        if not self._may_repeat() or not await self._stream.verify_may_retry():
+        """Send the request again while a silent attempt goes on, if that is allowed.
+
+        Raises `ResumedError` if it goes on before it is known whether that is allowed.
+        """
+        if not self._may_repeat():
             return
+        if self._engine_runs.needs_verification:
+            verifying = self._stream.verify_may_retry(can_wait=True)
+            if not await sent.attempt.unless_resumed(verifying):
+                return
         if not self._stream.is_newest(sent):
             return
         if decision.dead:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -413,6 +413,7 @@
     "another process has its address": (b"HTTP/1.1 421 X\r\n\r\n", ProcessEndedError),
     "it closes the connection": (b"", SourceError),
     "it fails": (b"HTTP/1.1 500 X\r\n\r\n", SourceError),
+    "its report can't be read": (b"HTTP/1.1 200 X\r\n\r\nno report", SourceError),
 }
 
 
