Decode the bytes of other processes in one place, whatever is odd about them

Cause: an entry that is nested deeply, also in a field that nobody reads, raises RecursionError; 37 places caught DecodeError only. The child that follows the list was then started again without end and the list stood still. An event id of 5,000 digits of a caller raised ValueError as well. The command line reports malformed answers in place of a traceback.

--- a/cli/minttide_cli/caller.py
+++ b/cli/minttide_cli/caller.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError, decode_json
 from minttide.ids import Address
 from minttide.problems import Ran
 from minttide_cli.sse_reader import EventStream, SseEvent, StreamInterruptedError
@@ -144,9 +145,13 @@
             except (NotSentError, ExchangeError) as exc:
                 reasons.append(f"{address}: {exc}")
                 continue
-            if reply.status == OK:
-                return msgspec.json.decode(reply.body, type=EntryList)
-            reasons.append(f"{address}: status {reply.status}")
+            if reply.status != OK:
+                reasons.append(f"{address}: status {reply.status}")
+                continue
+            try:
+                return decode_json(reply.body, EntryList)
+            except MalformedBytesError as exc:
+                reasons.append(f"{address}: malformed list of entries: {exc}")
         raise UnreachableError("; ".join(reasons) or "no entry address is known")
 
     async def _request(
@@ -216,7 +221,10 @@
                 raise CallerError(_read_problem(await stream.read_body()))
             draft.connections += 1
             async for event in stream.events():
-                self._apply_event(event, request, draft, on_token)
+                try:
+                    self._apply_event(event, request, draft, on_token)
+                except MalformedBytesError as exc:
+                    raise StreamInterruptedError(f"malformed event: {exc}") from exc
         if not draft.is_complete:
             raise StreamInterruptedError("the stream ended before the draft was complete")
 
@@ -225,16 +233,16 @@
     ) -> None:
         match event.name:
             case "open":
-                opened = msgspec.json.decode(event.data, type=_Open)
+                opened = decode_json(event.data, _Open)
                 request.resume, draft.version = opened.resume, opened.version
             case "token":
-                token = msgspec.json.decode(event.data, type=_Token)
+                token = decode_json(event.data, _Token)
                 draft.tokens.append(token.token)
                 draft.text += token.text
                 draft.token_times_s.append(asyncio.get_running_loop().time())
                 on_token(token.text)
             case "end":
-                ended = msgspec.json.decode(event.data, type=_End)
+                ended = decode_json(event.data, _End)
                 draft.is_complete = ended.tokens == len(draft.tokens)
             case "problem":
                 raise CallerError(_read_problem(event.data))
@@ -277,6 +285,6 @@
 
 def _read_problem(body: bytes) -> CallerProblem:
     try:
-        return msgspec.json.decode(body, type=CallerProblem)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(body, CallerProblem)
+    except MalformedBytesError:
         return CallerProblem("", "malformed problem", 0, Ran.UNKNOWN, repr(body[:200]))
--- a/cli/minttide_cli/operators.py
+++ b/cli/minttide_cli/operators.py
@@ -4,8 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError, decode_any_json
 from minttide.ids import Address, HostId, Offset
 from minttided.http.client import ExchangeError, HttpClient, NotSentError
 
@@ -30,8 +29,8 @@
         text = reply.body[:200].decode("utf-8", "replace")
         raise OperatorsError(f"{address}: status {reply.status}: {text}")
     try:
-        return msgspec.json.decode(reply.body) if reply.body else None
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_any_json(reply.body) if reply.body else None
+    except MalformedBytesError as exc:
         raise OperatorsError(f"{address}: invalid JSON in the response: {exc}") from exc
 
 
--- a/core/minttide/config/decoding.py
+++ b/core/minttide/config/decoding.py
@@ -7,6 +7,7 @@
 import msgspec
 import msgspec.inspect as inspect
 
+from minttide.decoding import MalformedBytesError, decode_any_json
 from minttide.findings import Findings
 
 MAX_SHOWN_CHARS = 40
@@ -131,8 +132,8 @@
         text = text[3:]
     found = Findings()
     try:
-        raw = msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raw = decode_any_json(text)
+    except MalformedBytesError as exc:
         findings.add(file, "$", f"invalid JSON: {exc}")
         return None
     JsonTypeChecker(file, found).check(raw, inspect.type_info(type_))
--- a/core/minttide/config/rules.py
+++ b/core/minttide/config/rules.py
@@ -13,6 +13,7 @@
 NAME_RULE = "must be 1 to 63 of a-z, 0-9, '.', '_', '-', and begin and end with a letter or digit"
 SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
 MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,5}")
 
 Range = tuple[float, float]
 Add = Callable[[str, str], None]
@@ -54,7 +55,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         return None
-    if not (port.isascii() and port.isdecimal() and int(port) <= MAX_PORT):
+    if not (_PORT.fullmatch(port) and int(port) <= MAX_PORT):
         return None
     return host, int(port)
 
--- a/core/minttide/folds/fold.py
+++ b/core/minttide/folds/fold.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import NO_OFFSET, HostId, Incarnation, Offset
 from minttide.records import (
     Body,
@@ -112,7 +113,7 @@
 
     def __init__(self, state_type: type[StateT]):
         self._state = state_type()
-        self._decoder = msgspec.json.Decoder(state_type)
+        self._decoder = json_decoder(state_type)
 
     @property
     def applied(self) -> Offset:
@@ -171,7 +172,7 @@
         """
         try:
             self._state = self._decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except MalformedBytesError as exc:
             raise MalformedRecordError(str(exc)) from exc
         self._rebuild_indexes()
 
--- a/core/minttide/records.py
+++ b/core/minttide/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from minttide.config.service import ServiceFile
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import (
     ClaimId,
     HostId,
@@ -205,8 +206,8 @@
 
 
 _encoder = msgspec.json.Encoder()
-_header = msgspec.json.Decoder(_Header)
-_envelope = msgspec.json.Decoder(Envelope)
+_header = json_decoder(_Header)
+_envelope = json_decoder(Envelope)
 
 
 def encode(envelope: Envelope) -> bytes:
@@ -221,7 +222,7 @@
     """
     try:
         header = _header.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except MalformedBytesError as exc:
         raise MalformedRecordError(str(exc)) from exc
     if header.format > RECORD_FORMAT:
         raise NewerFormatError(
@@ -229,5 +230,5 @@
         )
     try:
         return _envelope.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except MalformedBytesError as exc:
         raise MalformedRecordError(str(exc)) from exc
--- a/daemon/minttided/drafts/draft_request.py
+++ b/daemon/minttided/drafts/draft_request.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from minttide.config.service import Account, ModelService
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import AdapterName, RequestId, ServiceName
 from minttide.policy.chains import Chain
 from minttide.problems import ProblemType
@@ -80,7 +81,7 @@
         return sign_resume_state(state, secret)
 
 
-_decoder = msgspec.json.Decoder(DraftBody)
+_decoder = json_decoder(DraftBody)
 
 
 def parse_draft(
@@ -89,7 +90,7 @@
     """Parse and validate the body of a draft request; raises `RequestError`."""
     try:
         draft = _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except MalformedBytesError as exc:
         raise rejection_error(ProblemType.BAD_REQUEST, f"invalid request body: {exc}") from exc
     prompt = tokenize(draft.prompt)
     max_tokens = draft.max_tokens or min(DEFAULT_MAX_TOKENS, model_service.max_tokens)
--- a/daemon/minttided/drafts/resume_token.py
+++ b/daemon/minttided/drafts/resume_token.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import AccountId, AdapterName, RequestId, ServiceName, UpstreamId
 
 SIGNATURE_BYTES = 16
@@ -35,7 +36,7 @@
     """A resume token was not signed by this site, or can't be decoded."""
 
 
-_decoder = msgspec.json.Decoder(ResumeState)
+_decoder = json_decoder(ResumeState)
 
 
 def digest_prompt(tokens: Sequence[int]) -> str:
@@ -62,7 +63,7 @@
         raise BadResumeTokenError("the resume token has an invalid signature")
     try:
         return _decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except MalformedBytesError as exc:
         raise BadResumeTokenError("the resume token has an unknown format") from exc
 
 
--- a/daemon/minttided/engines/engine_http.py
+++ b/daemon/minttided/engines/engine_http.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from minttide.decoding import Decoder, MalformedBytesError, json_decoder
 from minttide.ids import RequestId
 from minttide.interfaces import EngineError, StaleFencingError, always_allowed
 from minttide.steps import CacheEvent, EngineState, LoadReport, Order, StepBatch, StepReplies
@@ -33,11 +34,11 @@
 
 
 _encoder = msgspec.json.Encoder()
-_replies_decoder = msgspec.json.Decoder(StepReplies)
-_state_decoder = msgspec.json.Decoder(EngineState)
-_report_decoder = msgspec.json.Decoder(LoadReport)
-_events_decoder = msgspec.json.Decoder(list[CacheEvent])
-_handle_decoder = msgspec.json.Decoder(KvHandle)
+_replies_decoder = json_decoder(StepReplies)
+_state_decoder = json_decoder(EngineState)
+_report_decoder = json_decoder(LoadReport)
+_events_decoder = json_decoder(list[CacheEvent])
+_handle_decoder = json_decoder(KvHandle)
 
 
 class HttpEngineClient:
@@ -110,9 +111,9 @@
         raise EngineError(f"the engine answered with status {reply.status}: {detail}")
 
 
-def _decode(decoder: msgspec.json.Decoder[T], reply: ClientResponse) -> T:
+def _decode(decoder: Decoder[T], reply: ClientResponse) -> T:
     _check_status(reply)
     try:
         return decoder.decode(reply.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except MalformedBytesError as exc:
         raise EngineError(f"invalid answer from the engine: {exc}") from exc
--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -36,6 +36,9 @@
 MAX_ID_LENGTH = 64
 """Characters of an id given by a caller that are told apart."""
 
+MAX_EVENT_ID_DIGITS = 40
+"""Longest event id that a caller names; upstreams give none that is longer."""
+
 URGENCY_STEP = 2
 """Difference in urgency between two consecutive priorities."""
 
@@ -154,7 +157,8 @@
 def parse_last_event_id(req: HttpRequest) -> int | None:
     """Return the id of the last event that the caller of a stream has, if it names one."""
     text = req.header(LAST_EVENT_ID) or ""
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS
+    return int(text) if is_number else None
 
 
 def _parse_number(text: str) -> float | None:
--- a/daemon/minttided/gateway/main.py
+++ b/daemon/minttided/gateway/main.py
@@ -5,8 +5,7 @@
 import signal
 from collections.abc import Callable
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError
 from minttided.gateway.app import Gateway
 from minttided.gateway.settings import GatewaySettings
 
@@ -17,7 +16,7 @@
 """Interval between reads of the settings file, which may change without a SIGHUP."""
 
 ReadSettings = Callable[[], GatewaySettings]
-"""Reads the settings file. Raises `OSError` or `msgspec.DecodeError`."""
+"""Reads the settings file. Raises `OSError` or `MalformedBytesError`."""
 
 
 async def run_gateway(gateway: Gateway, read_settings: ReadSettings) -> None:
@@ -45,7 +44,7 @@
     """Apply the current settings file. A file that can't be read leaves the settings unchanged."""
     try:
         cfg = read_settings()
-    except (OSError, msgspec.DecodeError) as exc:
+    except (OSError, MalformedBytesError) as exc:
         log.warning("settings not reloaded", extra={"reason": str(exc)})
         return
     gateway.apply(cfg)
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import logging
-import zlib
 from collections.abc import Sequence
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError
 from minttide.ids import HostId, ServiceName, UpstreamId
 from minttide.interfaces import MemberView
 from minttide.routing.config_changes import WrongBaseError, apply_changes
@@ -152,7 +152,7 @@
                 return False
             self._context.crash_news.apply_reply(reader.host, crashes, reply.crashes)
             self._apply_reply(reply, sent_s + reply.held_s)
-        except (PeerError, msgspec.DecodeError, zlib.error) as exc:
+        except (PeerError, MalformedBytesError) as exc:
             log.info("peer sync failed", extra={"reader": reader.host, "reason": str(exc)})
             self._list_version = NO_LIST_VERSION
             return False
@@ -181,7 +181,7 @@
     def _apply_reply(self, reply: SyncReply, replied_s: float) -> None:
         """Apply a reply that was made at `replied_s`, the time that its ages refer to.
 
-        Raises `msgspec.DecodeError` or `zlib.error`.
+        Raises `MalformedBytesError`.
         """
         self._context.peer_loads.set_peer_totals(reply.usages)
         self._context.on_unreachable(reply.silent)
@@ -200,7 +200,7 @@
     def _apply_config(self, reply: SyncReply, confirmed_s: float) -> None:
         """Apply the configuration of a reply, which confirms at `confirmed_s` what is current.
 
-        Raises `msgspec.DecodeError` or `zlib.error`.
+        Raises `MalformedBytesError`.
         """
         table = self._state.table
         if table is not None and reply.config_changes is not None:
@@ -218,7 +218,7 @@
     def _change_config(self, current: RoutingConfig, packed: bytes) -> RoutingConfig | None:
         """Return the configuration after packed changes, or None to ask again.
 
-        Raises `msgspec.DecodeError` or `zlib.error`, after which the whole is asked for as well.
+        Raises `MalformedBytesError`, after which the whole is asked for as well.
         """
         self._needs_whole_config = True
         changes = unpack_config_changes(packed)
--- a/daemon/minttided/gateway/sync/crash_sender.py
+++ b/daemon/minttided/gateway/sync/crash_sender.py
@@ -9,8 +9,7 @@
 import logging
 from collections.abc import Sequence
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError
 from minttide.interfaces import MemberView
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
@@ -74,7 +73,7 @@
                 peer.peer, Pull(CRASHES_ONLY, encode(request)), SEND_TIMEOUT_S
             )
             reply = decode_reply(pulled.snapshot.data) if pulled.snapshot else None
-        except (PeerError, msgspec.DecodeError) as exc:
+        except (PeerError, MalformedBytesError) as exc:
             log.info("crash news not sent", extra={"peer": peer.host, "reason": str(exc)})
             return False
         if reply is not None:
--- a/daemon/minttided/gateway/sync/end_confirmation.py
+++ b/daemon/minttided/gateway/sync/end_confirmation.py
@@ -7,8 +7,7 @@
 import asyncio
 import logging
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError
 from minttide.interfaces import MemberView
 from minttide.policy.crash_reports import CrashReport
 from minttide.routing.routes import UpstreamEntry
@@ -80,7 +79,7 @@
                 host.peer, Pull(REACH_ONLY, encode(request)), CONFIRM_TIMEOUT_S
             )
             reply = decode_reply(pulled.snapshot.data) if pulled.snapshot else None
-        except (PeerError, msgspec.DecodeError) as exc:
+        except (PeerError, MalformedBytesError) as exc:
             log.info("upstream not confirmed", extra={"host": host.host, "reason": str(exc)})
             return None
         return entry.id not in reply.silent if reply is not None else None
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from minttide.decoding import msgpack_decoder, unpack
 from minttide.ids import HostId, Offset, UpstreamId, ZoneId
 from minttide.layers.usage import Usage
 from minttide.policy.crash_news import NO_NEWS, NewsVersion
@@ -98,12 +99,12 @@
 
 
 encode = msgspec.msgpack.Encoder().encode
-decode_reply = msgspec.msgpack.Decoder(SyncReply).decode
-decode_request = msgspec.msgpack.Decoder(SyncRequest).decode
+decode_reply = msgpack_decoder(SyncReply).decode
+decode_request = msgpack_decoder(SyncRequest).decode
 
-_decode_config = msgspec.msgpack.Decoder(RoutingConfig).decode
-_decode_config_changes = msgspec.msgpack.Decoder(ConfigChanges).decode
-_decode_entries = msgspec.msgpack.Decoder(list[UpstreamEntry]).decode
+_decode_config = msgpack_decoder(RoutingConfig).decode
+_decode_config_changes = msgpack_decoder(ConfigChanges).decode
+_decode_entries = msgpack_decoder(list[UpstreamEntry]).decode
 
 
 def pack(value: Any) -> bytes:
@@ -112,15 +113,15 @@
 
 
 def unpack_config(data: bytes) -> RoutingConfig:
-    """Decode a packed configuration. Raises `msgspec.DecodeError` or `zlib.error`."""
-    return _decode_config(zlib.decompress(data))
+    """Decode a packed configuration. Raises `MalformedBytesError`."""
+    return _decode_config(unpack(data))
 
 
 def unpack_config_changes(data: bytes) -> ConfigChanges:
-    """Decode packed changes. Raises `msgspec.DecodeError` or `zlib.error`."""
-    return _decode_config_changes(zlib.decompress(data))
+    """Decode packed changes. Raises `MalformedBytesError`."""
+    return _decode_config_changes(unpack(data))
 
 
 def unpack_entries(data: bytes) -> list[UpstreamEntry]:
-    """Decode a packed list of upstreams. Raises `msgspec.DecodeError` or `zlib.error`."""
-    return _decode_entries(zlib.decompress(data))
+    """Decode a packed list of upstreams. Raises `MalformedBytesError`."""
+    return _decode_entries(unpack(data))
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -4,8 +4,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError
 from minttide.folds.checkpoint import Checkpoint
 from minttide.ids import Offset, UpstreamId
 from minttide.interfaces import UpstreamReply
@@ -91,7 +90,7 @@
         received_s = self._state.clock()
         try:
             request = decode_request(pull.note)
-        except msgspec.DecodeError as exc:
+        except MalformedBytesError as exc:
             log.info("peer sync request not decoded", extra={"reason": str(exc)})
             return PullReply()
         if pull.start == REACH_ONLY:
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -4,8 +4,7 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError
 from minttide.ids import ZoneId
 from minttide.layers.usage import add_usages
 from minttided.gateway.state import now_s
@@ -73,7 +72,7 @@
         try:
             pulled = await self._context.peer_client.pull(peer.peer, request, PULL_TIMEOUT_S)
             reply = decode_reply(pulled.snapshot.data) if pulled.snapshot else None
-        except (PeerError, msgspec.DecodeError) as exc:
+        except (PeerError, MalformedBytesError) as exc:
             log.info("zone load exchange failed", extra={"zone": zone, "reason": str(exc)})
             return
         if reply is not None:
--- a/daemon/minttided/log/bootstrap.py
+++ b/daemon/minttided/log/bootstrap.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.folds.checkpoint import Checkpoint, CheckpointFinder
 from minttide.folds.fold import Fold
 from minttide.ids import Offset, StreamName
@@ -21,7 +22,7 @@
     stopped_at: Offset | None = None
 
 
-_position_decoder = msgspec.json.Decoder(_SnapshotPosition)
+_position_decoder = json_decoder(_SnapshotPosition)
 
 
 async def find_checkpoint(
@@ -84,6 +85,6 @@
         if position.applied != checkpoint.covers or position.stopped_at is not None:
             return False
         fold.restore(checkpoint.data)
-    except (msgspec.DecodeError, UnicodeDecodeError, MalformedRecordError):
+    except (MalformedBytesError, MalformedRecordError):
         return False
     return True
--- a/daemon/minttided/log/log_http.py
+++ b/daemon/minttided/log/log_http.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import Address, Offset, StreamName
 from minttide.interfaces import LogPage, LogUnavailableError, LogUncertainError
 from minttided.http.client import ClientResponse, ExchangeError, HttpClient, NotSentError
@@ -21,8 +22,8 @@
     offset: Offset
 
 
-_appended_decoder = msgspec.json.Decoder(_Appended)
-_page_decoder = msgspec.json.Decoder(LogPage)
+_appended_decoder = json_decoder(_Appended)
+_page_decoder = json_decoder(LogPage)
 
 
 class HttpPlatformLog:
@@ -58,7 +59,7 @@
         _check_append_status(response)
         try:
             return _appended_decoder.decode(response.body).offset
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except MalformedBytesError as exc:
             raise LogUncertainError(f"invalid response of the platform log: {exc}") from exc
 
     async def read(
@@ -80,7 +81,7 @@
             raise LogUnavailableError(f"the platform log responded with status {response.status}")
         try:
             return _page_decoder.decode(response.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except MalformedBytesError as exc:
             raise LogUnavailableError(f"invalid response of the platform log: {exc}") from exc
 
 
--- a/daemon/minttided/peers/host_list_http.py
+++ b/daemon/minttided/peers/host_list_http.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Sequence
 
-import msgspec
-
+from minttide.decoding import MalformedBytesError, json_decoder
 from minttide.ids import Address
 from minttide.interfaces import ListedHost
 from minttided.http.client import ExchangeError, HttpClient, NotSentError
@@ -11,7 +10,7 @@
 TIMEOUT_S = 5.0
 
 _OK = 200
-_hosts_decoder = msgspec.json.Decoder(list[ListedHost])
+_hosts_decoder = json_decoder(list[ListedHost])
 
 
 class HttpHostList:
@@ -36,5 +35,5 @@
             raise OSError(f"the host list responded with status {response.status}")
         try:
             return _hosts_decoder.decode(response.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except MalformedBytesError as exc:
             raise OSError(f"invalid host list: {exc}") from exc
