Take no request late in a shutdown that might outlast it

What operators of similar systems reported: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated (LOST). Cause here: connections are accepted for 2.5 s of the 8 s, but a request on one of them that is sent slowly is read and passed on whenever its last byte arrives. Now a request that is read after the time for new connections is taken only if its deadline ends before the shutdown does, and is told at once that it has not run, so that another host can take it.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -29,7 +29,7 @@
 from minttided.gateway.placement.placer import Placer
 from minttided.gateway.reach_monitor import ReachMonitor
 from minttided.gateway.settings import GatewaySettings
-from minttided.gateway.state import GatewayState, now_s
+from minttided.gateway.state import GatewayState, StopTimes, now_s
 from minttided.gateway.streams.forwarder import StreamForwarder
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.block_keeper import BlockKeeper
@@ -146,8 +146,13 @@
 
     def start_drain(self) -> None:
         """Start a graceful shutdown."""
+        if self.drain.started:
+            return
+        accept_s, finish_s = self._drain_times_s()
+        late_s = now_s() + accept_s
         self.state.leaving = True
-        self.drain.finish_timeout_s = self._drain_times_s()[1]
+        self.state.stop_times = StopTimes(late_s, late_s + finish_s)
+        self.drain.finish_timeout_s = finish_s
         self.drain.start()
 
     def apply(self, cfg: GatewaySettings) -> None:
--- a/daemon/minttided/gateway/callers/request_handler.py
+++ b/daemon/minttided/gateway/callers/request_handler.py
@@ -73,7 +73,9 @@
         self, req: HttpRequest, run: RunRequest, received_s: float
     ) -> HttpResponse | StreamResponse:
         try:
-            return await run(self._parse(req, received_s))
+            request = self._parse(req, received_s)
+            self._check_may_end(request)
+            return await run(request)
         except RequestError as exc:
             self._log_error(req, exc)
             return error_response(exc.problem)
@@ -123,6 +125,15 @@
             self._state.suspended_s,
         )
 
+    def _check_may_end(self, request: GatewayRequest) -> None:
+        """Reject a request that came late in the shutdown of this host and might outlast it.
+
+        Another host can take it at once. Raises `RequestError`.
+        """
+        late_s, end_s = self._state.stop_times
+        if now_s() >= late_s and request.end_s > end_s:
+            raise not_run_error(ProblemType.LEAVING, "this host is stopping", retry_after_s=0.0)
+
     def _find_route(self, table: RouteTable, req: HttpRequest) -> Route:
         host = req.header("host")
         if host is None:
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from minttide.ids import ServiceName, UpstreamId
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
@@ -59,6 +60,16 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class StopTimes(NamedTuple):
+    """When a graceful shutdown takes no more long requests, and when it ends all, in loop seconds.
+
+    Requests that arrive after `late_s` are taken only if they end by `end_s`.
+    """
+
+    late_s: float = float("inf")
+    end_s: float = float("inf")
+
+
 @dataclass
 class GatewayState:
     """The latest configuration and list of upstreams, and the sources they are read from.
@@ -94,6 +105,7 @@
     blocks_awaited_until_s: float = float("-inf")
     prompt_crashes: PromptCrashes = field(default_factory=PromptCrashes)
     leaving: bool = False
+    stop_times: StopTimes = StopTimes()
     on_cut_off_changed: Callable[[], None] = _ignore_cut_off_change
     on_reach_changed: Callable[[UpstreamId, bool], None] = _ignore_reach_change
     clock: Callable[[], float] = boot_time_s  # for the ages of data; tests replace it
