Let the soak ask for pauses, leave in answers, and mix builds; test what messages bear

The soak's upstreams may ask for pauses and say only in their answers that they leave (--notices); its ledger counts what reaches them. Its hosts may run the code of other checkouts by chance (--build).

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -46,7 +46,7 @@
         for task in self._tasks:
             await task
 
-    def _claim_target(self, targets):
+    def claim_target(self, targets):
         """Reserve a target that has no other fault; return None when there is none."""
         free = [t for t in targets if id(t) not in self._busy]
         if not free:
@@ -55,6 +55,10 @@
         self._busy.add(id(target))
         return target
 
+    def release(self, target):
+        """End the reservation of a target."""
+        self._busy.discard(id(target))
+
     def _draw_duration_s(self):
         return self._rng.uniform(*FAULT_DURATION_S)
 
@@ -64,7 +68,7 @@
     # Upstreams.
 
     async def _crash(self):
-        upstream = self._claim_target(self._site.upstreams)
+        upstream = self.claim_target(self._site.upstreams)
         if upstream is None:
             return
         duration_s, silent = self._draw_duration_s(), self._rng.random() < 0.5
@@ -73,10 +77,10 @@
         await asyncio.sleep(duration_s)
         self._site.remove_entry(upstream.id)
         upstream.restart()
-        self._busy.discard(id(upstream))
+        self.release(upstream)
 
     async def _drain(self):
-        upstream = self._claim_target(self._site.upstreams)
+        upstream = self.claim_target(self._site.upstreams)
         if upstream is None:
             return
         self._record_fault("upstream drains", upstream.id, 4.0)
@@ -89,10 +93,10 @@
         upstream.crash(silent=False)
         await asyncio.sleep(0.5)
         upstream.restart()
-        self._busy.discard(id(upstream))
+        self.release(upstream)
 
     async def _upstream_link_fault(self):
-        upstream = self._claim_target(self._site.upstreams)
+        upstream = self.claim_target(self._site.upstreams)
         if upstream is None:
             return
         duration_s = self._draw_duration_s()
@@ -101,12 +105,12 @@
         upstream.proxy.set(mode)
         await asyncio.sleep(duration_s)
         upstream.proxy.set(LinkMode.PASS)
-        self._busy.discard(id(upstream))
+        self.release(upstream)
 
     # The store.
 
     async def _store_unavailable(self):
-        store = self._claim_target([self._site.store])
+        store = self.claim_target([self._site.store])
         if store is None:
             return
         duration_s = self._draw_duration_s()
@@ -114,10 +118,10 @@
         store.status = self._rng.choice((503, 429))
         await asyncio.sleep(duration_s)
         store.status = 200
-        self._busy.discard(id(store))
+        self.release(store)
 
     async def _store_link_fault(self):
-        gateway = self._claim_target(self._site.gateways)
+        gateway = self.claim_target(self._site.gateways)
         if gateway is None:
             return
         duration_s = self._draw_duration_s() * 2
@@ -128,22 +132,22 @@
         gateway.store_proxy.set(mode)
         await asyncio.sleep(duration_s)
         gateway.store_proxy.set(LinkMode.PASS)
-        self._busy.discard(id(gateway))
+        self.release(gateway)
 
     # Gateways.
 
     async def _kill(self):
-        gateway = self._claim_target(self._site.gateways)
+        gateway = self.claim_target(self._site.gateways)
         if gateway is None:
             return
         self._record_fault("gateway killed", gateway.name, 1.0)
         await gateway.kill()
         await asyncio.sleep(self._rng.uniform(*DOWNTIME_S))
         await gateway.start()
-        self._busy.discard(id(gateway))
+        self.release(gateway)
 
     async def _stop(self):
-        gateway = self._claim_target(self._site.gateways)
+        gateway = self.claim_target(self._site.gateways)
         if gateway is None:
             return
         started_s = asyncio.get_running_loop().time()
@@ -154,10 +158,10 @@
         await gateway.kill()
         await asyncio.sleep(self._rng.uniform(*DOWNTIME_S))
         await gateway.start()
-        self._busy.discard(id(gateway))
+        self.release(gateway)
 
     async def _pause(self):
-        gateway = self._claim_target(self._site.gateways)
+        gateway = self.claim_target(self._site.gateways)
         if gateway is None:
             return
         duration_s = self._draw_duration_s() * 2
@@ -165,7 +169,7 @@
         gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         gateway.send_signal(signal.SIGCONT)
-        self._busy.discard(id(gateway))
+        self.release(gateway)
 
     async def _reload(self):
         gateway = self._rng.choice(self._site.gateways)
--- a/test/soak/gateways.py
+++ b/test/soak/gateways.py
@@ -13,7 +13,7 @@
 from minttide.ids import Address
 from soak.proxy import Proxy
 
-RUN_SCRIPT = Path(__file__).resolve().parents[2] / "platform" / "run.py"
+REPOSITORY = Path(__file__).resolve().parents[2]
 SHUTDOWN_GRACE_S = 3.0
 ADDRESS_KEEP_S = 0.5
 LISTENERS = ("callers", "directory", "health", "peer", "metrics")
@@ -28,9 +28,13 @@
 
 
 class GatewayProcess:
-    """One host: its addresses are fixed, its processes are started and stopped."""
+    """One host: its addresses are fixed, its processes are started and stopped.
 
-    def __init__(self, name, zone, folder, store_address, ledger):
+    `choose_build` returns the folder of the repository whose code the next process runs.
+    """
+
+    def __init__(self, name, zone, folder, store_address, ledger, choose_build):
+        self._choose_build = choose_build
         self.name = name
         self.zone = zone
         self.addresses = {listener: free_address() for listener in LISTENERS}
@@ -76,11 +80,15 @@
         self.write_settings()
         self._stopping = False
         self._started = False
+        build = self._choose_build()
+        env = {"MINTTIDE_CONFIG": str(self._settings)}
+        if build != REPOSITORY:  # Some builds don't look for the packages of a virtual environment.
+            env["PYTHONPATH"] = str(Path(msgspec.__file__).parents[1])
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-S",
-            str(RUN_SCRIPT),
-            env={"MINTTIDE_CONFIG": str(self._settings)},
+            str(build / "platform" / "run.py"),
+            env=env,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
--- a/test/soak/ledger.py
+++ b/test/soak/ledger.py
@@ -8,6 +8,8 @@
 
 MAX_REVOCATION_S = 5.0
 MAX_DRAIN_S = 2.0
+PAUSE_SETTLED_S = 0.5
+MAX_IN_PAUSE = 2
 TIMING_SLACK_S = 0.5
 """Tolerance for delays caused by the load of this machine."""
 
@@ -58,6 +60,8 @@
         default_factory=dict
     )  # upstream -> time at which it was listed as leaving
     faults: list = field(default_factory=list)  # (name, target, from, until)
+    pauses: dict = field(default_factory=dict)  # (gateway, upstream) -> (from, until, arrivals)
+    said_leaving_s: dict = field(default_factory=dict)  # (gateway, upstream) -> told at
     violations: list = field(default_factory=list)
     counts: Counter = field(default_factory=Counter)
 
@@ -71,10 +75,10 @@
         self.faults.append((name, target, now_s, now_s + duration_s))
         self.counts[name] += 1
 
-    def is_undisturbed(self, targets, from_s, until_s):
-        """Return whether no fault affected the targets in a period or shortly before it."""
+    def is_undisturbed(self, targets, from_s, until_s, recovery_s=FAULT_RECOVERY_S):
+        """Return whether no fault affected the targets in a period or `recovery_s` before it."""
         return not any(
-            target in targets and start <= until_s and end + FAULT_RECOVERY_S >= from_s
+            target in targets and start <= until_s and end + recovery_s >= from_s
             for _, target, start, end in self.faults
         )
 
@@ -116,6 +120,45 @@
                 "draining", f"{run} of {request}, leaving since {leaving_since_s}"
             )
 
+    # What upstreams say of themselves.
+
+    def _find_gateway(self, attempt):
+        """Return the host that a caller sent a request to, None for other requests of hosts."""
+        request = self.requests.get(attempt)
+        return request.gateway if request is not None else None
+
+    def record_pause(self, attempt, upstream, pause_s):
+        """Record that an upstream asks the host of a request for a pause."""
+        now_s = asyncio.get_running_loop().time()
+        key = (self._find_gateway(attempt), upstream)
+        if key not in self.pauses or self.pauses[key][1] < now_s:
+            self.pauses[key] = (now_s, now_s + pause_s, 0)
+
+    def record_said_leaving(self, attempt, upstream):
+        """Record that an upstream tells the host of a request that it leaves."""
+        key = (self._find_gateway(attempt), upstream)
+        self.said_leaving_s.setdefault(key, asyncio.get_running_loop().time())
+
+    def record_arrival(self, attempt, upstream):
+        """Check that a caller's request may reach an upstream now."""
+        gateway = self._find_gateway(attempt)
+        if gateway is None or not self.check_timing:
+            return
+        now_s = asyncio.get_running_loop().time()
+        key = (gateway, upstream)
+        from_s, until_s, arrivals = self.pauses.get(key, (0.0, 0.0, 0))
+        if from_s + PAUSE_SETTLED_S < now_s <= until_s:
+            self.pauses[key] = (from_s, until_s, arrivals + 1)
+            if arrivals + 1 > MAX_IN_PAUSE and self.is_undisturbed({gateway}, from_s, now_s, 0.0):
+                self.record_violation(
+                    "pause", f"{arrivals + 1} requests of {gateway} at {upstream}"
+                )
+        told_s = self.said_leaving_s.get(key, float("inf"))
+        sent_s = self.requests[attempt].sent_s
+        is_late = sent_s > told_s + MAX_DRAIN_S + TIMING_SLACK_S
+        if is_late and self.is_undisturbed({gateway}, told_s, now_s, 0.0):
+            self.record_violation("said leaving", f"{self.requests[attempt]} at {upstream}")
+
     # Observations of callers.
 
     def record_response(self, request):
--- a/test/soak/site.py
+++ b/test/soak/site.py
@@ -14,8 +14,9 @@
 from minttided.http.server import HttpServer
 from soak.callers import Caller
 from soak.faults import Faults
-from soak.gateways import GatewayProcess
+from soak.gateways import REPOSITORY, GatewayProcess
 from soak.ledger import Ledger
+from soak.notices import NoticeFaults
 from soak.upstreams import ENGINE_MEMORY_MB, LAYER_MB, LAYERS, Engine, Upstream
 
 GATEWAYS = 3
@@ -41,8 +42,11 @@
 class Site:
     """A running site; starts and stops with its context."""
 
-    def __init__(self, seed, check_timing=True):
+    def __init__(self, seed, check_timing=True, builds=(REPOSITORY,), with_notices=False):
         self.rng = random.Random(seed)
+        self._build_rng = random.Random(seed)
+        self._builds = builds
+        self._with_notices = with_notices
         self.ledger = Ledger(check_timing)
         self.store = StoreStandIn()
         self.by_address = {}
@@ -62,7 +66,9 @@
         self.publish()
         for number in range(GATEWAYS):
             zone = ZONES[number % len(ZONES)]
-            gateway = GatewayProcess(f"g{number}", zone, folder, server.address, self.ledger)
+            gateway = GatewayProcess(
+                f"g{number}", zone, folder, server.address, self.ledger, self._choose_build
+            )
             self.gateways.append(await self._stack.enter_async_context(gateway))
         self._refresh_task = asyncio.create_task(self._refresh_list())
         self._stack.callback(self._refresh_task.cancel)
@@ -74,6 +80,9 @@
     async def __aexit__(self, *_):
         await self._stack.aclose()
 
+    def _choose_build(self):
+        return self._build_rng.choice(self._builds)
+
     async def _add_upstreams(self):
         for number in range(ENGINES):
             engine = Engine(self.ledger, number, ZONES[number % len(ZONES)], self.by_address)
@@ -199,7 +208,12 @@
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.sleep(SETTLE_S)
-        await Faults(self, self.rng).run(duration_s)
+        faults = Faults(self, self.rng)
+        notices = NoticeFaults(self, faults, self.rng.random()) if self._with_notices else None
+        notifying = asyncio.create_task(notices.run()) if notices is not None else None
+        await faults.run(duration_s)
+        if notifying is not None:
+            await notices.stop(notifying)
         await asyncio.sleep(SETTLE_S)
         for task in tasks:
             task.cancel()
@@ -221,8 +235,12 @@
                 await asyncio.sleep(0.05)
 
 
-async def run_site(seed, duration_s, check_timing=True):
-    """Run one seed; return its ledger."""
-    async with Site(seed, check_timing) as site:
+async def run_site(seed, duration_s, check_timing=True, builds=(REPOSITORY,), with_notices=False):
+    """Run one seed; return its ledger.
+
+    Each process runs the code of one of `builds`. With `with_notices`, upstreams also ask for
+    pauses and say in their answers that they leave.
+    """
+    async with Site(seed, check_timing, builds, with_notices) as site:
         await site.run(duration_s)
         return site.ledger
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -44,6 +44,8 @@
         """Start a new incarnation without the state of the previous one."""
         self.alive = True
         self.leaving = False
+        self.says_leaving = False  # in its answers
+        self.paused_until_s = 0.0  # in loop time; until then it turns requests away
         self.born = time.time_ns() // 1_000_000
         self.id = f"{self.service}-{self.number}-{self.born}"
 
@@ -107,7 +109,26 @@
         """Handle one request of a gateway."""
         if (req.header("minttide-expect-instance") or self.id) != self.id:
             return self.reject(421)
-        return await self.respond(req)
+        attempt = req.header("minttide-attempt-id")
+        self.ledger.record_arrival(attempt, self.id)
+        answer = self._ask_for_pause(attempt) if self._is_paused else await self.respond(req)
+        if self.says_leaving:
+            self.ledger.record_said_leaving(attempt, self.id)
+            answer.headers.append(("server-leaving", "1"))
+        return answer
+
+    @property
+    def _is_paused(self):
+        return asyncio.get_running_loop().time() < self.paused_until_s
+
+    def _ask_for_pause(self, attempt):
+        """Turn a request away, with the rest of the pause."""
+        left_s = self.paused_until_s - asyncio.get_running_loop().time()
+        self.ledger.record_pause(attempt, self.id, left_s)
+        answer = self.reject(503)
+        answer.headers.append(("minttide-attempt-id", attempt or ""))
+        answer.headers.append(("retry-after", f"{left_s:.3f}"))
+        return answer
 
     async def respond(self, req):
         """Run a plain request."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,6 +1,7 @@
 """A short soak test: real gateway processes under faults keep all invariants without time limits.
 
-Longer runs, which also check timing bounds, in this folder: python -m soak FIRST COUNT [SECONDS]
+Longer runs, which also check timing bounds, in this folder:
+python -m soak [--notices] [--build FOLDER]... FIRST COUNT [SECONDS]
 """
 
 import asyncio
@@ -22,3 +23,9 @@
     ledger = asyncio.run(run_site(seed, DURATION_S, check_timing=False))
     assert not ledger.violations
     assert ledger.counts["draft 200"] > 0 and ledger.counts["post 200"] > 0
+
+
+def test_promises_hold_while_upstreams_also_ask_for_pauses_and_say_that_they_leave():
+    ledger = asyncio.run(run_site(3000, DURATION_S, check_timing=False, with_notices=True))
+    assert not ledger.violations
+    assert ledger.counts["upstream asks for a pause"] > 0
