--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -24,6 +24,7 @@
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.openings import Openings, SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
+from minttided.gateway.streams.progress_recorder import ProgressRecorder
 from minttided.gateway.streams.remedies import StreamRemedies
 from minttided.gateway.streams.response import EventChunks
 from minttided.gateway.streams.silence import BLOCKED, SilenceHandler
@@ -96,8 +97,11 @@
             self._crash_guard,
             self._log,
         )
-        self._last_send_s = self._last_event_s = request.received_s
+        self._last_send_s = request.received_s
         self._delivered = DeliveredEvents(self.progress.last_event_id)
+        self._recorder = ProgressRecorder(
+            context, request, self.progress, self._delivered, self._crash_guard
+        )
         self._asked_again: set[UpstreamId] = set()  # since the last interruption
 
     @property
@@ -257,7 +261,7 @@
         event: Event | None = first
         while event is not None:
             if self._delivered.is_new(event):
-                self._record_event(event)
+                self._recorder.record(event)
                 yield event.raw
             event = await self._next_event()
         self._context.state.metrics.count_request(self._request.service, Ran.DONE)
@@ -310,28 +314,6 @@
         if self._current is not None:
             self._current.attempt.interrupt_wait()
 
-    def _record_event(self, event: Event) -> None:
-        self.progress.events += 1
-        if not event.is_comment:
-            self._record_progress()
-        self._delivered.record(event)
-        self.progress.last_event_id = self._delivered.last_id
-
-    def _record_progress(self) -> None:
-        """Record the time of an event that isn't only a comment."""
-        now = now_s()
-        progress = self.progress
-        if progress.first_event_s is None:
-            self._crash_guard.record_start()
-            progress.first_event_s = now - self._request.received_s
-            metrics = self._context.state.metrics
-            metrics.observe_first_token(self._request.service, progress.first_event_s)
-        else:
-            gap_s = now - self._last_event_s
-            progress.longest_gap_s = max(progress.longest_gap_s, gap_s)
-            self._context.silence_threshold.observe(gap_s)
-        self._last_event_s = now
-
     async def _resume(self, reason: str) -> Event | None:
         """Go on with an attempt on another path. Raises `ExchangeError` if that fails."""
         assert self._current is not None
--- a/test/test_requested_pauses.py
+++ b/test/test_requested_pauses.py
@@ -25,6 +25,7 @@
 from minttide.routing.sources import ProcessEndedError
 from minttide_fakes.memory_network import run_in_memory
 from minttided.gateway.callers.permissions import UpstreamClosedError, check_may_send
+from minttided.gateway.streams.run import NO_PATH, REPEAT_INTERVAL_S
 from minttided.gateway.sync.store_watchers import ReadPolicy, UpstreamWatcher
 
 ROUTES = {"get": "GET", "post": "POST", "draft": "POST", "once": "POST"}
@@ -240,3 +241,28 @@
 
     chunks, repaths, sends = run_in_memory(run(), 60.0)
     assert (chunks.count(b"data"), repaths, sends) == (3, [], 1)
+
+
+@pytest.mark.parametrize("notice", ["pause", "limit"])
+def test_engine_that_is_asked_again_is_asked_only_if_it_takes_requests(notice):
+    """Guards against a stream that goes on at an engine on which it was abandoned before."""
+
+    async def run():
+        wait = asyncio.Event()
+        engine = ScriptedUpstream("a", [STREAM_HEAD, events(1), wait.wait, END])
+        async with GatewaySite(engines=[(engine, 0, 4, "k")], model=MODEL) as site:
+            request = asyncio.create_task(site.send_request("draft", "POST"))
+            await wait_until(lambda: any(r.progress.events for r in site.streams.runs))
+            now, notices = asyncio.get_running_loop().time(), site.state.notices
+            if notice == "pause":
+                notices.pauses.record(("a", 0), 60.0, now)
+            else:
+                notices.limits.record("a", 0.01, now)
+            (stream,) = site.streams.runs
+            await asyncio.sleep(REPEAT_INTERVAL_S + 0.1)
+            reason = stream.send("a")
+            wait.set()
+            await request
+            return reason, len(engine.requests)
+
+    assert run_in_memory(run(), 60.0) == (NO_PATH, 1)
