--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -80,7 +80,7 @@
             self._log(request, result, len(tried), ran)
             again = (
                 may_retry(result.outcome, request.route.repeatable)
-                and ran < request.route.max_attempts
+                and ran < request.max_attempts
                 and len(tried) < MAX_SENDS
                 and guard.allows_send
                 and left_s(self._state, request) > 0.0
@@ -227,7 +227,7 @@
                 "upstream": result.upstream,
                 "send": sends,
                 "ran": ran,
-                "max_attempts": request.route.max_attempts,
+                "max_attempts": request.max_attempts,
                 "end": result.outcome.value,
                 "reason": result.reason,
                 "config": self._state.table.version if self._state.table else None,
--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -51,7 +51,8 @@
     `suspended_s` is for how long the machine had been suspended when the request was received.
 
     `attempt_id` is the caller's id of this attempt, empty if it sent none. `deadline_s` is when the
-    caller stops waiting, `limit_s` when the timeout of the route ends.
+    caller stops waiting, `limit_s` when the timeout of the route ends. `max_upstreams` is how many
+    upstreams may run a request that another host has passed on, 0 for as many as the route allows.
     """
 
     req: HttpRequest
@@ -63,6 +64,13 @@
     deadline_s: float
     limit_s: float
     suspended_s: float = 0.0
+    max_upstreams: int = 0
+
+    @property
+    def max_attempts(self) -> int:
+        """Return how many upstreams of this host may run the request."""
+        limit = self.route.max_attempts
+        return min(limit, self.max_upstreams) if self.max_upstreams else limit
 
     @property
     def end_s(self) -> float:
--- a/daemon/minttided/gateway/callers/request_handler.py
+++ b/daemon/minttided/gateway/callers/request_handler.py
@@ -58,22 +58,23 @@
 
     async def handle(self, req: HttpRequest) -> HttpResponse | StreamResponse:
         """Return the response to one request of a caller."""
-        return await self._handle(req, self._run_or_forward, now_s())
+        return await self._handle(req, self._run_or_forward, now_s(), 0)
 
     async def handle_forwarded(
-        self, req: HttpRequest, received_s: float
+        self, req: HttpRequest, received_s: float, max_upstreams: int
     ) -> HttpResponse | StreamResponse:
         """Return the response to a request that another host received at `received_s`.
 
-        It isn't passed on again, and counts towards the retries of that host.
+        It may run on `max_upstreams`, 0 for as many as its route allows. It isn't passed on again,
+        and counts towards the retries of that host.
         """
-        return await self._handle(req, self._run_here, received_s)
+        return await self._handle(req, self._run_here, received_s, max_upstreams)
 
     async def _handle(
-        self, req: HttpRequest, run: RunRequest, received_s: float
+        self, req: HttpRequest, run: RunRequest, received_s: float, max_upstreams: int
     ) -> HttpResponse | StreamResponse:
         try:
-            request = self._parse(req, received_s)
+            request = self._parse(req, received_s, max_upstreams)
             self._check_may_end(request)
             return await run(request)
         except RequestError as exc:
@@ -102,7 +103,7 @@
             return await self._streams.run(request, spec.model)
         return await self._plain.run(request)
 
-    def _parse(self, req: HttpRequest, received_s: float) -> GatewayRequest:
+    def _parse(self, req: HttpRequest, received_s: float, max_upstreams: int) -> GatewayRequest:
         """Return a request with its route, service and account. Raises `RequestError`."""
         table = self._state.table
         if table is None or not self._state.upstreams_known:
@@ -123,6 +124,7 @@
             received_s + self._parse_timeout_s(req, route),
             received_s + route.timeout_s,
             self._state.suspended_s,
+            max_upstreams,
         )
 
     def _check_may_end(self, request: GatewayRequest) -> None:
--- a/daemon/minttided/gateway/forwarding/client.py
+++ b/daemon/minttided/gateway/forwarding/client.py
@@ -7,8 +7,9 @@
 from minttide.ids import HostId, ServiceName
 from minttide.interfaces import MemberView
 from minttide.policy.helpers import choose_helper, find_helpers
+from minttide.policy.upstream_allowance import UpstreamAllowance
 from minttide.problems import ProblemType, Ran, RequestError
-from minttide.routing.outcome import NOT_RUN_STATUSES
+from minttide.routing.outcome import MIN_SERVER_ERROR, NOT_RUN_STATUSES
 from minttide.routing.routes import RouteKind
 from minttided.gateway.callers.errors import not_run_error, unknown_outcome_error
 from minttided.gateway.callers.permissions import age_s, left_s
@@ -78,34 +79,45 @@
         return bool(helpers) and await self._verify_cut_off(request.service)
 
     async def run(self, request: GatewayRequest) -> HttpResponse | StreamResponse:
-        """Return the response of a helper, or the last rejection if all that were asked reject it.
+        """Return the response of a helper, or the last failure, or the last rejection.
 
         Raises `RequestError`: if no helper could be asked, it has not run; if one may have run it
         and its answer is lost, that is unknown, whatever others answered after that.
         """
         tried: list[HostId] = []
         lost: list[PeerError] = []  # one for each helper that may have run it
+        allowance = UpstreamAllowance(request.route.max_attempts)
         rejection: HttpResponse | StreamResponse | None = None
+        failure: HttpResponse | StreamResponse | None = None
         while len(tried) < MAX_HELPERS and now_s() < request.end_s:
             helper = self._choose(request, tried)
-            if helper is None or (lost and not self._may_repeat(request, len(lost), len(tried))):
+            has_run = bool(lost) or failure is not None
+            if helper is None or (has_run and not self._may_repeat(request, allowance, len(tried))):
                 break
             tried.append(helper.host)
+            granted = allowance.grant(self._choose(request, tried) is not None)
             try:
-                opened = await self._open(helper, request, None)
+                opened = await self._open(helper, request, None, granted)
                 self._log(request, helper, len(tried), str(opened.response.head.status))
                 is_rejection = _is_rejection(opened)
-                response = await self._to_response(request, opened)
+                response = await self._to_response(request, opened, allowance)
             except PeerNotSentError as exc:
                 self._log(request, helper, len(tried), f"not sent: {exc}")
+                allowance.give_back(granted)
                 continue
             except PeerError as exc:
                 self._log(request, helper, len(tried), f"lost: {exc}")
                 lost.append(exc)
                 continue
-            if not is_rejection:
+            if is_rejection:
+                allowance.give_back(granted)
+                rejection = response
+            elif response.status < MIN_SERVER_ERROR:
                 return response
-            rejection = response
+            else:
+                failure = response
+        if failure is not None:
+            return failure
         if lost:
             raise self._lost(request, str(lost[-1])) from lost[-1]
         if rejection is None:
@@ -126,36 +138,51 @@
         helpers = find_helpers(self._members(), cfg.host, request.service)
         return choose_helper(helpers, tried, self._running, cfg.zone, self._state.rng)
 
-    def _may_repeat(self, request: GatewayRequest, ran: int, sends: int) -> bool:
-        """Return whether a request may run again that may have run `ran` times; take a retry."""
-        route = request.route
-        may_run = route.repeatable and ran < route.max_attempts
+    def _may_repeat(
+        self, request: GatewayRequest, allowance: UpstreamAllowance, sends: int
+    ) -> bool:
+        """Return whether a request that may have run may run once more; take a retry."""
+        may_run = request.route.repeatable and allowance.left > 0
         return may_run and self._budgets.try_spend(request, sends)
 
     async def resume(
-        self, request: GatewayRequest, last_event_id: int | None, tried: list[HostId]
+        self,
+        request: GatewayRequest,
+        last_event_id: int | None,
+        tried: list[HostId],
+        allowance: UpstreamAllowance,
     ) -> OpenForward:
         """Pass a stream that broke off on to the first other helper that takes it.
 
-        Appends each helper that is asked to `tried`. Raises `PeerError`.
+        Appends each helper that is asked to `tried`, and takes its part of `allowance`. Raises
+        `PeerError`.
         """
         while helper := self._choose(request, tried):
-            if now_s() >= request.end_s or not self._budgets.try_spend(request, len(tried)):
+            if now_s() >= request.end_s or not self._may_repeat(request, allowance, len(tried)):
                 break
             tried.append(helper.host)
+            granted = allowance.grant(self._choose(request, tried) is not None)
             try:
-                opened = await self._open(helper, request, last_event_id)
+                opened = await self._open(helper, request, last_event_id, granted)
             except PeerError as exc:
                 self._log(request, helper, len(tried), f"not resumed: {exc}")
+                if isinstance(exc, PeerNotSentError):
+                    allowance.give_back(granted)
                 continue
             self._log(request, helper, len(tried), str(opened.response.head.status))
             if opened.response.head.status == OK:
                 return opened
+            if _is_rejection(opened):
+                allowance.give_back(granted)
             await opened.aclose()
-        raise PeerError("no other helper")
+        raise PeerError("no other helper, or no upstream left that may run it")
 
     async def _open(
-        self, helper: MemberView, request: GatewayRequest, last_event_id: int | None
+        self,
+        helper: MemberView,
+        request: GatewayRequest,
+        last_event_id: int | None,
+        max_upstreams: int,
     ) -> OpenForward:
         """Pass the request on, resuming after `last_event_id` if given. Raises `PeerError`."""
         headers = end_to_end_headers(request.req.headers)
@@ -174,6 +201,7 @@
                 request.req.body,
                 age_s(self._state, request),
                 table.version if table is not None else 0,
+                max_upstreams,
             )
 
         end_s = request.end_s + END_MARGIN_S
@@ -193,12 +221,12 @@
     # Responses.
 
     async def _to_response(
-        self, request: GatewayRequest, opened: OpenForward
+        self, request: GatewayRequest, opened: OpenForward, allowance: UpstreamAllowance
     ) -> HttpResponse | StreamResponse:
         """Return the response, complete unless it is a stream. Raises `PeerError`."""
         head = opened.response.head
         if request.route.kind is RouteKind.STREAM and head.status == OK:
-            stream = ForwardedStream(self, request, opened)
+            stream = ForwardedStream(self, request, opened, allowance)
             return StreamResponse(stream, head.status, head.content_type, head.headers)
         try:
             body = await opened.read_body()
--- a/daemon/minttided/gateway/forwarding/server.py
+++ b/daemon/minttided/gateway/forwarding/server.py
@@ -16,8 +16,11 @@
 """Requests of other hosts that run here at the same time, so that this host's callers keep most
 of its memory and connections."""
 
-Run = Callable[[HttpRequest, float], Awaitable[HttpResponse | StreamResponse]]
-"""Runs a request that was received at the given time, in loop seconds, at this host's upstreams."""
+Run = Callable[[HttpRequest, float, int], Awaitable[HttpResponse | StreamResponse]]
+"""Runs a request at this host's upstreams.
+
+It was received at the given time, in loop seconds, and may run on so many, 0 for the route's limit.
+"""
 
 
 class ForwardingServer:
@@ -44,7 +47,8 @@
         )
         self.open_requests += 1
         try:
-            resp = await self._run(req, now_s() - forwarded.age_s)
+            received_s = now_s() - forwarded.age_s
+            resp = await self._run(req, received_s, forwarded.max_upstreams)
         except BaseException:
             self.open_requests -= 1
             raise
--- a/daemon/minttided/gateway/forwarding/stream.py
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -6,6 +6,7 @@
 
 from minttide.ids import HostId
 from minttide.interfaces import MemberView
+from minttide.policy.upstream_allowance import UpstreamAllowance
 from minttided.gateway.callers.exchange import media_type
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
 from minttided.gateway.streams.events import DeliveredEvents, EventSplitter, EventTooLongError
@@ -58,20 +59,31 @@
     """Passes a stream that broke off on to another helper."""
 
     async def resume(
-        self, request: GatewayRequest, last_event_id: int | None, tried: list[HostId]
+        self,
+        request: GatewayRequest,
+        last_event_id: int | None,
+        tried: list[HostId],
+        allowance: UpstreamAllowance,
     ) -> OpenForward:
         """Return the stream from after `last_event_id` on, all of it if `None`.
 
         Raises `PeerError`.
 
-        Appends each helper that is asked to `tried`.
+        Appends each helper that is asked to `tried`, and takes its part of `allowance`.
         """
 
 
 class ForwardedStream:
     """The events of one stream as chunks of a response body. It can be iterated once."""
 
-    def __init__(self, resumer: Resumer, request: GatewayRequest, opened: OpenForward):
+    def __init__(
+        self,
+        resumer: Resumer,
+        request: GatewayRequest,
+        opened: OpenForward,
+        allowance: UpstreamAllowance,
+    ):
+        self._allowance = allowance
         self._resumer = resumer
         self._request = request
         self._opened = opened
@@ -112,7 +124,9 @@
             raise ExchangeError(reason)
         last = self._delivered.last_id
         try:
-            self._opened = await self._resumer.resume(self._request, last, self._tried)
+            self._opened = await self._resumer.resume(
+                self._request, last, self._tried, self._allowance
+            )
         except PeerError as exc:
             raise ExchangeError(f"not resumed: {reason}; {exc}") from exc
         if media_type(self._opened.response.head.content_type) != self._content_type:
--- a/daemon/minttided/gateway/streams/log.py
+++ b/daemon/minttided/gateway/streams/log.py
@@ -69,7 +69,7 @@
                 "parts": parse_prompt_parts(self._request.req, self._state.headers),
                 "send": send,
                 "ran": ran,
-                "max_attempts": self._request.route.max_attempts,
+                "max_attempts": self._request.max_attempts,
                 "end": outcome.value,
                 "reason": reason,
                 "last_event": last_event_id,
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -76,7 +76,7 @@
         self._log = StreamLog(context.state, request, request_size)
         self.progress = Progress(last_event_id=parse_last_event_id(request.req))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
-        self._engine_runs = EngineRuns(context.probes, request.route.max_attempts)
+        self._engine_runs = EngineRuns(context.probes, request.max_attempts)
         self._crash_guard = CrashGuard(context.state, request)
         self._opener = AttemptOpener(
             context,
--- a/daemon/minttided/peers/codec.py
+++ b/daemon/minttided/peers/codec.py
@@ -249,6 +249,7 @@
         body=request.body,
         age_s=request.age_s,
         config_version=request.config_version,
+        max_upstreams=request.max_upstreams,
     )
 
 
@@ -261,6 +262,7 @@
         msg.body,
         msg.age_s,
         msg.config_version,
+        msg.max_upstreams,
     )
 
 
--- a/daemon/minttided/peers/interfaces.py
+++ b/daemon/minttided/peers/interfaces.py
@@ -72,7 +72,8 @@
     """A caller's request that the first host passes on to a peer, which runs it.
 
     `age_s` is the time in seconds since the first host received it, and `config_version` the
-    version of that host's configuration. Header values are Latin-1 text.
+    version of that host's configuration. `max_upstreams` is how many upstreams may run the request
+    at the peer, 0 for as many as its route allows. Header values are Latin-1 text.
     """
 
     method: str
@@ -81,6 +82,7 @@
     body: bytes
     age_s: float
     config_version: int
+    max_upstreams: int = 0
 
 
 MakeRequest = Callable[[], ForwardedRequest]
