--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -14,6 +14,10 @@
 """Silence after which an engine counts as ended; a sound one may be silent for a second or so."""
 
 
+PROBE_INTERVAL_S = 0.1
+"""Pause between two rounds of probes of a silent engine, which may fail at once."""
+
+
 class Liveness(Enum):
     """What is known of the process of an engine that may have run the request."""
 
@@ -124,6 +128,8 @@
                 run.liveness = Liveness.ENDED
             elif not can_wait:
                 return
+            else:
+                await asyncio.sleep(PROBE_INTERVAL_S)
 
 
 def _is_same(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -135,7 +135,7 @@
         is_running = state is ProcessState.RUNNING
         log.log(
             logging.INFO if is_running else logging.WARNING,
-            "engine end denied" if is_running else "engine end confirmed",
+            "engine probed",
             extra={"engine": entry.id, "state": state.value, "probes": found},
         )
         return state
--- a/test/test_engines_taken_for_ended.py
+++ b/test/test_engines_taken_for_ended.py
@@ -23,6 +23,10 @@
 """Pause after which callers leave."""
 
 
+MAX_PROBES = 80
+"""Most probes of one engine for one stream."""
+
+
 class Probed:
     """The probes of the engine that is asked first, after its stream broke off."""
 
@@ -31,6 +35,7 @@
         self._fail = fail
         self._first = None
         self._broke_s = 0.0
+        self.count = 0
         site.engines.report = self.report
 
     async def report(self, entry, timeout_s):
@@ -38,6 +43,7 @@
         if self._first is None:
             self._first, self._broke_s = entry.id, now
         if entry.id == self._first:
+            self.count += 1
             await self._fail(now - self._broke_s, timeout_s)
         return await self._report(entry, timeout_s)
 
@@ -71,6 +77,10 @@
     raise SourceError("no connection in time")
 
 
+async def fail_at_once(_, timeout_s):
+    raise SourceError("connection reset while connecting")
+
+
 async def answer(_, timeout_s):
     """Answer as usual."""
 
@@ -91,11 +101,12 @@
         for engine, *_ in site.path_engines:
             engine.__class__ = Engine
         async with site:
-            Probed(site, fail)
+            probed = Probed(site, fail)
             loop, at_s = asyncio.get_running_loop(), []
             response = await site.send_request(
                 "draft", "POST", on_data=lambda data: at_s.append(loop.time())
             )
+            assert probed.count <= MAX_PROBES
             ran = [name for name in NAMES if find_engine(site, name).requests]
             return ran, response, max(after - at for at, after in pairwise([*at_s, loop.time()]))
 
@@ -116,7 +127,7 @@
     assert not response.complete
 
 
-@pytest.mark.parametrize("fail", [refuse, be_dark], ids=lambda f: f.__name__)
+@pytest.mark.parametrize("fail", [refuse, be_dark, fail_at_once], ids=lambda f: f.__name__)
 def test_engine_that_has_ended_does_not_count(fail):
     ran, response, pause_s = play(fail, CUT, CUT_LATER, last_script=REST)
     assert (response.chunks, response.complete) == (ALL_EVENTS, True)
--- a/test/test_notice_logs.py
+++ b/test/test_notice_logs.py
@@ -9,6 +9,8 @@
 from minttide.routing.sources import SourceError
 from minttide_fakes.memory_network import run_in_memory
 
+STATES = {True: "running", False: "silent"}
+
 
 def find(caplog, event):
     return [record for record in caplog.records if record.message == event]
@@ -46,6 +48,6 @@
 
     caplog.set_level("INFO")
     run_in_memory(run())
-    lines = find(caplog, "engine end confirmed") + find(caplog, "engine end denied")
-    assert [line.engine for line in lines] == ["a"]
+    lines = find(caplog, "engine probed")
+    assert [(line.engine, line.state) for line in lines] == [("a", STATES[reached])]
     assert f"unexpected status 503 (reached={reached})" in lines[0].probes
