--- a/test/test_gateway_entry.py
+++ b/test/test_gateway_entry.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from gateway_site import wait_until
+from gateway_site import FakeEngines, wait_until
 
 from minttide.ids import NO_OFFSET, Address, HostId, Offset, ServiceName, ZoneId
 from minttide.interfaces import MemberView
@@ -102,7 +102,7 @@
     cfg = GatewaySettings(HostId(f"h{number}"), ZoneId("z"), *addresses, peers=peers)
     source = FailingSource()
     wire_format = WireFormat(None, "/where", "/ready", msgspec.json.encode)
-    return Gateway(cfg, wire_format, source, source, source, None, source, net, number)
+    return Gateway(cfg, wire_format, source, source, source, FakeEngines(), source, net, number)
 
 
 def test_gateway_tells_its_peers_at_once_which_services_it_is_cut_off_from():
