--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -127,7 +127,7 @@
             rng,
             ConfigFreshness(cfg.keys_valid_s),
         )
-        engines.on_answer = self.state.record_answer
+        engines.on_answer = self.state.record_report_answer
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> "Gateway":
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -209,9 +209,15 @@
         return self.upstreams.get(upstream) or self.former_upstreams.get(upstream)
 
     def record_answer(self, entry: UpstreamEntry, status: int, read_header: ReadHeader) -> None:
-        """Record what the head of an upstream's answer says of the upstream."""
+        """Record what the head of an answer to a request says of its upstream."""
         self.notices.record(entry, status, read_header, now_s())
 
+    def record_report_answer(
+        self, entry: UpstreamEntry, status: int, read_header: ReadHeader
+    ) -> None:
+        """Do what `record_answer` does for the answer to a report or an order."""
+        self.notices.record(entry, status, read_header, now_s(), is_request=False)
+
     def record_leaving(self, process: ProcessKey, source: str) -> None:
         """Record that a process of an upstream leaves, as it or another host says."""
         if not self.leaving_processes.add(process, now_s()):
--- a/daemon/minttided/gateway/upstream_notices.py
+++ b/daemon/minttided/gateway/upstream_notices.py
@@ -42,12 +42,22 @@
         self.pauses = RequestedPauses(rng)
 
     def record(
-        self, entry: UpstreamEntry, status: int, read_header: ReadHeader, now_s: float
+        self,
+        entry: UpstreamEntry,
+        status: int,
+        read_header: ReadHeader,
+        now_s: float,
+        is_request: bool = True,
     ) -> None:
-        """Record what the head of an answer says; that of another process says nothing."""
+        """Record what the head of an answer says; that of another process says nothing.
+
+        Without `is_request` it answers a report or an order, and may leave the limit out.
+        """
         if status == MISDIRECTED_REQUEST:
             return
-        self._record_limit(entry.id, read_header(self._names.limit), now_s)
+        limit = read_header(self._names.limit)
+        if limit is not None or is_request:
+            self._record_limit(entry.id, limit, now_s)
         if status == SERVICE_UNAVAILABLE:
             self._record_pause(entry, read_header(RETRY_AFTER), now_s)
         if read_header(self._names.leaving) == IS_LEAVING:
--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -83,6 +83,22 @@
     assert received <= allowed(length_s)
 
 
+@pytest.mark.parametrize("text", [None, "0.1"])
+def test_report_without_a_limit_does_not_end_one(text):
+    """Guards against a limit that each probe of its upstream ends."""
+
+    async def run():
+        async with make_site(a=(0, 4)) as site:
+            state, entry = site.state, site.state.upstreams["a"]
+            state.record_answer(entry, 200, {"x-limit": "0.1"}.get)
+            state.record_report_answer(entry, 200, {"x-limit": text}.get)
+            now = asyncio.get_running_loop().time()
+            state.notices.take(entry, now)
+            return state.notices.delay_s(entry, now)
+
+    assert asyncio.run(run()) > 0.0
+
+
 def test_request_that_only_a_limited_upstream_can_serve_is_rejected_with_a_time_to_return():
     async def run():
         site = make_site(a=(0, 4))
