Say once what a process is, what a header holds and when an upstream takes requests again

Found in reading the whole change once more; no behaviour changes. The key of a process (id and start) stood in five places beside UpstreamEntry.process, the first value of a header in three, the type of a function that reads one in three, the shortest delay of upstreams in two, and the bound of processes that others are told of in two. A list in which nothing leaves is no longer copied at each read, and what was compressed is decoded by the same rule as the rest.

--- a/core/minttide/decoding.py
+++ b/core/minttide/decoding.py
@@ -20,7 +20,8 @@
     """Bytes that aren't what they should be, in whatever way."""
 
 
-_ERRORS = (msgspec.DecodeError, ValueError, RecursionError, OverflowError, zlib.error)
+_ERRORS = (ValueError, RecursionError, OverflowError, zlib.error)
+"""What decoding raises; `msgspec.DecodeError` is a `ValueError`."""
 
 
 class Decoder(Generic[T]):
@@ -59,11 +60,12 @@
 
 def unpack(data: bytes) -> bytes:
     """Return what was compressed, `MAX_UNPACKED_BYTES` at most. Raises `MalformedBytesError`."""
-    try:
-        stream = zlib.decompressobj()
-        unpacked = stream.decompress(data, MAX_UNPACKED_BYTES)
-    except zlib.error as exc:
-        raise MalformedBytesError(str(exc)) from exc
+    return Decoder(_decompress).decode(data)
+
+
+def _decompress(data: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    unpacked = stream.decompress(data, MAX_UNPACKED_BYTES)
     if not stream.eof:
-        raise MalformedBytesError("the compressed bytes are truncated or too many")
+        raise ValueError("the compressed bytes are truncated or too many")
     return unpacked
--- a/core/minttide/routing/headers.py
+++ b/core/minttide/routing/headers.py
@@ -1,7 +1,12 @@
 """Header names of a deployment, in lower case."""
 
+from collections.abc import Callable
+
 import msgspec
 
+ReadHeader = Callable[[str], str | None]
+"""Returns the first value of a header, None without one. Names are in lower case."""
+
 
 class HeaderNames(msgspec.Struct, frozen=True):
     """The name of each header on the wire.
--- a/core/minttide/routing/leaving_processes.py
+++ b/core/minttide/routing/leaving_processes.py
@@ -4,8 +4,6 @@
 leaves doesn't change its mind, so it counts as leaving whatever the list says.
 """
 
-from collections.abc import Mapping
-
 import msgspec
 
 from minttide.ids import UpstreamId
@@ -17,6 +15,9 @@
 HINT_S = 15.0
 """How long other hosts are told; readers of all zones have met in this time."""
 
+MAX_TOLD = 64
+"""Processes that other hosts are told of at once."""
+
 MAX_PROCESSES = 4096
 
 
@@ -36,19 +37,20 @@
 
     def recent(self, now_s: float) -> list[ProcessKey]:
         """Return the processes that other hosts are told of, the newest first."""
-        return [p for p, since_s in reversed(self._since_s.items()) if now_s <= since_s + HINT_S]
+        newest = reversed(self._since_s.items())
+        return [p for p, since_s in newest if now_s <= since_s + HINT_S][:MAX_TOLD]
 
     def mark(
-        self, entries: Mapping[UpstreamId, UpstreamEntry], now_s: float
+        self, entries: dict[UpstreamId, UpstreamEntry], now_s: float
     ) -> dict[UpstreamId, UpstreamEntry]:
         """Return the entries of a list, with those of leaving processes marked as such."""
         self._drop_old(now_s)
-        marked = dict(entries)
-        for upstream, born_ms in self._since_s:
-            entry = marked.get(upstream)
-            if entry is not None and entry.born_ms == born_ms and not entry.leaving:
-                marked[upstream] = msgspec.structs.replace(entry, leaving=True)
-        return marked
+        marked = {}
+        for process in self._since_s:
+            entry = entries.get(process[0])
+            if entry is not None and entry.process == process and not entry.leaving:
+                marked[entry.id] = msgspec.structs.replace(entry, leaving=True)
+        return {**entries, **marked} if marked else entries
 
     def _drop_old(self, now_s: float) -> None:
         while self._since_s:
--- a/core/minttide/routing/sources.py
+++ b/core/minttide/routing/sources.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from minttide.ids import Address, PromptPart, ServiceName
+from minttide.routing.headers import ReadHeader
 from minttide.routing.routes import LayerRange, RoutingConfig, UpstreamEntry
 
 
@@ -124,8 +125,8 @@
     fault: Address | None = None
 
 
-OnAnswer = Callable[[UpstreamEntry, int, Callable[[str], str | None]], None]
-"""Called with an engine, the status of its answer, and a function that returns a header of it."""
+OnAnswer = Callable[[UpstreamEntry, int, ReadHeader], None]
+"""Called with an engine, the status of its answer, and the headers of that."""
 
 
 class PathEngines(Protocol):
--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -19,7 +19,7 @@
     UnreachableError,
     make_request,
 )
-from minttided.http.messages import Headers
+from minttided.http.messages import Headers, find_header
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
@@ -82,7 +82,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the first value of a response header; `name` is in lower case."""
-        return next((v for n, v in self.headers if n == name), None)
+        return find_header(self.headers, name)
 
     @property
     def content_type(self) -> str:
--- a/daemon/minttided/gateway/callers/permissions.py
+++ b/daemon/minttided/gateway/callers/permissions.py
@@ -4,7 +4,7 @@
 paused, for seconds: the caller's time, its key or the upstream's place in the list may end then.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from minttide.ids import UpstreamId
 from minttide.problems import ProblemType, RequestError
@@ -48,7 +48,7 @@
 
 
 def check_may_send(
-    state: GatewayState, request: GatewayRequest, upstreams: Iterable[UpstreamId], checks_key: bool
+    state: GatewayState, request: GatewayRequest, upstreams: Sequence[UpstreamId], checks_key: bool
 ) -> None:
     """Raise `NotSentError` unless a request may be sent to the first of `upstreams` now.
 
@@ -62,10 +62,9 @@
         raise NotPermittedError("its time is over")
     if checks_key and request.account is not None:
         _check_key(state, request, request.account)
-    names = list(upstreams)
-    if not state.are_active(names):
+    if not state.are_active(upstreams):
         raise UpstreamClosedError("the upstream is leaving")
-    if state.notices.is_paused(state.upstreams[names[0]], now_s()):
+    if state.notices.is_paused(state.upstreams[upstreams[0]], now_s()):
         raise UpstreamClosedError("the upstream asked for a pause")
 
 
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -106,9 +106,8 @@
 
         That is at least the time until some upstream takes requests, by what they say.
         """
-        upstreams, now = self._state.active_upstreams(request.service), now_s()
-        notices = self._state.notices
-        delay_s = min((notices.delay_s(entry, now) for entry in upstreams), default=0.0)
+        upstreams = self._state.active_upstreams(request.service)
+        delay_s = self._state.notices.shortest_delay_s(upstreams, now_s())
         return self._budgets.record_rejection(request.service, delay_s)
 
     def _choose(self, request: GatewayRequest, tried: Sequence[UpstreamId]) -> UpstreamEntry | None:
--- a/daemon/minttided/gateway/placement/placer.py
+++ b/daemon/minttided/gateway/placement/placer.py
@@ -8,7 +8,7 @@
 
 from minttide.ids import ServiceName, UpstreamId
 from minttide.layers.repair import PlacementOrder, plan_orders
-from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
+from minttide.routing.routes import LayerRange, ModelSpec, ProcessKey, UpstreamEntry
 from minttide.routing.sources import LeaseGrant, SourceError
 from minttided.gateway.dependency import Dependency
 from minttided.gateway.state import GatewayState, now_s
@@ -61,7 +61,7 @@
         self._valid_until_s = 0.0
         self._pending_orders: dict[UpstreamId, _PendingOrder] = {}
         self._lost: set[UpstreamId] = set()
-        self._empty_since_s: dict[tuple[UpstreamId, int], float] = {}  # by engine and start
+        self._empty_since_s: dict[ProcessKey, float] = {}
         self._last_engines: frozenset[UpstreamId] = frozenset()
         self._engines_changed_s = 0.0
 
@@ -168,7 +168,7 @@
     def _find_new(self) -> set[UpstreamId]:
         """Return the engines that haven't been without layers for `EXTRA_COPY_DELAY_S` yet."""
         now, listed = now_s(), self._state.upstreams.values()
-        empty = {(e.id, e.born_ms) for e in listed if e.layers is None}
+        empty = {e.process for e in listed if e.layers is None}
         self._empty_since_s = {key: self._empty_since_s.get(key, now) for key in empty}
         return {
             engine
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -17,7 +17,7 @@
 from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.reach import Reach
 from minttide.routing.freshness import ConfigFreshness
-from minttide.routing.headers import HeaderNames
+from minttide.routing.headers import HeaderNames, ReadHeader
 from minttide.routing.leaving_processes import LeavingProcesses
 from minttide.routing.list_history import ListHistory
 from minttide.routing.readers import ReadTiming
@@ -26,7 +26,7 @@
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.ticks import Ticks
-from minttided.gateway.upstream_notices import ReadHeader, UpstreamNotices
+from minttided.gateway.upstream_notices import UpstreamNotices
 from minttided.operators.metrics import Metrics
 
 log = logging.getLogger(__name__)
@@ -227,7 +227,7 @@
         log.warning("upstream says it leaves", extra=extra)
         self.set_upstreams(self.upstreams)
 
-    def set_upstreams(self, entries: Mapping[UpstreamId, UpstreamEntry]) -> None:
+    def set_upstreams(self, entries: dict[UpstreamId, UpstreamEntry]) -> None:
         """Replace the list of upstreams, in which processes that leave are marked."""
         before, after = self.upstreams, self.leaving_processes.mark(entries, now_s())
         if before == after:
--- a/daemon/minttided/gateway/streams/engine_runs.py
+++ b/daemon/minttided/gateway/streams/engine_runs.py
@@ -60,7 +60,8 @@
 
     def add(self, entry: UpstreamEntry) -> EngineRun:
         """Add an engine to which the request is sent; one where it was abandoned counts once."""
-        earlier = next((r for r in self._runs if r.abandoned and _is_same(r.entry, entry)), None)
+        abandoned = (run for run in self._runs if run.abandoned)
+        earlier = next((run for run in abandoned if run.entry.process == entry.process), None)
         if earlier is not None:
             self._runs.remove(earlier)
         run = EngineRun(entry, Liveness.RUNNING, earlier=earlier)
@@ -73,8 +74,8 @@
 
     def find_abandoned(self, listed: Iterable[UpstreamEntry]) -> list[UpstreamEntry]:
         """Return those of `listed` on which the request was abandoned."""
-        abandoned = [run.entry for run in self._runs if run.abandoned]
-        return [e for e in listed if any(_is_same(e, a) for a in abandoned)]
+        abandoned = {run.entry.process for run in self._runs if run.abandoned}
+        return [e for e in listed if e.process in abandoned]
 
     def remove(self, run: EngineRun) -> None:
         """Remove an engine that has not run the request."""
@@ -129,8 +130,3 @@
                 return
             else:
                 await asyncio.sleep(PROBE_INTERVAL_S)
-
-
-def _is_same(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
-    """Return whether two entries are of the same process."""
-    return (entry.id, entry.born_ms) == (other.id, other.born_ms)
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -76,7 +76,7 @@
         state = self._context.state
         engines = state.active_upstreams(self._request.service)
         first = [e for e in engines if e.layers is not None and e.layers.first == 0]
-        return min((state.notices.delay_s(e, now_s()) for e in first), default=0.0)
+        return state.notices.shortest_delay_s(first, now_s())
 
     def leaves_places(self, path: Path) -> bool:
         """Return whether a second attempt on a path leaves its engines places for other streams."""
--- a/daemon/minttided/gateway/streams/probes.py
+++ b/daemon/minttided/gateway/streams/probes.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from minttide.ids import UpstreamId
-from minttide.routing.routes import UpstreamEntry
+from minttide.routing.routes import ProcessKey, UpstreamEntry
 from minttide.routing.sources import (
     EngineReport,
     InconclusiveError,
@@ -62,7 +62,7 @@
         self._on_report = on_report
         self._reports = SharedProbe(self._fetch_report)
         self._connections = SharedProbe(self._connect)
-        self._ended: dict[tuple[UpstreamId, int], None] = {}
+        self._ended: dict[ProcessKey, None] = {}
 
     @property
     def idle(self) -> bool:
@@ -87,7 +87,7 @@
 
     def has_ended(self, entry: UpstreamEntry) -> bool:
         """Return whether the last probes showed that the process of `entry` has ended."""
-        return (entry.id, entry.born_ms) in self._ended
+        return entry.process in self._ended
 
     def verify_unreachable(self, engines: Iterable[UpstreamId]) -> None:
         """Start a connection probe of engines that other hosts can't reach."""
@@ -188,7 +188,7 @@
             self._suspect(entry, f"the engine restarted at {report.born_ms}", ended=True)
             return None
         self._state.suspects.clear(entry.id)
-        self._ended.pop((entry.id, entry.born_ms), None)
+        self._ended.pop(entry.process, None)
         if not self._is_paused(entry):
             self._on_report(entry.id, report)
         return report
@@ -212,7 +212,7 @@
             self._on_unresponsive(entry.id)
             return
         if ended:
-            self._ended[(entry.id, entry.born_ms)] = None
+            self._ended[entry.process] = None
             if len(self._ended) > MAX_ENDED:
                 del self._ended[next(iter(self._ended))]
         if self._state.suspects.add(entry.id, now_s()):
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -26,7 +26,6 @@
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import (
     FULL_SYNC,
-    MAX_LEAVING,
     NO_VERSION,
     CrashUpdate,
     SyncReply,
@@ -174,7 +173,7 @@
             sorted(self._state.find_reportable_failures()),
             crashes,
             takes_config_changes=True,
-            leaving=self._state.leaving_processes.recent(now_s())[:MAX_LEAVING],
+            leaving=self._state.leaving_processes.recent(now_s()),
         )
         return Pull(FULL_SYNC, encode(request))
 
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -32,9 +32,6 @@
 
 NO_VERSION = -1
 
-MAX_LEAVING = 64
-"""Processes that leave in one request."""
-
 _COMPRESSION_LEVEL = 1  # the fastest, to save processor time
 
 
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -11,6 +11,7 @@
 from minttide.layers.usage import Usage, add_usages
 from minttide.policy.unreachable import UnreachableReports
 from minttide.problems import Problem, ProblemType, Ran
+from minttide.routing.leaving_processes import MAX_TOLD
 from minttide.routing.list_history import ListVersion
 from minttide.routing.routes import RoutingConfig
 from minttide.routing.sources import SourceError
@@ -21,7 +22,6 @@
     CRASHES_ONLY,
     FULL_SYNC,
     LOADS_ONLY,
-    MAX_LEAVING,
     REACH_ONLY,
     SyncReply,
     SyncRequest,
@@ -124,7 +124,7 @@
         return True
 
     def _record_peer_state(self, request: SyncRequest) -> None:
-        for process in request.leaving[:MAX_LEAVING]:
+        for process in request.leaving[:MAX_TOLD]:
             self._state.record_leaving(process, "peer")
         if request.zone == self._state.cfg.zone:
             self._peer_loads.hosts.record(request.host, request.usages, now_s())
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -11,7 +11,6 @@
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import (
     LOADS_ONLY,
-    MAX_LEAVING,
     SyncRequest,
     decode_reply,
     encode,
@@ -64,7 +63,7 @@
         )
         peer = readers[0]
         crashes = self._context.crash_news.make_request(peer.host)
-        leaving = self._state.leaving_processes.recent(now_s())[:MAX_LEAVING]
+        leaving = self._state.leaving_processes.recent(now_s())
         sync_request = SyncRequest(
             cfg.host, cfg.zone, zone_usages, crashes=crashes, leaving=leaving
         )
--- a/daemon/minttided/gateway/upstream_notices.py
+++ b/daemon/minttided/gateway/upstream_notices.py
@@ -7,7 +7,7 @@
 from minttide.ids import HostId, UpstreamId, ZoneId
 from minttide.policy.requested_pauses import RequestedPauses, parse_pause
 from minttide.policy.upstream_limits import SharingHosts, UpstreamLimits, parse_limit
-from minttide.routing.headers import HeaderNames
+from minttide.routing.headers import HeaderNames, ReadHeader
 from minttide.routing.outcome import MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE
 from minttide.routing.routes import UpstreamEntry
 from minttided.operators.metrics import Metrics
@@ -17,9 +17,6 @@
 RETRY_AFTER = "retry-after"
 IS_LEAVING = "1"
 
-ReadHeader = Callable[[str], str | None]
-"""Returns the first value of a response header, None without one. Names are in lower case."""
-
 
 class UpstreamNotices:
     """The notices of upstreams to this host. Times are in loop seconds.
@@ -98,6 +95,10 @@
         """Return the upstreams to which this host may send no request now."""
         return {entry.id for entry in entries if self.delay_s(entry, now_s) > 0.0}
 
+    def shortest_delay_s(self, entries: Iterable[UpstreamEntry], now_s: float) -> float:
+        """Return the time until this host may send a request to one of some upstreams."""
+        return min((self.delay_s(entry, now_s) for entry in entries), default=0.0)
+
     def take(self, entry: UpstreamEntry, now_s: float) -> None:
         """Count a request that is being sent to an upstream."""
         self.limits.take(entry, now_s)
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -14,7 +14,7 @@
     NotSentError,
     make_request,
 )
-from minttided.http.messages import Headers, receive_pending
+from minttided.http.messages import Headers, find_header, receive_pending
 
 __all__ = ["ExchangeError", "HttpClient", "ClientResponse", "NotSentError"]
 
@@ -33,7 +33,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header; `name` is in lower case."""
-        return next((v for n, v in self.headers if n == name), None)
+        return find_header(self.headers, name)
 
     @property
     def content_type(self) -> str:
--- a/daemon/minttided/http/messages.py
+++ b/daemon/minttided/http/messages.py
@@ -24,7 +24,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None. `name` must be lower-case."""
-        return next((v for n, v in self.headers if n == name), None)
+        return find_header(self.headers, name)
 
     def parameter(self, name: str) -> str | None:
         """Return the last value of a query parameter, or None."""
@@ -64,6 +64,11 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | StreamResponse]]
 
 
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, or None. `name` must be lower-case."""
+    return next((v for n, v in headers if n == name), None)
+
+
 def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
     """Return headers as bytes. Values are received as Latin-1, so that any bytes are kept.
 
