Share what the new tests and the soak wrote again

The method of each route stood in three new test files beside silent_site's table, the framing of a chunk beside gateway_site's, the entry of an engine behind a server five times in test_platform.py, and the end of a process that has left in both kinds of the soak's faults, whose notices are a context now.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -8,6 +8,8 @@
 MEAN_PAUSE_S = 0.6
 FAULT_DURATION_S = (0.5, 3.0)
 DOWNTIME_S = (0.2, 1.0)
+LEAVING_S = 4.0
+REPLACE_S = 0.5
 
 
 class Faults:
@@ -59,6 +61,14 @@
         """End the reservation of a target."""
         self._busy.discard(id(target))
 
+    async def replace(self, upstream):
+        """End the process of an upstream that has left, and start the next one."""
+        self._site.remove_entry(upstream.id)
+        upstream.crash(silent=False)
+        await asyncio.sleep(REPLACE_S)
+        upstream.restart()
+        self.release(upstream)
+
     def _draw_duration_s(self):
         return self._rng.uniform(*FAULT_DURATION_S)
 
@@ -83,17 +93,13 @@
         upstream = self.claim_target(self._site.upstreams)
         if upstream is None:
             return
-        self._record_fault("upstream drains", upstream.id, 4.0)
+        self._record_fault("upstream drains", upstream.id, LEAVING_S)
         upstream.leaving = True
         self._site.list_upstreams()
         now_s = asyncio.get_running_loop().time()
         self._site.ledger.leaving_s[upstream.id] = now_s
-        await asyncio.sleep(4.0)
-        self._site.remove_entry(upstream.id)
-        upstream.crash(silent=False)
-        await asyncio.sleep(0.5)
-        upstream.restart()
-        self.release(upstream)
+        await asyncio.sleep(LEAVING_S)
+        await self.replace(upstream)
 
     async def _upstream_link_fault(self):
         upstream = self.claim_target(self._site.upstreams)
--- a/test/soak/notices.py
+++ b/test/soak/notices.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 
+from soak.faults import LEAVING_S
+
 MEAN_PAUSE_S = 1.0
 PAUSE_S = (1.0, 3.0)
-LEAVING_S = 4.0
-RESTART_S = 0.5
 
 
 class NoticeFaults:
-    """Injects notices into a site until stopped; upstreams that have other faults are left out."""
+    """Injects notices into a site while the context is open, beside its other faults.
+
+    Upstreams that have one of those are left out.
+    """
 
     def __init__(self, site, faults, seed):
         self._site = site
@@ -18,18 +21,20 @@
         self._rng = random.Random(seed)
         self._tasks = set()
 
-    async def run(self):
-        """Inject notices until cancelled."""
+    async def __aenter__(self):
+        self._running = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_):
+        self._running.cancel()
+        await asyncio.gather(*self._tasks)
+
+    async def _run(self):
         while True:
             await asyncio.sleep(self._rng.random() * 2 * MEAN_PAUSE_S)
             kind = self._rng.choice((self._pause, self._pause, self._leave))
             self._tasks.add(asyncio.create_task(kind()))
 
-    async def stop(self, running):
-        """Cancel `run`, and wait for the end of what was injected."""
-        running.cancel()
-        await asyncio.gather(*self._tasks)
-
     async def _pause(self):
         upstream = self._faults.claim_target(self._site.upstreams)
         if upstream is None:
@@ -47,8 +52,4 @@
         self._site.ledger.record_fault("upstream says it leaves", upstream.id, LEAVING_S)
         upstream.says_leaving = True
         await asyncio.sleep(LEAVING_S)
-        self._site.remove_entry(upstream.id)
-        upstream.crash(silent=False)
-        await asyncio.sleep(RESTART_S)
-        upstream.restart()
-        self._faults.release(upstream)
+        await self._faults.replace(upstream)
--- a/test/soak/site.py
+++ b/test/soak/site.py
@@ -209,11 +209,11 @@
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.sleep(SETTLE_S)
         faults = Faults(self, self.rng)
-        notices = NoticeFaults(self, faults, self.rng.random()) if self._with_notices else None
-        notifying = asyncio.create_task(notices.run()) if notices is not None else None
-        await faults.run(duration_s)
-        if notifying is not None:
-            await notices.stop(notifying)
+        async with AsyncExitStack() as stack:
+            if self._with_notices:
+                notices = NoticeFaults(self, faults, self.rng.random())
+                await stack.enter_async_context(notices)
+            await faults.run(duration_s)
         await asyncio.sleep(SETTLE_S)
         for task in tasks:
             task.cancel()
--- a/test/test_cut_heads.py
+++ b/test/test_cut_heads.py
@@ -8,7 +8,8 @@
 
 import pytest
 from cut_site import CutSite
-from gateway_site import RESET, GatewaySite, ScriptedUpstream, event
+from gateway_site import RESET, GatewaySite, ScriptedUpstream, chunk, event
+from silent_site import METHODS
 from stream_site import ALL_EVENTS, MODEL
 
 from minttide_fakes.memory_network import run_in_memory
@@ -22,7 +23,7 @@
 
 
 def chunks(*parts):
-    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"".join(map(chunk, parts))
 
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -78,7 +79,7 @@
         async with GatewaySite(upstream, accounts=False) as site:
             for length in range(len(answer)):
                 upstream.answer = cut(answer, length, end)
-                got = await site.send_request(name, "GET" if name == "get" else "POST")
+                got = await site.send_request(name, METHODS[name])
                 if got.status < 300 and not may_be_whole(answer, length, end):
                     wrong.append((length, got.status, got.rest))
             upstream.answer = [answer]
@@ -209,7 +210,7 @@
             for length in lengths:
                 for upstream in helper.scripted:
                     upstream.next_script = lambda head, n=length: cut(answer, n, end)
-                got = await cut_off.send_request(name, "GET" if name == "get" else "POST")
+                got = await cut_off.send_request(name, METHODS[name])
                 is_success = got.status is not None and got.status < 300
                 if is_success and (got.complete or name in ("get", "post")):
                     wrong.append((length, got.status, got.rest))
--- a/test/test_forwarded_engine_limit.py
+++ b/test/test_forwarded_engine_limit.py
@@ -9,6 +9,7 @@
 import pytest
 from cut_site import CutSite
 from gateway_site import RESET, STREAM_HEAD, events, plain_response
+from silent_site import METHODS
 
 from minttide_fakes.memory_network import run_in_memory
 
@@ -38,7 +39,7 @@
                     upstream.next_script = script
             cut_off = site.hosts[0]
             cut_off.state.cut_off_services = frozenset({"plain", "model"})
-            answer = await cut_off.send_request(name, "GET" if name == "get" else "POST")
+            answer = await cut_off.send_request(name, METHODS[name])
             await asyncio.sleep(10.0)
             received = [u.name for h in site.hosts for u in h.scripted for _ in u.requests]
         return received, answer
--- a/test/test_late_requests.py
+++ b/test/test_late_requests.py
@@ -18,6 +18,7 @@
     event,
     plain_response,
 )
+from silent_site import METHODS
 from stream_site import MODEL
 from test_gateway_shutdown import open_gateway, settings
 
@@ -31,7 +32,6 @@
 LAST_SIXTH_S = GRACE_S * 5 / 6
 """Time after which a request that was taken may be broken off."""
 
-METHODS = {"get": "GET", "post": "POST", "draft": "POST", "once": "POST"}
 SENT_S = (-1.0, 0.5, 1.9, 2.05, 2.4, 3.2, 5.0, 6.5)
 """When the last byte of a request is sent, after the start of the stop."""
 
--- a/test/test_leaving_in_answers.py
+++ b/test/test_leaving_in_answers.py
@@ -14,8 +14,9 @@
     events,
     plain_response,
 )
+from silent_site import METHODS
 from sync_site import run_hosts, upstream
-from test_requested_pauses import ROUTES, TimedUpstream, make_site, send_steadily
+from test_requested_pauses import TimedUpstream, make_site, send_steadily
 
 from minttide.routing.leaving_processes import HINT_S, KEEP_S, LeavingProcesses
 from minttide.routing.sources import ProcessEndedError
@@ -36,7 +37,7 @@
 }
 CASES = [
     (name, kind)
-    for name in ROUTES
+    for name in METHODS
     for kind in ANSWERS
     if (kind == "streams") <= (name in ("draft", "once"))
 ]
@@ -81,7 +82,7 @@
             loop = asyncio.get_running_loop()
             site.state.suspects.add("b", loop.time())
             changes = ListChanges(site)
-            first = await site.send_request(name, ROUTES[name])
+            first = await site.send_request(name, METHODS[name])
             site.state.suspects.clear("b")
             getattr(changes, change)()
             until_s = leaving.arrived_s[0] + DRAIN_S + AFTER_S
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -39,6 +39,7 @@
 from minttide_platform.wire import HEADERS  # noqa: E402
 from minttided.gateway.callers.directory import ResolveBody  # noqa: E402
 from minttided.gateway.settings import GatewaySettings  # noqa: E402
+from minttided.http.messages import join_address  # noqa: E402
 from minttided.http.server import HttpServer  # noqa: E402
 
 CONFIG = {
@@ -132,6 +133,12 @@
 }
 
 
+def entry_of(server):
+    """Return the entry of an engine that listens as `server` does."""
+    address = join_address(*server.sockets[0].getsockname()[:2])
+    return msgspec.structs.replace(decode_entry("i-1", json.dumps(ENTRY).encode()), address=address)
+
+
 # Guards against collections that hold up the process while thousands of routes and keys are read.
 def test_routes_and_keys_are_left_out_of_collections():
     config = decode_config(json.dumps(CONFIG).encode())
@@ -340,10 +347,7 @@
     async def check():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         async with server:
-            port = server.sockets[0].getsockname()[1]
-            entry = msgspec.structs.replace(
-                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
-            )
+            entry = entry_of(server)
             engines = HttpPathEngines()
             return [(await engines.report(entry, 5.0)).seq for _ in range(3)]
 
@@ -364,10 +368,7 @@
 
     async def check():
         async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
-            port = server.sockets[0].getsockname()[1]
-            entry = msgspec.structs.replace(
-                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
-            )
+            entry = entry_of(server)
             place = HttpPathEngines().place(entry, LayerRange(0, 4), 7, 3, True, lambda: may_send)
             if may_send:
                 return (await place).accepted
@@ -393,10 +394,7 @@
 
     async def check():
         async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
-            port = server.sockets[0].getsockname()[1]
-            entry = msgspec.structs.replace(
-                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
-            )
+            entry = entry_of(server)
             engines = HttpPathEngines()
             engines.on_answer = lambda entry, status, read_header: answers.append(
                 (entry.id, status, read_header("retry-after"), read_header(HEADERS.leaving))
@@ -429,13 +427,10 @@
     async def check():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         async with server:
-            port = server.sockets[0].getsockname()[1]
+            entry = entry_of(server)
             if response is None:
                 server.close()
                 await server.wait_closed()
-            entry = msgspec.structs.replace(
-                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
-            )
             with pytest.raises(SourceError) as raised:
                 await HttpPathEngines().report(entry, 5.0)
             return type(raised.value), raised.value.reached
@@ -448,13 +443,10 @@
     async def check():
         server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
         async with server:
-            port = server.sockets[0].getsockname()[1]
+            entry = entry_of(server)
             if not listens:
                 server.close()
                 await server.wait_closed()
-            entry = msgspec.structs.replace(
-                decode_entry("i-1", json.dumps(ENTRY).encode()), address=f"127.0.0.1:{port}"
-            )
             try:
                 await HttpPathEngines().check_reachable(entry, 5.0)
             except ProcessEndedError:
--- a/test/test_requested_pauses.py
+++ b/test/test_requested_pauses.py
@@ -18,6 +18,7 @@
     wait_until,
 )
 from msgspec.structs import replace
+from silent_site import METHODS
 from stream_site import MODEL
 from sync_site import upstream
 
@@ -28,7 +29,6 @@
 from minttided.gateway.streams.run import NO_PATH, REPEAT_INTERVAL_S
 from minttided.gateway.sync.store_watchers import ReadPolicy, UpstreamWatcher
 
-ROUTES = {"get": "GET", "post": "POST", "draft": "POST", "once": "POST"}
 PAUSE_S = 2.0
 SETTLED_S = 0.5
 """Time after the answer in which requests that were under way may still arrive."""
@@ -70,7 +70,7 @@
     loop = asyncio.get_running_loop()
     sent = []
     while loop.time() < until_s:
-        request = asyncio.create_task(site.send_request(name, ROUTES[name]))
+        request = asyncio.create_task(site.send_request(name, METHODS[name]))
         sent.append((loop.time(), request))
         await asyncio.sleep(INTERVAL_S)
     return [(sent_s, await request) for sent_s, request in sent]
@@ -88,7 +88,7 @@
         async with make_site(name, paused, *others) as site:
             if has_other:  # The first request goes to the upstream that asks for the pause.
                 site.state.suspects.add("b", asyncio.get_running_loop().time())
-            first_answer = await site.send_request(name, ROUTES[name])
+            first_answer = await site.send_request(name, METHODS[name])
             site.state.suspects.clear("b")
             until_s = paused.arrived_s[0] + PAUSE_S + AFTER_S
             answers = await send_steadily(site, name, until_s)
@@ -101,7 +101,7 @@
 
 # Guards against requests to an upstream that had asked for a pause (BUDGET).
 @pytest.mark.parametrize("has_other", [True, False], ids=["other", "alone"])
-@pytest.mark.parametrize("name", ROUTES)
+@pytest.mark.parametrize("name", METHODS)
 def test_upstream_gets_no_requests_in_the_pause_that_it_asked_for(name, has_other):
     arrived_s, answers = play(name, pause_answer(), has_other)
     start_s, end_s = arrived_s[0] + SETTLED_S, arrived_s[0] + PAUSE_S
