--- a/review/rig/clients.py
+++ b/review/rig/clients.py
@@ -41,12 +41,17 @@
 
     async def client(self, number):
         plan, conn, count = self.plan, None, 0
-        addresses = []
+        addresses, resolved_s = [], 0.0
         await asyncio.sleep(plan["gap_s"] * number / max(1, plan["clients"]))
         while time.monotonic() < self.end:
             started = time.monotonic()
+            if conn is not None and plan.get("new_connections"):
+                conn.close()
+                conn = None
             if conn is None or not conn.reusable:
-                addresses = await self.resolve() or addresses
+                if not plan.get("new_connections") or started > resolved_s + plan["ttl_s"]:
+                    addresses = await self.resolve() or addresses
+                    resolved_s = started
                 if not addresses:
                     await asyncio.sleep(0.1)
                     continue
