Measure the delay of the event loop, and name the connection that took its time

Change: a histogram of the loop's delay, sampled at the ticks of the process, and at most one line a second that names the peer whose input cost most. The ticks move out of the gateway, as both kinds of daemon use them.

--- a/daemon/minttided/app.py
+++ b/daemon/minttided/app.py
@@ -18,6 +18,7 @@
 from minttided.keys.keyed import KeyedCallRunner
 from minttided.log.followed import FollowedStreams
 from minttided.log.log_http import HttpPlatformLog
+from minttided.loop_monitor import LoopMonitor
 from minttided.node import Node, read_wall_ms
 from minttided.operators.metrics import Metrics
 from minttided.operators.server import OperatorServer
@@ -43,6 +44,7 @@
     SupervisorContext,
     signal_ready_and_wait,
 )
+from minttided.ticks import Ticks
 
 log = logging.getLogger(__name__)
 
@@ -224,6 +226,7 @@
         listeners = [
             Child("callers", self._run_callers),
             Child("operators", self._run_operators),
+            Child("loop monitor", LoopMonitor(Ticks(self.cfg.host), self.metrics).run),
         ]
         # Membership starts last: other hosts send callers here as soon as they see this host.
         return Supervisor(
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -43,6 +43,7 @@
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
 from minttided.http.server import HttpServer
+from minttided.loop_monitor import LoopMonitor
 from minttided.operators.metrics import CONTENT_TYPE
 from minttided.peers.grpc_net import GrpcNetwork
 from minttided.peers.interfaces import PeerClient, PeerNetwork
@@ -277,6 +278,7 @@
             [
                 Child("platform", Supervisor("platform", platform, UNLIMITED).run),
                 Child("reach", self._reach_monitor.run),
+                Child("loop monitor", LoopMonitor(self.state.ticks, self.state.metrics).run),
                 Child("callers", self._run_caller_server),
                 Child("directory", self._serve(resolver.handle, self.cfg.directory)),
                 Child("health", self._serve(health.handle, self.cfg.health)),
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -25,9 +25,9 @@
 from minttide.routing.sources import ConfigSource, LeaseSource, PathEngines, UpstreamSource
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
-from minttided.gateway.ticks import Ticks
 from minttided.gateway.upstream_notices import UpstreamNotices
 from minttided.operators.metrics import Metrics
+from minttided.ticks import Ticks
 
 log = logging.getLogger(__name__)
 
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -8,6 +8,7 @@
 
 from minttide.ids import Address
 from minttided.http.messages import Headers, encode_headers, split_address
+from minttided.http.turns import Turn
 
 READ_BYTES = 65_536
 
@@ -54,10 +55,12 @@
     """A connection to one address. Methods raise `OSError` or `h11.ProtocolError` if it fails.
 
     Responses are paired with requests by their order alone. So a connection on which more bytes
-    arrive than its response has, such as a second copy of it, is not reused.
+    arrive than its response has, such as a second copy of it, is not reused. `turn` counts what is
+    processed of the responses.
     """
 
-    def __init__(self, reader: _CountingReader, writer: asyncio.StreamWriter):
+    def __init__(self, address: Address, reader: _CountingReader, writer: asyncio.StreamWriter):
+        self.turn = Turn(address)
         self._reader = reader
         self._writer = writer
         self._conn = h11.Connection(h11.CLIENT)
@@ -73,7 +76,7 @@
         try:
             host, port = split_address(address)
             async with asyncio.timeout_at(deadline):
-                return cls(*await _open_streams(host, port))
+                return cls(address, *await _open_streams(host, port))
         except TimeoutError as exc:
             raise UnreachableError("no connection in time") from exc
         except ConnectionRefusedError as exc:
@@ -112,11 +115,19 @@
 
     async def _next_event(self) -> object:
         while (event := self._conn.next_event()) is h11.NEED_DATA:
+            if self._is_input_processed:
+                self.turn.end()
             data = await self._reader.read(READ_BYTES)
             self._read_bytes += len(data)
             self._conn.receive_data(data)
+        self.turn.record(len(event.data) if isinstance(event, h11.Data) else 0)
         return event
 
+    @property
+    def _is_input_processed(self) -> bool:
+        """Return whether no more bytes have arrived, so that reading waits for some."""
+        return self._read_bytes >= self._reader.received_bytes
+
     def is_reusable(self, now: float, max_idle_s: float) -> bool:
         """Return whether an idle connection can be reused. `now` is in loop time, in seconds."""
         expired = now - self._idle_since > max_idle_s
@@ -127,7 +138,7 @@
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that belong to no response."""
         unparsed = self._conn.trailing_data[0]
-        return bool(unparsed) or self._reader.received_bytes > self._read_bytes
+        return bool(unparsed) or not self._is_input_processed
 
     def reset(self, now: float) -> bool:
         """Prepare for the next request; return False if the connection can't be reused."""
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -16,6 +16,7 @@
     HttpResponse,
     StreamResponse,
     encode_headers,
+    join_address,
 )
 from minttided.http.problems import problem, problem_response
 from minttided.http.request import (
@@ -28,6 +29,7 @@
     describe_parse_error,
     make_request,
 )
+from minttided.http.turns import Turn
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +87,7 @@
         """Start the task that serves the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._turn = Turn(_format_peer(transport))
         within_limit = self._server.add(self)
         self.task = asyncio.get_running_loop().create_task(self._serve(within_limit))
 
@@ -277,9 +280,11 @@
         while True:
             event = self._conn.next_event()
             if event is not h11.NEED_DATA:
+                self._turn.record(len(event.data) if isinstance(event, h11.Data) else 0)
                 return event
             if self._conn.they_are_waiting_for_100_continue:
                 self._write(h11.InformationalResponse(status_code=100, headers=[]))
+            self._turn.end()
             await self._wait_for_input(end_s)
 
     async def _read_body(self, end_s: float) -> bytes:
@@ -363,6 +368,12 @@
                 raise TimeoutError("the caller doesn't read the response")
 
 
+def _format_peer(transport: asyncio.Transport) -> str:
+    """Return the address of a caller."""
+    name = transport.get_extra_info("peername")
+    return join_address(*name[:2]) if name else "caller"
+
+
 def _make_parser(bounds: Bounds) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.max_header_bytes)
 
--- /dev/null
+++ b/daemon/minttided/http/turns.py
@@ -0,0 +1,68 @@
+"""What is processed of each connection's input between two turns of the event loop."""
+
+ITEM_BYTES = 2048
+"""What an item costs to process beside its bytes, as a number of bytes."""
+
+MAX_TRACKED_PEERS = 256
+"""Peers whose input is counted between two looks at it."""
+
+
+class PeerInput:
+    """Items and bytes that were processed of one peer's input."""
+
+    def __init__(self, peer: str):
+        self.peer = peer
+        self.items = 0
+        self.bytes = 0
+
+    @property
+    def cost(self) -> int:
+        """Return what it cost to process them, as a number of bytes."""
+        return ITEM_BYTES * self.items + self.bytes
+
+
+class InputCounts:
+    """What was processed of each peer's input since the last look at it."""
+
+    def __init__(self) -> None:
+        self._inputs: dict[str, PeerInput] = {}
+
+    def add(self, peer: str, items: int, size: int) -> None:
+        """Add items of `size` bytes together. Peers beyond `MAX_TRACKED_PEERS` aren't counted."""
+        found = self._inputs.get(peer)
+        if found is None:
+            if len(self._inputs) >= MAX_TRACKED_PEERS:
+                return
+            found = self._inputs[peer] = PeerInput(peer)
+        found.items += items
+        found.bytes += size
+
+    def take_largest(self) -> PeerInput | None:
+        """Return the input that cost most, if there was any, and start again from zero."""
+        largest = max(self._inputs.values(), key=lambda found: found.cost, default=None)
+        self._inputs.clear()
+        return largest
+
+
+INPUT_COUNTS = InputCounts()
+"""The counts of this process, which has one event loop."""
+
+
+class Turn:
+    """What was processed of one connection's input since its task last waited."""
+
+    def __init__(self, peer: str):
+        self._peer = peer
+        self._items = 0
+        self._bytes = 0
+
+    def record(self, size: int) -> None:
+        """Record that an item of `size` bytes was processed."""
+        self._items += 1
+        self._bytes += size
+
+    def end(self) -> None:
+        """Start a new turn; the task is about to wait."""
+        if self._items:
+            INPUT_COUNTS.add(self._peer, self._items, self._bytes)
+            self._items = self._bytes = 0
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -15,6 +15,7 @@
 BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.044, 0.07, 0.1, 0.3, 1.0, float("inf"))
 ANSWER_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, float("inf"))
 RECOVERY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, float("inf"))
+LOOP_DELAY_BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.25, 0.5, 1.0, 5.0, float("inf"))
 
 
 class Metrics:
@@ -57,6 +58,11 @@
             "Time from a failed step to the next token.",
             RECOVERY_BUCKETS_S,
         )
+        self._loop_delay = self._histogram(
+            "minttide_event_loop_delay_seconds",
+            "Time by which the event loop ran a timer late, sampled.",
+            LOOP_DELAY_BUCKETS_S,
+        )
         self._hosts = self._gauge("minttide_hosts", "Entry hosts in the member table, by status.")
         self._applied_offset = self._gauge("minttide_applied_offset", "Applied offset, by stream.")
         self._log_outage = self._gauge(
@@ -121,6 +127,10 @@
         """Record the time from a failed step to the next token of the stream."""
         self._recovery.observe({"service": service}, seconds)
 
+    def observe_loop_delay(self, seconds: float) -> None:
+        """Record by how much the event loop ran a timer late."""
+        self._loop_delay.observe({}, seconds)
+
     # Gauges, set just before the metrics are rendered.
 
     def set_hosts(self, statuses: Iterable[Status]) -> None:
--- a/daemon/minttided/gateway/ticks.py
+++ b/daemon/minttided/ticks.py
@@ -23,10 +23,12 @@
         self._interval_s = interval_s
         self._phase_s = interval_s * (zlib.crc32(host.encode()) / 2**32)
 
-    async def wait(self) -> None:
-        """Wait for the next tick."""
+    async def wait(self) -> float:
+        """Wait for the next tick, and return by how many seconds the task runs late."""
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(self._next_s(loop.time()) - loop.time())
+        next_s = self._next_s(loop.time())
+        await asyncio.sleep(next_s - loop.time())
+        return max(0.0, loop.time() - next_s)
 
     def _next_s(self, now_s: float) -> float:
         """Return the time of the next tick after `now_s`, both in seconds of the loop's clock."""
--- a/test/test_ticks.py
+++ b/test/test_ticks.py
@@ -6,7 +6,7 @@
 
 from minttide.ids import HostId
 from minttide_fakes.virtual import run_virtual
-from minttided.gateway.ticks import TICK_INTERVAL_S, Ticks
+from minttided.ticks import TICK_INTERVAL_S, Ticks
 
 TASKS = 4
 TICKS = 2000
