Split streams into events at a cost that is linear in their bytes

Whether an event is a comment was found up to four times, by splitting it into lines.

Change: the buffer keeps its place, and up to where it was searched; comments are told once, when the event is split. No event is split elsewhere than before.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -208,7 +208,7 @@
         while (event := self._splitter.next_event()) is None:
             chunk = await self._exchange.read_chunk()
             if chunk is None:
-                if self._splitter.buffered:
+                if self._splitter.buffered_bytes:
                     raise ExchangeError("the stream ended in the middle of an event")
                 return None
             self._splitter.feed(chunk)
--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -7,19 +7,21 @@
 MAX_EVENT_BYTES = 1_048_576
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID = re.compile(rb"(?:^|\r\n|\n|\r)id:[ ]?([0-9]{1,40})[ ]*(?=\r|\n|$)")
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
+"""The first byte of a line that is neither empty nor a comment."""
 
 
 class Event(msgspec.Struct, frozen=True):
-    """One complete event as received, with its id if it has one."""
+    """One complete event as received, with its id if it has one.
+
+    `is_comment` says that it consists of comments only, such as those that keep a stream alive.
+    """
 
     raw: bytes
     id: int | None
-
-    @property
-    def is_comment(self) -> bool:
-        """Return whether the event consists of comments only, such as those that keep it alive."""
-        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+    is_comment: bool
 
 
 class DeliveredEvents:
@@ -69,27 +71,44 @@
 
 
 class EventSplitter:
-    """Buffers bytes until an event is complete."""
+    """Buffers bytes until an event is complete. Each byte is searched about once."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._start = 0  # of the first event that wasn't returned
+        self._searched = 0  # no event ends before this, from `_start` on
 
     @property
-    def buffered(self) -> bytes:
-        """Return the bytes of an incomplete event; at the end of a stream they were cut off."""
-        return self._buffer
+    def buffered_bytes(self) -> int:
+        """Return the size of what was not returned; at the end of a stream it was cut off."""
+        return len(self._buffer) - self._start
 
     def feed(self, data: bytes) -> None:
         """Add bytes to the buffer. Raises `EventTooLongError`."""
+        del self._buffer[: self._start]
+        self._searched -= self._start
+        self._start = 0
         self._buffer += data
-        if len(self._buffer) > MAX_EVENT_BYTES and _END.search(self._buffer) is None:
+        if len(self._buffer) > MAX_EVENT_BYTES and self._find_end() is None:
             raise EventTooLongError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
 
     def next_event(self) -> Event | None:
         """Remove and return the next complete event, or return `None` if there is none yet."""
-        match = _END.search(self._buffer)
-        if match is None:
+        end = self._find_end()
+        if end is None:
             return None
-        raw, self._buffer = self._buffer[: match.end()], self._buffer[match.end() :]
+        raw = bytes(self._buffer[self._start : end])
+        self._start = self._searched = end
         found = _ID.search(raw)
-        return Event(raw, int(found.group(1)) if found else None)
+        return Event(raw, int(found.group(1)) if found else None, _FIELD.search(raw) is None)
+
+    def _find_end(self) -> int | None:
+        """Return where the first event ends, or `None` if it isn't complete."""
+        # An end may have arrived in part.
+        begin = max(self._start, self._searched - (_MAX_END_BYTES - 1))
+        match = _END.search(self._buffer, begin)
+        if match is None:
+            self._searched = len(self._buffer)
+            return None
+        self._searched = match.start()
+        return match.end()
--- a/test/test_gateway_streams.py
+++ b/test/test_gateway_streams.py
@@ -115,7 +115,7 @@
         while (found_event := splitter.next_event()) is not None:
             found.append(found_event)
     assert [e.id for e in found] == [1, 2, None]
-    assert b"".join(e.raw for e in found) == data and not splitter.buffered
+    assert b"".join(e.raw for e in found) == data and not splitter.buffered_bytes
 
 
 def test_stream_attempts_on_live_engines_are_limited_by_its_route():
