Let other tasks run after a part of a connection's input was processed

Cause: StreamReader.read returns without suspending as long as bytes are buffered, and neither it, h11 nor the loops over them wait otherwise. A task that gets bytes faster than it parses them never gives the loop back: no timer fires, nor the timeout of its own request.

Change: Turn counts the items and bytes that were processed of a connection and gives way after 32 small items, or 64 KiB. The client's connection uses it for all that it parses (heads, interim heads, whole answers, streams, the clients of the store, of reports and of the log); streams count their events in it, also those kept while a silence is looked into; the server uses it for requests, and receives nothing meanwhile; streams that another host runs have one of their own.

--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -20,6 +20,7 @@
     make_request,
 )
 from minttided.http.messages import Headers, find_header
+from minttided.http.turns import Turn
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
@@ -108,6 +109,11 @@
             self.status, reports_not_run, names_request=echoed is not None or not attempt_id
         )
 
+    @property
+    def turn(self) -> Turn:
+        """Return what was processed of the response since other tasks ran."""
+        return self._conn.turn
+
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end. Raises `ExchangeError`."""
         try:
--- a/daemon/minttided/gateway/forwarding/stream.py
+++ b/daemon/minttided/gateway/forwarding/stream.py
@@ -11,6 +11,7 @@
 from minttided.gateway.callers.request import GatewayRequest, parse_last_event_id
 from minttided.gateway.streams.events import DeliveredEvents, EventSplitter, EventTooLongError
 from minttided.http.client import ExchangeError
+from minttided.http.turns import Turn
 from minttided.peers.interfaces import ForwardedResponse, PeerError
 
 
@@ -97,8 +98,11 @@
     async def _iterate(self) -> AsyncGenerator[bytes, None]:
         """Yield the events. Raises `ExchangeError` if the stream breaks off and can't go on."""
         splitter = EventSplitter()
+        turn = Turn(self._opened.helper.host)
         while True:
+            await turn.give_way()
             event = splitter.next_event()
+            turn.record(len(event.raw) if event is not None else 0)
             try:
                 if event is None:
                     chunk = await self._opened.read_chunk()
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -193,8 +193,9 @@
 
         Raises `ExchangeError` or `EventTooLongError`.
         """
-        if not self._received and (event := self._splitter.next_event()) is not None:
-            self._record_progress(event)
+        assert self._exchange is not None
+        await self._exchange.turn.give_way()
+        if not self._received and (event := self._split_event()) is not None:
             return event
         if self._restarts_wait:
             self._restart_wait(self._context.silence_threshold.between_events_s)
@@ -203,16 +204,25 @@
     async def _read_event(self) -> Event | None:
         """Return the next complete event; it may be called again after it was cancelled."""
         assert self._exchange is not None
+        await self._exchange.turn.give_way()
         if self._received:
             return self._received.popleft()
-        while (event := self._splitter.next_event()) is None:
+        while (event := self._split_event()) is None:
             chunk = await self._exchange.read_chunk()
             if chunk is None:
                 if self._splitter.buffered_bytes:
                     raise ExchangeError("the stream ended in the middle of an event")
                 return None
             self._splitter.feed(chunk)
-        self._record_progress(event)
+        return event
+
+    def _split_event(self) -> Event | None:
+        """Return the next event that is buffered completely, and record it."""
+        event = self._splitter.next_event()
+        if event is not None:
+            assert self._exchange is not None
+            self._exchange.turn.record(len(event.raw))
+            self._record_progress(event)
         return event
 
     async def _read_progress(self) -> Event | None:
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -56,7 +56,7 @@
 
     Responses are paired with requests by their order alone. So a connection on which more bytes
     arrive than its response has, such as a second copy of it, is not reused. `turn` counts what is
-    processed of the responses.
+    processed of the responses; whoever parses their bodies further counts these items in it too.
     """
 
     def __init__(self, address: Address, reader: _CountingReader, writer: asyncio.StreamWriter):
@@ -114,6 +114,7 @@
         return bytes(event.data) if isinstance(event, h11.Data) else None
 
     async def _next_event(self) -> object:
+        await self.turn.give_way()
         while (event := self._conn.next_event()) is h11.NEED_DATA:
             if self._is_input_processed:
                 self.turn.end()
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -277,6 +277,7 @@
 
     async def _next_event(self, end_s: float) -> object:
         """Return the next event of the request. Raises `TimeoutError` after `end_s` (loop time)."""
+        await self._give_way()
         while True:
             event = self._conn.next_event()
             if event is not h11.NEED_DATA:
@@ -287,6 +288,13 @@
             self._turn.end()
             await self._wait_for_input(end_s)
 
+    async def _give_way(self) -> None:
+        """Let other tasks run if the turn is used up; nothing is received meanwhile."""
+        if self._turn.is_used_up:
+            self._transport.pause_reading()
+            await self._turn.give_way()
+            self._transport.resume_reading()
+
     async def _read_body(self, end_s: float) -> bytes:
         chunks: list[bytes] = []
         while isinstance(event := await self._next_event(end_s), h11.Data):
--- a/daemon/minttided/http/turns.py
+++ b/daemon/minttided/http/turns.py
@@ -1,8 +1,18 @@
-"""What is processed of each connection's input between two turns of the event loop."""
+"""How much of a connection's input is processed before the event loop runs other tasks.
+
+Reading suspends a task only while no bytes are buffered. A peer that sends faster than its bytes
+are processed would keep the loop to itself, and no timer would fire, not even that of its own
+request.
+"""
+
+import asyncio
 
 ITEM_BYTES = 2048
 """What an item costs to process beside its bytes, as a number of bytes."""
 
+MAX_TURN_BYTES = 65_536
+"""What is processed of one connection in a turn: 32 small items, or one read of the full size."""
+
 MAX_TRACKED_PEERS = 256
 """Peers whose input is counted between two looks at it."""
 
@@ -49,13 +59,21 @@
 
 
 class Turn:
-    """What was processed of one connection's input since its task last waited."""
+    """What was processed of one connection's input since the loop last ran other tasks.
+
+    Whoever takes items from a buffer records each, and awaits `give_way` before the next one.
+    """
 
     def __init__(self, peer: str):
         self._peer = peer
         self._items = 0
         self._bytes = 0
 
+    @property
+    def is_used_up(self) -> bool:
+        """Return whether other tasks are to run before the next item is processed."""
+        return ITEM_BYTES * self._items + self._bytes >= MAX_TURN_BYTES
+
     def record(self, size: int) -> None:
         """Record that an item of `size` bytes was processed."""
         self._items += 1
@@ -66,3 +84,12 @@
         if self._items:
             INPUT_COUNTS.add(self._peer, self._items, self._bytes)
             self._items = self._bytes = 0
+
+    async def give_way(self) -> None:
+        """Let the loop run other tasks if the turn is used up.
+
+        The task may be cancelled here: it must not hold an item that it took from a buffer.
+        """
+        if self.is_used_up:
+            self.end()
+            await asyncio.sleep(0)
--- a/test/test_event_splitter.py
+++ b/test/test_event_splitter.py
@@ -1,4 +1,4 @@
-"""How streams are split into events: the same however the bytes arrive, at a cost that is linear."""
+"""How streams are split into events: the same however bytes arrive, at a cost linear in them."""
 
 import time
 
