End a stream's attempt after too many comments or repeated events

Cause: nothing bounded what doesn't continue a stream. What came while a silence was looked into was kept whole, walked again by each check, and delivered in one go afterwards: 640,000 events, each with a write of its own.

Change: KeepAliveLimit allows 1,000 comments or repeated events and 256 KiB at once, and 100 and 64 KiB more for each second without an event; a sound engine's keep-alives stay far below. Beyond that the response is faulty: the stream goes on elsewhere, with a retry of the budget as after any failure, and for 2 s all streams avoid the engine while others are left. An event that is too long counts as faulty, too. Events read during a check are appended once and not walked again.

--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from minttide.ids import UpstreamId
+from minttide.layers.keep_alives import KeepAliveLimit
 from minttide.layers.paths import Path, RequestSize
 from minttide.routing.outcome import ExchangeOutcome
 from minttided.gateway.callers.exchange import Exchange
@@ -20,7 +21,7 @@
 from minttided.gateway.streams.events import Event, EventSplitter
 from minttided.gateway.streams.log import format_path
 from minttided.gateway.streams.silence_threshold import SilenceThreshold
-from minttided.http.client import ExchangeError
+from minttided.http.client_connection import ExchangeError, FaultyResponseError
 from minttided.http.messages import Headers, HttpResponse
 
 T = TypeVar("T")
@@ -85,6 +86,7 @@
         self._early_read: asyncio.Future[Any] | None = None
         self._closed = False
         self.sent_s = self.progress_s = now_s()
+        self._keep_alives = KeepAliveLimit(self.sent_s)
         context.loads.add(path, request_size)
 
     @property
@@ -124,7 +126,7 @@
     async def open(self, last_event_id: int | None) -> StreamSendResult:
         """Send the request, resuming after `last_event_id` if given, and wait for the first event.
 
-        Raises `NotSentError`, `ExchangeError` or `EventTooLongError`.
+        Raises `NotSentError` or `ExchangeError`.
         """
         state = self._context.state
         first = state.find_upstream(self._path[0].engine)
@@ -191,7 +193,7 @@
     async def next_event(self) -> Event | None:
         """Return the next complete event, or `None` at the end of the stream.
 
-        Raises `ExchangeError` or `EventTooLongError`.
+        Raises `ExchangeError`.
         """
         assert self._exchange is not None
         await self._exchange.turn.give_way()
@@ -205,8 +207,11 @@
         """Return the next complete event; it may be called again after it was cancelled."""
         assert self._exchange is not None
         await self._exchange.turn.give_way()
-        if self._received:
-            return self._received.popleft()
+        return self._received.popleft() if self._received else await self._read_new_event()
+
+    async def _read_new_event(self) -> Event | None:
+        """Return the next event that wasn't read during a check."""
+        assert self._exchange is not None
         while (event := self._split_event()) is None:
             chunk = await self._exchange.read_chunk()
             if chunk is None:
@@ -227,24 +232,31 @@
 
     async def _read_progress(self) -> Event | None:
         """Return the next event once there was progress, or the stream has ended."""
+        assert self._exchange is not None
         before_s = self.progress_s
-        received: deque[Event | None] = deque()
-        try:
-            while True:
-                event = await self._read_event()
-                received.append(event)
-                if event is None or self.progress_s > before_s:
-                    return received.popleft()
-        finally:
-            self._received.extendleft(reversed(received))
+        while not self._has_read_end and self.progress_s <= before_s:
+            await self._exchange.turn.give_way()
+            self._received.append(await self._read_new_event())
+        return self._received.popleft()
+
+    @property
+    def _has_read_end(self) -> bool:
+        """Return whether the end of the stream was read during a check."""
+        return bool(self._received) and self._received[-1] is None
 
     def _record_progress(self, event: Event) -> None:
-        """Record the time of an event that was read if the stream goes on with it."""
+        """Record the time of an event that was read if the stream goes on with it.
+
+        Raises `FaultyResponseError` if there was too much without that.
+        """
         if event.is_comment or (event.id is not None and event.id <= self._last_id):
+            if not self._keep_alives.allows(len(event.raw), now_s()):
+                raise FaultyResponseError("too many comments or repeated events")
             return
         if event.id is not None:
             self._last_id = event.id
         self.progress_s = now_s()
+        self._keep_alives.restart(self.progress_s)
         self._restarts_wait = True
 
     async def _await_response(self, opening: "asyncio.Task[Exchange]") -> Exchange:
--- a/daemon/minttided/gateway/streams/attempt_opener.py
+++ b/daemon/minttided/gateway/streams/attempt_opener.py
@@ -11,15 +11,17 @@
 from minttided.gateway.streams.attempt import StreamSendResult
 from minttided.gateway.streams.context import StreamContext
 from minttided.gateway.streams.engine_runs import EngineRuns
-from minttided.gateway.streams.events import EventTooLongError
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.openings import SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
 from minttided.gateway.streams.silence import BLOCKED
-from minttided.http.client import ExchangeError, NotSentError
+from minttided.http.client_connection import ExchangeError, FaultyResponseError, NotSentError
 
 log = logging.getLogger(__name__)
 
+FAULTY_AVOID_S = 2.0
+"""How long all streams avoid an engine after a response that no sound engine sends."""
+
 LAST_PROBE_S = 0.06
 """Time after the deadline for a probe that shows whether the engine can be reached."""
 
@@ -58,7 +60,8 @@
             result = self._reject_other(sent, await sent.attempt.open(last_event_id))
         except NotSentError as exc:
             result = StreamSendResult(ExchangeOutcome.NOT_SENT, str(exc))
-        except (ExchangeError, EventTooLongError) as exc:
+        except ExchangeError as exc:
+            self.record_fault(sent.entry, exc)
             result = StreamSendResult(ExchangeOutcome.UNKNOWN, str(exc))
         except Exception as exc:  # ends this attempt, and not the stream
             log.exception("attempt failed unexpectedly")
@@ -110,6 +113,11 @@
         if not responds and probes.has_ended(sent.entry):
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
+    def record_fault(self, entry: UpstreamEntry, error: ExchangeError) -> None:
+        """Let all streams avoid an engine whose response no sound one sends."""
+        if isinstance(error, FaultyResponseError):
+            self._context.avoid_engine(entry.id, FAULTY_AVOID_S, str(error))
+
     async def responds(self, entry: UpstreamEntry, reason: str) -> bool:
         """Return whether an engine that failed still answers; true if it can't be probed.
 
--- a/daemon/minttided/gateway/streams/context.py
+++ b/daemon/minttided/gateway/streams/context.py
@@ -43,5 +43,8 @@
     ) -> Path | None:
         """Return the best path, starting at engine `first` if given, or `None` if there is none."""
 
+    def avoid_engine(self, engine: UpstreamId, for_s: float, reason: str) -> None:
+        """Let all streams avoid an engine for `for_s` seconds while others are left."""
+
     def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
         """Avoid the engine at an address for `for_s` seconds; return its id, `None` if unlisted."""
--- a/daemon/minttided/gateway/streams/events.py
+++ b/daemon/minttided/gateway/streams/events.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from minttided.http.client_connection import FaultyResponseError
+
 MAX_EVENT_BYTES = 1_048_576
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
@@ -66,7 +68,7 @@
         return event.id is not None or event.is_comment or not self._continued
 
 
-class EventTooLongError(Exception):
+class EventTooLongError(FaultyResponseError):
     """An event exceeds `MAX_EVENT_BYTES`."""
 
 
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -31,7 +31,7 @@
         self.probes = EngineProbes(state, self.check_streams, loads.record_report)
         self.runs: set[RunningStream] = set()
         self.silence_threshold = SilenceThreshold()
-        self._reported_engines = AvoidedUpstreams()
+        self._avoided_engines = AvoidedUpstreams()
         self.budgets = budgets
         state.prompt_crashes.on_block = self._on_block
         state.prompt_crashes.on_unblock = self._on_unblock
@@ -76,11 +76,11 @@
         self.probes.probe_on_trial(engines)
         untrusted = self.state.suspects.suspected()
         failing = self.state.suspects.avoided(now_s())
-        reported = self._reported_engines.avoided(now_s())
+        avoided_by_all = self._avoided_engines.avoided(now_s())
         closed = self.state.notices.closed(engines, now_s())
         # If no path is left, allow engines that may have recovered or have free capacity again.
         avoid_sets = (
-            untrusted | reported | avoided,
+            untrusted | avoided_by_all | avoided,
             untrusted | avoided,
             failing | avoided,
             failing,
@@ -94,18 +94,18 @@
                 return path
         return None
 
+    def avoid_engine(self, engine: UpstreamId, for_s: float, reason: str) -> None:
+        """Let all streams avoid an engine for `for_s` seconds while others are left."""
+        if self._avoided_engines.add_for(engine, now_s(), for_s):
+            extra = {"engine": engine, "reason": reason, "for_s": for_s}
+            log.warning("engine avoided", extra=extra)
+        self.probes.check_engine(engine)
+
     def avoid_address(self, address: Address, for_s: float) -> UpstreamId | None:
         """Avoid the engine at an address for `for_s` seconds; return its id, `None` if unlisted."""
         for entry in self.state.upstreams.values():
             if entry.address == address:
-                if self._reported_engines.add_for(entry.id, now_s(), for_s):
-                    extra = {
-                        "engine": entry.id,
-                        "reason": "reported by another engine",
-                        "for_s": for_s,
-                    }
-                    log.warning("engine avoided", extra=extra)
-                self.probes.check_engine(entry.id)
+                self.avoid_engine(entry.id, for_s, "reported by another engine")
                 return entry.id
         return None
 
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -20,7 +20,7 @@
 from minttided.gateway.streams.attempt_opener import AttemptOpener
 from minttided.gateway.streams.context import StreamContext
 from minttided.gateway.streams.engine_runs import EngineRuns
-from minttided.gateway.streams.events import DeliveredEvents, Event, EventTooLongError
+from minttided.gateway.streams.events import DeliveredEvents, Event
 from minttided.gateway.streams.log import Progress, StreamLog
 from minttided.gateway.streams.openings import Openings, SentAttempt
 from minttided.gateway.streams.paths import StreamPaths
@@ -291,7 +291,8 @@
             self._choose_attempt(exc.sent)
             self._context.state.metrics.count_recovery(self._request.service, "replace")
             return exc.result.event
-        except (ExchangeError, EventTooLongError) as exc:
+        except ExchangeError as exc:
+            self._opener.record_fault(self._current.entry, exc)
             return await self._resume(str(exc))
         self._engine_runs.record_answer(self._current.engine_run)
         if event is None or (not event.is_comment and self._delivered.is_new(event)):
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -32,6 +32,10 @@
     """The exchange failed, after bytes of the request may have been sent."""
 
 
+class FaultyResponseError(ExchangeError):
+    """The upstream has answered with what no sound one sends, such as bytes without end."""
+
+
 def make_request(method: str, target: str, headers: Sequence[tuple[str, str]]) -> h11.Request:
     """Return the head of a request. Raises `NotSentError` if it isn't valid in HTTP."""
     try:
--- a/test/test_flooding_peers.py
+++ b/test/test_flooding_peers.py
@@ -40,6 +40,7 @@
 SMALL_CHUNKS = b"1\r\nz\r\n" * 10_000
 
 STREAM_FLOODS = {
+    "line feeds": chunk(b"\n" * 65_536),
     "line ends of two bytes": chunk(b"\r\n" * 32_768),
     "comments": chunk(b": ping\n\n" * 8192),
     "events without an id": chunk(b"data: x\n\n" * 8192),
