Bound the memory of responses that aren't complete, over all of them together

What another operator reported: a faulty engine sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

Cause: each response was bounded (16 MiB, an event 1 MiB), all together were not. A finished stream kept its buffer until a garbage collection, as attempt and run refer to each other.

Change: ResponseBuffers counts what exchanges buffer, 64 MiB in all. Beyond that the largest one is ended, which most likely has no end; one of up to 64 KiB never is. Its request has an unknown outcome, as it may have run, and an answer without a length doesn't seem complete by that. Bodies are one bytearray. An answer that is too long counts as faulty: its upstream is avoided for 2 s, in place of 0.5 s.

--- a/daemon/minttided/gateway/callers/exchange.py
+++ b/daemon/minttided/gateway/callers/exchange.py
@@ -15,11 +15,13 @@
 from minttided.http.client_connection import (
     ClientConnection,
     ExchangeError,
+    FaultyResponseError,
     RefusedError,
     UnreachableError,
     make_request,
 )
 from minttided.http.messages import Headers, find_header
+from minttided.http.response_buffers import ResponseBuffers
 from minttided.http.turns import Turn
 
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
@@ -37,8 +39,9 @@
 class Exchange:
     """An exchange whose response head has arrived. Read its body, then close it."""
 
-    def __init__(self, conn: ClientConnection):
+    def __init__(self, conn: ClientConnection, buffers: ResponseBuffers):
         self._conn = conn
+        self._buffered = buffers.open(self.close)
         self.status = 0
         self.headers: Headers = []
 
@@ -52,16 +55,19 @@
         body: bytes,
         end_s: float,
         on_connect: Callable[[bool], None] = _ignore_reach,
+        buffers: ResponseBuffers | None = None,
     ) -> "Exchange":
         """Send a request and wait for the response head until `end_s`, in loop time.
 
         `prepare` is called once connected, just before the first byte, and returns the headers; if
         it raises `NotSentError`, nothing is sent. `on_connect` is called with whether a connection
-        was established, unless the deadline left no time for it.
+        was established, unless the deadline left no time for it. `buffers` bounds what is buffered
+        of this response and others.
 
         Raises `NotSentError` if no byte was sent, otherwise `ExchangeError`; both include timeouts.
         """
-        exchange = cls(await _connect(address, end_s, on_connect))
+        conn = await _connect(address, end_s, on_connect)
+        exchange = cls(conn, buffers or ResponseBuffers())
         try:
             request = make_request(method, target, prepare())
             async with asyncio.timeout_at(end_s):
@@ -117,9 +123,24 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end. Raises `ExchangeError`."""
         try:
-            return await self._conn.read_data()
+            chunk = await self._conn.read_data()
         except (OSError, h11.ProtocolError) as exc:
-            raise ExchangeError(str(exc) or type(exc).__name__) from exc
+            raise ExchangeError(self._end_reason or str(exc) or type(exc).__name__) from exc
+        if self._end_reason:  # a body without a length seems to be complete
+            raise ExchangeError(self._end_reason)
+        return chunk
+
+    @property
+    def _end_reason(self) -> str:
+        """Return why this host has ended the response, if it has."""
+        return "responses need too much memory" if self._buffered.is_ended else ""
+
+    def record_buffered(self, size: int) -> None:
+        """Record how many bytes of the body are buffered. The next read fails if that is too many.
+
+        What an exchange buffers counts until it is closed.
+        """
+        self._buffered.resize(size)
 
     async def read_body(self, max_bytes: int, end_s: float) -> bytes:
         """Return the complete body of at most `max_bytes`. Raises `ExchangeError`."""
@@ -129,13 +150,16 @@
                 while (chunk := await self.read_chunk()) is not None:
                     body += chunk
                     if len(body) > max_bytes:
-                        raise ExchangeError(f"the response body is longer than {max_bytes} bytes")
+                        detail = f"the response body is longer than {max_bytes} bytes"
+                        raise FaultyResponseError(detail)
+                    self.record_buffered(len(body))
         except TimeoutError as exc:
             raise ExchangeError("the response was not complete in time") from exc
         return bytes(body)
 
     def close(self) -> None:
         """Abort the connection, so that the upstream stops any work on the request."""
+        self._buffered.close()
         self._conn.abort()
 
 
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -31,7 +31,7 @@
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.connect_probe import probe_connection
 from minttided.gateway.state import GatewayState, now_s
-from minttided.http.client import ExchangeError, NotSentError
+from minttided.http.client_connection import ExchangeError, FaultyResponseError, NotSentError
 from minttided.http.messages import Headers, HttpResponse
 
 log = logging.getLogger(__name__)
@@ -44,6 +44,10 @@
 """How long to avoid an upstream whose connection broke during an exchange."""
 
 
+FAULTY_AVOID_S = 2.0
+"""How long to avoid an upstream after a response that no sound one sends."""
+
+
 class SendResult(msgspec.Struct, frozen=True):
     """The result of one send. `response` is set when a complete response has been received."""
 
@@ -131,7 +135,8 @@
             self._state.suspects.add(upstream.id, now_s())
             return SendResult(ExchangeOutcome.NOT_SENT, upstream.id, str(exc))
         except ExchangeError as exc:
-            self._state.suspects.add_for(upstream.id, now_s(), BROKEN_AVOID_S)
+            avoid_s = FAULTY_AVOID_S if isinstance(exc, FaultyResponseError) else BROKEN_AVOID_S
+            self._state.suspects.add_for(upstream.id, now_s(), avoid_s)
             return SendResult(ExchangeOutcome.UNKNOWN, upstream.id, str(exc))
         finally:
             self._running[upstream.id] -= 1
@@ -180,6 +185,7 @@
             req.body,
             request.end_s,
             partial(self._state.record_reach, upstream.id),
+            self._state.response_buffers,
         )
         try:
             outcome = exchange.classify(names, request.attempt_id)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -26,6 +26,7 @@
 from minttide.routing.table import RouteTable
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.upstream_notices import UpstreamNotices
+from minttided.http.response_buffers import ResponseBuffers
 from minttided.operators.metrics import Metrics
 from minttided.ticks import Ticks
 
@@ -95,6 +96,7 @@
     suspects: AvoidedUpstreams = field(default_factory=AvoidedUpstreams)
     reach: Reach = field(default_factory=Reach)
     probe_evidence: ProbeEvidence = field(default_factory=ProbeEvidence)
+    response_buffers: ResponseBuffers = field(default_factory=ResponseBuffers)
     list_history: ListHistory = field(default_factory=_create_list_history)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -118,6 +118,9 @@
             return
         self._closed = True
         self._context.loads.remove(self._path, self._request_size)
+        # Attempt and stream refer to each other, and are freed together some time later.
+        self._splitter = EventSplitter()
+        self._received.clear()
         if self._exchange is not None:
             self._exchange.close()
 
@@ -177,6 +180,7 @@
             req.body,
             request.end_s,
             partial(state.record_reach, first.engine),
+            state.response_buffers,
         )
 
     async def _read_failure(self, exchange: Exchange, outcome: ExchangeOutcome) -> StreamSendResult:
@@ -219,6 +223,7 @@
                     raise ExchangeError("the stream ended in the middle of an event")
                 return None
             self._splitter.feed(chunk)
+            self._exchange.record_buffered(self._splitter.buffered_bytes)
         return event
 
     def _split_event(self) -> Event | None:
--- a/daemon/minttided/gateway/streams/attempt_opener.py
+++ b/daemon/minttided/gateway/streams/attempt_opener.py
@@ -6,6 +6,7 @@
 from minttide.routing.outcome import ExchangeOutcome
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.callers.crash_guard import CrashGuard
+from minttided.gateway.callers.plain import FAULTY_AVOID_S
 from minttided.gateway.callers.request import GatewayRequest
 from minttided.gateway.state import now_s
 from minttided.gateway.streams.attempt import StreamSendResult
@@ -19,9 +20,6 @@
 
 log = logging.getLogger(__name__)
 
-FAULTY_AVOID_S = 2.0
-"""How long all streams avoid an engine after a response that no sound engine sends."""
-
 LAST_PROBE_S = 0.06
 """Time after the deadline for a probe that shows whether the engine can be reached."""
 
--- a/daemon/minttided/http/client.py
+++ b/daemon/minttided/http/client.py
@@ -121,11 +121,9 @@
     """Send a request and read its complete response."""
     conn.send(request, body)
     status, headers = await conn.read_head()
-    chunks: list[bytes] = []
-    size = 0
+    received = bytearray()
     while (chunk := await conn.read_data()) is not None:
-        size += len(chunk)
-        if size > max_response_bytes:
+        received += chunk
+        if len(received) > max_response_bytes:
             raise h11.RemoteProtocolError("the response is too long")
-        chunks.append(chunk)
-    return ClientResponse(status, headers, b"".join(chunks))
+    return ClientResponse(status, headers, bytes(received))
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -296,11 +296,11 @@
             self._transport.resume_reading()
 
     async def _read_body(self, end_s: float) -> bytes:
-        chunks: list[bytes] = []
+        body = bytearray()
         while isinstance(event := await self._next_event(end_s), h11.Data):
             self._body.reserve(len(event.data))
-            chunks.append(bytes(event.data))
-        return b"".join(chunks)
+            body += event.data
+        return bytes(body)
 
     # Sending responses.
 
--- /dev/null
+++ b/daemon/minttided/http/response_buffers.py
@@ -0,0 +1,84 @@
+"""Bounds the bytes of incomplete responses that one process buffers, over all exchanges.
+
+Each response has a limit of its own, but faulty upstreams may fill many up to it at a time.
+"""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+
+MIN_ENDED_BYTES = 65_536
+"""Size up to which a response isn't ended in favour of others."""
+
+
+class BufferedResponse:
+    """What is buffered of one response, while the context is open.
+
+    `on_end` is called if it is ended in favour of others, which `is_ended` says from then on.
+    """
+
+    def __init__(self, buffers: "ResponseBuffers", on_end: Callable[[], None]):
+        self.size = 0
+        self.is_ended = False
+        self._buffers = buffers
+        self._on_end = on_end
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def resize(self, size: int) -> None:
+        """Record that `size` bytes are buffered now."""
+        self._buffers.record(self, size)
+
+    def end(self) -> None:
+        """End the response in favour of others."""
+        self.close()
+        self.is_ended = True
+        self._on_end()
+
+    def close(self) -> None:
+        """Record that its bytes are no longer buffered."""
+        self._buffers.discard(self)
+
+
+class ResponseBuffers:
+    """The buffered responses of one process. The largest is ended when all exceed the limit.
+
+    It is the one that most likely has no end; small ones are thus not affected by it.
+    """
+
+    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES):
+        self._max_bytes = max_bytes
+        self._responses: set[BufferedResponse] = set()
+        self.total_bytes = 0
+
+    def open(self, on_end: Callable[[], None]) -> BufferedResponse:
+        """Return a response of which nothing is buffered yet."""
+        return BufferedResponse(self, on_end)
+
+    def record(self, response: BufferedResponse, size: int) -> None:
+        """Record how much is buffered of a response, and end the largest ones beyond the limit."""
+        if response.is_ended:
+            return
+        self.total_bytes += size - response.size
+        response.size = size
+        if size > MIN_ENDED_BYTES:
+            self._responses.add(response)
+        while self.total_bytes > self._max_bytes and self._responses:
+            max(self._responses, key=lambda found: found.size).end()
+
+    def discard(self, response: BufferedResponse) -> None:
+        """Forget a response."""
+        self.total_bytes -= response.size
+        response.size = 0
+        self._responses.discard(response)
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -41,6 +41,7 @@
         "platform",
         "prompt_crashes",
         "reports",
+        "response_buffers",
         "soak",
         "stand_in_servers",
         "stop_under_load",
