Count the bodies of streams until the streams end, within the process's memory

Cause: the budget for bodies got a stream's body back at its first event, though the stream keeps it to its end (0 bytes counted with four open streams of 100 kB). The objects of a finished stream refer to each other and kept it until a garbage collection. The budget itself, 32 of the largest bodies, took no account of the memory of the process, and bodies passed on by other hosts weren't counted.

Change: a body counts until its request has ended; forwarded ones count too. References back to the stream are weak.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -42,6 +42,7 @@
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
 from minttided.http.messages import Handler, HttpRequest, HttpResponse
+from minttided.http.request import BodyBudget
 from minttided.http.server import HttpServer
 from minttided.loop_monitor import LoopMonitor
 from minttided.operators.metrics import CONTENT_TYPE
@@ -64,13 +65,29 @@
 DRAIN_FRACTION = 0.85
 """Fraction of the grace period in which open requests may finish; the rest are then cut off."""
 
+BODIES_FRACTION = 0.25
+"""Part of the process's memory that the bodies of requests may take.
+
+While a body is sent, it is held up to three times.
+"""
+
 LEAVE_SPREAD_S = 1.0
 """How long other hosts may still return this host's address after it has announced its leaving."""
 
 MAX_ACCEPT_FRACTION = 0.5
 """Largest part of that time in which new connections are accepted, where the period is short."""
 
-_RESTART_FIELDS = ("host", "zone", "callers", "directory", "health", "peer", "metrics", "store")
+_RESTART_FIELDS = (
+    "host",
+    "zone",
+    "callers",
+    "directory",
+    "health",
+    "peer",
+    "metrics",
+    "store",
+    "memory_mb",
+)
 """Settings that take effect only after a restart."""
 
 
@@ -211,11 +228,13 @@
         handler.forwarding = ForwardingClient(
             self.state, budgets, peer_client, self.membership.hosts, self._reach_monitor.verify
         )
-        self._forwarding_server = ForwardingServer(self.state, handler.handle_forwarded)
+        bodies = BodyBudget(int(BODIES_FRACTION * self.cfg.memory_bytes))
+        self._forwarding_server = ForwardingServer(self.state, handler.handle_forwarded, bodies)
         self.caller_server = HttpServer(
             handler.handle,
             self.cfg.callers,
             Bounds(max_connections=self.cfg.max_connections),
+            bodies,
         )
         return streams
 
--- a/daemon/minttided/gateway/forwarding/server.py
+++ b/daemon/minttided/gateway/forwarding/server.py
@@ -2,11 +2,13 @@
 
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 
 from minttide.problems import ProblemType
 from minttided.gateway.callers.errors import error_response, not_run_error
 from minttided.gateway.state import GatewayState, now_s
 from minttided.http.messages import ChunkIterator, HttpRequest, HttpResponse, StreamResponse
+from minttided.http.request import BodyAllocation, BodyBudget, RequestRejectedError
 from minttided.peers.interfaces import ForwardedRequest
 from minttided.stopping import Listener
 
@@ -24,11 +26,15 @@
 
 
 class ForwardingServer:
-    """Runs the requests of other hosts with `run`, which must not pass them on again."""
+    """Runs the requests of other hosts with `run`, which must not pass them on again.
 
-    def __init__(self, state: GatewayState, run: Run):
+    Their bodies count in `bodies`, together with those of this host's callers.
+    """
+
+    def __init__(self, state: GatewayState, run: Run, bodies: BodyBudget):
         self._state = state
         self._run = run
+        self._bodies = bodies
         self.open_requests = 0
 
     async def handle(self, forwarded: ForwardedRequest) -> HttpResponse | StreamResponse:
@@ -45,20 +51,27 @@
         req = HttpRequest(
             forwarded.method, path, query, forwarded.headers, forwarded.body, forwarded.target
         )
+        body = BodyAllocation(self._bodies, len(req.body))
+        try:
+            body.reserve(len(req.body))
+        except RequestRejectedError as exc:
+            body.release()
+            return error_response(exc.problem)
         self.open_requests += 1
         try:
             received_s = now_s() - forwarded.age_s
             resp = await self._run(req, received_s, forwarded.max_upstreams)
         except BaseException:
-            self.open_requests -= 1
+            self._record_end(body)
             raise
         if isinstance(resp, StreamResponse):
-            chunks = _CountedChunks(resp.chunks, self._record_end)
+            chunks = _CountedChunks(resp.chunks, partial(self._record_end, body))
             return StreamResponse(chunks, resp.status, resp.content_type, resp.headers)
-        self.open_requests -= 1
+        self._record_end(body)
         return resp
 
-    def _record_end(self) -> None:
+    def _record_end(self, body: BodyAllocation) -> None:
+        body.release()
         self.open_requests -= 1
 
 
--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -1,11 +1,15 @@
 """Settings of one gateway, read from a JSON file that the platform renders with the addresses."""
 
+from typing import Annotated
+
 import msgspec
 
 from minttide.config.settings import LogFormat, LogLevel
 from minttide.ids import Address, HostId, ZoneId
 from minttide.policy.shared_retries import RetryLimit
 
+MemoryMb = Annotated[float, msgspec.Meta(ge=64.0)]
+
 
 class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Graceful shutdown. `grace_s` is the time between SIGTERM and SIGKILL."""
@@ -19,7 +23,7 @@
     `keys_valid_s` is the longest time that a revoked API key may still be accepted, and
     `answer_keep_s` is how long callers may cache the addresses of the directory. A new
     configuration must be in force within `apply_s`, and an upstream that is leaving must receive no
-    requests after `drain_s`.
+    requests after `drain_s`. The process is ended if it uses more than `memory_mb` MiB.
     """
 
     host: HostId
@@ -38,5 +42,11 @@
     stop: StopSettings = StopSettings()
     retries: RetryLimit = RetryLimit()
     max_connections: int = 2_000
+    memory_mb: MemoryMb = 300.0
     log_level: LogLevel = LogLevel.INFO
     log_format: LogFormat = LogFormat.KEY_VALUE
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the process may use, in bytes."""
+        return int(self.memory_mb * 1024 * 1024)
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -34,6 +34,9 @@
 
 _EPOCH_BITS = 63
 
+RESPONSES_FRACTION = 0.2
+"""Part of the process's memory that responses which aren't complete may take."""
+
 MAX_FORMER_UPSTREAMS = 1024
 """Upstreams removed from the list whose entries are kept."""
 
@@ -96,7 +99,6 @@
     suspects: AvoidedUpstreams = field(default_factory=AvoidedUpstreams)
     reach: Reach = field(default_factory=Reach)
     probe_evidence: ProbeEvidence = field(default_factory=ProbeEvidence)
-    response_buffers: ResponseBuffers = field(default_factory=ResponseBuffers)
     list_history: ListHistory = field(default_factory=_create_list_history)
     table: RouteTable | None = None
     upstreams: dict[UpstreamId, UpstreamEntry] = field(default_factory=dict)
@@ -115,6 +117,7 @@
 
     def __post_init__(self) -> None:
         self.ticks = Ticks(self.cfg.host)
+        self.response_buffers = ResponseBuffers(int(RESPONSES_FRACTION * self.cfg.memory_bytes))
         self._cut_off_services: frozenset[ServiceName] = frozenset()
         self.crash_news = CrashNewsLog(lambda: self.prompt_crashes.blocks.values())
         self.prompt_crashes.on_news = self._record_crash_news
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -118,9 +118,10 @@
             return
         self._closed = True
         self._context.loads.remove(self._path, self._request_size)
-        # Attempt and stream refer to each other, and are freed together some time later.
+        # Nothing of the stream may stay in memory until a garbage collection.
         self._splitter = EventSplitter()
         self._received.clear()
+        self._on_silence = _end_wait
         if self._exchange is not None:
             self._exchange.close()
 
@@ -367,6 +368,11 @@
         return left_s
 
 
+async def _end_wait() -> None:
+    """End the wait of an attempt that is closed."""
+    raise ExchangeError("the attempt was closed")
+
+
 def _expire(timeout: asyncio.Timeout | None) -> None:
     if timeout is not None and not timeout.expired():
         timeout.reschedule(now_s())
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -4,7 +4,8 @@
 """
 
 import logging
-from collections.abc import AsyncGenerator
+import weakref
+from collections.abc import AsyncGenerator, Callable
 
 from minttide.ids import UpstreamId
 from minttide.layers.paths import RequestSize
@@ -72,7 +73,9 @@
         self._request = request
         self._request_size = request_size
         self._current: SentAttempt | None = None
-        self._openings = Openings(self._on_opening_finished)
+        # What belongs to the stream doesn't keep it, and the body of its request, in memory.
+        on_finished = weakref.WeakMethod(self._on_opening_finished)
+        self._openings = Openings(lambda: _call(on_finished))
         self._log = StreamLog(context.state, request, request_size)
         self.progress = Progress(last_event_id=parse_last_event_id(request.req))
         self._paths = StreamPaths(context, request, model, request_size, self._log, self.progress)
@@ -90,7 +93,7 @@
         self._silence = SilenceHandler(
             context,
             request,
-            self,
+            weakref.proxy(self),
             self._paths,
             StreamRemedies(context, model, request_size, self._paths, self.progress),
             self._engine_runs,
@@ -412,5 +415,12 @@
         self._log.ended(cut, self.progress)
 
 
+def _call(method: "weakref.WeakMethod[Callable[[], None]]") -> None:
+    """Call a method unless its object has been freed."""
+    found = method()
+    if found is not None:
+        found()
+
+
 def _not_sent(reason: str) -> StreamSendResult:
     return StreamSendResult(ExchangeOutcome.REJECTED, reason)
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -72,7 +72,7 @@
         self._handling = False  # a handler is running
         self._has_input = False  # bytes of a request have arrived
         self._buffered_bytes = 0  # bytes that arrived while a handler was running
-        self._body = BodyAllocation(server.bodies)
+        self._body = BodyAllocation(server.bodies, server.bounds.max_body_bytes)
         self._discarding = False  # further input is ignored
         self._stopping = False  # the server stops; a running handler is cancelled
         self._accepted_s = asyncio.get_running_loop().time()
@@ -218,9 +218,11 @@
         self._server.open_requests += 1
         try:
             resp = await self._run_handler(req)
-            self._body.release()
+            if not isinstance(resp, StreamResponse):  # which may have to send the body again
+                self._body.release()
             await self._send_response(resp, req.method)
         finally:
+            self._body.release()
             self._server.open_requests -= 1
             self._handling = False
         self._has_input = bool(self._conn.trailing_data[0])
@@ -240,8 +242,9 @@
                 return None
             check_method(head)
             check_header_size(head, self._server.bounds.max_header_bytes)
-            check_body_framing(head, self._server.bounds.max_body_bytes)
-            self._body = BodyAllocation(self._server.bodies)
+            max_body_bytes = self._server.bounds.max_body_bytes
+            check_body_framing(head, max_body_bytes)
+            self._body = BodyAllocation(self._server.bodies, max_body_bytes)
             body = await self._read_body(loop.time() + BODY_TIMEOUT_S)
         except TimeoutError:
             if not self._has_input:
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -7,10 +7,7 @@
 from minttided.http.problems import problem
 
 MAX_BUFFERED_BODIES = 32
-"""Number of bodies of maximum size that a server buffers at a time.
-
-A body is buffered until its handler has returned the response.
-"""
+"""Number of bodies of maximum size that a server buffers at a time, unless it has another limit."""
 
 RETRY_AFTER_S = 1.0
 
@@ -24,36 +21,45 @@
 
 
 class BodyBudget:
-    """The bytes of request bodies that one server buffers, across all connections.
+    """The bytes of request bodies that one process buffers, across all connections.
 
-    It covers the bodies whose reading began under one limit; a new limit starts a new budget.
+    A body is buffered until its request has its response, a stream's until its end. `max_bytes` is
+    the limit for all together, `MAX_BUFFERED_BODIES` of the largest size if it is None.
     """
 
-    def __init__(self, max_body_bytes: int):
-        self.max_body_bytes = max_body_bytes
+    def __init__(self, max_bytes: int | None = None):
         self.buffered_bytes = 0
+        self._max_bytes = max_bytes
 
     @property
-    def is_exhausted(self) -> bool:
-        """Return whether too many bytes are buffered."""
-        return self.buffered_bytes > MAX_BUFFERED_BODIES * self.max_body_bytes
+    def is_relative(self) -> bool:
+        """Return whether the limit depends on the largest size of a body."""
+        return self._max_bytes is None
+
+    def is_exhausted(self, max_body_bytes: int) -> bool:
+        """Return whether too many bytes are buffered, where each body may have so many."""
+        max_bytes = self._max_bytes
+        if max_bytes is None:
+            max_bytes = MAX_BUFFERED_BODIES * max_body_bytes
+        return self.buffered_bytes > max_bytes
 
 
 class BodyAllocation:
-    """The bytes of the budget that the current request body of one connection uses."""
+    """The bytes of the budget that one request body of up to `max_body_bytes` uses."""
 
-    def __init__(self, budget: BodyBudget):
+    def __init__(self, budget: BodyBudget, max_body_bytes: int):
         self._budget = budget
+        self._max_body_bytes = max_body_bytes
         self._reserved_bytes = 0
 
     def reserve(self, size: int) -> None:
         """Count `size` more bytes; raises `RequestRejectedError` beyond the limits."""
         self._reserved_bytes += size
         self._budget.buffered_bytes += size
-        if self._reserved_bytes > self._budget.max_body_bytes:
-            detail = f"the body is longer than {self._budget.max_body_bytes} bytes"
+        if self._reserved_bytes > self._max_body_bytes:
+            detail = f"the body is longer than {self._max_body_bytes} bytes"
             raise RequestRejectedError(problem(ProblemType.TOO_LARGE, detail))
-        if self._budget.is_exhausted:
+        if self._budget.is_exhausted(self._max_body_bytes):
             detail = "this host is receiving too many large requests"
             raise RequestRejectedError(
                 problem(ProblemType.OVERLOADED, detail, retry_after_s=RETRY_AFTER_S)
--- a/daemon/minttided/http/response_buffers.py
+++ b/daemon/minttided/http/response_buffers.py
@@ -7,7 +7,7 @@
 from types import TracebackType
 from typing import Self
 
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_BYTES = 64 * 1024 * 1024
 
 MIN_ENDED_BYTES = 65_536
 """Size up to which a response isn't ended in favour of others."""
@@ -57,7 +57,7 @@
     It is the one that most likely has no end; small ones are thus not affected by it.
     """
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES):
+    def __init__(self, max_bytes: int = DEFAULT_MAX_BYTES):
         self._max_bytes = max_bytes
         self._responses: set[BufferedResponse] = set()
         self.total_bytes = 0
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -19,14 +19,23 @@
 
 
 class HttpServer:
-    """Listens on one address while the context is open. `open_requests` counts running handlers."""
+    """Listens on one address while the context is open. `open_requests` counts running handlers.
 
-    def __init__(self, handler: Handler, address: Address, bounds: Bounds):
+    `bodies` bounds the request bodies that are buffered at a time.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        address: Address,
+        bounds: Bounds,
+        bodies: BodyBudget | None = None,
+    ):
         self.handler = handler
         self.bounds = bounds
         self.open_requests = 0
         self.closing = False
-        self.bodies = BodyBudget(bounds.max_body_bytes)
+        self.bodies = bodies or BodyBudget()
         self._requested_address = address
         self._server: asyncio.Server | None = None
         self._conns: set[Connection] = set()
@@ -71,8 +80,8 @@
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Change the limits from the next request on."""
-        if bounds.max_body_bytes != self.bounds.max_body_bytes:
-            self.bodies = BodyBudget(bounds.max_body_bytes)
+        if self.bodies.is_relative and bounds.max_body_bytes != self.bounds.max_body_bytes:
+            self.bodies = BodyBudget()  # Longer bodies of before mustn't take the room of others.
         self.bounds = bounds
 
     def announce_close(self) -> None:
--- a/test/cut_site.py
+++ b/test/cut_site.py
@@ -40,7 +40,9 @@
             lambda service: self.monitor.verify(service),
         )
         self.front.forwarding = self.forwarding
-        self.server_for_peers = ForwardingServer(self.state, self.front.handle_forwarded)
+        self.server_for_peers = ForwardingServer(
+            self.state, self.front.handle_forwarded, self.server.bodies
+        )
         self._net.put(self.peer, self)
         return self
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -18,6 +18,7 @@
 sys.path.insert(0, str(ROOT / "platform"))
 
 from minttide.config.settings import Bounds  # noqa: E402
+from minttide.decoding import MalformedBytesError  # noqa: E402
 from minttide.ids import Address, HostId  # noqa: E402
 from minttide.routing.routes import LayerRange, RouteKind  # noqa: E402
 from minttide.routing.sources import ProcessEndedError, SourceError, StoredBlock  # noqa: E402
@@ -27,7 +28,12 @@
     decode_fault,
     decode_report,
 )
-from minttide_platform.main import encode_addresses  # noqa: E402
+from minttide_platform.main import (  # noqa: E402
+    MEMORY_VARIABLE,
+    SETTINGS_VARIABLE,
+    encode_addresses,
+    read_settings,
+)
 from minttide_platform.sources import (  # noqa: E402
     HttpPathEngines,
     StoreBlocks,
@@ -267,6 +273,28 @@
     assert json.loads(encode_addresses(body)) == {"addresses": ["10.0.0.1:1"], "ttlS": 1.0}
 
 
+MEMORIES = {"200": 200.0, "552.5": 552.5, "": 300.0, None: 300.0, "63": None, "much": None}
+
+
+# Guards against budgets for another memory than the process has.
+@pytest.mark.parametrize("text", MEMORIES)
+def test_memory_comes_from_the_environment_that_the_deploy_file_sets(text, tmp_path, monkeypatch):
+    role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["entry"]
+    assert role["env"] == {MEMORY_VARIABLE: "{{limits.memoryMb}}"}
+    path = tmp_path / "settings.json"
+    fields = ("host", "zone", "callers", "directory", "health", "peer", "metrics", "store")
+    path.write_text(json.dumps(dict.fromkeys(fields, "10.0.0.1:1")))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    monkeypatch.delenv(MEMORY_VARIABLE, raising=False)
+    if text is not None:
+        monkeypatch.setenv(MEMORY_VARIABLE, text)
+    if MEMORIES[text] is None:
+        with pytest.raises(MalformedBytesError):
+            read_settings()
+    else:
+        assert read_settings().memory_mb == MEMORIES[text]
+
+
 def test_settings_template_matches_gateway_settings():
     template = (ROOT / "deploy" / "settings.json.in").read_text()
     quoted = re.sub(r'"?\{\{([a-z.A-Z_]+)(\|json)?\}\}[^",\n }]*"?', sample_value, template)
