--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -65,7 +65,7 @@
 DRAIN_FRACTION = 0.85
 """Fraction of the grace period in which open requests may finish; the rest are then cut off."""
 
-BODIES_FRACTION = 0.25
+BODIES_FRACTION = 1 / 3
 """Part of the process's memory that the bodies of requests may take.
 
 While a body is sent, it is held up to three times.
