--- a/core/minttide/routing/freshness.py
+++ b/core/minttide/routing/freshness.py
@@ -4,19 +4,6 @@
 """Age of the last confirmed read above which keys are refused, as a fraction of the bound."""
 
 
-MAX_CONTACT_WAIT_S = 1.0
-"""How long a process that starts waits for another host to say which configuration it has."""
-
-
-def may_confirm(version: int, elsewhere: int | None, waited_s: float) -> bool:
-    """Return whether a host that knows no fresh configuration may take `version` for the newest.
-
-    The store may have come back from an older copy, while other hosts have a newer version.
-    `elsewhere` is the highest that they name, None if none was found in `waited_s`.
-    """
-    return waited_s >= MAX_CONTACT_WAIT_S if elsewhere is None else version >= elsewhere
-
-
 class ConfigFreshness:
     """Tracks when the configuration was last confirmed to be the newest. Times are in seconds.
 
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -257,11 +257,7 @@
             lambda: self._sync_client.retry_factor(),
         )
         self._config_watcher = ConfigWatcher(
-            self.state,
-            self._apply_limits,
-            config_policy,
-            context.config_versions,
-            self._find_newest_version,
+            self.state, self._apply_limits, config_policy, context.config_versions
         )
         self._upstream_watcher = UpstreamWatcher(self.state, list_policy)
         self._sync_client = SyncClient(context, self._config_watcher, self._upstream_watcher)
@@ -354,13 +350,6 @@
         applied = Offset(table.version) if serving and table else NO_OFFSET
         return LocalVitals(applied, 0.0, tuple(sorted(self.state.cut_off_services)))
 
-    def _find_newest_version(self) -> Offset | None:
-        """Return the highest version that other hosts serve by, None while none was found."""
-        if self.membership.count_hosts() == 0:
-            return None
-        others = [m.applied for m in self.membership.hosts() if m.host != self.cfg.host]
-        return max(others, default=NO_OFFSET)
-
     def _count_zone_hosts(self) -> float:
         """Return the number of hosts in this zone that use its engines, including this one."""
         hosts = [m for m in self.membership.hosts() if not m.leaving]
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -8,9 +8,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from minttide.ids import NO_OFFSET, UpstreamId
+from minttide.ids import UpstreamId
 from minttide.routing.config_changes import share_unchanged
-from minttide.routing.freshness import MAX_CONTACT_WAIT_S, may_confirm
 from minttide.routing.routes import ClientLimits, RoutingConfig, UpstreamEntry
 from minttide.routing.sources import SourceError
 from minttide.routing.table import RouteTable
@@ -85,7 +84,6 @@
     """Keeps the route table at the latest configuration and never goes back to an older version.
 
     `versions` records each one, since a peer may have got it from another host that read it too.
-    `find_newest` returns the highest version that other hosts name, None while none was found.
     """
 
     def __init__(
@@ -94,11 +92,7 @@
         on_change: Callable[[ClientLimits], None],
         policy: ReadPolicy,
         versions: ConfigVersions | None = None,
-        find_newest: Callable[[], int | None] = lambda: NO_OFFSET,
     ):
-        self._find_newest = find_newest
-        self._started_s = state.clock()
-        self._unconfirmed_version: int | None = None  # the last that wasn't confirmed
         self._state = state
         self._versions = versions or ConfigVersions()
         self._on_change = on_change
@@ -136,34 +130,9 @@
         # A read that waited without a change confirms the configuration until near its end.
         confirmed_wait_s = FULL_WAIT_FRACTION * wait_s
         timed_out = reading.config is None and self._state.clock() - sent_s >= confirmed_wait_s
-        await self._wait_for_contact()
-        self._confirm(sent_s + confirmed_wait_s if timed_out else sent_s)
+        self._state.freshness.confirm(sent_s + confirmed_wait_s if timed_out else sent_s)
         return True
 
-    @property
-    def _is_fresh(self) -> bool:
-        return self._state.freshness.keys_usable(self._state.clock())
-
-    async def _wait_for_contact(self) -> None:
-        """Wait until another host was found, for a short time after the start."""
-        until_s = self._started_s + MAX_CONTACT_WAIT_S
-        while not self._is_fresh and self._find_newest() is None:
-            if self._state.clock() >= until_s:
-                return
-            await self._state.ticks.wait()
-
-    def _confirm(self, confirmed_s: float) -> None:
-        """Confirm the configuration, unless other hosts may know better than the store."""
-        table = self._state.table
-        version = table.version if table is not None else NO_OFFSET
-        newest = self._find_newest()
-        waited_s = self._state.clock() - self._started_s
-        if self._is_fresh or may_confirm(version, newest, waited_s):
-            self._state.freshness.confirm(confirmed_s)
-        elif version != self._unconfirmed_version:
-            self._unconfirmed_version = version
-            log.warning("configuration not confirmed", extra={"version": version, "newest": newest})
-
     def share_items(self, config: RoutingConfig) -> RoutingConfig:
         """Return a configuration with the unchanged items of the current one, to save memory."""
         table = self._state.table
@@ -176,7 +145,7 @@
         """
         self._apply(config, "peer")
         if self._state.table is not None:
-            self._confirm(confirmed_s)
+            self._state.freshness.confirm(confirmed_s)
 
     def _apply(self, config: RoutingConfig | None, source: str) -> None:
         current = self._state.table
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -3,16 +3,7 @@
 import asyncio
 import random
 
-from minttide.ids import (
-    NO_OFFSET,
-    Address,
-    HostId,
-    Incarnation,
-    Offset,
-    ServiceName,
-    UpstreamId,
-    ZoneId,
-)
+from minttide.ids import NO_OFFSET, Address, HostId, Incarnation, ServiceName, UpstreamId, ZoneId
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.routes import (
     RoutingConfig,
@@ -21,7 +12,6 @@
 from minttide.routing.sources import ConfigReading, SourceError
 from minttide_fakes.peer_network import MemoryPeerNetwork
 from minttide_fakes.virtual import read_virtual_wall_ms, run_virtual
-from minttided.gateway.app import Gateway
 from minttided.gateway.settings import GatewaySettings
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
@@ -111,7 +101,7 @@
             Incarnation(number),
             peer_client,
             HostListCache(),
-            self.read_vitals,
+            lambda: LocalVitals(NO_OFFSET, 0.0, tuple(sorted(self.state.cut_off_services))),
             rng=rng,
             wall_ms=read_virtual_wall_ms,
         )
@@ -124,13 +114,7 @@
             lambda: self.sync_client.retry_factor(),
         )
         versions = ConfigVersions()
-        self.config = ConfigWatcher(
-            self.state,
-            lambda limits: None,
-            config_read_policy,
-            versions,
-            lambda: Gateway._find_newest_version(self),
-        )
+        self.config = ConfigWatcher(self.state, lambda limits: None, config_read_policy, versions)
         self.upstreams = UpstreamWatcher(self.state, list_read_policy)
         peer_loads = PeerLoads()
         self.reported_unreachable = set()
@@ -150,15 +134,6 @@
         self.zone_loads = ZoneLoadExchange(context, lambda: self.sync_client.is_reader)
         net.put(address, SyncServer(context, self.members))
 
-    @property
-    def membership(self):
-        return self.members
-
-    def read_vitals(self):
-        table = self.state.table if self.state.serving else None
-        applied = Offset(table.version) if table else NO_OFFSET
-        return LocalVitals(applied, 0.0, tuple(sorted(self.state.cut_off_services)))
-
     def start(self):
         parts = (
             self.members,
