Drop the context manager of a buffered response, which nobody uses

Read once more: an exchange closes its response itself since it owns it, and no caller was left that opened one in a with statement.

--- a/daemon/minttided/http/response_buffers.py
+++ b/daemon/minttided/http/response_buffers.py
@@ -4,8 +4,6 @@
 """
 
 from collections.abc import Callable
-from types import TracebackType
-from typing import Self
 
 DEFAULT_MAX_BYTES = 64 * 1024 * 1024
 
@@ -14,7 +12,7 @@
 
 
 class BufferedResponse:
-    """What is buffered of one response, while the context is open.
+    """What is buffered of one response, until it is closed.
 
     `on_end` is called if it is ended in favour of others, which `is_ended` says from then on.
     """
@@ -25,17 +23,6 @@
         self._buffers = buffers
         self._on_end = on_end
 
-    def __enter__(self) -> Self:
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self.close()
-
     def resize(self, size: int) -> None:
         """Record that `size` bytes are buffered now."""
         self._buffers.record(self, size)
