Weigh prefixes that engines still hold in the choice of paths and chains

Cause: an engine that keeps the beginning of a prompt answers sooner, but the search for a path knew nothing of it, and parse_prompt_parts dropped the sizes. Change: policy/prefix_affinity.py prices the tokens left to read by what all engines of a path hold; the search compares the best path of holders with the best path at all. A host remembers what it sent where, bounded, by process and layers. ModelSpec.retained_tokens switches it on, 0 is off. Choices of chains use the same functions.

--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -16,6 +16,14 @@
 from minttide.ids import Address, UpstreamId, ZoneId
 from minttide.layers.memory import prefill_ms, step_ms, token_capacity, transfer_ms
 from minttide.layers.usage import link_name
+from minttide.policy.prefix_affinity import (
+    READ_WEIGHT,
+    HeldPrefixes,
+    PromptPrefix,
+    expected_tokens,
+    holders_of,
+    prefix_lengths,
+)
 from minttide.routing.routes import LayerRange, ModelSpec, UpstreamEntry
 
 COST_JITTER = 0.25
@@ -65,10 +73,14 @@
 
 
 class RequestSize(msgspec.Struct, frozen=True):
-    """The tokens of a request's prompt and the expected tokens of its answer."""
+    """The tokens of a request's prompt and the expected tokens of its answer.
+
+    `prefixes` are those of the prompt that engines may hold, None where engines keep no prompts.
+    """
 
     prompt: float
     answer: float
+    prefixes: tuple[PromptPrefix, ...] | None = None
 
 
 class EngineLoad(msgspec.Struct):
@@ -84,15 +96,22 @@
 
 
 class _Search(msgspec.Struct):
-    """What one search for a path is about, and the costs of links that it has worked out.
+    """What one search for a path is about, and the costs that it has worked out.
 
-    `links` is by the zones of a link, and whether nothing of the path is before it.
+    `links` is by the zones of a link, and whether nothing of the path is before it. `engines` holds
+    the costs of engines with their random part. With `weighs_reading`, the time to read the prompt
+    has its own weight. With `holders`, only these are used; they hold at least the first
+    `held_tokens` tokens of the prompt.
     """
 
     size: RequestSize
     loads: Mapping[str, EngineLoad]
     rng: random.Random
     links: dict[tuple[ZoneId, ZoneId, bool], float | None] = {}
+    engines: dict[UpstreamId, float | None] = {}
+    weighs_reading: bool = False
+    holders: HeldPrefixes | None = None
+    held_tokens: float = 0.0
 
 
 class _PartialPath(msgspec.Struct):
@@ -126,14 +145,33 @@
         rng: random.Random,
         first: UpstreamId | None = None,
         not_first: Collection[UpstreamId] = (),
+        held: HeldPrefixes | None = None,
     ) -> Path | None:
         """Return the path of lowest expected cost for a caller in zone `local_zone`.
 
         With `first`, the path begins with that engine, otherwise with none of `not_first`, which
-        may be used further on. Returns None if engines with free capacity
+        may be used further on. Paths of engines that hold a prefix of the prompt by `held` are
+        compared with the best path without regard to it. Returns None if engines with free capacity
         don't cover all layers.
         """
-        search = _Search(size, loads, rng)
+        search = _Search(size, loads, rng, weighs_reading=bool(held))
+        found = self._find_cheapest(search, local_zone, first, not_first)
+        for tokens in prefix_lengths(held) if found is not None and held else ():
+            narrowed = msgspec.structs.replace(
+                search, holders=holders_of(held or {}, tokens), held_tokens=tokens
+            )
+            other = self._find_cheapest(narrowed, local_zone, first, not_first)
+            if found is not None and other is not None and other.cost_ms < found.cost_ms:
+                found = other
+        return found.path if found is not None else None
+
+    def _find_cheapest(
+        self,
+        search: _Search,
+        local_zone: ZoneId,
+        first: UpstreamId | None,
+        not_first: Collection[UpstreamId],
+    ) -> _PartialPath | None:
         best: dict[tuple[int, ZoneId], _PartialPath] = {(0, local_zone): _PartialPath(0.0, ())}
         for start in sorted(self._starts):
             partial_paths = [(zone, p) for (at, zone), p in best.items() if at == start]
@@ -142,9 +180,11 @@
             engines = self._starts[start]
             if start == 0:
                 engines = [e for e in engines if _may_be_first(e.id, first, not_first)]
+            if search.holders is not None:
+                engines = [e for e in engines if e.id in search.holders]
             self._extend(best, partial_paths, engines, search)
         complete = [p for (at, _), p in best.items() if at == self._model.layers]
-        return min(complete, key=lambda p: p.cost_ms).path if complete else None
+        return min(complete, key=lambda p: p.cost_ms) if complete else None
 
     def _extend(
         self,
@@ -162,10 +202,9 @@
             for zone in {engine.zone for engine in engines}
         }
         for engine in engines:
-            engine_ms = self._engine_cost_ms(engine, search.size, search.loads.get(engine.id))
+            engine_ms = self._search_cost_ms(engine, search)
             if engine_ms is None:
                 continue
-            engine_ms *= 1.0 + COST_JITTER * search.rng.random()
             partial = by_zone[engine.zone]
             if partial is None:
                 continue
@@ -200,6 +239,34 @@
                 reached = _PartialPath(cost_ms, partial.path)
         return reached
 
+    def _search_cost_ms(self, engine: UpstreamEntry, search: _Search) -> float | None:
+        """Return the cost of an engine in a search, or None if it has no capacity left.
+
+        The random part is drawn once for all searches of a request, so that they can be compared.
+        """
+        if engine.id not in search.engines:
+            cost_ms = self._engine_cost_ms(engine, search.size, search.loads.get(engine.id))
+            if cost_ms is not None:
+                cost_ms *= 1.0 + COST_JITTER * search.rng.random()
+            search.engines[engine.id] = cost_ms
+        cost_ms = search.engines[engine.id]
+        if cost_ms is None or not search.weighs_reading:
+            return cost_ms
+        return cost_ms + self._reading_cost_ms(engine, search)
+
+    def _reading_cost_ms(self, engine: UpstreamEntry, search: _Search) -> float:
+        """Return the cost of reading what is missing, less what the engine's cost has of it."""
+        assert engine.layers is not None
+        load = search.loads.get(engine.id)
+        slowdown = load.slowdown if load is not None else 1.0
+        prompt = tokens = search.size.prompt
+        if search.holders is not None:
+            certainty = search.holders[engine.id].certainty
+            tokens = expected_tokens(prompt, search.held_tokens, certainty)
+        weighted = READ_WEIGHT * tokens - ENGINE_TIME_WEIGHT * prompt
+        kind, layers = self._kinds[engine.kind], len(engine.layers)
+        return slowdown * prefill_ms(self._model, kind, layers, weighted)
+
     def _engine_cost_ms(
         self, engine: UpstreamEntry, size: RequestSize, load: EngineLoad | None
     ) -> float | None:
--- a/core/minttide/policy/chains.py
+++ b/core/minttide/policy/chains.py
@@ -16,6 +16,7 @@
 )
 from minttide.policy.links import Links
 from minttide.policy.load_snapshot import LoadSnapshot, estimate_streams
+from minttide.policy.prefix_affinity import held_by_all, missing_tokens
 from minttide.policy.profiles import (
     EngineProfile,
     chunked_layer_us,
@@ -215,8 +216,7 @@
     def estimate(self, chain: Chain, prompt_tokens: int, load: LoadSnapshot) -> ChainEstimate:
         """Return the expected time to the first token and between tokens on `chain`."""
         model = self._models[chain.service]
-        cached_tokens = min((load.cached_tokens.get(e, 0) for e in chain.engines), default=0)
-        new_tokens = max(1, prompt_tokens - cached_tokens)
+        new_tokens = missing_tokens(prompt_tokens, held_by_all(load.cached_tokens, chain.engines))
         prefill_us = steps_us = queue_us = slowest_us = 0.0
         previous = self._local_zone
         for stage in chain.stages:
@@ -295,10 +295,7 @@
     if len(usable) <= samples:
         return list(usable)
     picked = rng.sample(usable, samples)
-    best_cached = max(usable, key=lambda c: min(load.cached_tokens.get(e, 0) for e in c.engines))
-    if (
-        best_cached not in picked
-        and min(load.cached_tokens.get(e, 0) for e in best_cached.engines) > 0
-    ):
+    best_cached = max(usable, key=lambda c: held_by_all(load.cached_tokens, c.engines))
+    if best_cached not in picked and held_by_all(load.cached_tokens, best_cached.engines) > 0:
         picked.append(best_cached)
     return picked
--- a/core/minttide/routing/routes.py
+++ b/core/minttide/routing/routes.py
@@ -74,7 +74,8 @@
     thousand tokens of context; prefill runs at `read_tokens_per_s`. All of these are for the whole
     model. `kv_token_bytes` is the size of a token's KV cache over all layers. `load_s` is the time
     to load the whole model, `loads_at_once` the number of concurrent loads that the weight store
-    serves without slowing down. One event of a stream holds `event_tokens` tokens.
+    serves without slowing down. One event of a stream holds `event_tokens` tokens. An engine keeps
+    `retained_tokens` tokens of prompts after their requests; with 0, none are kept.
     """
 
     name: str
@@ -94,6 +95,7 @@
     zone_link_mbps: float
     kinds: tuple[AcceleratorSpec, ...]
     event_tokens: int = 1
+    retained_tokens: int = 0
 
     def kind(self, name: str) -> AcceleratorSpec | None:
         """Return a kind of accelerator by its name."""
--- a/daemon/minttided/gateway/callers/request.py
+++ b/daemon/minttided/gateway/callers/request.py
@@ -6,6 +6,7 @@
 
 from minttide.ids import PromptPart, ServiceName, UpstreamId
 from minttide.layers.paths import RequestSize
+from minttide.policy.prefix_affinity import SizedPart, prompt_prefixes
 from minttide.routing.headers import HeaderNames
 from minttide.routing.routes import AccountKeys, ModelSpec, Route
 from minttided.http.messages import Headers, HttpRequest
@@ -36,6 +37,9 @@
 MAX_ID_LENGTH = 64
 """Characters of an id given by a caller that are told apart."""
 
+MAX_PART_DIGITS = 9
+"""Longest number of tokens of a part of a prompt."""
+
 MAX_EVENT_ID_DIGITS = 40
 """Longest event id that a caller names; upstreams give none that is longer."""
 
@@ -149,7 +153,10 @@
     hint = _parse_number(req.header(names.length_hint) or "")
     if hint is not None:
         answer = hint
-    return RequestSize(prompt, max(1.0, answer))
+    prefixes = None
+    if model.retained_tokens:
+        prefixes = prompt_prefixes(model.name, parse_sized_parts(req, names))
+    return RequestSize(prompt, max(1.0, answer), prefixes)
 
 
 def parse_prompt_parts(req: HttpRequest, names: HeaderNames) -> tuple[PromptPart, ...]:
@@ -157,9 +164,18 @@
 
     Callers choose the ids, so their number and length are bounded.
     """
+    return tuple(sized.part for sized in parse_sized_parts(req, names))
+
+
+def parse_sized_parts(req: HttpRequest, names: HeaderNames) -> tuple[SizedPart, ...]:
+    """Return the parts of a request's prompt with their tokens, in order, as `parse_prompt_parts`.
+
+    The size of a part is 0 if the caller gives no number of at most `MAX_PART_DIGITS` digits.
+    """
     entries = (req.header(names.prompt_parts) or "").split(",", MAX_PROMPT_PARTS)
-    ids = (entry.partition(":")[0].strip()[:MAX_ID_LENGTH] for entry in entries)
-    return tuple(PromptPart(part) for part in ids if part)
+    named = (entry.partition(":") for entry in entries)
+    sized = ((part.strip()[:MAX_ID_LENGTH], tokens.strip()) for part, _, tokens in named)
+    return tuple(SizedPart(PromptPart(part), _parse_tokens(t)) for part, t in sized if part)
 
 
 def parse_last_event_id(req: HttpRequest) -> int | None:
@@ -169,6 +185,11 @@
     return int(text) if is_number else None
 
 
+def _parse_tokens(text: str) -> int:
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_PART_DIGITS
+    return int(text) if is_number else 0
+
+
 def _parse_number(text: str) -> float | None:
     text = text.strip()
     return float(text) if text.isascii() and text.isdigit() else None
--- a/daemon/minttided/gateway/streams/attempt.py
+++ b/daemon/minttided/gateway/streams/attempt.py
@@ -154,6 +154,7 @@
             return StreamSendResult(
                 ExchangeOutcome.ANSWERED, "no events", response=to_response(exchange, b"")
             )
+        self._context.prefixes.record_read(self._path, self._request_size)
         return StreamSendResult(ExchangeOutcome.ANSWERED, "begun", event)
 
     async def _open_exchange(self, last_event_id: int | None) -> Exchange:
--- a/daemon/minttided/gateway/streams/context.py
+++ b/daemon/minttided/gateway/streams/context.py
@@ -9,6 +9,7 @@
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.state import GatewayState
 from minttided.gateway.streams.loads import EngineLoads
+from minttided.gateway.streams.prefixes import StreamPrefixes
 from minttided.gateway.streams.probes import EngineProbes
 from minttided.gateway.streams.silence_threshold import SilenceThreshold
 
@@ -29,6 +30,7 @@
     state: GatewayState
     budgets: RetryBudgets
     loads: EngineLoads
+    prefixes: StreamPrefixes
     probes: EngineProbes
     silence_threshold: SilenceThreshold
     runs: set[RunningStream]
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -14,6 +14,7 @@
 from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams.context import RunningStream
 from minttided.gateway.streams.loads import EngineLoads
+from minttided.gateway.streams.prefixes import StreamPrefixes
 from minttided.gateway.streams.probes import EngineProbes
 from minttided.gateway.streams.run import StreamRun
 from minttided.gateway.streams.silence_threshold import SilenceThreshold
@@ -28,6 +29,7 @@
     def __init__(self, state: GatewayState, budgets: RetryBudgets, loads: EngineLoads):
         self.state = state
         self.loads = loads
+        self.prefixes = StreamPrefixes(state, loads)
         self.probes = EngineProbes(state, self.check_streams, loads.record_report)
         self.runs: set[RunningStream] = set()
         self.silence_threshold = SilenceThreshold()
@@ -46,6 +48,7 @@
 
     def check_streams(self, engine: UpstreamId) -> None:
         """Make all streams through an unresponsive engine check it now, not at their thresholds."""
+        self.prefixes.forget(engine)
         for run in list(self.runs):
             run.check_now(engine)
 
@@ -73,6 +76,7 @@
         """Return the best path, starting at engine `first` if given, or `None` if there is none."""
         engines = self.state.active_upstreams(service)
         loads = self.loads.estimate()
+        held = self.prefixes.find_held(model, request_size)
         self.probes.probe_on_trial(engines)
         untrusted = self.state.suspects.suspected()
         failing = self.state.suspects.avoided(now_s())
@@ -88,7 +92,7 @@
         for avoid in dict.fromkeys(frozenset(s) for s in avoid_sets):
             finder = PathFinder(model, engines, avoid - {first})
             path = finder.choose(
-                request_size, self.state.cfg.zone, loads, self.state.rng, first, closed
+                request_size, self.state.cfg.zone, loads, self.state.rng, first, closed, held
             )
             if path is not None and is_complete_path(path, model.layers):
                 return path
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -72,11 +72,12 @@
     """The load of each engine and each link between zones.
 
     Without recent reports of other hosts, the total load is extrapolated: callers are spread evenly
-    over the hosts, so it is the local load times the number of hosts that use the same engines.
+    over the hosts, so it is the local load times the number of hosts that use the same engines,
+    which `count_hosts` returns.
     """
 
     def __init__(self, count_hosts: Callable[[], float], peer_loads: PeerLoads):
-        self._count_hosts = count_hosts
+        self.count_hosts = count_hosts
         self._peer_loads = peer_loads
         self._local: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
         self._slow_paces: dict[str, _SlowPace] = {}
@@ -130,7 +131,7 @@
 
     def estimate(self) -> Mapping[str, EngineLoad]:
         """Return the estimated load of all hosts together, by engine and link."""
-        host_count = self._count_hosts()
+        host_count = self.count_hosts()
         others = self._peer_loads.others(host_count)
         now = now_s()
         self._slow_paces = {e: s for e, s in self._slow_paces.items() if s.until_s > now}
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -60,6 +60,10 @@
             self._request.service, self._model, self._request_size, self._avoided, first
         )
 
+    def report_choice(self, path: Path) -> None:
+        """Report what a path that is about to be sent to should hold of the prompt."""
+        self._context.prefixes.report_choice(self._request, self._model, self._request_size, path)
+
     def choose_moved(self, first: UpstreamId) -> Path | None:
         """Return the best path to which engine `first` can be ordered to move the stream.
 
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -185,6 +185,7 @@
         if sends and not self._context.budgets.try_spend(self._request, sends):
             return NO_RETRY
         notices.take(entry, now_s())
+        self._paths.report_choice(path)
         attempt = StreamAttempt(
             self._context,
             self._request,
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -27,6 +27,10 @@
             "minttide_requests_total", "Requests that ended, by service and whether they ran."
         )
         self._tokens = self._counter("minttide_tokens_total", "Tokens delivered, by service.")
+        self._prefix_tokens = self._counter(
+            "minttide_prefix_tokens_total",
+            "Prompt tokens held by engines, by service and whether the chosen path saves them.",
+        )
         self._recoveries = self._counter(
             "minttide_recoveries_total", "Streams moved to another chain, by service and way."
         )
@@ -95,6 +99,11 @@
         """Count a stream that continues on another chain."""
         self._recoveries.inc({"service": service, "way": way})
 
+    def count_prefix_tokens(self, service: ServiceName, saved: float, left: float) -> None:
+        """Add prompt tokens that a chosen path should hold, and held ones that it doesn't use."""
+        self._prefix_tokens.add({"service": service, "use": "saved"}, saved)
+        self._prefix_tokens.add({"service": service, "use": "left"}, left)
+
     def count_decision(self, kind: str) -> None:
         """Count a routing or placement decision."""
         self._decisions.inc({"kind": kind})
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -29,6 +29,7 @@
         "fakes",
         "gateway_entry",
         "gateway_plain",
+        "gateway_prefixes",
         "gateway_process",
         "gateway_recovery",
         "gateway_retry_limits",
