Find engines that fail requests by the results of attempts, and avoid them

Cause: a status 500 names no engine of the path. An engine that fails requests at once looks idle and passes its health check, so that it was chosen again, also by retries.

A retry after a failure shares no engine with the failed path where that is possible.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -327,6 +327,7 @@
         self.state.metrics.set_host(
             self.state.table is not None, self.state.leaving, self.caller_server.open_requests
         )
+        self.state.metrics.set_accused(self.state.path_faults.count_accused())
         return HttpResponse(200, self.state.metrics.render(), CONTENT_TYPE)
 
     # This host.
--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -23,7 +23,8 @@
     `keys_valid_s` is the longest time that a revoked API key may still be accepted, and
     `answer_keep_s` is how long callers may cache the addresses of the directory. A new
     configuration must be in force within `apply_s`, and an upstream that is leaving must receive no
-    requests after `drain_s`. The process is ended if it uses more than `memory_mb` MiB.
+    requests after `drain_s`. The process is ended if it uses more than `memory_mb` MiB. With
+    `fault_tracking`, engines that fail requests are found by the results of attempts and avoided.
     """
 
     host: HostId
@@ -43,6 +44,7 @@
     retries: RetryLimit = RetryLimit()
     max_connections: int = 2_000
     memory_mb: MemoryMb = 300.0
+    fault_tracking: bool = False
     log_level: LogLevel = LogLevel.INFO
     log_format: LogFormat = LogFormat.KEY_VALUE
 
--- a/daemon/minttided/gateway/state.py
+++ b/daemon/minttided/gateway/state.py
@@ -13,6 +13,7 @@
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_news import CrashNewsLog
 from minttide.policy.crash_reports import CrashNews, CrashReport
+from minttide.policy.path_faults import PathFaults
 from minttide.policy.probe_evidence import ProbeEvidence
 from minttide.policy.prompt_crashes import PromptCrashes
 from minttide.policy.reach import Reach
@@ -108,6 +109,7 @@
     list_complete_s: float = float("-inf")
     blocks_awaited_until_s: float = float("-inf")
     prompt_crashes: PromptCrashes = field(default_factory=PromptCrashes)
+    path_faults: PathFaults = field(default_factory=PathFaults)
     leaving: bool = False
     stop_times: StopTimes = StopTimes()
     on_cut_off_changed: Callable[[], None] = _ignore_cut_off_change
@@ -173,6 +175,7 @@
         self.suspects.clear(upstream)
         self.reach.forget(upstream)
         self.notices.forget(upstream)
+        self.path_faults.forget(upstream, now_s())
 
     def record_reach(self, upstream: UpstreamId, reached: bool) -> None:
         """Record whether a connection to an upstream could be established.
--- a/daemon/minttided/gateway/streams/attempt_opener.py
+++ b/daemon/minttided/gateway/streams/attempt_opener.py
@@ -3,7 +3,9 @@
 import asyncio
 import logging
 
-from minttide.routing.outcome import ExchangeOutcome
+from minttide.layers.paths import Path
+from minttide.policy.path_evidence import FailedPath, path_causes
+from minttide.routing.outcome import GATEWAY_TIMEOUT, NOT_RUN_STATUSES, ExchangeOutcome
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.plain import FAULTY_AVOID_S
@@ -23,6 +25,9 @@
 LAST_PROBE_S = 0.06
 """Time after the deadline for a probe that shows whether the engine can be reached."""
 
+_UNTRACKED_STATUSES = NOT_RUN_STATUSES | {GATEWAY_TIMEOUT}
+"""Failures that say nothing of a fault: the request has not run, or load made it late."""
+
 
 class AttemptOpener:
     """Opens the attempts of one stream.
@@ -50,6 +55,7 @@
         self._engine_runs = engine_runs
         self._crash_guard = crash_guard
         self._log = stream_log
+        self._failed: list[FailedPath] = []  # of this stream
 
     async def open(self, sent: SentAttempt, last_event_id: int | None) -> StreamSendResult:
         """Return the result of an attempt once it has begun to answer or failed."""
@@ -97,6 +103,8 @@
             self._engine_runs.remove(sent.engine_run)
             self._paths.avoid_rejecting_engine(sent.attempt, result.status, result.fault)
             return
+        if self._context.state.cfg.fault_tracking:
+            self._track(sent.attempt.path, result)
         probes = self._context.probes
         if result.outcome is ExchangeOutcome.NOT_SENT:
             self._engine_runs.remove(sent.engine_run)
@@ -111,6 +119,25 @@
         if not responds and probes.has_ended(sent.entry):
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
+    def _track(self, path: Path, result: StreamSendResult) -> None:
+        """Record whether a path answers or fails requests, and avoid it in this stream if it fails.
+
+        A request that fails on two paths without a common engine rather explains both failures.
+        """
+        faults, service = self._context.state.path_faults, self._request.service
+        if result.event is not None:
+            faults.record_answered(service, path_causes(path), now_s())
+            return
+        if result.outcome is not ExchangeOutcome.FAILED or result.status in _UNTRACKED_STATUSES:
+            return
+        failed = faults.record_failed(service, path_causes(path), now_s())
+        engines = {stage.engine for stage in path}
+        elsewhere = [f for f in self._failed if engines.isdisjoint(f.causes)]
+        for other in [*elsewhere, failed] if elsewhere else []:
+            faults.withdraw(other)
+        self._failed.append(failed)
+        self._paths.avoid_failed(path)
+
     def record_fault(self, entry: UpstreamEntry, error: ExchangeError) -> None:
         """Let all streams avoid an engine whose response no sound one sends."""
         if isinstance(error, FaultyResponseError):
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -1,14 +1,15 @@
 """Forwards streams along paths of engines, and holds what all streams of one host share."""
 
 import logging
-from collections.abc import Set
+from collections.abc import Sequence, Set
 
 from minttide.ids import Address, ServiceName, UpstreamId
 from minttide.layers.paths import Path, PathFinder, RequestSize, is_complete_path
 from minttide.policy.avoided_upstreams import AvoidedUpstreams
 from minttide.policy.crash_reports import PartBlock
+from minttide.policy.path_faults import Accusation, AccusationChange
 from minttide.policy.request_fingerprint import is_request_part
-from minttide.routing.routes import ModelSpec
+from minttide.routing.routes import ModelSpec, UpstreamEntry
 from minttided.gateway.callers.request import GatewayRequest, parse_request_size
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.state import GatewayState, now_s
@@ -35,6 +36,7 @@
         self.budgets = budgets
         state.prompt_crashes.on_block = self._on_block
         state.prompt_crashes.on_unblock = self._on_unblock
+        state.path_faults.on_change = self._on_accusation
 
     async def run(self, request: GatewayRequest, model: ModelSpec) -> HttpResponse | StreamResponse:
         """Return the response to a request; its events are streamed as they arrive.
@@ -78,12 +80,15 @@
         failing = self.state.suspects.avoided(now_s())
         avoided_by_all = self._avoided_engines.avoided(now_s())
         closed = self.state.notices.closed(engines, now_s())
+        accused = self._find_accused(service, model, engines, failing)
+        rivals = self._choose_trial(service, engines, accused, avoided, first)
         # If no path is left, allow engines that may have recovered or have free capacity again.
         avoid_sets = (
-            untrusted | avoided_by_all | avoided,
-            untrusted | avoided,
-            failing | avoided,
-            failing,
+            untrusted | avoided_by_all | avoided | (rivals or accused),
+            untrusted | avoided_by_all | avoided | accused,
+            untrusted | avoided | accused,
+            failing | avoided | accused,
+            failing | accused,
         )
         for avoid in dict.fromkeys(frozenset(s) for s in avoid_sets):
             finder = PathFinder(model, engines, avoid - {first})
@@ -94,6 +99,57 @@
                 return path
         return None
 
+    def _find_accused(
+        self,
+        service: ServiceName,
+        model: ModelSpec,
+        engines: Sequence[UpstreamEntry],
+        failing: Set[UpstreamId],
+    ) -> set[UpstreamId]:
+        """Return the engines that are accused of failing requests."""
+        if not self.state.cfg.fault_tracking:
+            return set()
+        usable = [e for e in engines if e.id not in failing]
+        return self.state.path_faults.find_accused(service, usable, model.layers, now_s())
+
+    def _choose_trial(
+        self,
+        service: ServiceName,
+        engines: Sequence[UpstreamEntry],
+        accused: Set[UpstreamId],
+        avoided: Set[UpstreamId],
+        first: UpstreamId | None,
+    ) -> set[UpstreamId]:
+        """Return the engines to avoid so that the path tries an accused engine; empty without one.
+
+        These are the other accused engines, and those whose layers begin with the same one. A
+        retry, which avoids engines already, tries none.
+        """
+        if not accused or avoided or first is not None:
+            return set()
+        draw = self.state.rng.random()
+        tried = self.state.path_faults.choose_trial(service, accused, now_s(), draw)
+        entry = self.state.upstreams.get(tried) if tried is not None else None
+        if entry is None or entry.layers is None:
+            return set()
+        start = entry.layers.first
+        rivals = {e.id for e in engines if e.layers is not None and e.layers.first == start}
+        return (rivals | accused) - {entry.id}
+
+    def _on_accusation(self, accusation: Accusation, change: AccusationChange) -> None:
+        self.state.metrics.count_decision(change.value)
+        estimate = accusation.estimate
+        extra = {
+            "service": accusation.service,
+            "engine": accusation.engine,
+            "failures": round(estimate.failures, 1),
+            "attempts": round(estimate.attempts, 1),
+            "probability": round(estimate.probability, 4),
+            "hosts": accusation.hosts,
+            "hold_s": accusation.hold_s,
+        }
+        log.warning(change.value, extra=extra)
+
     def avoid_engine(self, engine: UpstreamId, for_s: float, reason: str) -> None:
         """Let all streams avoid an engine for `for_s` seconds while others are left."""
         if self._avoided_engines.add_for(engine, now_s(), for_s):
--- a/daemon/minttided/gateway/streams/paths.py
+++ b/daemon/minttided/gateway/streams/paths.py
@@ -109,6 +109,26 @@
                 return
         self._avoided |= first
 
+    def avoid_failed(self, path: Path) -> None:
+        """Avoid the engines of a path that has failed, as far as paths without them are left.
+
+        Of engines that can't be avoided together with those before them, later ones are used again.
+        """
+        if self._finds_path_without(self._avoided.union(s.engine for s in path)):
+            self._avoided.update(stage.engine for stage in path)
+            self._context.state.metrics.count_avoided_path(self._request.service)
+            return
+        for stage in path:
+            if self._finds_path_without(self._avoided | {stage.engine}):
+                self._avoided.add(stage.engine)
+
+    def _finds_path_without(self, avoided: Set[UpstreamId]) -> bool:
+        """Return whether there is a path that uses none of the engines in `avoided`."""
+        found = self._context.choose_path(
+            self._request.service, self._model, self._request_size, avoided
+        )
+        return found is not None and avoided.isdisjoint(stage.engine for stage in found)
+
     def avoid_rejecting_engine(
         self, attempt: StreamAttempt, status: int, fault: str | None
     ) -> None:
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -1,6 +1,6 @@
 """The metrics of one daemon. Each has a method, to keep its name and labels in one place."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -42,6 +42,14 @@
         self._cut_offs = self._counter(
             "minttide_cut_offs_total", "Times that this host was cut off from a service."
         )
+        self._avoided_paths = self._counter(
+            "minttide_failed_paths_avoided_total",
+            "Retries that shared no engine with a failed path, by service.",
+        )
+        self._accused = self._gauge(
+            "minttide_accused_engines", "Engines that are accused of failing requests, by service."
+        )
+        self._accused_services: set[ServiceName] = set()
         self._first_token = self._histogram(
             "minttide_first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_S
         )
@@ -103,6 +111,10 @@
         """Count a retry that the budget allowed or rejected."""
         self._retries.inc({"service": service, "allowed": "yes" if allowed else "no"})
 
+    def count_avoided_path(self, service: ServiceName) -> None:
+        """Count a retry that shared no engine with the path that had failed."""
+        self._avoided_paths.inc({"service": service})
+
     def count_cut_off(self, service: ServiceName) -> None:
         """Count that this host can't connect to the upstreams that a service needs."""
         self._cut_offs.inc({"service": service})
@@ -152,6 +164,12 @@
         self._leaving.set({}, int(leaving))
         self._open_requests.set({}, open_requests)
 
+    def set_accused(self, counts: Mapping[ServiceName, int]) -> None:
+        """Set the number of accused engines by service."""
+        self._accused_services.update(counts)
+        for service in self._accused_services:
+            self._accused.set({"service": service}, counts.get(service, 0))
+
     def set_placement(self, plan_offset: int, reserved_watts: int, cap_watts: int) -> None:
         """Set the offset of the plan in force, the reserved power and the power cap."""
         self._plan_offset.set({}, plan_offset)
