Let hosts share the results of attempts, to accuse engines that no host can find alone

Cause: a host of a large site sees one or two failures a second, so that it takes long to find the engine of a path that causes them.

Earlier builds pass the fields over. What is received is cut to the bounds.

--- a/core/minttide/policy/path_evidence.py
+++ b/core/minttide/policy/path_evidence.py
@@ -7,7 +7,7 @@
 
 from collections import Counter, deque
 from collections.abc import Collection, Iterable, Sequence
-from itertools import pairwise
+from itertools import islice, pairwise
 
 import msgspec
 
@@ -36,6 +36,9 @@
 MAX_CAUSES = 64
 """Causes of a failed path that are read from a report."""
 
+MAX_COUNT = 1e6
+"""Largest number of attempts that one entry of a report may stand for."""
+
 MAX_FAILED_KEPT = 256
 """Failed paths of each window that a host keeps; the oldest are dropped."""
 
@@ -53,7 +56,7 @@
     count: float = 1.0
 
 
-class PathReport(msgspec.Struct, frozen=True):
+class PathReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """The results of the last `REPORT_WINDOW_S` of one host, or of several hosts together.
 
     `answered` is the number of answered attempts by cause, `hosts` the number of hosts with results
@@ -157,3 +160,34 @@
         answered.update(report.answered)  # type: ignore[arg-type]
     hosts = sum(report.hosts for report in reports)
     return PathReport(failed, dict(answered.most_common(MAX_ANSWERED_IN_MESSAGE)), hosts)
+
+
+def shift_report(report: PathReport, by_s: float) -> PathReport:
+    """Return a report with its times moved, to convert between times and ages."""
+    if not report.failed:
+        return report
+    return PathReport(shift_times(report.failed, by_s), report.answered, report.hosts)
+
+
+def read_report(report: PathReport, now_s: float, limit: int) -> PathReport:
+    """Return a received report with times instead of ages, cut to the bounds of reports.
+
+    Failures outside the window and numbers that no attempts give are left out.
+    """
+    failed = tuple(
+        FailedPath(f.service, f.causes[:MAX_CAUSES], now_s + f.at_s, f.count)
+        for f in report.failed[:limit]
+        if -REPORT_WINDOW_S <= f.at_s <= 0.0 and 0.0 < f.count <= MAX_COUNT
+    )
+    answered = islice(report.answered.items(), MAX_ANSWERED_IN_MESSAGE)
+    found = {cause: count for cause, count in answered if 0.0 <= count <= MAX_COUNT}
+    return PathReport(failed, found, report.hosts)
+
+
+def subtract_answers(total: dict[str, float], part: dict[str, float]) -> dict[str, float]:
+    """Return counts of answers without those of one part of them."""
+    found = dict(total)
+    for cause, count in part.items():
+        if cause in found:
+            found[cause] = max(0.0, found[cause] - count)
+    return found
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -38,6 +38,7 @@
 from minttided.gateway.sync.crash_news import CrashNewsState
 from minttided.gateway.sync.crash_sender import CrashNewsSender
 from minttided.gateway.sync.end_confirmation import EndConfirmation
+from minttided.gateway.sync.fault_reports import FaultReports
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
@@ -248,6 +249,7 @@
             self._loads,
             self._peer_loads,
             streams.probes.verify_unreachable,
+            FaultReports(self.state),
         )
         config_policy = ReadPolicy(
             lambda: self._sync_client.should_read_config(), lambda: self._sync_client.retry_factor()
--- a/daemon/minttided/gateway/sync/client.py
+++ b/daemon/minttided/gateway/sync/client.py
@@ -174,6 +174,7 @@
             crashes,
             takes_config_changes=True,
             leaving=self._state.leaving_processes.recent(now_s()),
+            faults=self._context.fault_reports.make_own(),
         )
         return Pull(FULL_SYNC, encode(request))
 
@@ -183,6 +184,7 @@
         Raises `MalformedBytesError`.
         """
         self._context.peer_loads.set_peer_totals(reply.usages)
+        self._context.fault_reports.apply_reply(reply.faults)
         self._context.on_unreachable(reply.silent)
         if reply.blocks_known:
             self._state.set_blocks_known()
--- a/daemon/minttided/gateway/sync/context.py
+++ b/daemon/minttided/gateway/sync/context.py
@@ -10,6 +10,7 @@
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.config_versions import ConfigVersions
 from minttided.gateway.sync.crash_news import CrashNewsState
+from minttided.gateway.sync.fault_reports import FaultReports
 from minttided.peers.interfaces import PeerClient
 
 
@@ -19,6 +20,7 @@
 
     `crash_news` is the news exchanged with each peer. `members` returns the hosts that are
     considered up. `on_unreachable` is called with upstreams that several hosts can't reach.
+    `fault_reports` are the results of attempts exchanged with other hosts.
     `config_versions` are the last configurations of this host.
     """
 
@@ -29,6 +31,7 @@
     loads: EngineLoads
     peer_loads: PeerLoads
     on_unreachable: Callable[[Sequence[UpstreamId]], None]
+    fault_reports: FaultReports
     config_versions: ConfigVersions = field(default_factory=ConfigVersions)
     _rankings: dict[ZoneId, ReaderRanking] = field(default_factory=dict)
 
--- a/daemon/minttided/gateway/sync/messages.py
+++ b/daemon/minttided/gateway/sync/messages.py
@@ -14,6 +14,7 @@
 from minttide.layers.usage import Usage
 from minttide.policy.crash_news import NO_NEWS, NewsVersion
 from minttide.policy.crash_reports import CrashReport, PartBlock, PartStart
+from minttide.policy.path_evidence import NO_RESULTS, PathReport
 from minttide.routing.config_changes import ConfigChanges
 from minttide.routing.list_history import NO_LIST_VERSION, ListChanges, ListVersion
 from minttide.routing.routes import ProcessKey, RoutingConfig, UpstreamEntry
@@ -56,7 +57,8 @@
     probes these and returns those that it can't reach either. `takes_config_changes` says that the
     requesting host can apply changes to its version of the configuration; a release before these
     leaves it out. `leaving` are processes that have said in their answers that they leave, a hint;
-    releases before it neither send nor read it.
+    releases before it neither send nor read it. `faults` are the results of recent attempts of the
+    requesting host, or of its whole zone with `LOADS_ONLY`, also unknown to earlier releases.
     """
 
     host: HostId
@@ -68,6 +70,7 @@
     crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
     takes_config_changes: bool = False
     leaving: list[ProcessKey] = []
+    faults: PathReport = NO_RESULTS
 
 
 class SyncReply(msgspec.Struct):
@@ -78,7 +81,8 @@
     host has this version. The list of upstreams is sent as `changes`, or completely and
     packed as `upstreams`. `usages` is the total load of all hosts except the requesting one, and
     `silent` are the upstreams that several hosts can't reach. `blocks_known` says whether the
-    replying host knows which parts of prompts were blocked before it started.
+    replying host knows which parts of prompts were blocked before it started. `faults` are the
+    results of recent attempts of all hosts except the requesting one.
     """
 
     held_s: float
@@ -93,6 +97,7 @@
     crashes: CrashUpdate = msgspec.field(default_factory=CrashUpdate)
     blocks_known: bool = False
     config_changes: bytes | None = None
+    faults: PathReport = NO_RESULTS
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -97,11 +97,10 @@
             return PullReply(snapshot=await self._probe_upstreams(request))
         self._context.crash_news.apply_request(request.crashes)
         if pull.start == CRASHES_ONLY:
-            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request, {}))
+            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request))
         self._record_peer_state(request)
         if pull.start == LOADS_ONLY:
-            zone_usages = self._sum_zone_usages()
-            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request, zone_usages))
+            return PullReply(snapshot=self._make_brief_snapshot(pull.start, request))
         await self._wait_for_changes(request)
         return PullReply(snapshot=self._make_snapshot(request, received_s))
 
@@ -128,9 +127,11 @@
             self._state.record_leaving(process, "peer")
         if request.zone == self._state.cfg.zone:
             self._peer_loads.hosts.record(request.host, request.usages, now_s())
+            self._context.fault_reports.record_host(request.host, request.faults)
             self._unreachable_reports.record(request.host, frozenset(request.silent), now_s())
         else:
             self._peer_loads.zones.record(request.zone, request.usages, now_s())
+            self._context.fault_reports.record_zone(request.zone, request.faults)
 
     async def _wait_for_changes(self, request: SyncRequest) -> None:
         """Wait until there is something newer for the requesting host, at most `long_poll_s`."""
@@ -172,11 +173,12 @@
             [self._context.loads.local_usages(), self._peer_loads.hosts.total(now_s())]
         )
 
-    def _make_brief_snapshot(
-        self, start: Offset, request: SyncRequest, usages: dict[str, Usage]
-    ) -> Checkpoint:
+    def _make_brief_snapshot(self, start: Offset, request: SyncRequest) -> Checkpoint:
         """Return a reply without configuration and list."""
-        reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s, usages)
+        reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s)
+        if start == LOADS_ONLY:
+            reply.usages = self._sum_zone_usages()
+            reply.faults = self._context.fault_reports.make_zone()
         reply.crashes = self._context.crash_news.make_reply(request.crashes)
         return Checkpoint(start, encode(reply))
 
@@ -188,6 +190,7 @@
         )
         reply = SyncReply(state.clock() - received_s, state.config_age_s, state.list_age_s, usages)
         reply.crashes = self._context.crash_news.make_reply(request.crashes)
+        reply.faults = self._context.fault_reports.make_reply(request.host)
         reply.blocks_known = not state.awaits_blocks
         reply.silent = self._find_unreachable()
         self._context.on_unreachable(reply.silent)
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -64,8 +64,9 @@
         peer = readers[0]
         crashes = self._context.crash_news.make_request(peer.host)
         leaving = self._state.leaving_processes.recent(now_s())
+        faults = self._context.fault_reports.make_zone()
         sync_request = SyncRequest(
-            cfg.host, cfg.zone, zone_usages, crashes=crashes, leaving=leaving
+            cfg.host, cfg.zone, zone_usages, crashes=crashes, leaving=leaving, faults=faults
         )
         request = Pull(LOADS_ONLY, encode(sync_request))
         try:
@@ -77,3 +78,4 @@
         if reply is not None:
             self._context.crash_news.apply_reply(peer.host, crashes, reply.crashes)
             self._peer_loads.zones.record(zone, reply.usages, now_s())
+            self._context.fault_reports.record_zone(zone, reply.faults)
--- a/measure/news_cost.py
+++ b/measure/news_cost.py
@@ -32,6 +32,7 @@
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.crash_news import CrashNewsState
+from minttided.gateway.sync.fault_reports import FaultReports
 from minttided.gateway.sync.messages import FULL_SYNC, SyncRequest, encode
 from minttided.gateway.sync.server import SyncServer
 from minttided.peers.interfaces import Pull
@@ -99,6 +100,7 @@
             loads,
             self._peer_loads,
             lambda silent: None,
+            FaultReports(self.state),
         )
         self.sync_server = SyncServer(context, None)  # type: ignore[arg-type]
         self.names = [HostId(f"front-zone-{n}") for n in range(hosts - 1)]
--- a/test/sync_site.py
+++ b/test/sync_site.py
@@ -20,6 +20,7 @@
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.crash_news import CrashNewsState
 from minttided.gateway.sync.crash_sender import CrashNewsSender
+from minttided.gateway.sync.fault_reports import FaultReports
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import (
     ConfigWatcher,
@@ -127,6 +128,7 @@
             self.loads,
             peer_loads,
             self.reported_unreachable.update,
+            FaultReports(self.state),
             versions,
         )
         self.sync_client = SyncClient(context, self.config, self.upstreams)
--- a/test/test_upgraded_messages.py
+++ b/test/test_upgraded_messages.py
@@ -11,6 +11,7 @@
 from minttide.ids import HostId, PromptPart, ServiceName, UpstreamId, ZoneId
 from minttide.layers.usage import Usage
 from minttide.policy.crash_news import NewsVersion
+from minttide.policy.path_evidence import NO_RESULTS, FailedPath, PathReport
 from minttide.routing.list_history import ListChanges, ListVersion
 from minttide.routing.routes import LayerRange, RoutingConfig
 from minttide.routing.sources import StoredBlock
@@ -18,6 +19,7 @@
 
 ENTRY = msgspec.structs.replace(upstream("u1"), layers=LayerRange(0, 4), born_ms=7)
 VERSION = ListVersion(3, 4)
+FAULTS = PathReport((FailedPath(ServiceName("s"), ("u1", "u2"), -0.5),), {"u1": 3.0}, 1)
 MESSAGES = {
     "sync request": SyncRequest(
         HostId("h"),
@@ -29,9 +31,17 @@
         CrashUpdate(),
         True,
         [(UpstreamId("u1"), 7)],
+        FAULTS,
     ),
     "sync reply": SyncReply(
-        0.1, 0.2, 0.3, {"e": Usage(1, 2)}, b"x", VERSION, ListChanges([ENTRY], [UpstreamId("u2")])
+        0.1,
+        0.2,
+        0.3,
+        {"e": Usage(1, 2)},
+        b"x",
+        VERSION,
+        ListChanges([ENTRY], [UpstreamId("u2")]),
+        faults=FAULTS,
     ),
     "entry": ENTRY,
     "configuration": RoutingConfig(4, (), ()),
@@ -84,6 +94,19 @@
     assert decode_request(msgspec.msgpack.encode(before)).leaving == []
 
 
+class RequestBeforeFaults(RequestBefore):
+    """A sync request as the build before `faults` reads it."""
+
+    leaving: list[tuple[UpstreamId, int]] = []
+
+
+def test_request_with_results_of_attempts_is_read_by_the_build_before():
+    request = MESSAGES["sync request"]
+    before = msgspec.msgpack.decode(msgspec.msgpack.encode(request), type=RequestBeforeFaults)
+    assert (before.host, before.leaving, before.usages) == ("h", [("u1", 7)], request.usages)
+    assert decode_request(msgspec.msgpack.encode(before)).faults == NO_RESULTS
+
+
 @pytest.mark.parametrize("extra", [[], [3], [3, "more"]])
 def test_news_with_more_or_fewer_fields_is_read(extra):
     """It is sent as a list, in which only the end may grow."""
