Let refused callers return in order, spread over time

Cause: callers that retry at once count as new demand and take the places of those that wait as told.

Change: Retry-After follows from the demand that goes before a priority, with a random part, and is 6 s at most. Other hosts don't know the refusal.

--- a/core/minttide/policy/priority_admission.py
+++ b/core/minttide/policy/priority_admission.py
@@ -49,7 +49,10 @@
 """Largest credit of a priority on one host, in requests of the size that asks."""
 
 MIN_RETRY_AFTER_S = 0.25
-MAX_RETRY_AFTER_S = 4.0
+MAX_RETRY_AFTER_S = 3.0
+"""Bounds of Retry-After before its random increase. Callers honour a third of the time they have
+left, 6 s of a deadline of 20 s."""
+
 RETRY_SPREAD = 1.0
 """Largest random increase of Retry-After, as a fraction, so that callers don't return together."""
 
@@ -99,13 +102,14 @@
 class AdmissionRequest(msgspec.Struct, frozen=True, eq=False):
     """A request that asks for admission: its tokens, and the latest start that meets its objective.
 
-    Times are in seconds.
+    `has_returned` says that its caller was refused and has waited as told. Times are in seconds.
     """
 
     tokens: float
     priority: int
     account: AccountId
     latest_s: float
+    has_returned: bool = False
 
 
 class Admit(msgspec.Struct, frozen=True):
@@ -278,13 +282,6 @@
         """Return what the last decision was based on."""
         return self._allocation
 
-    @property
-    def is_scarce(self) -> bool:
-        """Return whether some priority isn't served whole."""
-        return self._allocation is not None and any(
-            fraction < 1.0 for fraction in self._allocation.others.values()
-        )
-
     def waiting_tokens(self) -> dict[int, float]:
         """Return the tokens of the waiting requests by priority."""
         return {p: sum(r.tokens for r in queue) for p, queue in self._queues.items() if queue}
@@ -307,7 +304,7 @@
         if now_s + self._expected_wait_s(request, fraction) > request.latest_s:
             return Refuse(self.retry_after_s(request.priority))
         queue.append(request)
-        queue.sort(key=lambda r: r.latest_s)
+        queue.sort(key=_order)
         return Wait(request.latest_s)
 
     def take_admitted(self, now_s: float) -> list[AdmissionRequest]:
@@ -335,6 +332,10 @@
             base_s += ahead / flow if flow > 0.0 else MAX_RETRY_AFTER_S
         return min(MAX_RETRY_AFTER_S, base_s) * (1.0 + RETRY_SPREAD * self._rng.random())
 
+    def is_scarce_for(self, request: AdmissionRequest) -> bool:
+        """Return whether a request's priority and client account aren't served whole."""
+        return self._fraction(request) < 1.0
+
     def _fraction(self, request: AdmissionRequest) -> float:
         if self._allocation is None:
             return 1.0
@@ -345,8 +346,8 @@
         if self._load is None or self._allocation is None:
             return 0.0
         queue = self._queues[request.priority]
-        ahead = sum(r.tokens for r in queue if r.latest_s <= request.latest_s)
-        missing = ahead + request.tokens - self._credits[request.priority]
+        ahead = sum(r.tokens for r in queue if _order(r) <= _order(request))
+        missing = ahead + _needed_credit(request) - self._credits[request.priority]
         own = sum(r.tokens for r in queue) + request.tokens
         arrived = self._load.priorities.get(request.priority, PriorityLoad()).arrived_per_s
         demand_per_s = arrived / self._load.hosts + own / self._allocation.horizon_s
@@ -386,4 +387,16 @@
         return True
 
     def _has_credit(self, request: AdmissionRequest) -> bool:
-        return self._credits[request.priority] >= request.tokens
+        return self._credits[request.priority] >= _needed_credit(request)
+
+
+def _order(request: AdmissionRequest) -> tuple[bool, float]:
+    return (not request.has_returned, request.latest_s)
+
+
+def _needed_credit(request: AdmissionRequest) -> float:
+    """Return the credit from which a request is served.
+
+    One that has returned as told may overdraw it, which those that come after it make up for.
+    """
+    return 0.0 if request.has_returned else request.tokens
--- a/daemon/minttided/gateway/streams/admission.py
+++ b/daemon/minttided/gateway/streams/admission.py
@@ -9,7 +9,9 @@
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
-from minttide.ids import AccountId, ServiceName
+import msgspec
+
+from minttide.ids import AccountId, PromptPart, ServiceName
 from minttide.layers.memory import prefill_ms, stream_tokens, token_capacity
 from minttide.layers.paths import RequestSize
 from minttide.layers.usage import Usage, Usages, add_usages
@@ -20,6 +22,8 @@
     PriorityAdmission,
     Refuse,
 )
+from minttide.policy.request_fingerprint import make_request_part
+from minttide.policy.return_order import ReturnOrder
 from minttide.problems import ProblemType, Ran
 from minttide.routing.routes import ModelSpec, RoutingConfig, UpstreamEntry
 from minttide.routing.table import RouteTable
@@ -57,6 +61,7 @@
         self.admission = PriorityAdmission(state.rng)
         self.figures = AdmissionFigures(service)
         self.admitted: set[AdmissionRequest] = set()
+        self.returns = ReturnOrder()
         self.without_room: list[AdmissionRequest] = []
         self.waiting = 0
         self.others: Usages | None = None
@@ -98,7 +103,7 @@
         service = self._services.get(request.service)
         if service is None:
             service = self._services[request.service] = _Service(request.service, self._state)
-        asked = make_admission_request(request, model, size)
+        asked = self._make_asked(request, model, size, service)
         service.figures.record_arrival(asked, now_s())
         self._update(request.service, service, model)
         decision = service.admission.request(asked, now_s())
@@ -113,6 +118,25 @@
         finally:
             service.figures.record_end(asked, now_s() - started_s, now_s())
 
+    def _make_asked(
+        self, request: GatewayRequest, model: ModelSpec, size: RequestSize, service: _Service
+    ) -> AdmissionRequest:
+        """Return what a request asks for. Raises `RequestError` if it returns too early.
+
+        Such a request isn't counted, so that a retry at once costs others nothing.
+        """
+        asked = make_admission_request(request, model, size)
+        if not service.returns:
+            return asked
+        part = make_fingerprint(request)
+        early_s = service.returns.early_s(part, now_s())
+        if early_s > 0.0:
+            self._update(request.service, service, model)
+            if service.admission.is_scarce_for(asked):
+                self._refuse(request, service, asked, "early", early_s)
+        has_returned = service.returns.take_returned(part, now_s())
+        return msgspec.structs.replace(asked, has_returned=has_returned)
+
     def _check_may_wait(
         self, request: GatewayRequest, service: _Service, asked: AdmissionRequest, refused: bool
     ) -> None:
@@ -139,9 +163,17 @@
             service.admission.remove(asked)
 
     def _refuse(
-        self, request: GatewayRequest, service: _Service, asked: AdmissionRequest, decision: str
+        self,
+        request: GatewayRequest,
+        service: _Service,
+        asked: AdmissionRequest,
+        decision: str,
+        early_s: float = 0.0,
     ) -> None:
-        """Log what the decision was based on. Raises `RequestError`."""
+        """Log what the decision was based on. Raises `RequestError`.
+
+        A request that returned `early_s` too early is told to wait for the rest of its time.
+        """
         metrics = self._state.metrics
         metrics.count_admission(request.service, request.priority, decision)
         metrics.count_request(request.service, Ran.NOT_RUN)
@@ -154,6 +186,7 @@
             "account": asked.account,
             "tokens": asked.tokens,
             "decision": decision,
+            "has_returned": asked.has_returned,
             "share": allocation and allocation.fraction(asked.priority, asked.account),
             "free": allocation and allocation.free,
             "shares": allocation and dict(allocation.others),
@@ -163,7 +196,8 @@
         }
         log.warning("stream not admitted", extra=extra)
         detail = "the capacity is needed for requests that go before this one"
-        retry_after_s = service.admission.retry_after_s(request.priority)
+        retry_after_s = early_s or service.admission.retry_after_s(request.priority)
+        service.returns.record_refusal(make_fingerprint(request), now_s() + retry_after_s)
         raise not_run_error(ProblemType.OVERLOADED, detail, retry_after_s)
 
     # Load of all hosts.
@@ -232,6 +266,12 @@
     return AdmissionRequest(tokens, request.priority, account, latest_s)
 
 
+def make_fingerprint(request: GatewayRequest) -> PromptPart:
+    """Return what all tries of a request share."""
+    account = request.account.account if request.account is not None else None
+    return make_request_part(request.req.method, request.req.target, account, request.req.body)
+
+
 def find_ranked_services(config: RoutingConfig) -> frozenset[ServiceName]:
     """Return the services with a model whose requests have more than one priority."""
     models = {s.name for s in config.services if s.model is not None}
--- a/test/test_priority_admission.py
+++ b/test/test_priority_admission.py
@@ -120,7 +120,7 @@
 def test_request_that_cannot_be_served_in_time_is_refused_at_once():
     admission = admission_under(held=1000.0, ended_per_s=0.0)
     decision = admission.request(ask(0.5), 0.0)
-    assert isinstance(decision, Refuse) and 0.25 <= decision.retry_after_s <= 8.0
+    assert isinstance(decision, Refuse) and 0.25 <= decision.retry_after_s <= 6.0
 
 
 def test_waiting_requests_are_served_in_order_of_their_latest_start():
@@ -142,6 +142,16 @@
     assert waiting and not admission.waiting_tokens()
 
 
+def test_more_urgent_callers_are_told_to_return_sooner_and_not_together():
+    """Guards against callers that all come back at one moment, urgent ones last."""
+    admission = PriorityAdmission(random.Random(1))
+    figures = {p: PriorityLoad(300.0, 300.0, 150.0) for p in (0, 1, 2)}
+    admission.update(load(figures), 0.0)
+    told = {p: sorted(admission.retry_after_s(p) for _ in range(50)) for p in figures}
+    assert told[0][25] < told[1][25] < told[2][25]
+    assert all(times[-1] > 1.5 * times[0] for times in told.values())
+
+
 def test_old_reports_lengthen_the_horizon():
     """Guards against oscillation: the horizon stays longer than the delay of the reports."""
     assert load({}, age_s=0.4).horizon_s == 1.0
--- a/test/test_stream_admission.py
+++ b/test/test_stream_admission.py
@@ -7,10 +7,11 @@
 from gateway_site import END, HOST, NOT_RUN, STREAM_HEAD, GatewaySite, events, plain_response, route
 from stream_site import ALL_EVENTS, MODEL, ScriptedUpstream
 
-from minttide.ids import AccountId, ServiceName, UpstreamId
+from minttide.ids import AccountId, PromptPart, ServiceName, UpstreamId
 from minttide.layers.usage import add_usages
 from minttide.policy.admission_reports import MAX_ACCOUNTS, AdmissionFigures
 from minttide.policy.priority_admission import AdmissionRequest, PriorityAdmission
+from minttide.policy.return_order import KEPT_S, MAX_REMEMBERED, ReturnOrder
 from minttide.routing.routes import (
     AccountKeys,
     LayerRange,
@@ -156,6 +157,41 @@
     assert waiting == ["admission model waiting 2"] and not after and not site.engine.requests
 
 
+def test_early_retry_is_not_counted_and_caller_that_waited_goes_first(monkeypatch):
+    """Guards against callers that gain by retrying at once, or cost those who wait their place."""
+    monkeypatch.setattr(PriorityAdmission, "_expected_wait_s", lambda *_: 9.0)
+    monkeypatch.setattr(PriorityAdmission, "_fraction", lambda *_: 0.001)
+    has_credit = PriorityAdmission._has_credit
+    returned = []
+    monkeypatch.setattr(
+        PriorityAdmission,
+        "_has_credit",
+        lambda self, r: r.has_returned and (returned.append(r) or has_credit(self, r)),
+    )
+    site = PrioritySite(WHOLE)
+
+    async def act():
+        first = await site.send_request("draft", "POST", key=None)
+        early = await site.send_request("draft", "POST", key=None)
+        arrived = site.loads.local_usages()["admission model arrived 2"].streams
+        told = [float(r.headers["retry-after"]) for r in (first, early)]
+        await asyncio.sleep(told[1])
+        return told, arrived, (await site.send_request("draft", "POST", key=None)).status
+
+    told, arrived, status = run_site(site, act)
+    assert told[1] <= told[0] and arrived == 1 and status == 200 and len(returned) == 1
+
+
+def test_remembered_refusals_are_bounded_and_expire():
+    order = ReturnOrder()
+    for i in range(MAX_REMEMBERED + 5):
+        order.record_refusal(PromptPart(f"p{i}"), 1.0)
+    assert len(order) == MAX_REMEMBERED
+    last = PromptPart(f"p{MAX_REMEMBERED}")
+    assert order.early_s(last, 0.5) == 0.5 and order.early_s(PromptPart("p0"), 0.5) == 0.0
+    assert order.early_s(last, 1.0) == 0.0 and not order.take_returned(last, 1.1 + KEPT_S)
+
+
 def test_service_with_one_priority_has_no_admission():
     site = PrioritySite(WHOLE, priority=0)
 
