--- a/core/minttide/policy/prefix_affinity.py
+++ b/core/minttide/policy/prefix_affinity.py
@@ -62,7 +62,7 @@
 """Engines kept for one prefix; a path has some 5 to 10."""
 
 MAX_SENDS = 8192
-"""Pairs of a prefix and an engine that are kept."""
+"""Pairs of a prefix and an engine that are kept; 4.6 MB at most with `MAX_ENGINES` engines."""
 
 MAX_ENGINES = 4096
 """Engines whose sent tokens are counted."""
--- a/measure/plots.py
+++ b/measure/plots.py
@@ -62,12 +62,38 @@
     return True
 
 
+def draw_prefix_choice(path: Path) -> bool:
+    """Draw the first token by the common part of prompts; return false without a table."""
+    table = read_table("prefix_choice")
+    if table is None:
+        return False
+    memories = list(dict.fromkeys(row[0] for row in table["rows"]))
+    figure, plots = plt.subplots(
+        1, len(memories), figsize=(2 * WIDTH_IN, HEIGHT_IN), dpi=DPI, sharey=True
+    )
+    for memory, axes in zip(memories, plots, strict=True):
+        for choice in dict.fromkeys(row[2] for row in table["rows"]):
+            rows = select(table, memory=memory, choice=choice)
+            shares = [float(r["common"]) for r in rows]
+            axes.plot(shares, [float(r["first token ms"]) for r in rows], label=choice)
+        axes.set_title(f"memory: {memory}", fontsize=9)
+        axes.set_xlabel("common part of the prompt")
+    plots[0].set_ylabel("first token ms (median)")
+    plots[-1].legend(fontsize=6)
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
+    return True
+
+
 def main() -> None:
     """Plot the tables that exist."""
     target = Path(sys.argv[1]) if len(sys.argv) > 1 else OUT
     target.mkdir(parents=True, exist_ok=True)
     if draw_slopes(target / "slopes.png"):
         print(target / "slopes.png")
+    if draw_prefix_choice(target / "prefix-choice.png"):
+        print(target / "prefix-choice.png")
     for site in ("Bureau", "Zaloga"):
         throughput, recovery = read_table("throughput"), read_table("recovery")
         if throughput is not None:
--- a/test/test_prefix_replay.py
+++ b/test/test_prefix_replay.py
@@ -4,6 +4,7 @@
 
 from measure import prefix_choice
 from measure.prefix_choice import CHOOSERS, MEMORY, Fleet
+from measure.table import percentile
 from minttide_fakes.virtual import run_virtual
 
 OURS = ("weighed by own sends", "weighed, with homes")
@@ -31,14 +32,17 @@
     assert results["always the holder"].served < 0.7 * results["always the holder"].arrived
 
 
-def test_common_beginnings_shorten_the_time_to_the_first_token():
-    """Guards against prefixes that the search weighs too low to matter, with 4 and 16 hosts."""
-    for hosts in (4, 16):
-        before = prefix_choice.percentile(
-            play("search without prefixes", hosts=hosts).first_ms, 0.5
-        )
-        after = prefix_choice.percentile(play("weighed, with homes", hosts=hosts).first_ms, 0.5)
-        assert after < 0.75 * before
+@pytest.mark.parametrize("hosts", [4, 16])
+def test_common_beginnings_shorten_the_time_to_the_first_token(hosts, monkeypatch):
+    """Guards against prefixes that the search weighs too low to matter.
+
+    The comparison has the same weight of reading, which alone shortens that time as well.
+    """
+    monkeypatch.setattr(prefix_choice, "SECONDS", 12.0)
+    monkeypatch.setattr(prefix_choice, "WARM_S", 6.0)  # until most of the 400 prefixes are held
+    choices = ("the same, reading weighed", "weighed, with homes")
+    without, ours = (percentile(play(c, hosts=hosts).first_ms, 0.5) for c in choices)
+    assert ours < 0.8 * without
 
 
 def test_a_prefix_has_fewer_holders_once_its_demand_falls(monkeypatch):
