--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -159,7 +159,7 @@
 
     def others(self) -> Usages | None:
         """Return the total of all other hosts' reports, `None` without enough recent ones."""
-        return self._peer_loads.others(self._count_hosts())
+        return self._peer_loads.others(self.count_hosts())
 
     def reports_age_s(self) -> float:
         """Return the age in seconds of what `others` returns."""
