Retry failed calls of plain services as far as such retries succeed

Cause: a call that an upstream fails was repeated whatever came of it. Where a fault is with the requests or with all upstreams, the retry meets the same failure and takes from the budget of all hosts.

Change: results of retries after an upstream's own failure are counted with the other results of attempts, here and on other hosts. Their success decides which part of the failed calls is retried; a twentieth always is. Upstreams of plain services that fail calls are accused as engines are, where four or more are listed. Only 5xx other than 503 and 504 counts as an upstream's own failure, also for streams.

--- a/core/minttide/policy/path_evidence.py
+++ b/core/minttide/policy/path_evidence.py
@@ -76,6 +76,11 @@
     return f"service {service}"
 
 
+def retry_cause(service: ServiceName, answered: bool) -> str:
+    """Return the name under which retries of failed calls are counted, by their results."""
+    return f"retry {'answered' if answered else 'failed'} {service}"
+
+
 def path_causes(path: Path) -> tuple[str, ...]:
     """Return the engines of a path in order, then the links between zones that it crosses."""
     links = (link_name(a.zone, b.zone) for a, b in pairwise(path) if a.zone != b.zone)
--- a/core/minttide/policy/path_faults.py
+++ b/core/minttide/policy/path_faults.py
@@ -5,6 +5,9 @@
 that it is chosen again, also by retries. In a play of such a day, all 491 failures had the same
 first engine. A host sees one or two failures a second by itself.
 
+Plain services use the same results, with paths of one upstream. The calls that an upstream fails
+are retried as far as such retries have succeeded.
+
 The failures and answers of this host and of others are combined by `fault_estimate`. An engine that
 explains several failures and is very probably faulty is accused: it is removed from all paths for a
 while. Then it is on trial and gets a little traffic. A failure on trial accuses it for twice as
@@ -35,6 +38,7 @@
     FailedPath,
     PathReport,
     limit_failed,
+    retry_cause,
     service_cause,
     shift_times,
 )
@@ -65,6 +69,12 @@
 MAX_TRIAL_SHARE = 0.1
 """Largest part of the requests that are to use an engine on trial, where there are few."""
 
+MIN_RETRY_SHARE = 0.05
+"""Part of the failed calls that are retried although retries fail, to detect a recovery."""
+
+RETRY_PRIOR = 2.0
+"""Answered retries that are assumed before the first ones, so that one failure decides little."""
+
 DECISION_INTERVAL_S = 0.1
 """Shortest time between two estimates of a service, which take about a millisecond each."""
 
@@ -167,6 +177,21 @@
         own.recent.remove_failed(failed)
         own.long.remove_failed(failed)
 
+    def record_retry(self, service: ServiceName, answered: bool, now_s: float) -> None:
+        """Record whether the retry of a failed call was answered or has failed."""
+        own = self._own[service]
+        for window in (own.recent, own.long):
+            window.add_answered((retry_cause(service, answered),), now_s)
+        own.choose_window(now_s)
+
+    def retry_share(self, service: ServiceName, now_s: float) -> float:
+        """Return the part of the failed calls to retry, by how retries have fared on all hosts."""
+        own = self._own[service].choose_window(now_s).answered
+        others = self._fresh_others(now_s).answered
+        answered, failed = (own[c] + others.get(c, 0.0) for c in _retry_causes(service))
+        share = (answered + RETRY_PRIOR) / (answered + failed + RETRY_PRIOR)
+        return max(MIN_RETRY_SHARE, share)
+
     def forget(self, engine: UpstreamId, now_s: float) -> None:
         """Discard what is known of an engine that has restarted or was removed."""
         self._accused.pop(engine, None)
@@ -192,7 +217,7 @@
             causes = {c for f in known if f.service == service for c in f.causes}
             causes.update(a.engine for a in self._accused.values() if a.service == service)
             causes.update(self._forgotten)
-            causes.add(service_cause(service))
+            causes.update((service_cause(service), *_retry_causes(service)))
             answered.update({c: own.recent.answered[c] for c in causes if own.recent.answered[c]})
         if not failed and not answered:
             return NO_RESULTS
@@ -330,6 +355,10 @@
         )
 
 
+def _retry_causes(service: ServiceName) -> tuple[str, str]:
+    return retry_cause(service, True), retry_cause(service, False)
+
+
 def _keep_layers(
     accused: Collection[Accusation], engines: Sequence[UpstreamEntry], layers: int
 ) -> set[UpstreamId]:
--- a/core/minttide/routing/outcome.py
+++ b/core/minttide/routing/outcome.py
@@ -10,6 +10,9 @@
 GATEWAY_TIMEOUT = 504
 MIN_SERVER_ERROR = 500
 
+_NO_OWN_FAILURE_STATUSES = NOT_RUN_STATUSES | {GATEWAY_TIMEOUT}
+"""Failures that say nothing of a fault of an upstream: nothing has run, or load made it late."""
+
 
 class ExchangeOutcome(Enum):
     """How an exchange ended."""
@@ -47,6 +50,15 @@
     return outcome is ExchangeOutcome.ANSWERED or failed
 
 
+def is_own_failure(outcome: ExchangeOutcome, status: int) -> bool:
+    """Return whether a result shows that an upstream has failed the request by itself.
+
+    `status` is 0 without a complete response.
+    """
+    failed = outcome is ExchangeOutcome.FAILED and status >= MIN_SERVER_ERROR
+    return failed and status not in _NO_OWN_FAILURE_STATUSES
+
+
 def may_retry(outcome: ExchangeOutcome, repeatable: bool) -> bool:
     """Return whether a request may be sent again after an exchange with this outcome."""
     if outcome is ExchangeOutcome.ANSWERED:
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -27,6 +27,7 @@
     check_may_send,
     left_s,
 )
+from minttided.gateway.callers.plain_faults import PlainFaults
 from minttided.gateway.callers.request import GatewayRequest, end_to_end_headers, upstream_headers
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.connect_probe import probe_connection
@@ -67,17 +68,20 @@
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
         guard = CrashGuard(self._state, request, has_prompt=False)
+        faults = PlainFaults(self._state, request)
         tried: list[UpstreamId] = []
         ran = 0
         result: SendResult | None = None
         while guard.block is None:
-            upstream = self._choose(request, tried)
+            upstream = self._choose(request, tried, faults)
             if upstream is None:
                 break
             self._state.notices.take(upstream, now_s())
             sent_s = now_s()
             result = await self._send(request, upstream, checks_key=not ran)
             await self._record_result(guard, request, result, upstream, sent_s)
+            status = result.response.status if result.response is not None else 0
+            faults.record(upstream.id, result.outcome, status)
             tried.append(upstream.id)
             ran += result.outcome not in (ExchangeOutcome.REJECTED, ExchangeOutcome.NOT_SENT)
             self._log(request, result, len(tried), ran)
@@ -87,6 +91,7 @@
                 and len(tried) < MAX_SENDS
                 and guard.allows_send
                 and left_s(self._state, request) > 0.0
+                and faults.allows_retry()
                 and self._budgets.try_spend(request, len(tried))
             )
             if not again:
@@ -113,10 +118,13 @@
         delay_s = self._state.notices.shortest_delay_s(upstreams, now_s())
         return self._budgets.record_rejection(request.service, delay_s)
 
-    def _choose(self, request: GatewayRequest, tried: Sequence[UpstreamId]) -> UpstreamEntry | None:
+    def _choose(
+        self, request: GatewayRequest, tried: Sequence[UpstreamId], faults: PlainFaults
+    ) -> UpstreamEntry | None:
         active = self._state.active_upstreams(request.service)
         closed = self._state.notices.closed(active, now_s())
         candidates = [u for u in active if u.id not in closed]
+        candidates = faults.find_usable(candidates, is_retry=bool(tried)) or candidates
         untried = [u for u in candidates if u.id not in tried] or candidates
         suspected = self._state.suspects.avoided(now_s())
         available = [u for u in untried if u.id not in suspected] or untried
--- a/daemon/minttided/gateway/streams/attempt_opener.py
+++ b/daemon/minttided/gateway/streams/attempt_opener.py
@@ -4,8 +4,9 @@
 import logging
 
 from minttide.layers.paths import Path
-from minttide.policy.path_evidence import FailedPath, path_causes
-from minttide.routing.outcome import GATEWAY_TIMEOUT, NOT_RUN_STATUSES, ExchangeOutcome
+from minttide.policy.path_evidence import path_causes
+from minttide.policy.request_attempts import RequestAttempts
+from minttide.routing.outcome import ExchangeOutcome, is_own_failure
 from minttide.routing.routes import UpstreamEntry
 from minttided.gateway.callers.crash_guard import CrashGuard
 from minttided.gateway.callers.plain import FAULTY_AVOID_S
@@ -25,9 +26,6 @@
 LAST_PROBE_S = 0.06
 """Time after the deadline for a probe that shows whether the engine can be reached."""
 
-_UNTRACKED_STATUSES = NOT_RUN_STATUSES | {GATEWAY_TIMEOUT}
-"""Failures that say nothing of a fault: the request has not run, or load made it late."""
-
 
 class AttemptOpener:
     """Opens the attempts of one stream.
@@ -55,7 +53,7 @@
         self._engine_runs = engine_runs
         self._crash_guard = crash_guard
         self._log = stream_log
-        self._failed: list[FailedPath] = []  # of this stream
+        self._attempts = RequestAttempts(context.state.path_faults, request.service)
 
     async def open(self, sent: SentAttempt, last_event_id: int | None) -> StreamSendResult:
         """Return the result of an attempt once it has begun to answer or failed."""
@@ -120,23 +118,12 @@
             self._crash_guard.record_ended(sent.entry, sent.attempt.sent_s)
 
     def _track(self, path: Path, result: StreamSendResult) -> None:
-        """Record whether a path answers or fails requests, and avoid it in this stream if it fails.
-
-        A request that fails on two paths without a common engine rather explains both failures.
-        """
-        faults, service = self._context.state.path_faults, self._request.service
+        """Record whether a path answers or fails requests; avoid it in this stream if it fails."""
         if result.event is not None:
-            faults.record_answered(service, path_causes(path), now_s())
-            return
-        if result.outcome is not ExchangeOutcome.FAILED or result.status in _UNTRACKED_STATUSES:
-            return
-        failed = faults.record_failed(service, path_causes(path), now_s())
-        engines = {stage.engine for stage in path}
-        elsewhere = [f for f in self._failed if engines.isdisjoint(f.causes)]
-        for other in [*elsewhere, failed] if elsewhere else []:
-            faults.withdraw(other)
-        self._failed.append(failed)
-        self._paths.avoid_failed(path)
+            self._attempts.record_answered(path_causes(path), now_s())
+        elif is_own_failure(result.outcome, result.status):
+            self._attempts.record_failed(path_causes(path), len(path), now_s())
+            self._paths.avoid_failed(path)
 
     def record_fault(self, entry: UpstreamEntry, error: ExchangeError) -> None:
         """Let all streams avoid an engine whose response no sound one sends."""
--- a/test/test_path_faults.py
+++ b/test/test_path_faults.py
@@ -6,7 +6,14 @@
 import msgspec
 import pytest
 from fault_replay import LAYERS, SERVICE, FaultReplay, make_engines
-from gateway_site import END, STREAM_HEAD, events, plain_response
+from gateway_site import (
+    END,
+    STREAM_HEAD,
+    GatewaySite,
+    ScriptedUpstream,
+    events,
+    plain_response,
+)
 from stream_site import find_engine, make_site
 
 from minttide.policy.path_evidence import (
@@ -15,7 +22,13 @@
     limit_failed,
     service_cause,
 )
-from minttide.policy.path_faults import MIN_HOLD_S, AccusationChange, PathFaults
+from minttide.policy.path_faults import (
+    MIN_HOLD_S,
+    MIN_RETRY_SHARE,
+    AccusationChange,
+    PathFaults,
+)
+from minttide.routing.outcome import ExchangeOutcome, is_own_failure
 from minttide_fakes.memory_network import run_in_memory
 
 WARM_UP_S = 5.0
@@ -229,3 +242,86 @@
     site, _, metrics = send_streams(10, tracks=False)
     assert not site.state.path_faults.accusations
     assert "minttide_failed_paths_avoided_total{" not in metrics
+
+
+OUTCOMES = {
+    "its own failure": (ExchangeOutcome.FAILED, 500, True),
+    "a bad gateway": (ExchangeOutcome.FAILED, 502, True),
+    "no capacity": (ExchangeOutcome.FAILED, 503, False),
+    "too late": (ExchangeOutcome.FAILED, 504, False),
+    "a client error in place of the rest of a stream": (ExchangeOutcome.FAILED, 404, False),
+    "a broken connection": (ExchangeOutcome.UNKNOWN, 0, False),
+    "a rejection": (ExchangeOutcome.REJECTED, 503, False),
+}
+
+
+# Guards against accusations for load, for lost connections and for what the caller sent.
+@pytest.mark.parametrize("case", OUTCOMES)
+def test_only_failures_of_an_upstream_itself_count(case):
+    outcome, status, counts = OUTCOMES[case]
+    assert is_own_failure(outcome, status) is counts
+
+
+# Calls of plain services.
+
+
+def send_calls(failing, names="abc", count=60, tracks=True):
+    """Send calls to upstreams of which `failing` answer 500; return statuses and sends."""
+
+    async def run():
+        upstreams = [ScriptedUpstream(name) for name in names]
+        for upstream in upstreams:
+            status = 500 if upstream.name in failing else 200
+            upstream.scripts = [[plain_response(status)]] * 2 * count
+        async with GatewaySite(*upstreams) as site:
+            site.state.cfg = msgspec.structs.replace(site.state.cfg, fault_tracking=tracks)
+            statuses = []
+            for _ in range(count):
+                statuses.append((await site.send_request("get")).status)
+                await asyncio.sleep(0.05)
+            accused = {accusation.engine for accusation in site.state.path_faults.accusations}
+        return statuses, sum(len(upstream.requests) for upstream in upstreams), accused
+
+    return run_in_memory(run(), 60.0)
+
+
+def test_calls_that_fail_everywhere_are_hardly_retried():
+    """Guards against retries that take the budget of all hosts and meet the same failure."""
+    statuses, sends, accused = send_calls("abc")
+    assert statuses == [500] * 60
+    assert 61 <= sends <= 60 + 25
+    assert accused == set()
+    assert send_calls("abc", tracks=False)[1] == 120
+
+
+def test_calls_that_one_of_several_upstreams_fails_are_retried():
+    statuses, _, accused = send_calls("a")
+    assert statuses == [200] * 60
+    assert accused == set()  # A quarter of three upstreams is none.
+
+
+def test_upstream_that_fails_calls_is_accused_where_enough_others_are_left():
+    statuses, sends, accused = send_calls("a", "abcdef")
+    assert statuses == [200] * 60
+    assert accused == {"a"}
+    assert sends <= 60 + 8
+
+
+def test_part_of_the_retries_remains_and_rises_once_they_are_answered():
+    faults = PathFaults()
+    assert faults.retry_share(SERVICE, 0.0) == 1.0
+    for n in range(200):
+        faults.record_retry(SERVICE, False, n / 100)
+    assert faults.retry_share(SERVICE, 2.0) == MIN_RETRY_SHARE
+    for n in range(200):
+        faults.record_retry(SERVICE, True, 4.0 + n / 100)
+    assert faults.retry_share(SERVICE, 6.0) > 0.9
+    assert faults.retry_share(SERVICE, 30.0) == 1.0
+
+
+def test_retries_that_fail_on_other_hosts_count():
+    faults, others = PathFaults(), PathFaults()
+    for _ in range(50):
+        others.record_retry(SERVICE, False, 1.0)
+    faults.set_others(others.make_report(1.0), 1.0)
+    assert faults.retry_share(SERVICE, 1.5) == MIN_RETRY_SHARE
