Add minttide config check, and log findings of a configuration on readers

Cause: a configuration with routes that never match, services that no route names or limits that contradict each other was only noticed by its requests.

--- a/cli/minttide_cli/main.py
+++ b/cli/minttide_cli/main.py
@@ -4,6 +4,7 @@
 
 from minttide_cli.commands.ask import ask
 from minttide_cli.commands.check import check
+from minttide_cli.commands.config import config
 from minttide_cli.commands.demo import demo
 from minttide_cli.commands.drain import drain
 from minttide_cli.commands.publish import publish
@@ -25,5 +26,5 @@
     """Check and publish service files, inspect a site, and send requests as a caller does."""
 
 
-for command in (check, publish, status, drain, where, ask, schema, demo, version):
+for command in (check, config, publish, status, drain, where, ask, schema, demo, version):
     main.add_command(command)
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -7,7 +7,9 @@
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from itertools import islice
 
+from minttide.config.routing_rules import check_routing
 from minttide.ids import UpstreamId
 from minttide.routing.config_changes import share_unchanged
 from minttide.routing.routes import ClientLimits, RoutingConfig, UpstreamEntry
@@ -40,6 +42,9 @@
 MAX_RETRY_DELAY_S = 1.0
 """Longest delay between two retries of a reader. Its zone needs only one successful read."""
 
+MAX_LOGGED_FINDINGS = 10
+"""Findings of one version of the configuration that a reader logs."""
+
 
 @dataclass(frozen=True)
 class ReadPolicy:
@@ -80,6 +85,14 @@
             remaining_s = started_s + delay_s * self._policy.retry_factor() - now_s()
 
 
+def _log_findings(config: RoutingConfig) -> None:
+    """Log the first findings of a configuration, which is used all the same."""
+    findings = check_routing(config, "configuration")
+    for finding in islice(findings, MAX_LOGGED_FINDINGS):
+        extra = {"version": config.version, "place": finding.place, "finding": finding.message}
+        log.warning("configuration finding", extra={**extra, "findings": len(findings)})
+
+
 class ConfigWatcher:
     """Keeps the route table at the latest configuration and never goes back to an older version.
 
@@ -152,6 +165,8 @@
         if config is None or (current is not None and config.version <= current.version):
             return
         self._state.table = RouteTable(config)
+        if source == "store":
+            _log_findings(config)
         self._versions.record(config)
         self._state.notify_change()
         self._on_change(config.limits)
