Count no more saved tokens than a prompt has

Cause: callers give the sizes of parts, so a false one made the counter of saved tokens meaningless. Change: report_choice cuts them to the prompt; a method that nobody used is gone from the stand-in engine.

--- a/daemon/minttided/gateway/streams/prefixes.py
+++ b/daemon/minttided/gateway/streams/prefixes.py
@@ -72,7 +72,8 @@
         held = self.find_held(model, size)
         if not held:
             return
-        tokens = {engine: prefix.tokens for engine, prefix in held.items()}
+        # Callers give the sizes of parts, which may be more than the prompt.
+        tokens = {engine: min(prefix.tokens, size.prompt) for engine, prefix in held.items()}
         saved = held_by_all(tokens, (stage.engine for stage in path))
         most = max(tokens.values())
         self._state.metrics.count_prefix_tokens(request.service, saved, most - saved)
--- a/fakes/minttide_fakes/retaining.py
+++ b/fakes/minttide_fakes/retaining.py
@@ -63,11 +63,6 @@
         """Return the time of a decode step with the present streams."""
         return step_ms(self._model, self._kind, self._layers, self.streams) * self.slowdown
 
-    def restart(self) -> None:
-        """Lose all that is kept."""
-        self._kept.clear()
-        self._kept_tokens = 0.0
-
     def _keep(self, size: RequestSize) -> None:
         """Keep a prompt: each part between two prefixes, and what is the request's own."""
         before = 0.0
--- a/test/test_gateway_prefixes.py
+++ b/test/test_gateway_prefixes.py
@@ -54,6 +54,13 @@
     assert 'minttide_prefix_tokens_total{service="model",use="saved"} 4500' in site.rendered
 
 
+def test_a_part_that_is_larger_than_its_prompt_saves_no_more_than_the_prompt(caplog):
+    """Guards against callers that make the counters meaningless."""
+    caplog.set_level(logging.INFO)
+    run_streams(KEEPS, parts="aa:999999999,own{}:1", count=2)
+    assert [r.saved for r in caplog.records if r.getMessage() == "prefix weighed"] == [1000]
+
+
 def test_nothing_is_kept_or_reported_where_engines_keep_no_prompts(caplog):
     """Guards against a cost, a line or a label for deployments without such memory."""
     caplog.set_level(logging.INFO)
