Choose contended upstreams of plain services by the calls of all hosts

Cause: with 83 to 1,600 hosts in front of three upstreams, a host has at most one call of the service open, so the fewest own calls say nothing of a full or slow upstream; all hosts of a zone go on calling its upstream.

Change: policy/shared_places.py weighs the upstreams of a service by accepted calls and time to the answer in the last 2 s over all hosts, which report their sums as usages. It acts for 60 s after an upstream has rejected a call with 429 or 503; without reports a host counts its own calls alone.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -223,6 +223,8 @@
         self._loads = EngineLoads(self._count_zone_hosts, self._peer_loads)
         budgets = RetryBudgets(self.state, self.membership.count_hosts, now_s())
         plain = PlainForwarder(self.state, budgets)
+        plain.places.shared.read_others = self._loads.select_others
+        self._loads.reported_sources.append(plain.places.local_usages)
         streams = StreamForwarder(self.state, budgets, self._loads)
         handler = RequestHandler(self.state, plain, streams, budgets)
         handler.forwarding = ForwardingClient(
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -27,6 +27,7 @@
     check_may_send,
     left_s,
 )
+from minttided.gateway.callers.plain_places import PlainPlaces
 from minttided.gateway.callers.request import GatewayRequest, end_to_end_headers, upstream_headers
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.connect_probe import probe_connection
@@ -63,6 +64,7 @@
         self._state = state
         self._budgets = budgets
         self._running: Counter[UpstreamId] = Counter()
+        self.places = PlainPlaces(state)
 
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
@@ -120,7 +122,8 @@
         untried = [u for u in candidates if u.id not in tried] or candidates
         suspected = self._state.suspects.avoided(now_s())
         available = [u for u in untried if u.id not in suspected] or untried
-        return choose_upstream(available, self._running, self._state.cfg.zone, self._state.rng)
+        narrowed = self.places.narrow(available, self._running)
+        return choose_upstream(narrowed, self._running, self._state.cfg.zone, self._state.rng)
 
     async def _send(
         self, request: GatewayRequest, upstream: UpstreamEntry, checks_key: bool
@@ -149,6 +152,8 @@
         sent_s: float,
     ) -> None:
         """Record whether the upstream has run the request, or has ended meanwhile."""
+        status = result.response.status if result.response is not None else None
+        self.places.record(upstream, result.outcome, status, sent_s, request.end_s)
         if result.response is not None and has_run(result.outcome, result.response.status):
             guard.record_start()
         broke = result.outcome is ExchangeOutcome.UNKNOWN and now_s() < request.end_s
--- /dev/null
+++ b/daemon/minttided/gateway/callers/plain_places.py
@@ -0,0 +1,71 @@
+"""Records the calls to plain services by which hosts share the places of upstreams."""
+
+import logging
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+from minttide.ids import ServiceName, UpstreamId
+from minttide.layers.usage import Usage
+from minttide.policy.shared_places import CallSums, SharedPlaces
+from minttide.routing.outcome import SERVICE_UNAVAILABLE, ExchangeOutcome
+from minttide.routing.routes import UpstreamEntry
+from minttided.gateway.state import GatewayState, now_s
+
+log = logging.getLogger(__name__)
+
+TOO_MANY_REQUESTS = 429
+
+FULL_STATUSES = frozenset({SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS})
+"""Statuses of a rejection that says that an upstream has no place."""
+
+
+class PlainPlaces:
+    """The places of plain services as this host's calls and other hosts' reports show them."""
+
+    def __init__(self, state: GatewayState):
+        self._state = state
+        self.shared = SharedPlaces(state.rng, on_change=self._log_change)
+
+    def narrow(
+        self, candidates: Sequence[UpstreamEntry], running: Counter[UpstreamId]
+    ) -> Sequence[UpstreamEntry]:
+        """Return the upstreams to choose from, see `SharedPlaces.narrow`."""
+        return self.shared.narrow(candidates, running, now_s())
+
+    def local_usages(self) -> dict[str, Usage]:
+        """Return this host's recent calls as other hosts read them."""
+        return self.shared.local_usages(now_s())
+
+    def record(
+        self,
+        upstream: UpstreamEntry,
+        outcome: ExchangeOutcome,
+        status: int | None,
+        sent_s: float,
+        end_s: float,
+    ) -> None:
+        """Record the end of a call that was sent at `sent_s` and had to end by `end_s`.
+
+        A failure isn't recorded, since a failing upstream may be quicker than one that works.
+        """
+        now = now_s()
+        rejected = outcome is ExchangeOutcome.REJECTED and status in FULL_STATUSES
+        silent = outcome is ExchangeOutcome.UNKNOWN and now >= end_s
+        if rejected:
+            self._state.metrics.count_upstream_rejection(upstream.service)
+        if rejected or silent or outcome is ExchangeOutcome.ANSWERED:
+            self.shared.record(upstream, now, now - sent_s, rejected)
+
+    def _log_change(self, service: ServiceName, sums: Mapping[UpstreamId, CallSums]) -> None:
+        contended = self.shared.is_contended(service)
+        self._state.metrics.set_contended(service, contended)
+        log.log(
+            logging.WARNING if contended else logging.INFO,
+            "upstreams contended" if contended else "upstreams no longer contended",
+            extra={
+                "service": service,
+                "rejections": {u: s.rejections for u, s in sums.items()},
+                "answers": {u: s.answers for u, s in sums.items()},
+                "weights": {u: round(w, 2) for u, w in self.shared.weights(service).items()},
+            },
+        )
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -54,12 +54,26 @@
 
         `host_count` is the number of hosts in this zone, including this one.
         """
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return parts[0] if len(parts) == 1 else add_usages(parts)
+
+    def select_others(self, names: Collection[str], host_count: float) -> Usages | None:
+        """Return the part of `others` with these names, in less time than all of it takes."""
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return add_usages({n: part[n] for n in names if n in part} for part in parts)
+
+    def _find_parts(self, host_count: float) -> list[Usages] | None:
+        """Return the reports whose sum is the total load of all other hosts."""
         now = now_s()
-        reporting = len(self.hosts.fresh(now))
-        if reporting and reporting >= MIN_REPORTING_FRACTION * (host_count - 1):
-            return add_usages([self.hosts.total(now), self.zones.total(now)])
+        hosts = self.hosts.fresh(now)
+        if hosts and len(hosts) >= MIN_REPORTING_FRACTION * (host_count - 1):
+            return [*hosts.values(), *self.zones.fresh(now).values()]
         if now - self._peer_totals_set_s <= REPORT_TTL_S:
-            return self._peer_totals
+            return [self._peer_totals]
         return None
 
 
@@ -81,6 +95,7 @@
         self._local: dict[UpstreamId, EngineLoad] = defaultdict(EngineLoad)
         self._slow_paces: dict[str, _SlowPace] = {}
         self._link_transfers: deque[tuple[float, str, float]] = deque()  # time, link, tokens
+        self.reported_sources: list[Callable[[], Usages]] = []
 
     def record_report(self, engine: UpstreamId, report: EngineReport) -> None:
         """Record the pace of an engine that reports itself as slow."""
@@ -114,6 +129,14 @@
             load.tokens += sign * (request_size.prompt + request_size.answer / 2)
 
     def local_usages(self) -> dict[str, Usage]:
+        """Return this host's usages for other hosts, those of `reported_sources` included."""
+        return add_usages([self._own_usages(), *(read() for read in self.reported_sources)])
+
+    def select_others(self, names: Collection[str]) -> Usages | None:
+        """Return the named usages of all other hosts, or None without enough recent reports."""
+        return self._peer_loads.select_others(names, self._count_hosts())
+
+    def _own_usages(self) -> dict[str, Usage]:
         """Return this host's streams by engine, and its recent transfers by link."""
         running: Usages = {
             e: Usage(int(load.streams), int(load.tokens))
@@ -134,7 +157,7 @@
         others = self._peer_loads.others(host_count)
         now = now_s()
         self._slow_paces = {e: s for e, s in self._slow_paces.items() if s.until_s > now}
-        local = self.local_usages()
+        local = self._own_usages()
         names = {*local, *self._slow_paces, *(others or ())}
         if others is None:
             return {n: self._extrapolate(n, local.get(n, Usage()), host_count) for n in names}
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -42,6 +42,14 @@
         self._cut_offs = self._counter(
             "minttide_cut_offs_total", "Times that this host was cut off from a service."
         )
+        self._upstream_rejections = self._counter(
+            "minttide_upstream_rejections_total",
+            "Calls of a plain service that an upstream without a free place rejected.",
+        )
+        self._contended = self._gauge(
+            "minttide_contended",
+            "1 while the upstreams of a plain service are chosen by weight, by service.",
+        )
         self._first_token = self._histogram(
             "minttide_first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_S
         )
@@ -107,6 +115,14 @@
         """Count that this host can't connect to the upstreams that a service needs."""
         self._cut_offs.inc({"service": service})
 
+    def count_upstream_rejection(self, service: ServiceName) -> None:
+        """Count a call that an upstream without a free place rejected."""
+        self._upstream_rejections.inc({"service": service})
+
+    def set_contended(self, service: ServiceName, contended: bool) -> None:
+        """Set whether the upstreams of a plain service are chosen by weight."""
+        self._contended.set({"service": service}, int(contended))
+
     def count_dropped_reply(self) -> None:
         """Count a late, duplicate or mismatched reply."""
         self._dropped_replies.inc({})
--- a/test/test_gateway_plain.py
+++ b/test/test_gateway_plain.py
@@ -6,6 +6,7 @@
 import pytest
 from gateway_site import NOT_RUN, RESET, GatewaySite, ScriptedUpstream, plain_response
 
+from minttide.policy.shared_places import UPDATE_S
 from minttide.policy.shared_retries import CREDIT_CAPACITY, RetryLimit
 
 
@@ -202,6 +203,30 @@
     assert f'minttide_retries_total{{allowed="{allowed}",service="plain"}}' in metrics
 
 
+MISDIRECTED = [plain_response(421, b"", headers=NOT_RUN)]
+
+
+@pytest.mark.parametrize(
+    ("script", "contended"), [(REJECTED, True), (MISDIRECTED, False), (FAILED, False)]
+)
+def test_upstreams_are_contended_only_after_a_rejection_for_lack_of_places(
+    script, contended, caplog
+):
+    """Guards against choosing by weight after answers that say nothing of an upstream's places."""
+
+    async def run():
+        async with GatewaySite(*(ScriptedUpstream(name, script) for name in "ab")) as site:
+            await site.send_request("get")
+            await asyncio.sleep(UPDATE_S)
+            await site.send_request("get")
+            return site.state.metrics.render().decode()
+
+    metrics = asyncio.run(run())
+    assert ("upstreams contended" in caplog.messages) is contended
+    assert ('minttide_contended{service="plain"} 1' in metrics) is contended
+    assert ("minttide_upstream_rejections_total{" in metrics) is contended
+
+
 def test_request_that_may_have_run_is_not_called_not_run_when_no_upstream_is_left():
     async def run():
         upstream = ScriptedUpstream("a")
