Name loaded hosts less often, and let calls wait for full upstreams

Cause: hosts of 0.36 to 2 cores were named to callers alike, whatever their load; LocalVitals had load 0.0. Calls of a burst beyond all places reached full upstreams at once and were sent again.

Change: each host measures processor (its time, or the delay of its loop), memory (buffers against their limits) and connections. From 0.5 on it reports its load, in steps of an eighth, as a usage, and in its vitals; the directory names a host as often as its free capacity against the freest one, eight hosts at least. A report counts for 3 s, then the mean. A call that isn't repeatable waits up to 0.3 s, and half of its objective, while no upstream has a weight of 0.8.

Waiting before a retry instead brought nothing and isn't built.

--- a/core/minttide/policy/entry_hosts.py
+++ b/core/minttide/policy/entry_hosts.py
@@ -67,7 +67,11 @@
     return distance
 
 
+def free_fraction(load: float) -> float:
+    """Return the free capacity of a host with this load, as a weight of `MIN_WEIGHT` to 1."""
+    return max(MIN_WEIGHT, 1.0 - load)
+
+
 def _random_key(member: MemberView, rng: random.Random) -> float:
     """Return a random sort key, whose mean falls as the free capacity of the host grows."""
-    weight = max(MIN_WEIGHT, 1.0 - member.load)
-    return rng.expovariate(weight)
+    return rng.expovariate(free_fraction(member.load))
--- a/core/minttide/policy/shared_places.py
+++ b/core/minttide/policy/shared_places.py
@@ -60,6 +60,14 @@
 MAX_REPORTED_SERVICES = 16
 """Services that a host reports, those with the latest rejections; bounds the bytes of a report."""
 
+WAIT_BELOW = 0.8
+"""Calls wait while the largest weight of the service's upstreams is below this."""
+
+MAX_WAIT_S = 0.3
+"""Longest wait of a call. Waits of up to 0.15 s spread a burst less: 0.95 of the rejections of no
+waiting at all in place of 0.87.
+"""
+
 UPDATE_S = 0.25
 """Shortest time between two updates of the weights of a service."""
 
@@ -256,6 +264,15 @@
         """Return whether the upstreams of a service are chosen by weight."""
         return service in self._services and self._services[service].contended
 
+    def draw_wait_s(self, service: ServiceName, limit_s: float) -> float:
+        """Return how long a call should wait, up to `limit_s`, while all upstreams are full.
+
+        Calls of a burst that wait for random times don't all reach the full upstreams.
+        """
+        if not self.is_contended(service) or max(self.weights(service).values()) >= WAIT_BELOW:
+            return 0.0
+        return self._rng.uniform(0.0, min(MAX_WAIT_S, max(0.0, limit_s)))
+
     def weights(self, service: ServiceName) -> dict[UpstreamId, float]:
         """Return the weights, `MIN_WEIGHT` to 1, of the upstreams of a service."""
         return {u: found.weight for u, found in self._services[service].upstreams.items()}
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -9,6 +9,7 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import NO_OFFSET, Address, Incarnation, Offset, ZoneId
+from minttide.policy.host_load import LoadParts
 from minttide.policy.upstream_limits import SharingHosts
 from minttide.routing.freshness import ConfigFreshness
 from minttide.routing.headers import HeaderNames
@@ -26,6 +27,7 @@
 from minttided.gateway.callers.retry_budgets import RetryBudgets
 from minttided.gateway.forwarding.client import ForwardingClient
 from minttided.gateway.forwarding.server import DrainedRequests, ForwardingServer
+from minttided.gateway.load_meter import LoadMeter
 from minttided.gateway.placement.placer import Placer
 from minttided.gateway.reach_monitor import ReachMonitor
 from minttided.gateway.settings import GatewaySettings
@@ -238,6 +240,13 @@
             Bounds(max_connections=self.cfg.max_connections),
             bodies,
         )
+        self._load_meter = LoadMeter(
+            self.state,
+            lambda: self._read_load(bodies),
+            self._loads.find_others,
+            self.membership.count_hosts,
+        )
+        self._loads.reported_sources.append(self._load_meter.usages)
         return streams
 
     def _make_sync(self, peer_client: PeerClient, streams: StreamForwarder) -> None:
@@ -292,6 +301,10 @@
             self._wire_format.encode,
             self._wire_format.resolve_path,
             self.state.rng,
+            self._load_meter.estimate,
+        )
+        loop_monitor = LoopMonitor(
+            self.state.ticks, self.state.metrics, self._load_meter.record_delay
         )
         health = HealthHandler(self._is_ready, self._wire_format.health_path)
         return Supervisor(
@@ -299,7 +312,7 @@
             [
                 Child("platform", Supervisor("platform", platform, UNLIMITED).run),
                 Child("reach", self._reach_monitor.run),
-                Child("loop monitor", LoopMonitor(self.state.ticks, self.state.metrics).run),
+                Child("loop monitor", loop_monitor.run),
                 Child("callers", self._run_caller_server),
                 Child("directory", self._serve(resolver.handle, self.cfg.directory)),
                 Child("health", self._serve(health.handle, self.cfg.health)),
@@ -350,7 +363,14 @@
         table = self.state.table
         serving = self.state.serving and table is not None
         applied = Offset(table.version) if serving and table else NO_OFFSET
-        return LocalVitals(applied, 0.0, tuple(sorted(self.state.cut_off_services)))
+        level = self._load_meter.level
+        return LocalVitals(applied, level, tuple(sorted(self.state.cut_off_services)))
+
+    def _read_load(self, bodies: BodyBudget) -> LoadParts:
+        """Return the load of memory and connections; the processor is measured elsewhere."""
+        buffers = (bodies.used_fraction, self.state.response_buffers.used_fraction)
+        connections = self.caller_server.connections / self.cfg.max_connections
+        return LoadParts(memory=max(buffers), connections=connections)
 
     def _count_zone_hosts(self) -> float:
         """Return the number of hosts in this zone that use its engines, including this one."""
--- a/daemon/minttided/gateway/callers/directory.py
+++ b/daemon/minttided/gateway/callers/directory.py
@@ -1,16 +1,20 @@
 """Serves the addresses of hosts to callers, and this host's readiness to the platform."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
-from minttide.ids import NO_OFFSET, Address
+from minttide.ids import NO_OFFSET, Address, HostId
 from minttide.interfaces import MemberView
+from minttide.policy.host_load import draw_hosts
 from minttided.http.messages import HttpRequest, HttpResponse
 
 MAX_ADDRESSES = 64
 
+EstimateLoads = Callable[[Sequence[MemberView]], Mapping[HostId, float]]
+"""Returns the loads of hosts, from 0 to 1; hosts that are left out have none."""
+
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -25,9 +29,15 @@
 """
 
 
-def choose_addresses(members: Sequence[MemberView], rng: random.Random) -> list[Address]:
+def choose_addresses(
+    members: Sequence[MemberView],
+    rng: random.Random,
+    estimate_loads: EstimateLoads = lambda members: {},
+) -> list[Address]:
     """Return the addresses of hosts that can serve requests, in random order.
 
+    Loaded hosts are returned less often, see `draw_hosts`.
+
     Hosts that can't serve are returned only if no host can, and suspected ones only if all are
     suspected: callers that keep these addresses can reconnect as soon as an outage of the platform
     is over. Hosts that are cut off from the upstreams of any service are returned only if all
@@ -39,9 +49,8 @@
         if not preferred:
             break
         chosen = preferred
-    addresses = [m.callers for m in chosen]
-    rng.shuffle(addresses)
-    return addresses[:MAX_ADDRESSES]
+    drawn = draw_hosts(chosen, estimate_loads(chosen), MAX_ADDRESSES, rng)
+    return [m.callers for m in drawn]
 
 
 class ResolveBody(msgspec.Struct):
@@ -61,7 +70,9 @@
         encode: Callable[[ResolveBody], bytes],
         path: str,
         rng: random.Random,
+        estimate_loads: EstimateLoads = lambda members: {},
     ):
+        self._estimate_loads = estimate_loads
         self._members = members
         self._keep_s = keep_s
         self._encode = encode
@@ -72,7 +83,7 @@
         """Return the response to one request."""
         if req.path != self._path or req.method != "GET":
             return HttpResponse(404)
-        addresses = choose_addresses(self._members(), self._rng)
+        addresses = choose_addresses(self._members(), self._rng, self._estimate_loads)
         if not addresses:
             return HttpResponse(_UNAVAILABLE, headers=[("retry-after", "1")])
         return HttpResponse(_OK, self._encode(ResolveBody(addresses, self._keep_s)))
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -68,6 +68,7 @@
 
     async def run(self, request: GatewayRequest) -> HttpResponse:
         """Return the response to a request. Raises `RequestError`."""
+        await self.places.wait(request)
         guard = CrashGuard(self._state, request, has_prompt=False)
         tried: list[UpstreamId] = []
         ran = 0
@@ -112,6 +113,7 @@
         That is at least the time until some upstream takes requests, by what they say.
         """
         upstreams = self._state.active_upstreams(request.service)
+        self.places.record_refusal(request.service)
         delay_s = self._state.notices.shortest_delay_s(upstreams, now_s())
         return self._budgets.record_rejection(request.service, delay_s)
 
--- a/daemon/minttided/gateway/callers/plain_places.py
+++ b/daemon/minttided/gateway/callers/plain_places.py
@@ -1,5 +1,6 @@
 """Records the calls to plain services by which hosts share the places of upstreams."""
 
+import asyncio
 import logging
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -9,6 +10,8 @@
 from minttide.policy.shared_places import CallSums, SharedPlaces
 from minttide.routing.outcome import SERVICE_UNAVAILABLE, ExchangeOutcome
 from minttide.routing.routes import UpstreamEntry
+from minttided.gateway.callers.permissions import age_s, left_s
+from minttided.gateway.callers.request import GatewayRequest
 from minttided.gateway.state import GatewayState, now_s
 
 log = logging.getLogger(__name__)
@@ -18,6 +21,9 @@
 FULL_STATUSES = frozenset({SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS})
 """Statuses of a rejection that says that an upstream has no place."""
 
+OBJECTIVE_FRACTION = 0.5
+"""Part of what is left of a call's objective that it may wait; the rest is for its answer."""
+
 
 class PlainPlaces:
     """The places of plain services as this host's calls and other hosts' reports show them."""
@@ -32,6 +38,24 @@
         """Return the upstreams to choose from, see `SharedPlaces.narrow`."""
         return self.shared.narrow(candidates, running, now_s())
 
+    async def wait(self, request: GatewayRequest) -> None:
+        """Let a call that isn't repeatable wait for a place, for part of its objective."""
+        if request.route.repeatable:
+            return
+        objective_s = min(request.route.objective_s, left_s(self._state, request))
+        limit_s = OBJECTIVE_FRACTION * (objective_s - age_s(self._state, request))
+        wait_s = self.shared.draw_wait_s(request.service, limit_s)
+        if wait_s <= 0.0:
+            return
+        self._state.metrics.count_contended_call(request.service, "waited")
+        log.info("call waits", extra={"request": request.attempt_id, "wait_s": wait_s})
+        await asyncio.sleep(wait_s)
+
+    def record_refusal(self, service: ServiceName) -> None:
+        """Count a call that was refused while there was contention."""
+        if self.shared.is_contended(service):
+            self._state.metrics.count_contended_call(service, "refused")
+
     def local_usages(self) -> dict[str, Usage]:
         """Return this host's recent calls as other hosts read them."""
         return self.shared.local_usages(now_s())
@@ -52,7 +76,7 @@
         rejected = outcome is ExchangeOutcome.REJECTED and status in FULL_STATUSES
         silent = outcome is ExchangeOutcome.UNKNOWN and now >= end_s
         if rejected:
-            self._state.metrics.count_upstream_rejection(upstream.service)
+            self._state.metrics.count_contended_call(upstream.service, "rejected")
         if rejected or silent or outcome is ExchangeOutcome.ANSWERED:
             self.shared.record(upstream, now, now - sent_s, rejected)
 
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -66,6 +66,15 @@
             return None
         return add_usages({n: part[n] for n in names if n in part} for part in parts)
 
+    def find_others(self, prefix: str, host_count: float) -> Usages | None:
+        """Return the part of `others` whose names begin with `prefix`."""
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return add_usages(
+            {n: usage for n, usage in part.items() if n.startswith(prefix)} for part in parts
+        )
+
     def _find_parts(self, host_count: float) -> list[Usages] | None:
         """Return the reports whose sum is the total load of all other hosts."""
         now = now_s()
@@ -136,6 +145,10 @@
         """Return the named usages of all other hosts, or None without enough recent reports."""
         return self._peer_loads.select_others(names, self._count_hosts())
 
+    def find_others(self, prefix: str) -> Usages | None:
+        """Return the usages of all other hosts whose names begin with `prefix`, or None."""
+        return self._peer_loads.find_others(prefix, self._count_hosts())
+
     def _own_usages(self) -> dict[str, Usage]:
         """Return this host's streams by engine, and its recent transfers by link."""
         running: Usages = {
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -36,6 +36,11 @@
         """Return whether the limit depends on the largest size of a body."""
         return self._max_bytes is None
 
+    @property
+    def used_fraction(self) -> float:
+        """Return the part of the limit that is used, 0 where it depends on the size of a body."""
+        return self.buffered_bytes / self._max_bytes if self._max_bytes else 0.0
+
     def is_exhausted(self, max_body_bytes: int) -> bool:
         """Return whether too many bytes are buffered, where each body may have so many."""
         max_bytes = self._max_bytes
--- a/daemon/minttided/http/response_buffers.py
+++ b/daemon/minttided/http/response_buffers.py
@@ -55,6 +55,11 @@
         self._responses: set[BufferedResponse] = set()
         self.total_bytes = 0
 
+    @property
+    def used_fraction(self) -> float:
+        """Return the part of the limit that is used."""
+        return self.total_bytes / self._max_bytes
+
     def open(self, on_end: Callable[[], None]) -> BufferedResponse:
         """Return a response of which nothing is buffered yet."""
         return BufferedResponse(self, on_end)
--- a/daemon/minttided/loop_monitor.py
+++ b/daemon/minttided/loop_monitor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from minttided.http.turns import INPUT_COUNTS
 from minttided.operators.metrics import Metrics
@@ -15,10 +16,23 @@
 """Shortest time between two log lines about delays."""
 
 
+def _ignore_delay(delay_s: float, now_s: float) -> None:
+    """Ignore a delay."""
+
+
 class LoopMonitor:
-    """Samples the delay of the event loop at the ticks of this process."""
+    """Samples the delay of the event loop at the ticks of this process.
+
+    `on_delay` is called with each delay and the present time, both in seconds.
+    """
 
-    def __init__(self, ticks: Ticks, metrics: Metrics):
+    def __init__(
+        self,
+        ticks: Ticks,
+        metrics: Metrics,
+        on_delay: Callable[[float, float], None] = _ignore_delay,
+    ):
+        self._on_delay = on_delay
         self._ticks = ticks
         self._metrics = metrics
         self._logged_s = float("-inf")
@@ -35,6 +49,7 @@
         """Record one delay, and log a long one with the input that cost most meanwhile."""
         largest = INPUT_COUNTS.take_largest()
         self._metrics.observe_loop_delay(delay_s)
+        self._on_delay(delay_s, now_s)
         if delay_s < MIN_LOGGED_DELAY_S:
             return
         if now_s - self._logged_s < MIN_LOG_INTERVAL_S:
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable
 
+import msgspec
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from minttide.gossip import Status
 from minttide.ids import ServiceName, StreamName
+from minttide.policy.host_load import LoadParts
 from minttide.problems import Ran
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -42,9 +44,9 @@
         self._cut_offs = self._counter(
             "minttide_cut_offs_total", "Times that this host was cut off from a service."
         )
-        self._upstream_rejections = self._counter(
-            "minttide_upstream_rejections_total",
-            "Calls of a plain service that an upstream without a free place rejected.",
+        self._contended_calls = self._counter(
+            "minttide_contended_calls_total",
+            "Calls of plain services that waited, were refused, or were rejected by an upstream.",
         )
         self._contended = self._gauge(
             "minttide_contended",
@@ -81,6 +83,7 @@
         )
         self._leaving = self._gauge("minttide_leaving", "1 while this host is leaving.")
         self._open_requests = self._gauge("minttide_open_requests", "Requests in progress.")
+        self._load = self._gauge("minttide_host_load", "Load of this host, 0 to 1, by part.")
         self._plan_offset = self._gauge(
             "minttide_plan_offset", "Offset of the plan in force, its fencing token."
         )
@@ -115,9 +118,9 @@
         """Count that this host can't connect to the upstreams that a service needs."""
         self._cut_offs.inc({"service": service})
 
-    def count_upstream_rejection(self, service: ServiceName) -> None:
-        """Count a call that an upstream without a free place rejected."""
-        self._upstream_rejections.inc({"service": service})
+    def count_contended_call(self, service: ServiceName, end: str) -> None:
+        """Count a call that waited, was refused, or was rejected by an upstream that is full."""
+        self._contended_calls.inc({"service": service, "end": end})
 
     def set_contended(self, service: ServiceName, contended: bool) -> None:
         """Set whether the upstreams of a plain service are chosen by weight."""
@@ -168,6 +171,11 @@
         self._leaving.set({}, int(leaving))
         self._open_requests.set({}, open_requests)
 
+    def set_load(self, parts: LoadParts) -> None:
+        """Set the load of this host by its parts."""
+        for part, load in msgspec.structs.asdict(parts).items():
+            self._load.set({"part": part}, load)
+
     def set_placement(self, plan_offset: int, reserved_watts: int, cap_watts: int) -> None:
         """Set the offset of the plan in force, the reserved power and the power cap."""
         self._plan_offset.set({}, plan_offset)
--- a/test/places_replay.py
+++ b/test/places_replay.py
@@ -25,6 +25,7 @@
 PLACES, QUEUE = 6, 24
 SERVICE_S = (0.020, 0.045)
 DEADLINE_S = (0.6, 1.2)
+OBJECTIVE_S = 0.5
 EXCHANGE_S = 0.45
 """Period in which hosts exchange their usages; a report is as old at most."""
 
@@ -165,6 +166,8 @@
     async def _call(self, host, deadline_s, repeatable):
         start_s, tried = _now(), []
         host.budget.record_request(RETRIES)
+        if host.places is not None and not repeatable:
+            await asyncio.sleep(host.places.draw_wait_s(SERVICE, OBJECTIVE_S / 2))
         while len(tried) < MAX_SENDS:
             entry = self._choose(host, tried)
             tried.append(entry.id)
--- a/test/test_gateway_plain.py
+++ b/test/test_gateway_plain.py
@@ -224,7 +224,30 @@
     metrics = asyncio.run(run())
     assert ("upstreams contended" in caplog.messages) is contended
     assert ('minttide_contended{service="plain"} 1' in metrics) is contended
-    assert ("minttide_upstream_rejections_total{" in metrics) is contended
+    assert ('contended_calls_total{end="rejected",service="plain"}' in metrics) is contended
+
+
+@pytest.mark.parametrize(("name", "waits"), [("post", True), ("get", False)])
+def test_only_calls_that_are_not_repeatable_wait_for_full_upstreams(name, waits, caplog):
+    """Guards against calls that reach full upstreams at once, or wait beyond their objective."""
+    caplog.set_level("INFO")
+
+    async def run():
+        async with GatewaySite(
+            *(ScriptedUpstream(name, *[REJECTED] * 99) for name in "ab")
+        ) as site:
+            await site.send_request("get")
+            await asyncio.sleep(UPDATE_S)
+            await site.send_request("get")
+            response = await site.send_request(name, "POST" if name == "post" else "GET")
+            return response, site.state.metrics.render().decode()
+
+    response, metrics = asyncio.run(run())
+    assert response.status == 503 and float(response.headers["retry-after"]) > 0
+    lines = [r for r in caplog.records if r.message == "call waits"]
+    assert bool(lines) is waits and all(0.0 < r.wait_s <= 0.25 for r in lines)
+    assert ('contended_calls_total{end="waited",service="plain"} 1' in metrics) is waits
+    assert 'contended_calls_total{end="refused",service="plain"}' in metrics
 
 
 def test_request_that_may_have_run_is_not_called_not_run_when_no_upstream_is_left():
--- a/test/test_shared_places.py
+++ b/test/test_shared_places.py
@@ -57,6 +57,16 @@
         assert len(now.unserved_s) < 0.4 * len(before.unserved_s)
 
 
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_burst_beyond_all_places_is_rejected_less(hosts):
+    """Guards against hosts that send the calls of a burst again while all upstreams are full."""
+    load = Load(hosts, CALLS_PER_S, 2.5, (7.0, 13.0), fault=SLOW, seconds=18.0)
+    before, now = replay(load, shares=False), replay(load, shares=True)
+    assert now.rejections < 0.95 * before.rejections
+    assert len(now.unserved_s) < 0.95 * len(before.unserved_s)
+    assert now.retries <= 1.05 * before.retries
+
+
 @pytest.mark.parametrize("name", ["slow", "silent"])
 @pytest.mark.parametrize(
     "faults",
