--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -64,12 +64,35 @@
 
         `host_count` is the number of hosts in this zone, including this one.
         """
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return parts[0] if len(parts) == 1 else add_usages(parts)
+
+    def select_others(self, names: Collection[str], host_count: float) -> Usages | None:
+        """Return the part of `others` with these names, in less time than all of it takes."""
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return add_usages({n: part[n] for n in names if n in part} for part in parts)
+
+    def find_others(self, prefix: str, host_count: float) -> Usages | None:
+        """Return the part of `others` whose names begin with `prefix`."""
+        parts = self._find_parts(host_count)
+        if parts is None:
+            return None
+        return add_usages(
+            {n: usage for n, usage in part.items() if n.startswith(prefix)} for part in parts
+        )
+
+    def _find_parts(self, host_count: float) -> list[Usages] | None:
+        """Return the reports whose sum is the total load of all other hosts."""
         now = now_s()
-        reporting = len(self.hosts.fresh(now))
-        if reporting and reporting >= MIN_REPORTING_FRACTION * (host_count - 1):
-            return add_usages([self.hosts.total(now), self.zones.total(now)])
+        hosts = self.hosts.fresh(now)
+        if hosts and len(hosts) >= MIN_REPORTING_FRACTION * (host_count - 1):
+            return [*hosts.values(), *self.zones.fresh(now).values()]
         if now - self._peer_totals_set_s <= REPORT_TTL_S:
-            return self._peer_totals
+            return [self._peer_totals]
         return None
 
     def age_s(self) -> float:
@@ -165,6 +188,14 @@
         """Return the age in seconds of what `others` returns."""
         return self._peer_loads.age_s()
 
+    def select_others(self, names: Collection[str]) -> Usages | None:
+        """Return the named usages of all other hosts, or None without enough recent reports."""
+        return self._peer_loads.select_others(names, self.count_hosts())
+
+    def find_others(self, prefix: str) -> Usages | None:
+        """Return the usages of all other hosts whose names begin with `prefix`, or None."""
+        return self._peer_loads.find_others(prefix, self.count_hosts())
+
     def _path_usages(self) -> dict[str, Usage]:
         running: Usages = {
             e: Usage(int(load.streams), int(load.tokens))
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 
+import msgspec
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from minttide.gossip import Status
 from minttide.ids import ServiceName, StreamName
+from minttide.policy.host_load import LoadParts
 from minttide.problems import Ran
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -60,6 +62,14 @@
             "minttide_accused_engines", "Engines that are accused of failing requests, by service."
         )
         self._accused_services: set[ServiceName] = set()
+        self._contended_calls = self._counter(
+            "minttide_contended_calls_total",
+            "Calls of plain services that waited, were refused, or were rejected by an upstream.",
+        )
+        self._contended = self._gauge(
+            "minttide_contended",
+            "1 while the upstreams of a plain service are chosen by weight, by service.",
+        )
         self._first_token = self._histogram(
             "minttide_first_token_seconds", "Time to the first token.", FIRST_TOKEN_BUCKETS_S
         )
@@ -91,6 +101,7 @@
         )
         self._leaving = self._gauge("minttide_leaving", "1 while this host is leaving.")
         self._open_requests = self._gauge("minttide_open_requests", "Requests in progress.")
+        self._load = self._gauge("minttide_host_load", "Load of this host, 0 to 1, by part.")
         self._plan_offset = self._gauge(
             "minttide_plan_offset", "Offset of the plan in force, its fencing token."
         )
@@ -139,6 +150,14 @@
         """Count that this host can't connect to the upstreams that a service needs."""
         self._cut_offs.inc({"service": service})
 
+    def count_contended_call(self, service: ServiceName, end: str) -> None:
+        """Count a call that waited, was refused, or was rejected by an upstream that is full."""
+        self._contended_calls.inc({"service": service, "end": end})
+
+    def set_contended(self, service: ServiceName, contended: bool) -> None:
+        """Set whether the upstreams of a plain service are chosen by weight."""
+        self._contended.set({"service": service}, int(contended))
+
     def count_dropped_reply(self) -> None:
         """Count a late, duplicate or mismatched reply."""
         self._dropped_replies.inc({})
@@ -190,6 +209,11 @@
         for service in self._accused_services:
             self._accused.set({"service": service}, counts.get(service, 0))
 
+    def set_load(self, parts: LoadParts) -> None:
+        """Set the load of this host by its parts."""
+        for part, load in msgspec.structs.asdict(parts).items():
+            self._load.set({"part": part}, load)
+
     def set_placement(self, plan_offset: int, reserved_watts: int, cap_watts: int) -> None:
         """Set the offset of the plan in force, the reserved power and the power cap."""
         self._plan_offset.set({}, plan_offset)
