Balance the load of plain services and hosts only where the settings ask for it

Cause: contention and the loads of hosts took effect on every deployment that met a rejection or a loaded host; earlier deployments must be served as before. Findings of a configuration are logged after it is in force, so that an error of the check can't keep it from that.

--- a/daemon/minttided/gateway/callers/plain_places.py
+++ b/daemon/minttided/gateway/callers/plain_places.py
@@ -26,7 +26,10 @@
 
 
 class PlainPlaces:
-    """The places of plain services as this host's calls and other hosts' reports show them."""
+    """The places of plain services as this host's calls and other hosts' reports show them.
+
+    Without `load_balancing` nothing is recorded, and no upstream counts as contended.
+    """
 
     def __init__(self, state: GatewayState):
         self._state = state
@@ -73,6 +76,8 @@
         A failure isn't recorded, since a failing upstream may be quicker than one that works.
         """
         now = now_s()
+        if not self._state.cfg.load_balancing:
+            return
         rejected = outcome is ExchangeOutcome.REJECTED and status in FULL_STATUSES
         silent = outcome is ExchangeOutcome.UNKNOWN and now >= end_s
         if rejected:
--- a/daemon/minttided/gateway/load_meter.py
+++ b/daemon/minttided/gateway/load_meter.py
@@ -53,7 +53,8 @@
     """The load of this host and what is known of the others'.
 
     `read_parts` returns the present load of memory and connections, `find_others` the usages of
-    other hosts by prefix, or None without recent reports.
+    other hosts by prefix, or None without recent reports. Without `load_balancing` the load is
+    measured, but neither reported nor used.
     """
 
     def __init__(
@@ -84,14 +85,17 @@
         parts = self._read_parts()
         parts = LoadParts(self._processor.load, parts.memory, parts.connections)
         self._state.metrics.set_load(parts)
-        self._reporter.record(parts.load, at_s)
+        if self._state.cfg.load_balancing:
+            self._reporter.record(parts.load, at_s)
 
     def usages(self) -> dict[str, Usage]:
         """Return the report of this host's load for other hosts."""
         return self._reporter.usages(self._count_hosts(), now_s())
 
     def estimate(self, members: Sequence[MemberView]) -> Mapping[HostId, float]:
-        """Return the loads of hosts, including this one."""
+        """Return the loads of hosts, including this one; none if these aren't to be used."""
+        if not self._state.cfg.load_balancing:
+            return {}
         now = now_s()
         if now - self._read_others_s >= READ_INTERVAL_S:
             self._read_others_s = now
--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -25,6 +25,8 @@
     configuration must be in force within `apply_s`, and an upstream that is leaving must receive no
     requests after `drain_s`. The process is ended if it uses more than `memory_mb` MiB. With
     `fault_tracking`, engines that fail requests are found by the results of attempts and avoided.
+    With `load_balancing`, hosts share what they see of the load of plain services' upstreams and
+    their own load, and choose upstreams, and the hosts that the directory names, by it.
     """
 
     host: HostId
@@ -45,6 +47,7 @@
     max_connections: int = 2_000
     memory_mb: MemoryMb = 300.0
     fault_tracking: bool = False
+    load_balancing: bool = False
     log_level: LogLevel = LogLevel.INFO
     log_format: LogFormat = LogFormat.KEY_VALUE
 
--- a/daemon/minttided/gateway/sync/store_watchers.py
+++ b/daemon/minttided/gateway/sync/store_watchers.py
@@ -165,8 +165,6 @@
         if config is None or (current is not None and config.version <= current.version):
             return
         self._state.table = RouteTable(config)
-        if source == "store":
-            _log_findings(config)
         self._versions.record(config)
         self._state.notify_change()
         self._on_change(config.limits)
@@ -180,6 +178,8 @@
                 "source": source,
             },
         )
+        if source == "store":
+            _log_findings(config)
 
 
 class UpstreamWatcher:
