Print the replay of shared places as a table, and log changes of a host's load

Cause: the figures of the choice came from scripts outside the tree; the load sent as percent rounded an eighth, so that a host's level differed by sender.

Change: python -m places_replay prints all loads and sizes, from 3 hosts on; the tests use the same loads. Levels are sent in thousandths. Log line "host load changed". A test of two gateways shows that loads and rejections get across.

--- a/core/minttide/policy/host_load.py
+++ b/core/minttide/policy/host_load.py
@@ -39,7 +39,7 @@
 """Hosts named to a caller at least, as far as there are so many."""
 
 LOAD_PREFIX = "load "
-PERCENT = 100
+PER_MILLE = 1000
 
 
 class LoadParts(msgspec.Struct, frozen=True):
@@ -56,7 +56,7 @@
 
 
 def load_name(host: HostId) -> str:
-    """Return the usage name of a host's load: a marker and the level in percent."""
+    """Return the usage name of a host's load: a marker and the level in thousandths."""
     return f"{LOAD_PREFIX}{host}"
 
 
@@ -95,7 +95,7 @@
             self._has_turn = self._rng.random() * hosts < MAX_REPORTING_HOSTS
         if not self._has_turn:
             return {}
-        return {load_name(self._host): Usage(1, round(PERCENT * self.level))}
+        return {load_name(self._host): Usage(1, round(PER_MILLE * self.level))}
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -121,7 +121,7 @@
         for member in members:
             usage = usages.get(load_name(member.host))
             if usage is not None and usage.streams:
-                level = usage.tokens / usage.streams / PERCENT
+                level = usage.tokens / usage.streams / PER_MILLE
                 reports[member.host] = _Report(member.incarnation, level, now_s)
                 continue
             known = self._reports.get(member.host)
--- a/daemon/minttided/gateway/load_meter.py
+++ b/daemon/minttided/gateway/load_meter.py
@@ -1,15 +1,20 @@
 """Measures the load of this host, and reports it to the other hosts."""
 
+import logging
 import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 
+import msgspec
+
 from minttide.ids import HostId
 from minttide.interfaces import MemberView
 from minttide.layers.usage import Usage, Usages
 from minttide.policy.host_load import LOAD_PREFIX, HostLoads, LoadParts, LoadReporter
 from minttided.gateway.state import GatewayState, now_s
 
+log = logging.getLogger(__name__)
+
 SMOOTHING_S = 1.0
 """Time constant of the average of the processor time and of the loop's delay."""
 
@@ -84,7 +89,11 @@
         parts = self._read_parts()
         parts = LoadParts(self._processor.load, parts.memory, parts.connections)
         self._state.metrics.set_load(parts)
+        before = self._reporter.level
         self._reporter.record(parts.load, at_s)
+        if self._reporter.level != before:
+            extra = {"level": self._reporter.level, **msgspec.structs.asdict(parts)}
+            log.info("host load changed", extra=extra)
 
     def usages(self) -> dict[str, Usage]:
         """Return the report of this host's load for other hosts."""
--- a/test/places_replay.py
+++ b/test/places_replay.py
@@ -1,4 +1,7 @@
-"""Replays calls of many hosts to a plain service with few places, in virtual time."""
+"""Replays calls of many hosts to a plain service with few places, in virtual time.
+
+`python -m places_replay` in this directory prints the table of docs/design/shared-places.md.
+"""
 
 import asyncio
 import math
@@ -232,3 +235,55 @@
 def replay(load, shares, **faults):
     """Return the finished replay of a load."""
     return run_virtual(Replay(load, shares, **faults).run())
+
+
+CALLS_PER_S = 190.0
+"""A third of what 18 places run, so that a burst of 2.5 times leaves a seventh of them free."""
+
+SLOW = Fault(8.0, 4.0, 14.0)
+SILENT = Fault(math.inf, 4.0, 14.0)
+HOSTS = (3, 83, 143, 1600)
+LOADS = {
+    "calm": {},
+    "burst": {"burst": 2.5, "burst_s": (3.0, 9.0)},
+    "zones swing": {"burst": 2.5, "burst_s": (3.0, 16.0), "swing": 0.55},
+    "slow": {"fault": SLOW, "burst": 1.7, "burst_s": (7.0, 11.0)},
+    "silent": {"fault": SILENT, "burst": 1.7, "burst_s": (7.0, 11.0)},
+    "beyond all places": {"fault": SLOW, "burst": 2.5, "burst_s": (7.0, 13.0)},
+}
+SEEDS = range(1, 5)
+
+
+def make_load(name, hosts, seed=1):
+    """Return one of `LOADS`, of 18 s."""
+    return Load(hosts, CALLS_PER_S, seconds=18.0, seed=seed, **LOADS[name])
+
+
+def print_table():
+    """Print each load before and after the choice by shared places, summed over `SEEDS`."""
+    print("| load | hosts | calls | p99 ms | rejected | retries | unserved |")
+    for name in LOADS:
+        for hosts in HOSTS:
+            before, after = (
+                [replay(make_load(name, hosts, seed), shares) for seed in SEEDS]
+                for shares in (False, True)
+            )
+            cells = [f"{_sum(b, before):.0f} → {_sum(b, after):.0f}" for b in _COLUMNS]
+            calls = sum(len(r.times_s) + len(r.unserved_s) for r in before)
+            print(f"| {name} | {hosts} | {calls} | " + " | ".join(cells) + " |", flush=True)
+
+
+_COLUMNS = (
+    lambda r: r.time_ms(0.99) / len(SEEDS),
+    lambda r: r.rejections,
+    lambda r: r.retries,
+    lambda r: len(r.unserved_s),
+)
+
+
+def _sum(column, replays):
+    return sum(column(r) for r in replays)
+
+
+if __name__ == "__main__":
+    print_table()
--- a/test/test_gateway_entry.py
+++ b/test/test_gateway_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import random
+from collections import Counter
 
 import msgspec
 import pytest
@@ -10,11 +11,14 @@
 
 from minttide.ids import NO_OFFSET, Address, HostId, Offset, ServiceName, ZoneId
 from minttide.interfaces import MemberView
+from minttide.policy.host_load import LoadParts
+from minttide.routing.routes import UpstreamEntry
 from minttide.routing.sources import SourceError
 from minttide_fakes.peer_network import MemoryPeerNetwork
 from minttided.gateway.app import Gateway, WireFormat
 from minttided.gateway.callers.directory import HealthHandler, ResolveHandler, choose_addresses
 from minttided.gateway.settings import GatewaySettings
+from minttided.gateway.state import now_s
 from minttided.http.messages import HttpRequest
 
 CUT_OFF = (ServiceName("s"),)
@@ -124,3 +128,29 @@
         return views == {"h0": tuple(sorted(services)), "h1": ()}
 
     asyncio.run(scenario())
+
+
+def test_hosts_learn_of_each_others_load_and_of_rejections_by_full_upstreams():
+    """Guards against reports that are made but not sent, or not read by the directory."""
+    upstreams = [UpstreamEntry(f"u{n}", "s", Address("-"), ZoneId("z"), False, 6) for n in (1, 2)]
+
+    async def scenario():
+        net = MemoryPeerNetwork()
+        first = make_gateway(net, 0, [])
+        async with first, make_gateway(net, 1, [Address("h0:1")]) as second:
+            first._load_meter._read_parts = lambda: LoadParts(memory=0.9)
+            places = [g.caller_server.handler.__self__._plain.places for g in (first, second)]
+            places[1].narrow(upstreams, Counter())
+            places[0].shared.record(upstreams[0], now_s(), 0.001, rejected=True)
+            async with asyncio.timeout(10.0):
+                await wait_until(functools.partial(is_known_loaded, second))
+                while not places[1].shared.is_contended("s"):
+                    places[0].shared.record(upstreams[0], now_s(), 0.001, rejected=True)
+                    places[1].narrow(upstreams, Counter())
+                    await asyncio.sleep(0.1)
+            return first._read_vitals().load
+
+    def is_known_loaded(gateway):
+        return gateway._load_meter.estimate(gateway.membership.hosts()).get("h0") == 0.875
+
+    assert asyncio.run(scenario()) == 0.875
--- a/test/test_host_load.py
+++ b/test/test_host_load.py
@@ -148,7 +148,7 @@
     reporter.record(0.3, 0.0)
     assert reporter.usages(9, 0.0) == {}
     reporter.record(0.9, 1.0)
-    assert [u.tokens for u in reporter.usages(9, 1.1).values()] == [88]
+    assert [u.tokens for u in reporter.usages(9, 1.1).values()] == [875]
     reporter.record(0.2, 2.0)
     assert [u.tokens for u in reporter.usages(9, 2.1).values()] == [0]
     assert reporter.usages(9, 1.1 + HOLD_S) == {}
@@ -171,10 +171,10 @@
     """Guards against old reports that count for ever, also for a process that has restarted."""
     gone, calm, busy = member("gone"), member("calm"), member("busy")
     loads = HostLoads()
-    named = {"load gone": Usage(1, 100), "load busy": Usage(1, 100)}
+    named = {"load gone": Usage(1, 1000), "load busy": Usage(1, 1000)}
     loads.update([gone, calm, busy], named, 0.0)
     gone = msgspec.structs.replace(gone, incarnation=incarnation)
-    loads.update([gone, calm, busy], {"load busy": Usage(1, 100)}, age_s)
+    loads.update([gone, calm, busy], {"load busy": Usage(1, 1000)}, age_s)
     estimate = loads.estimate([gone, calm, busy], age_s)
     assert estimate == {"gone": load, "calm": 0.0, "busy": 1.0}
 
@@ -193,17 +193,20 @@
     assert meter.load == pytest.approx(load, rel=0.01)
 
 
-def test_meter_rates_hosts_by_reports_and_exports_its_own_parts():
+def test_meter_rates_hosts_by_reports_and_exports_its_own_parts(caplog):
     """Guards against a directory that doesn't see the reports, and gauges without values."""
+    caplog.set_level("INFO")
 
     async def run():
         cfg = GatewaySettings(HostId("a"), ZoneId("z"), *([Address("-")] * 6))
         rng = random.Random(1)
         state = GatewayState(cfg, NAMES, None, None, None, FakeEngines(), rng, ConfigFreshness(5.0))
-        parts, others = LoadParts(memory=0.9, connections=0.1), {"load b": Usage(1, 75)}
+        parts, others = LoadParts(memory=0.9, connections=0.1), {"load b": Usage(1, 750)}
         meter = LoadMeter(state, lambda: parts, lambda prefix: others, lambda: 3)
         meter.record_delay(0.001, 0.0)
-        assert meter.usages() == {"load a": Usage(1, 88)}
+        meter.record_delay(0.001, 0.1)
+        assert [r.level for r in caplog.records if r.message == "host load changed"] == [0.875]
+        assert meter.usages() == {"load a": Usage(1, 875)}
         assert 'minttide_host_load{part="memory"} 0.9' in state.metrics.render().decode()
         return meter.estimate([member("a"), member("b"), member("c")])
 
--- a/test/test_shared_places.py
+++ b/test/test_shared_places.py
@@ -1,11 +1,10 @@
 """The choice among the upstreams of a plain service whose few places all hosts share."""
 
-import math
 import random
 from collections import Counter
 
 import pytest
-from places_replay import ENTRIES, SERVICE, Fault, Load, replay
+from places_replay import ENTRIES, HOSTS, SERVICE, make_load, replay
 
 from minttide.layers.usage import Usage, add_usages
 from minttide.policy.shared_places import (
@@ -18,35 +17,24 @@
     rate_upstreams,
 )
 
-HOSTS = (83, 143, 1600)
-CALLS_PER_S = 190.0
-"""A third of what 18 places run, so that a burst of 2.5 times leaves a seventh of them free."""
-
-SLOW = Fault(8.0, 4.0, 14.0)
-SILENT = Fault(math.inf, 4.0, 14.0)
-LOADS = {
-    "zones swing": {"burst": 2.5, "burst_s": (3.0, 16.0), "swing": 0.55},
-    "slow": {"fault": SLOW, "burst": 1.7, "burst_s": (7.0, 11.0)},
-    "silent": {"fault": SILENT, "burst": 1.7, "burst_s": (7.0, 11.0)},
-}
 FIRST, SECOND, THIRD = (e.id for e in ENTRIES)
 
 
 @pytest.mark.parametrize("hosts", HOSTS)
-@pytest.mark.parametrize("burst", [1.0, 2.5])
-def test_calls_are_served_as_before_while_no_upstream_rejects(hosts, burst):
+@pytest.mark.parametrize("name", ["calm", "burst"])
+def test_calls_are_served_as_before_while_no_upstream_rejects(hosts, name):
     """Guards against a change for deployments whose upstreams never reject."""
-    load = Load(hosts, CALLS_PER_S, burst, (3.0, 9.0), seconds=10.0)
+    load = make_load(name, hosts)
     before, now = replay(load, shares=False), replay(load, shares=True)
     assert now.rejections == before.rejections == 0
     assert now.times_s == before.times_s
 
 
 @pytest.mark.parametrize("hosts", HOSTS)
-@pytest.mark.parametrize("name", LOADS)
+@pytest.mark.parametrize("name", ["zones swing", "slow", "silent"])
 def test_contended_upstreams_reject_and_lose_fewer_calls(name, hosts):
     """Guards against hosts that keep calling a full upstream while others have free places."""
-    load = Load(hosts, CALLS_PER_S, seconds=18.0, **LOADS[name])
+    load = make_load(name, hosts)
     before, now = replay(load, shares=False), replay(load, shares=True)
     assert now.rejections <= before.rejections
     assert now.retries <= before.retries
@@ -60,7 +48,7 @@
 @pytest.mark.parametrize("hosts", HOSTS)
 def test_burst_beyond_all_places_is_rejected_less(hosts):
     """Guards against hosts that send the calls of a burst again while all upstreams are full."""
-    load = Load(hosts, CALLS_PER_S, 2.5, (7.0, 13.0), fault=SLOW, seconds=18.0)
+    load = make_load("beyond all places", hosts)
     before, now = replay(load, shares=False), replay(load, shares=True)
     assert now.rejections < 0.95 * before.rejections
     assert len(now.unserved_s) < 0.95 * len(before.unserved_s)
@@ -74,7 +62,7 @@
 )
 def test_hosts_with_old_or_no_reports_lose_no_more_calls_than_before(faults, name):
     """Guards against a harmful choice while reports are missing or hosts have restarted."""
-    load = Load(143, CALLS_PER_S, seconds=18.0, **LOADS[name])
+    load = make_load(name, 143)
     before, now = (replay(load, shares, **faults) for shares in (False, True))
     assert now.rejections <= before.rejections
     assert len(now.unserved_s) <= len(before.unserved_s)
