--- a/core/minttide/policy/host_load.py
+++ b/core/minttide/policy/host_load.py
@@ -36,7 +36,7 @@
 """How long a host reports, or doesn't, before the next draw."""
 
 MIN_HOSTS_NAMED = 8
-"""Hosts named to a caller at least, as far as there are so many."""
+"""Hosts named to a caller at least, so that it has others if the first ones don't answer."""
 
 LOAD_PREFIX = "load "
 PER_MILLE = 1000
--- a/core/minttide/policy/shared_places.py
+++ b/core/minttide/policy/shared_places.py
@@ -22,11 +22,12 @@
 CONTENTION_HOLD_S = 60.0
 """How long after a rejection the upstreams of its service are chosen by weight.
 
-A shorter time makes all hosts return to the upstreams of their own zone in the middle of a burst.
+Longer than the waves of 13 s in the load of zones: with equal weights, hosts return to the
+upstream of their own zone, which is full again at the next wave.
 """
 
 WINDOW_S = 2.0
-"""Calls that ended in this time count. With 0.5 s, 1.4 times as many calls to a silent upstream."""
+"""Calls that ended in this time count. With 0.5 s, a silent upstream cost 1.4 times the calls."""
 
 MAX_WINDOW_CALLS = 4096
 """Calls in the window of one upstream on one host; the oldest are dropped beyond that."""
@@ -46,7 +47,7 @@
 RUNNING_EXPONENT = 4
 """Weight of this host's open calls, which alone show a silent upstream before its calls time out.
 
-With 1, hosts without reports had 1.3 times as many calls rejected.
+With 1, a silent upstream rejected 1.3 times as many calls of hosts without reports.
 """
 
 FALL_TIME_S = 0.5
@@ -64,8 +65,8 @@
 """Calls wait while the largest weight of the service's upstreams is below this."""
 
 MAX_WAIT_S = 0.3
-"""Longest wait of a call. Waits of up to 0.15 s spread a burst less: 0.95 of the rejections of no
-waiting at all in place of 0.87.
+"""Longest wait of a call. It takes rejections in a burst to 0.87 of those without waits, 0.15 s to
+0.93.
 """
 
 UPDATE_S = 0.25
--- a/daemon/minttided/gateway/load_meter.py
+++ b/daemon/minttided/gateway/load_meter.py
@@ -22,7 +22,7 @@
 """Mean delay of the event loop that counts as a load of one half.
 
 A host with a part of a core is out of processor time long before its process has used a whole one;
-its loop runs late then. A calm loop is late by less than 3 ms.
+its loop runs late then. This is half of the time between two samples.
 """
 
 READ_INTERVAL_S = 0.5
