--- a/daemon/minttided/gateway/streams/admission.py
+++ b/daemon/minttided/gateway/streams/admission.py
@@ -68,6 +68,7 @@
         self.others: Usages | None = None
         self.capacity = 0.0
         self.read_s = float("-inf")
+        self.polled_s = float("-inf")
 
     def usages(self) -> dict[str, Usage]:
         return self.figures.usages(self.admission.waiting_tokens(), now_s())
@@ -155,13 +156,20 @@
                 if now_s() >= asked.latest_s:
                     self._refuse(request, service, asked, "late")
                 await asyncio.sleep(min(POLL_S, max(0.0, asked.latest_s - now_s())))
-                self._update(request.service, service, model)
-                service.admitted.update(service.admission.take_admitted(now_s()))
+                self._poll(request.service, service, model)
         finally:
             service.waiting -= 1
             service.admitted.discard(asked)
             service.admission.remove(asked)
 
+    def _poll(self, name: ServiceName, service: _Service, model: ModelSpec) -> None:
+        """Look for requests whose turn has come, once an interval for all that wait."""
+        if now_s() - service.polled_s < POLL_S:
+            return
+        service.polled_s = now_s()
+        self._update(name, service, model)
+        service.admitted.update(service.admission.take_admitted(now_s()))
+
     def _refuse(
         self,
         request: GatewayRequest,
