--- a/daemon/minttided/gateway/streams/admission.py
+++ b/daemon/minttided/gateway/streams/admission.py
@@ -35,7 +35,7 @@
 
 log = logging.getLogger(__name__)
 
-READ_INTERVAL_S = 0.05
+READ_INTERVAL_S = 0.1
 """Time between two looks at the reports of other hosts, to save processor time for each request."""
 
 POLL_S = 0.02
@@ -68,6 +68,7 @@
         self.others: Usages | None = None
         self.capacity = 0.0
         self.read_s = float("-inf")
+        self.polled_s = float("-inf")
 
     def usages(self) -> dict[str, Usage]:
         return self.figures.usages(self.admission.waiting_tokens(), now_s())
@@ -155,13 +156,20 @@
                 if now_s() >= asked.latest_s:
                     self._refuse(request, service, asked, "late")
                 await asyncio.sleep(min(POLL_S, max(0.0, asked.latest_s - now_s())))
-                self._update(request.service, service, model)
-                service.admitted.update(service.admission.take_admitted(now_s()))
+                self._poll(request.service, service, model)
         finally:
             service.waiting -= 1
             service.admitted.discard(asked)
             service.admission.remove(asked)
 
+    def _poll(self, name: ServiceName, service: _Service, model: ModelSpec) -> None:
+        """Look for requests whose turn has come, once an interval for all that wait."""
+        if now_s() - service.polled_s < POLL_S:
+            return
+        service.polled_s = now_s()
+        self._update(name, service, model)
+        service.admitted.update(service.admission.take_admitted(now_s()))
+
     def _refuse(
         self,
         request: GatewayRequest,
@@ -189,7 +197,7 @@
             "has_returned": asked.has_returned,
             "share": allocation and allocation.fraction(asked.priority, asked.account),
             "free": allocation and allocation.free,
-            "shares": allocation and dict(allocation.others),
+            "shares": allocation and dict(allocation.means),
             "ahead": allocation and allocation.ahead.get(asked.priority),
             "reports": "peers" if has_reports else "extrapolated",
             "reports_age_s": self._loads.reports_age_s() if has_reports else None,
