--- a/core/minttide/layers/paths.py
+++ b/core/minttide/layers/paths.py
@@ -244,12 +244,14 @@
 
         The random part is drawn once for all searches of a request, so that they can be compared.
         """
-        if engine.id not in search.engines:
+        if engine.id in search.engines:
+            cost_ms = search.engines[engine.id]
+        else:
             cost_ms = self._engine_cost_ms(engine, search.size, search.loads.get(engine.id))
             if cost_ms is not None:
                 cost_ms *= 1.0 + COST_JITTER * search.rng.random()
-            search.engines[engine.id] = cost_ms
-        cost_ms = search.engines[engine.id]
+            if search.weighs_reading:
+                search.engines[engine.id] = cost_ms
         if cost_ms is None or not search.weighs_reading:
             return cost_ms
         return cost_ms + self._reading_cost_ms(engine, search)
