Add tests of callers that keep to no limit

Cause: callers that send ahead, leave answers unread or only connect can end a process. Change: a crowd of each kind faces a gateway process with 100 MB and 512 descriptors, on new and kept connections, and a host that passes its requests on. Bounds: 100 MB resident, 448 descriptors, one ordinary request and readiness answered while the crowd is there.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -45,6 +45,7 @@
         "soak",
         "stand_in_servers",
         "stop_under_load",
+        "uncontrolled_callers",
         "upstream_limits",
     )
 }
