Bound what callers make a process hold, and derive their connections from its limits

Cause: reads of 256 KiB were kept behind a request, an answer was copied whole into the transport, a closed connection with an unread rest had no end, 1,024 connections were accepted at a time, and nothing counted what callers hold together. Change: CallerLedger counts it by connection, address and in all; caller_limits.py derives the bounds from memory and descriptors and decides which connection is closed. Reads are bounded, bodies of answers are passed on in parts, refusals need no task. Metrics, log lines, pages. test_connection_ends.py measured progress by the transport's buffer, which now holds a part of the answer only; it measures all that is unsent instead, which is as strict.

--- a/daemon/minttided/callers/server.py
+++ b/daemon/minttided/callers/server.py
@@ -17,7 +17,8 @@
 from minttided.callers.where import WhereHandler
 from minttided.drafts.drafts import Drafts
 from minttided.engines.engine_monitor import EngineMonitor
-from minttided.http.messages import HttpRequest, HttpResponse, StreamResponse
+from minttided.http.caller_ledger import CallerLedger, read_bounds
+from minttided.http.messages import Headers, HttpRequest, HttpResponse, StreamResponse
 from minttided.http.problems import rejection_error
 from minttided.http.server import HttpServer
 from minttided.node import Node
@@ -43,7 +44,9 @@
         self._discovery = UpstreamDiscovery(node)
         self._calls = PlainCallRunner(node, self._discovery)
         self._stack = AsyncExitStack()
-        self._server = HttpServer(self._handle, node.cfg.callers, node.cfg.bounds)
+        ledger = CallerLedger(read_bounds(), self._name_account, node.metrics.count_caller_limit)
+        self._server = HttpServer(self._handle, node.cfg.callers, node.cfg.bounds, callers=ledger)
+        node.metrics.watch_callers(self._server.read_uses)
         node.dispatcher = self._calls
 
     async def __aenter__(self) -> Self:
@@ -91,6 +94,13 @@
         """Accept no more connections; requests in progress continue."""
         await self._server.stop_accepting()
 
+    def _name_account(self, headers: Headers) -> str | None:
+        """Return the client account whose token the headers of a request have, for log lines."""
+        try:
+            return self._accounts.authenticate(HttpRequest("GET", "/", "", headers, b"")).name
+        except RequestError:
+            return None
+
     # Routes.
 
     async def _handle(self, req: HttpRequest) -> Response:
--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -21,6 +21,7 @@
     UpstreamSource,
 )
 from minttided.gateway.callers.directory import HealthHandler, ResolveBody, ResolveHandler
+from minttided.gateway.callers.permissions import read_key
 from minttided.gateway.callers.plain import PlainForwarder
 from minttided.gateway.callers.request_handler import RequestHandler
 from minttided.gateway.callers.retry_budgets import RetryBudgets
@@ -41,7 +42,8 @@
 from minttided.gateway.sync.server import SyncServer
 from minttided.gateway.sync.store_watchers import ConfigWatcher, ReadPolicy, UpstreamWatcher
 from minttided.gateway.sync.zone_loads import ZoneLoadExchange
-from minttided.http.messages import Handler, HttpRequest, HttpResponse
+from minttided.http.caller_ledger import CallerLedger, read_bounds
+from minttided.http.messages import Handler, Headers, HttpRequest, HttpResponse, find_header
 from minttided.http.request import BodyBudget
 from minttided.http.server import HttpServer
 from minttided.loop_monitor import LoopMonitor
@@ -230,12 +232,16 @@
         )
         bodies = BodyBudget(int(BODIES_FRACTION * self.cfg.memory_bytes))
         self._forwarding_server = ForwardingServer(self.state, handler.handle_forwarded, bodies)
+        self._caller_bounds = read_bounds(self.cfg.memory_bytes)
+        metrics = self.state.metrics
         self.caller_server = HttpServer(
             handler.handle,
             self.cfg.callers,
             Bounds(max_connections=self.cfg.max_connections),
             bodies,
+            CallerLedger(self._caller_bounds, self._name_account, metrics.count_caller_limit),
         )
+        metrics.watch_callers(self.caller_server.read_uses)
         return streams
 
     def _make_sync(self, peer_client: PeerClient, streams: StreamForwarder) -> None:
@@ -291,6 +297,8 @@
             self._wire_format.resolve_path,
             self.state.rng,
         )
+        addresses = self._caller_bounds.directory_connections
+        monitors = self._caller_bounds.monitor_connections
         health = HealthHandler(self._is_ready, self._wire_format.health_path)
         return Supervisor(
             "root",
@@ -299,9 +307,9 @@
                 Child("reach", self._reach_monitor.run),
                 Child("loop monitor", LoopMonitor(self.state.ticks, self.state.metrics).run),
                 Child("callers", self._run_caller_server),
-                Child("directory", self._serve(resolver.handle, self.cfg.directory)),
-                Child("health", self._serve(health.handle, self.cfg.health)),
-                Child("metrics", self._serve(self._serve_metrics, self.cfg.metrics)),
+                Child("directory", self._serve(resolver.handle, self.cfg.directory, addresses)),
+                Child("health", self._serve(health.handle, self.cfg.health, monitors)),
+                Child("metrics", self._serve(self._serve_metrics, self.cfg.metrics, monitors)),
                 Child("peers", Supervisor("peers", peers).run),
             ],
         )
@@ -312,9 +320,11 @@
         async with self.caller_server:
             await signal_ready_and_wait(ready)
 
-    def _serve(self, handler: Handler, address: Address) -> Callable[[Ready], Awaitable[None]]:
+    def _serve(
+        self, handler: Handler, address: Address, connections: int
+    ) -> Callable[[Ready], Awaitable[None]]:
         async def run(ready: Ready) -> None:
-            async with HttpServer(handler, address, Bounds()):
+            async with HttpServer(handler, address, Bounds(max_connections=connections)):
                 await signal_ready_and_wait(ready)
 
         return run
@@ -341,6 +351,13 @@
         )
         self.caller_server.set_bounds(bounds)
 
+    def _name_account(self, headers: Headers) -> str | None:
+        """Return the client account whose key the headers of a request have, for log lines."""
+        table = self.state.table
+        key = read_key(find_header(headers, "authorization"))
+        account = table.account(key) if table is not None and key is not None else None
+        return account.account if account is not None else None
+
     def _is_ready(self) -> bool:
         return self.state.serving and not self.state.leaving
 
--- a/daemon/minttided/gateway/callers/permissions.py
+++ b/daemon/minttided/gateway/callers/permissions.py
@@ -26,12 +26,18 @@
     """The upstream takes no request from this host any more: it leaves, or asked for a pause."""
 
 
+def read_key(authorization: str | None) -> str | None:
+    """Return the API key in an Authorization header, None if it has none."""
+    scheme, _, key = (authorization or "").partition(" ")
+    return key.strip() if scheme.lower() == BEARER else None
+
+
 def find_account(state: GatewayState, req: HttpRequest) -> AccountKeys:
     """Return the account of a request's key by the newest configuration. Raises `RequestError`."""
     if state.table is None or not state.freshness.keys_usable(state.clock()):
         raise not_run_error(ProblemType.CONFIG_UNKNOWN, "keys can't be confirmed at the moment")
-    scheme, _, key = (req.header("authorization") or "").partition(" ")
-    account = state.table.account(key.strip()) if scheme.lower() == BEARER else None
+    key = read_key(req.header("authorization"))
+    account = state.table.account(key) if key is not None else None
     if account is None:
         require_fresh_config(state, "unknown API key")
         raise client_error(ProblemType.UNAUTHENTICATED, "this route needs a valid API key")
--- a/daemon/minttided/http/client_connection.py
+++ b/daemon/minttided/http/client_connection.py
@@ -10,7 +10,14 @@
 from minttided.http.messages import Headers, encode_headers, split_address
 from minttided.http.turns import Turn
 
-READ_BYTES = 65_536
+READ_BYTES = 32_768
+"""Largest read, and what is read before the previous bytes are processed.
+
+One of 256 KiB, as `asyncio` makes, would be kept for each stream that its caller doesn't read.
+"""
+
+_read_buffer = memoryview(bytearray(READ_BYTES))
+"""Receives for all connections, as there is one event loop; what was read is copied at once."""
 
 MAX_INTERIM_RESPONSES = 8
 """Interim responses (1xx) before a response. A faulty upstream may send them without end."""
@@ -55,6 +62,18 @@
         super().feed_data(data)
 
 
+class _BoundedProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+    """The protocol of a stream reader, with reads of `READ_BYTES` at most."""
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to receive."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on what was received."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
+
 class ClientConnection:
     """A connection to one address. Methods raise `OSError` or `h11.ProtocolError` if it fails.
 
@@ -167,7 +186,7 @@
 async def _open_streams(host: str, port: int) -> tuple[_CountingReader, asyncio.StreamWriter]:
     """Do what `asyncio.open_connection` does, with a reader that counts."""
     loop = asyncio.get_running_loop()
-    reader = _CountingReader(limit=READ_BYTES, loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    reader = _CountingReader(limit=READ_BYTES // 2, loop=loop)
+    protocol = _BoundedProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -3,7 +3,7 @@
 import h11
 
 from minttide.problems import Problem, ProblemType
-from minttided.http.messages import HttpRequest
+from minttided.http.messages import Headers, HttpRequest
 from minttided.http.problems import problem
 
 MAX_BUFFERED_BODIES = 32
@@ -36,12 +36,15 @@
         """Return whether the limit depends on the largest size of a body."""
         return self._max_bytes is None
 
+    def limit_bytes(self, max_body_bytes: int) -> int:
+        """Return the limit for all bodies together, where each body may have so many bytes."""
+        if self._max_bytes is None:
+            return MAX_BUFFERED_BODIES * max_body_bytes
+        return self._max_bytes
+
     def is_exhausted(self, max_body_bytes: int) -> bool:
         """Return whether too many bytes are buffered, where each body may have so many."""
-        max_bytes = self._max_bytes
-        if max_bytes is None:
-            max_bytes = MAX_BUFFERED_BODIES * max_body_bytes
-        return self.buffered_bytes > max_bytes
+        return self.buffered_bytes > self.limit_bytes(max_body_bytes)
 
 
 class BodyAllocation:
@@ -122,5 +125,10 @@
         detail = "the request target is not ASCII"
         raise RequestRejectedError(problem(ProblemType.BAD_REQUEST, detail)) from None
     path, _, query = target.partition("?")
-    headers = [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
+    headers = decode_headers(head)
     return HttpRequest(head.method.decode("ascii"), path, query, headers, body, target)
+
+
+def decode_headers(head: h11.Request) -> Headers:
+    """Return the headers of a request, with lower-case names."""
+    return [(n.decode("ascii"), v.decode("latin-1")) for n, v in head.headers]
--- a/daemon/minttided/http/server.py
+++ b/daemon/minttided/http/server.py
@@ -11,17 +11,27 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import Address
+from minttide.policy.caller_limits import Bound, BoundUse, CallerConnection
+from minttided.http.caller_ledger import CallerLedger, read_bounds
 from minttided.http.connection import Connection
 from minttided.http.messages import Handler, join_address, receive_pending, split_address
 from minttided.http.request import BodyBudget
 
 BACKLOG = 1024
 
+ACCEPT_BATCH = 32
+"""Connections accepted at a time. `asyncio` takes as many descriptors before it serves the first,
+and repeats a failed `accept` as often when no descriptor is left."""
+
+MAX_REFUSED = 32
+"""Connections that are kept open for a moment, so that their callers get the refusal."""
+
 
 class HttpServer:
     """Listens on one address while the context is open. `open_requests` counts running handlers.
 
-    `bodies` bounds the request bodies that are buffered at a time.
+    `bodies` bounds the request bodies that are buffered at a time, `callers` what else the callers
+    may make this process hold.
     """
 
     def __init__(
@@ -30,12 +40,15 @@
         address: Address,
         bounds: Bounds,
         bodies: BodyBudget | None = None,
+        callers: CallerLedger | None = None,
     ):
         self.handler = handler
         self.bounds = bounds
         self.open_requests = 0
         self.closing = False
         self.bodies = bodies or BodyBudget()
+        self.callers = callers or CallerLedger(read_bounds())
+        self._refused: set[Connection] = set()
         self._requested_address = address
         self._server: asyncio.Server | None = None
         self._conns: set[Connection] = set()
@@ -44,8 +57,10 @@
         host, port = split_address(self._requested_address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=BACKLOG
+            lambda: Connection(self), host, port, backlog=ACCEPT_BATCH
         )
+        with self._server.sockets[0].dup() as listening:
+            listening.listen(BACKLOG)  # how many may wait, not how many are accepted at a time
         return self
 
     async def __aexit__(
@@ -55,9 +70,11 @@
         trace: TracebackType | None,
     ) -> None:
         await self.stop_accepting()
-        tasks = [c.task for c in self._conns]
+        tasks = [c.task for c in self._conns if c.task is not None]
         for conn in self._conns:
             conn.stop()
+        for conn in self._refused:
+            conn.drop()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
@@ -107,13 +124,45 @@
             conn.close_if_idle()
 
     def add(self, conn: "Connection") -> bool:
-        """Register a new connection; return whether it is within the limit."""
+        """Register a new connection; return whether there is room for it."""
+        if not self.callers.admit(conn, self.bounds):
+            return False
         self._conns.add(conn)
-        return len(self._conns) <= self.bounds.max_connections
+        return True
+
+    def add_refused(self, conn: "Connection") -> bool:
+        """Register a connection that gets only a refusal; return whether there is room for it."""
+        if len(self._refused) >= MAX_REFUSED:
+            return False
+        self._refused.add(conn)
+        return True
 
     def remove(self, conn: "Connection") -> None:
         """Unregister a closed connection."""
         self._conns.discard(conn)
+        self._refused.discard(conn)
+        self.callers.remove(conn)
+
+    def record_body_refusal(self, conn: "Connection") -> None:
+        """Record that a body was refused as too many are buffered."""
+        self.callers.record_refusal(conn, Bound.BODIES, self._bodies_limit_bytes)
+
+    def read_uses(self) -> list[BoundUse]:
+        """Return how far the callers use each bound."""
+        bodies = BoundUse(Bound.BODIES, self.bodies.buffered_bytes, self._bodies_limit_bytes)
+        return [*self.callers.read_uses(self.bounds), bodies]
+
+    @property
+    def _bodies_limit_bytes(self) -> int:
+        return self.bodies.limit_bytes(self.bounds.max_body_bytes)
+
+    def ends_ahead(self, conn: "Connection") -> bool:
+        """Return whether a connection ends after its answer, with requests that were sent ahead."""
+        return self.callers.ends_ahead(conn, self.bounds)
+
+    def record_held(self, usage: CallerConnection, held_bytes: int) -> None:
+        """Record what a connection holds now; it or others may be closed."""
+        self.callers.record(usage, held_bytes)
 
 
 def _accept_all(listening: socket.socket) -> list[socket.socket]:
--- a/daemon/minttided/operators/metrics.py
+++ b/daemon/minttided/operators/metrics.py
@@ -1,12 +1,13 @@
 """The metrics of one daemon. Each has a method, to keep its name and labels in one place."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from minttide.gossip import Status
 from minttide.ids import ServiceName, StreamName
+from minttide.policy.caller_limits import Bound, BoundUse
 from minttide.problems import Ran
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -80,6 +81,14 @@
             "minttide_power_reserved_watts", "Power reserved for engines."
         )
         self._power_cap = self._gauge("minttide_power_cap_watts", "Power cap of the site.")
+        self._caller_limits = self._counter(
+            "minttide_caller_limits_total", "Bounds on callers that acted, by bound and action."
+        )
+        self._caller_use = self._gauge(
+            "minttide_caller_use", "Connections or bytes that callers hold, by bound."
+        )
+        self._caller_bound = self._gauge("minttide_caller_bound", "Bounds on callers.")
+        self._read_caller_uses: Callable[[], Iterable[BoundUse]] = tuple
 
     # Events.
 
@@ -131,6 +140,10 @@
         """Record by how much the event loop ran a timer late."""
         self._loop_delay.observe({}, seconds)
 
+    def count_caller_limit(self, bound: Bound, action: str) -> None:
+        """Count that callers met a bound: `refused` or `closed`."""
+        self._caller_limits.inc({"bound": bound.value, "action": action})
+
     # Gauges, set just before the metrics are rendered.
 
     def set_hosts(self, statuses: Iterable[Status]) -> None:
@@ -158,8 +171,15 @@
         self._power_reserved.set({}, reserved_watts)
         self._power_cap.set({}, cap_watts)
 
+    def watch_callers(self, read_uses: Callable[[], Iterable[BoundUse]]) -> None:
+        """Set the gauges of the bounds on callers from `read_uses` whenever they are rendered."""
+        self._read_caller_uses = read_uses
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        for use in self._read_caller_uses():
+            self._caller_use.set({"bound": use.bound.value}, use.used)
+            self._caller_bound.set({"bound": use.bound.value}, use.limit)
         content, _ = render(self._registry, ["text/plain"])
         return content
 
--- a/fakes/minttide_fakes/memory_network.py
+++ b/fakes/minttide_fakes/memory_network.py
@@ -48,6 +48,9 @@
     def setblocking(self, flag: bool) -> None:
         pass
 
+    def listen(self, backlog: int) -> None:
+        pass
+
     def accept(self) -> None:
         raise BlockingIOError
 
@@ -196,13 +199,28 @@
         if self._writing_paused:
             self._writing_paused = False
             self._protocol.resume_writing()
-        if data:
-            peer._protocol.data_received(data)
+        rest = peer._receive(data)
+        if rest and not peer._closing:
+            self._unsent[:0] = rest
+            return
         if self._end_written or self._closing:
             self._send_end()
         if self._closing:
             self._lose(None)
 
+    def _receive(self, data: bytes) -> bytes:
+        """Pass bytes to the protocol; return what it leaves when it pauses reading."""
+        if not isinstance(self._protocol, asyncio.BufferedProtocol):
+            if data:
+                self._protocol.data_received(data)
+            return b""
+        while data and self.is_reading():
+            buffer = memoryview(self._protocol.get_buffer(-1))[: len(data)]
+            buffer[:] = data[: len(buffer)]
+            self._protocol.buffer_updated(len(buffer))
+            data = data[len(buffer) :]
+        return data
+
     def _send_end(self) -> None:
         if self._end_sent or self.peer._closing:
             return
--- a/test/test_connection_ends.py
+++ b/test/test_connection_ends.py
@@ -719,7 +719,7 @@
 
 async def wait_until_sent(conn, unsent_bytes):
     """Wait until some of the unsent bytes have been sent."""
-    await wait_until(lambda: conn._transport.get_write_buffer_size() < unsent_bytes)
+    await wait_until(lambda: conn.unsent_bytes < unsent_bytes)
 
 
 TURNS = 20
@@ -748,7 +748,7 @@
                 await wait_until(lambda: not caller.writer.transport.is_reading())
             for _ in range(4):
                 await wait_until(lambda: conn._writable_waiter is not None)
-                unsent_bytes = conn._transport.get_write_buffer_size()
+                unsent_bytes = conn.unsent_bytes
                 if is_read:
                     caller.received += await caller.reader.readexactly(100_000)
                     await wait_until_sent(conn, unsent_bytes)
