Count answers of all engines in reports, and share accusations between hosts

Hosts without a request for 3 s accused nothing, as the failures had left the reports. Several faulty engines made each other look usual.

Change: hosts report answers of all causes; a reader returns those of causes with failures or accusations. Accusations are counted in the reports: an engine that a quarter of the other hosts accuse needs a probability of 0.5, one that half of them accuse is followed without own results. What suspects explain doesn't count as usual failures.

--- a/core/minttide/policy/fault_estimate.py
+++ b/core/minttide/policy/fault_estimate.py
@@ -13,7 +13,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from math import exp, log
 
 import msgspec
@@ -48,6 +48,11 @@
 """The same for an engine behind the first: 1 in 100."""
 
 
+SUSPECT_PROBABILITY = 0.3
+"""Probability from which the failures that an engine explains don't count as usual ones. Otherwise
+several faulty engines would make each other look usual."""
+
+
 class FaultEstimate(msgspec.Struct, frozen=True):
     """What the results say of one engine.
 
@@ -116,21 +121,32 @@
             self._rates = {c: max(1e-9, self._rate(c, n)) for c, n in explained.items()}
             self.explained = explained
 
-    def _rate_elsewhere(self, cause: str) -> float:
-        """Return the rate at which attempts without a cause fail."""
+    def _rate_elsewhere(self, cause: str, suspects: Collection[str]) -> float:
+        """Return the rate at which attempts without a cause fail, but for what suspects explain."""
         failures = self.failures[self._service] - self.failures[cause]
         attempts = max(failures, self.attempts(self._service) - self.attempts(cause))
-        failures += USUAL_RATE * SERVICE_PSEUDO_ANSWERS
+        failures -= sum(self.explained[s] for s in suspects if s != cause)
+        failures = max(0.0, failures) + USUAL_RATE * SERVICE_PSEUDO_ANSWERS
         return min(MAX_RATE, failures / (attempts + SERVICE_PSEUDO_ANSWERS))
 
-    def log_ratios(self, engines: Iterable[str]) -> dict[str, float]:
+    def probabilities(
+        self, engines: Collection[str], suspects: Collection[str] = ()
+    ) -> dict[str, float]:
+        """Return by engine how probable a fault is; failures that `suspects` explain are theirs."""
+        odds = {e: FIRST_LOG_ODDS if e in self._first_engines else INNER_LOG_ODDS for e in engines}
+        ratios = self._log_ratios(engines, suspects)
+        return {engine: _probability(ratios[engine] + odds[engine]) for engine in engines}
+
+    def _log_ratios(
+        self, engines: Collection[str], suspects: Collection[str]
+    ) -> defaultdict[str, float]:
         """Return by engine how much likelier the results are with its rate than if it is sound.
 
         A sound engine's attempts fail at least at the rate of the attempts without it: where all
         engines fail some requests, chance doesn't make the unluckiest of them faulty.
         """
         wanted = set(engines)
-        elsewhere = {cause: self._rate_elsewhere(cause) for cause in wanted}
+        elsewhere = {cause: self._rate_elsewhere(cause, suspects) for cause in wanted}
         ratios: defaultdict[str, float] = defaultdict(float)
         for causes, count in self._failed:
             answered = 1.0
@@ -164,16 +180,13 @@
     fit = _Fit(failed, answered, service, first_engines, engines)
     fit.run()
     found = {c: n for c, n in fit.explained.items() if n >= min_explained and c in engines}
-    estimates = {}
-    for engine, ratio in fit.log_ratios(found).items():
-        prior = FIRST_LOG_ODDS if engine in first_engines else INNER_LOG_ODDS
-        estimates[engine] = FaultEstimate(
-            fit.failures[engine],
-            found[engine],
-            fit.attempts(engine),
-            _probability(ratio + prior),
+    suspects = [e for e, p in fit.probabilities(found).items() if p >= SUSPECT_PROBABILITY]
+    return {
+        engine: FaultEstimate(
+            fit.failures[engine], found[engine], fit.attempts(engine), probability
         )
-    return estimates
+        for engine, probability in fit.probabilities(found, suspects).items()
+    }
 
 
 def _probability(log_odds: float) -> float:
--- a/core/minttide/policy/path_evidence.py
+++ b/core/minttide/policy/path_evidence.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from minttide.ids import ServiceName
+from minttide.ids import ServiceName, UpstreamId
 from minttide.layers.paths import Path
 from minttide.layers.usage import link_name
 
@@ -70,12 +70,30 @@
 
 NO_RESULTS = PathReport()
 
+_ACCUSED = "accused "
+_OTHER_NAMES = ("service ", _ACCUSED, "retry ")
+
 
 def service_cause(service: ServiceName) -> str:
     """Return the name of a service as a cause of failures. No engine has such a name."""
     return f"service {service}"
 
 
+def accused_cause(engine: str) -> str:
+    """Return the name under which the hosts that accuse an engine are counted."""
+    return f"{_ACCUSED}{engine}"
+
+
+def find_accused_by(report: PathReport, share: float) -> set[UpstreamId]:
+    """Return the engines that at least a part `share` of the hosts of a report accuse."""
+    least = share * report.hosts
+    return {
+        UpstreamId(name.removeprefix(_ACCUSED))
+        for name, count in report.answered.items()
+        if name.startswith(_ACCUSED) and count >= least
+    }
+
+
 def retry_cause(service: ServiceName, answered: bool) -> str:
     """Return the name under which retries of failed calls are counted, by their results."""
     return f"retry {'answered' if answered else 'failed'} {service}"
@@ -153,11 +171,24 @@
     return tuple(FailedPath(f.service, f.causes, f.at_s, f.count * scale) for f in kept)
 
 
+def keep_relevant(report: PathReport, failed: Iterable[FailedPath]) -> PathReport:
+    """Return a report without the answers of engines and links that have no failures.
+
+    Answers of engines that some host accuses are kept, and counts of other names.
+    """
+    causes = {cause for item in failed for cause in item.causes}
+    found = {
+        name: count
+        for name, count in report.answered.items()
+        if name in causes or accused_cause(name) in report.answered or name.startswith(_OTHER_NAMES)
+    }
+    return PathReport(report.failed, found, report.hosts)
+
+
 def merge_reports(reports: Collection[PathReport], limit: int) -> PathReport:
     """Return the sum of several reports, with at most `limit` failed paths.
 
-    Answers are kept for the causes of these paths and for the services, at most
-    `MAX_ANSWERED_IN_MESSAGE`.
+    Of the answers, those of the `MAX_ANSWERED_IN_MESSAGE` most frequent causes are kept.
     """
     failed = limit_failed([f for report in reports for f in report.failed], limit)
     answered: Counter[str] = Counter()
--- a/core/minttide/policy/path_faults.py
+++ b/core/minttide/policy/path_faults.py
@@ -29,6 +29,7 @@
 from minttide.ids import ServiceName, UpstreamId
 from minttide.policy.fault_estimate import FaultEstimate, estimate_faults
 from minttide.policy.path_evidence import (
+    MAX_ANSWERED_IN_MESSAGE,
     MAX_FAILED_OF_HOST,
     MIN_RECENT_ATTEMPTS,
     NO_RESULTS,
@@ -37,6 +38,8 @@
     AttemptWindow,
     FailedPath,
     PathReport,
+    accused_cause,
+    find_accused_by,
     limit_failed,
     retry_cause,
     service_cause,
@@ -47,6 +50,20 @@
 MIN_PROBABILITY = 0.97
 """Probability of a fault from which an engine is accused."""
 
+CONFIRMED_PROBABILITY = 0.5
+"""The same for an engine that many other hosts accuse. Hosts weigh their own results a little
+differently, and once most avoid an engine the others get no further evidence."""
+
+MIN_ACCUSERS_SHARE = 0.25
+"""Part of the other hosts that are many."""
+
+WIDELY_ACCUSED_SHARE = 0.5
+"""Part of the other hosts whose accusations a host follows without results of its own: it may have
+had no request while there were failures, or have restarted."""
+
+OF_OTHERS = FaultEstimate(0.0, 0.0, 0.0, MIN_PROBABILITY)
+"""The estimate of an engine that other hosts accuse."""
+
 MIN_EXPLAINED = 2.5
 """Failures that an engine must explain, so that two bad requests accuse none."""
 
@@ -135,6 +152,7 @@
         self._others: PathReport = NO_RESULTS
         self._others_set_s = float("-inf")
         self._accused: dict[UpstreamId, Accusation] = {}
+        self._widely_accused: set[UpstreamId] = set()  # by other hosts, not looked at yet
         self._forgotten: dict[UpstreamId, float] = {}  # when what was known was discarded
 
     @property
@@ -205,29 +223,25 @@
     def make_report(self, now_s: float) -> PathReport:
         """Return the recent results of this host, with times relative to `now_s`.
 
-        Answers are given for the services, for the causes of all failures that this host knows, and
-        for engines that are or were accused, so that others learn of their recovery.
+        An answer may refute the failures that another host has seen, so that answers of all causes
+        are given.
         """
         for own in self._own.values():
             own.recent.expire(now_s)
         failed = [f for own in self._own.values() for f in own.recent.failed]
-        known = [*failed, *self._fresh_others(now_s).failed]
-        answered = Counter[str]()
-        for service, own in self._own.items():
-            causes = {c for f in known if f.service == service for c in f.causes}
-            causes.update(a.engine for a in self._accused.values() if a.service == service)
-            causes.update(self._forgotten)
-            causes.update((service_cause(service), *_retry_causes(service)))
-            answered.update({c: own.recent.answered[c] for c in causes if own.recent.answered[c]})
+        answered = Counter(accused_cause(engine) for engine in self._accused)
+        for own in self._own.values():
+            answered.update(own.recent.answered)
         if not failed and not answered:
             return NO_RESULTS
         shifted = shift_times(limit_failed(failed, MAX_FAILED_OF_HOST), -now_s)
-        return PathReport(shifted, dict(answered), 1)
+        return PathReport(shifted, dict(answered.most_common(MAX_ANSWERED_IN_MESSAGE)), 1)
 
     def set_others(self, report: PathReport, now_s: float) -> None:
         """Set the results of all other hosts, with times in loop seconds of this one."""
         self._others = report
         self._others_set_s = now_s
+        self._widely_accused = find_accused_by(report, WIDELY_ACCUSED_SHARE)
         for service in {failed.service for failed in report.failed}:
             self._own[service].is_new = True
 
@@ -250,6 +264,7 @@
             own.is_new = False
             own.next_decision_s = now_s + DECISION_INTERVAL_S
             self._accuse(service, engines, now_s)
+        self._follow_others(service, engines, now_s)
         if not self._accused:
             return set()
         self._settle_trials(service, now_s)
@@ -286,16 +301,38 @@
         others = self._fresh_others(now_s)
         answered = Counter(self._own[service].choose_window(now_s).answered)
         answered.update(others.answered)  # type: ignore[arg-type]
-        most = int(MAX_ACCUSED_SHARE * len(engines))
-        while self.count_accused()[service] < most:
+        while self._may_accuse(service, engines):
             found = self._find_most_probable(service, engines, answered, now_s)
             if found is None:
                 return
-            engine, estimate = found
-            until_s = now_s + MIN_HOLD_S
-            accusation = Accusation(service, engine, estimate, others.hosts, until_s)
-            self._accused[engine] = accusation
-            self.on_change(accusation, AccusationChange.ACCUSED)
+            self._add_accused(service, *found, now_s)
+
+    def _follow_others(
+        self, service: ServiceName, engines: Sequence[UpstreamEntry], now_s: float
+    ) -> None:
+        """Accuse engines that most other hosts accuse, unless their trial has just ended here."""
+        if not self._widely_accused:
+            return
+        for entry in engines:
+            forgotten_s = self._forgotten.get(entry.id, float("-inf"))
+            is_known = entry.id in self._accused or now_s - forgotten_s <= MAX_HOLD_S
+            if entry.id not in self._widely_accused or is_known:
+                continue
+            if self._may_accuse(service, engines):
+                self._add_accused(service, entry.id, OF_OTHERS, now_s)
+        self._widely_accused = set()
+
+    def _may_accuse(self, service: ServiceName, engines: Sequence[UpstreamEntry]) -> bool:
+        most = int(MAX_ACCUSED_SHARE * len(engines))
+        return self.count_accused()[service] < most
+
+    def _add_accused(
+        self, service: ServiceName, engine: UpstreamId, estimate: FaultEstimate, now_s: float
+    ) -> None:
+        hosts = self._fresh_others(now_s).hosts
+        accusation = Accusation(service, engine, estimate, hosts, now_s + MIN_HOLD_S)
+        self._accused[engine] = accusation
+        self.on_change(accusation, AccusationChange.ACCUSED)
 
     def _find_most_probable(
         self,
@@ -313,10 +350,17 @@
         cause = service_cause(service)
         estimates = estimate_faults(failed, answered, cause, listed, first, MIN_EXPLAINED)
         found = max(estimates, key=lambda e: (estimates[e].probability, e), default=None)
-        if found is None or estimates[found].probability < MIN_PROBABILITY:
+        if found is None or estimates[found].probability < self._min_probability(found, now_s):
             return None
         return UpstreamId(found), estimates[found]
 
+    def _min_probability(self, engine: str, now_s: float) -> float:
+        """Return the probability from which to accuse an engine, lower if many hosts do already."""
+        others = self._fresh_others(now_s)
+        accusers = others.answered.get(accused_cause(engine), 0.0)
+        many = others.hosts > 0 and accusers >= MIN_ACCUSERS_SHARE * others.hosts
+        return CONFIRMED_PROBABILITY if many else MIN_PROBABILITY
+
     def _find_failed(self, service: ServiceName, now_s: float) -> list[FailedPath]:
         """Return the failures of a service on all hosts that no accused engine explains."""
         own = self._own[service].choose_window(now_s).failed
--- a/daemon/minttided/gateway/sync/fault_reports.py
+++ b/daemon/minttided/gateway/sync/fault_reports.py
@@ -11,6 +11,7 @@
     MAX_FAILED_OF_HOST,
     NO_RESULTS,
     PathReport,
+    keep_relevant,
     limit_failed,
     merge_reports,
     read_report,
@@ -107,4 +108,5 @@
         """Return the results of all hosts except one, for the reply to its pull."""
         now = now_s()
         self._update(now)
-        return shift_report(self._sum_without((host, None)), -now)
+        report = keep_relevant(self._sum_without((host, None)), self._sum.failed)
+        return shift_report(report, -now)
--- a/test/test_fault_reports.py
+++ b/test/test_fault_reports.py
@@ -14,6 +14,8 @@
     MAX_FAILED_OF_HOST,
     FailedPath,
     PathReport,
+    accused_cause,
+    keep_relevant,
     read_report,
     service_cause,
 )
@@ -112,10 +114,14 @@
     assert len(read.failed[0].causes) == MAX_CAUSES
 
 
-def test_host_reports_answers_of_the_engines_that_failed_for_others_only():
-    """Guards against messages with all engines of a large site."""
+def test_replies_hold_answers_of_engines_with_failures_or_accusations_only():
+    """Guards against replies with all engines of a large site."""
     faults = PathFaults()
     for n in range(20):
         faults.record_answered(SERVICE, (f"e{n}",), 1.0)
-    faults.set_others(PathReport((failed(at_s=1.0, causes=("e3", "x")),)), 1.0)
-    assert faults.make_report(1.5).answered == {"e3": 1, service_cause(SERVICE): 20}
+    report = faults.make_report(1.5)
+    assert len(report.answered) == 21
+    accused = {accused_cause("e5"): 2.0}
+    report = PathReport((failed(causes=("e3", "x")),), {**report.answered, **accused}, 3)
+    kept = keep_relevant(report, report.failed)
+    assert kept.answered == {"e3": 1, "e5": 1, **accused, service_cause(SERVICE): 20}
--- a/test/test_path_faults.py
+++ b/test/test_path_faults.py
@@ -19,6 +19,7 @@
 from minttide.policy.path_evidence import (
     FailedPath,
     PathReport,
+    accused_cause,
     limit_failed,
     service_cause,
 )
@@ -127,6 +128,24 @@
     assert used > 20
 
 
+FOLLOWED = {
+    "most hosts": (6.0, None, True),
+    "few hosts": (2.0, None, False),
+    "after its trial": (6.0, 1.0, False),
+}
+
+
+# Guards against a host that had no request while an engine failed, and learns nothing of it later.
+@pytest.mark.parametrize("case", FOLLOWED)
+def test_host_without_evidence_follows_the_accusation_of_most_others(case):
+    accusers, trusted_s, follows = FOLLOWED[case]
+    faults, engines = PathFaults(), [e for stage in make_engines(5, 6) for e in stage]
+    if trusted_s is not None:
+        faults.forget("s0e0", trusted_s)
+    faults.set_others(PathReport((), {accused_cause("s0e0"): accusers}, 10), 2.0)
+    assert (faults.find_accused(SERVICE, engines, LAYERS, 2.0) == {"s0e0"}) is follows
+
+
 def make_accused(stages, width, failing):
     """Return the accused of a service of `stages` times `width` engines that fail all requests."""
     faults = PathFaults()
