Test trials, shared engines of retries and the gauge of accused engines on a gateway

Cause: the trial of an accused engine and a retry where one layer has a single holder were tested on the decision only, not in StreamForwarder and StreamPaths. Change: three tests with scripted engines in virtual time, and one of the gauge.

--- a/test/test_path_faults.py
+++ b/test/test_path_faults.py
@@ -31,6 +31,7 @@
 )
 from minttide.routing.outcome import ExchangeOutcome, is_own_failure
 from minttide_fakes.memory_network import run_in_memory
+from minttided.operators.metrics import Metrics
 
 WARM_UP_S = 5.0
 MAX_OUT_S = 2.0
@@ -223,13 +224,17 @@
 ENGINES = {"a": (0, 2), "b": (0, 2), "bad": (0, 2), "c": (2, 4), "d": (2, 4), "e": (2, 4)}
 
 
-def send_streams(count, tracks):
-    """Send streams one by one to engines of which `bad` fails all; return the site and statuses."""
+def send_streams(count, tracks, names=tuple(ENGINES), failures=1000):
+    """Send streams to engines of which `bad` fails the first `failures`; return what came of it.
+
+    These are the site, the statuses and the metrics.
+    """
 
     async def run():
-        site = make_site(**ENGINES)
-        for name in ENGINES:
-            find_engine(site, name).scripts = [FAILS if name == "bad" else SOUND] * 100
+        site = make_site(**{name: ENGINES[name] for name in names})
+        for name in names:
+            failed = failures if name == "bad" else 0
+            find_engine(site, name).scripts = [FAILS] * failed + [SOUND] * count
         async with site:
             site.state.cfg = msgspec.structs.replace(site.state.cfg, fault_tracking=tracks)
             replies = []
@@ -239,22 +244,45 @@
             metrics = site.state.metrics.render().decode()
         return site, [reply.status for reply in replies], metrics
 
-    return run_in_memory(run(), 60.0)
+    return run_in_memory(run(), 300.0)
 
 
-def paths_received(site):
-    """Return the paths of all requests that engines received, as addresses by attempt."""
-    return {name: len(find_engine(site, name).requests) for name in ENGINES}
+def count_received(site, name):
+    return len(find_engine(site, name).requests)
 
 
 def test_engine_that_fails_all_streams_gets_no_more_of_them():
     """Guards against retries on the path that failed, and against the choice of an idle engine."""
     site, statuses, metrics = send_streams(40, tracks=True)
     assert statuses == [200] * 40
-    received = paths_received(site)
-    assert 3 <= received["bad"] <= 6
-    avoided = f'minttide_failed_paths_avoided_total{{service="model"}} {received["bad"]}\n'
+    received = count_received(site, "bad")
+    assert 3 <= received <= 6
+    avoided = f'minttide_failed_paths_avoided_total{{service="model"}} {received}\n'
     assert avoided in metrics
+    assert 'minttide_decisions_total{kind="engine accused"} 1\n' in metrics
+
+
+def test_retry_shares_only_the_engines_that_no_path_can_do_without():
+    """Guards against a retry on the whole failed path where one layer has a single holder."""
+    site, statuses, metrics = send_streams(10, tracks=True, names=("a", "bad", "c"))
+    assert statuses == [200] * 10
+    assert count_received(site, "a") == 10
+    assert "minttide_failed_paths_avoided_total{" not in metrics
+
+
+def test_recovered_engine_of_a_gateway_gets_streams_again():
+    site, statuses, metrics = send_streams(400, tracks=True, failures=3)
+    assert statuses == [200] * 400
+    assert not site.state.path_faults.accusations
+    assert count_received(site, "bad") > 3 + 20
+    assert 'minttide_decisions_total{kind="engine trusted again"} 1\n' in metrics
+
+
+def test_gauge_of_accused_engines_falls_to_0():
+    metrics = Metrics()
+    metrics.set_accused({SERVICE: 2})
+    metrics.set_accused({})
+    assert b'minttide_accused_engines{service="model"} 0\n' in metrics.render()
 
 
 def test_without_fault_tracking_nothing_is_recorded():
