Let no call wait by the weights of a burst that is over

Cause: on a host that exchanges nothing and has few calls, the weights were those of its last call, however old; the next call could wait up to 0.3 s for nothing.

Change: weights that are older than the window are updated before a wait, and rise for all of the time that has passed, up to 60 s.

Tests: test_shared_places (44, three of them new) and test_gateway_plain 77 passed, make lint passes.

--- a/core/minttide/policy/shared_places.py
+++ b/core/minttide/policy/shared_places.py
@@ -265,11 +265,13 @@
         """Return whether the upstreams of a service are chosen by weight."""
         return service in self._services and self._services[service].contended
 
-    def draw_wait_s(self, service: ServiceName, limit_s: float) -> float:
+    def draw_wait_s(self, service: ServiceName, limit_s: float, now_s: float) -> float:
         """Return how long a call should wait, up to `limit_s`, while all upstreams are full.
 
         Calls of a burst that wait for random times don't all reach the full upstreams.
         """
+        if service in self._services and now_s - self._services[service].updated_s > WINDOW_S:
+            self._update(service, now_s)  # no call and no exchange has done so
         if not self.is_contended(service) or max(self.weights(service).values()) >= WAIT_BELOW:
             return 0.0
         return self._rng.uniform(0.0, min(MAX_WAIT_S, max(0.0, limit_s)))
@@ -309,7 +311,7 @@
     def _update(self, name: ServiceName, now_s: float) -> None:
         """Update the weights of a service, and whether there is contention for its places."""
         service = self._services[name]
-        elapsed_s = min(now_s - service.updated_s, WINDOW_S)
+        elapsed_s = min(now_s - service.updated_s, CONTENTION_HOLD_S)
         if elapsed_s < UPDATE_S:
             return
         service.updated_s = now_s
--- a/daemon/minttided/gateway/callers/plain_places.py
+++ b/daemon/minttided/gateway/callers/plain_places.py
@@ -44,7 +44,7 @@
             return
         objective_s = min(request.route.objective_s, left_s(self._state, request))
         limit_s = OBJECTIVE_FRACTION * (objective_s - age_s(self._state, request))
-        wait_s = self.shared.draw_wait_s(request.service, limit_s)
+        wait_s = self.shared.draw_wait_s(request.service, limit_s, now_s())
         if wait_s <= 0.0:
             return
         self._state.metrics.count_contended_call(request.service, "waited")
--- a/test/places_replay.py
+++ b/test/places_replay.py
@@ -170,7 +170,7 @@
         start_s, tried = _now(), []
         host.budget.record_request(RETRIES)
         if host.places is not None and not repeatable:
-            await asyncio.sleep(host.places.draw_wait_s(SERVICE, OBJECTIVE_S / 2))
+            await asyncio.sleep(host.places.draw_wait_s(SERVICE, OBJECTIVE_S / 2, _now()))
         while len(tried) < MAX_SENDS:
             entry = self._choose(host, tried)
             tried.append(entry.id)
--- a/test/test_shared_places.py
+++ b/test/test_shared_places.py
@@ -10,6 +10,7 @@
 from minttide.policy.shared_places import (
     CONTENTION_HOLD_S,
     MAX_REPORTED_SERVICES,
+    MAX_WAIT_S,
     MIN_WEIGHT,
     RETENTION_S,
     CallSums,
@@ -112,6 +113,17 @@
     assert all(after <= 1.2 * before for before, after in rises)
 
 
+@pytest.mark.parametrize(
+    ("idle_s", "limit_s", "waits"), [(0.0, 9.0, True), (0.0, -1.0, False), (2000.0, 9.0, False)]
+)
+def test_call_waits_only_while_all_upstreams_are_full(idle_s, limit_s, waits):
+    """Guards against waits after the burst on a host without other calls, or beyond a limit."""
+    places, _ = make_places([(number, None) for number in range(3)])
+    places.narrow(ENTRIES, Counter(), 1.1)
+    wait_s = places.draw_wait_s(SERVICE, limit_s, 1.1 + idle_s)
+    assert (0.0 < wait_s <= MAX_WAIT_S) is waits
+
+
 def test_host_without_contention_reports_nothing_and_forgets_unused_upstreams():
     """Guards against traffic and memory that grow with services whose upstreams never reject."""
     places, _ = make_places([(0, 0.03), (1, 0.03)])
