Switch load balancing on in the test of hosts that learn of each other's load

Cause: the test was written before the setting, which is off by default. Change: the settings of its gateways. Result: test_gateway_entry passes.

--- a/test/test_gateway_entry.py
+++ b/test/test_gateway_entry.py
@@ -103,7 +103,9 @@
 def make_gateway(net, number, peers):
     listeners = [Address("127.0.0.1:0")] * 3
     addresses = [*listeners, Address(f"h{number}:1"), Address("127.0.0.1:0"), Address("-")]
-    cfg = GatewaySettings(HostId(f"h{number}"), ZoneId("z"), *addresses, peers=peers)
+    cfg = GatewaySettings(
+        HostId(f"h{number}"), ZoneId("z"), *addresses, peers=peers, load_balancing=True
+    )
     source = FailingSource()
     wire_format = WireFormat(None, "/where", "/ready", msgspec.json.encode)
     return Gateway(cfg, wire_format, source, source, source, FakeEngines(), source, net, number)
