--- a/test/caller_crowd.py
+++ b/test/caller_crowd.py
@@ -137,8 +137,12 @@
         await self.prepare()
         self.write_settings()
         await self.start()
-        await wait_until(lambda: self.process.returncode is not None or self._is_listening())
-        await self.wait_until_answered()
+        try:
+            await wait_until(lambda: self.process.returncode is not None or self._is_listening())
+            await self.wait_until_answered()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     def _is_listening(self):
