--- a/core/minttide/policy/caller_limits.py
+++ b/core/minttide/policy/caller_limits.py
@@ -32,7 +32,7 @@
 """Part of the memory for connections with one request each, without bodies and unread answers."""
 
 CONNECTION_BYTES = 98_304
-"""What a connection with a request takes: 60 to 90 kB were measured with one to an upstream."""
+"""What a connection with a request takes, with its connection to an upstream; an estimate."""
 
 HELD_SHARE = 1 / 4
 """Part of the memory for unread answers, requests read ahead and buffers of unread streams."""
