--- a/daemon/minttided/gateway/settings.py
+++ b/daemon/minttided/gateway/settings.py
@@ -26,7 +26,8 @@
     requests after `drain_s`. The process is ended if it uses more than `memory_mb` MiB. With
     `fault_tracking`, engines that fail requests are found by the results of attempts and avoided.
     With `load_balancing`, hosts share what they see of the load of plain services' upstreams and
-    their own load, and choose upstreams, and the hosts that the directory names, by it.
+    their own load, and choose upstreams, and the hosts that the directory names, by it. With
+    `priority_admission`, streams are admitted by priority where a service's requests differ in it.
     """
 
     host: HostId
@@ -48,6 +49,7 @@
     memory_mb: MemoryMb = 300.0
     fault_tracking: bool = False
     load_balancing: bool = False
+    priority_admission: bool = False
     log_level: LogLevel = LogLevel.INFO
     log_format: LogFormat = LogFormat.KEY_VALUE
 
--- a/daemon/minttided/gateway/streams/admission.py
+++ b/daemon/minttided/gateway/streams/admission.py
@@ -84,7 +84,9 @@
         loads.sources.append(self._usages)
 
     def applies(self, service: ServiceName) -> bool:
-        """Return whether the requests of a service differ in priority."""
+        """Return whether the settings ask for admission, and a service has several priorities."""
+        if not self._state.cfg.priority_admission:
+            return False
         table = self._state.table
         if table is not self._table:
             self._table = table
