Say what constants, reports and tests hold, and rename what a newcomer stumbled on

Cause: a reader who didn't know the change found wrong ages of reports, a wait that subtracted an age twice, the zone's sum written twice, and unclear names.

--- a/core/minttide/interfaces.py
+++ b/core/minttide/interfaces.py
@@ -200,6 +200,6 @@
     peer: Address
     leaving: bool
     suspect: bool
-    load: float  # 0 to 1: of a daemon its open streams, of a gateway its scarcest resource
+    load: float  # 0 to 1: of a daemon its open streams, of a gateway the level that it reports
     applied: Offset  # configuration offset in force there
     cut_off: tuple[ServiceName, ...] = ()  # services whose upstreams it can't reach
--- a/core/minttide/policy/admission_reports.py
+++ b/core/minttide/policy/admission_reports.py
@@ -38,8 +38,8 @@
 """Beginning of the names of these usages, as `link` is of those of links."""
 
 
-class _WindowSum:
-    """Requests and tokens of the last `WINDOW_S`, by priority and client account."""
+class _RecentRequests:
+    """The requests that were recorded in the last `WINDOW_S`, in order."""
 
     def __init__(self) -> None:
         self._entries: deque[tuple[float, AdmissionRequest]] = deque()
@@ -60,8 +60,8 @@
         self.hold_s = DEFAULT_HOLD_S
         self._prefix = f"{PREFIX}{service} "
         self._started_s: dict[AdmissionRequest, float] = {}
-        self._arrived = _WindowSum()
-        self._rejected = _WindowSum()
+        self._arrived = _RecentRequests()
+        self._rejected = _RecentRequests()
 
     def record_arrival(self, request: AdmissionRequest, now_s: float) -> None:
         """Count a request that asks for admission."""
@@ -120,7 +120,11 @@
     def read_load(
         self, total: Usages, capacity: float, hosts: float, age_s: float, factor: float = 1.0
     ) -> ServiceLoad:
-        """Return the load of all hosts from their summed reports, multiplied by `factor`."""
+        """Return the load of all hosts from their summed reports.
+
+        `capacity` is in tokens, `age_s` the age of the reports in seconds. The figures are
+        multiplied by `factor`, the number of hosts if only this host's are known.
+        """
         tokens: dict[tuple[str, int], float] = {}
         accounts: dict[tuple[int, AccountId], float] = {}
         for name, usage in self.select(total).items():
--- a/core/minttide/policy/caller_limits.py
+++ b/core/minttide/policy/caller_limits.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-FILE_DESCRIPTORS = 200
+RESERVED_DESCRIPTORS = 200
 """Descriptors for files, the store, other hosts and listeners."""
 
 CALLER_SHARE = 0.4
@@ -27,6 +27,7 @@
 """Part of the other descriptors for each listener of operators and the platform."""
 
 MIN_CONNECTIONS = 8
+"""Connections that each listener takes in any case."""
 
 CONNECTIONS_MEMORY_SHARE = 0.5
 """Part of the memory for connections with one request each, without bodies and unread answers."""
@@ -38,10 +39,10 @@
 """Part of the memory for unread answers, requests read ahead and buffers of unread streams."""
 
 STALLED_SHARE = 0.5
-"""Part of that from which on connections without progress are closed."""
+"""Part of the bound on held bytes above which connections without progress are closed."""
 
 STALL_S = 1.0
-"""Time without progress from which on they are."""
+"""Time without progress after which a connection may be closed for what it holds."""
 
 MIN_CLOSED_BYTES = 65_536
 """Size up to which a connection isn't closed for what it holds."""
@@ -100,7 +101,8 @@
 class CallerConnection(msgspec.Struct, eq=False):
     """A connection of a caller: its use, since when in loop seconds, and the bytes it holds.
 
-    For an unread answer, `since_s` is the time of the last progress.
+    For an unread answer, `since_s` is when sending last paused as the write buffer was full, or
+    when that buffer was last seen to shrink.
     """
 
     address: str
@@ -111,7 +113,7 @@
 
 def derive_bounds(memory_bytes: int, descriptors: int) -> CallerBounds:
     """Return the bounds for a process with so much memory and so many descriptors."""
-    free = descriptors - min(FILE_DESCRIPTORS, descriptors // 2)
+    free = descriptors - min(RESERVED_DESCRIPTORS, descriptors // 2)
     by_memory = int(CONNECTIONS_MEMORY_SHARE * memory_bytes) // CONNECTION_BYTES
     return CallerBounds(
         max(MIN_CONNECTIONS, min(int(CALLER_SHARE * free), by_memory)),
@@ -165,11 +167,12 @@
 def choose_holder(
     connections: Iterable[CallerConnection], use: float, now_s: float
 ) -> CallerConnection | None:
-    """Return the connection to close when callers hold `use` of what they may, None for none.
+    """Return the connection to close, None for none.
 
-    Up to a use of 1 it has had no progress for `STALL_S`. It is of the address that holds most,
-    and has held most for the longest time. One that alone holds much is within the limits of
-    an answer, and is kept.
+    `use` is what callers hold as a fraction of the bound. Above `STALLED_SHARE`, only connections
+    without progress for `STALL_S` are candidates; above 1, all are. Chosen is, at the address that
+    holds most, the largest product of bytes and time. A single connection above `MIN_CLOSED_BYTES`
+    is kept, as one answer is within the limits; the bound may be exceeded by that.
     """
     if use <= STALLED_SHARE:
         return None
--- a/core/minttide/policy/host_load.py
+++ b/core/minttide/policy/host_load.py
@@ -56,7 +56,7 @@
 
 
 def load_name(host: HostId) -> str:
-    """Return the usage name of a host's load: a marker and the level in thousandths."""
+    """Return the name of a host's report, a usage of 1 stream and the load in thousandths."""
     return f"{LOAD_PREFIX}{host}"
 
 
--- a/core/minttide/policy/path_faults.py
+++ b/core/minttide/policy/path_faults.py
@@ -2,8 +2,8 @@
 
 The load: streams pass through 5 to 10 engines each, and the failure of one is seen only at the end
 of its path, as a status that names no engine. An engine that fails requests at once looks idle, so
-that it is chosen again, also by retries. In a play of such a day, all 491 failures had the same
-first engine. A host sees one or two failures a second by itself.
+that it is chosen again, also by retries. In a replay of a day with bursts, all 491 failures had
+the same first engine. A host sees one or two failures a second by itself.
 
 Plain services use the same results, with paths of one upstream. The calls that an upstream fails
 are retried as far as such retries have succeeded.
@@ -211,7 +211,7 @@
         return max(MIN_RETRY_SHARE, share)
 
     def forget(self, engine: UpstreamId, now_s: float) -> None:
-        """Discard what is known of an engine that has restarted or was removed."""
+        """Discard what is known of an engine that has restarted, was removed or passed a trial."""
         self._accused.pop(engine, None)
         self._forgotten.pop(engine, None)
         self._forgotten[engine] = now_s
@@ -310,7 +310,10 @@
     def _follow_others(
         self, service: ServiceName, engines: Sequence[UpstreamEntry], now_s: float
     ) -> None:
-        """Accuse engines that most other hosts accuse, unless their trial has just ended here."""
+        """Accuse engines that most other hosts accuse.
+
+        Left out are those whose trial ended here, or that restarted, in the last `MAX_HOLD_S`.
+        """
         if not self._widely_accused:
             return
         for entry in engines:
--- a/core/minttide/policy/prefix_affinity.py
+++ b/core/minttide/policy/prefix_affinity.py
@@ -248,8 +248,8 @@
     ) -> HeldPrefixes:
         """Return what each of `engines` should hold of a prompt.
 
-        `retained` is how many tokens an engine keeps. The other `hosts` are taken to send engines
-        as many other tokens as this one.
+        `retained` is how many tokens an engine keeps. `hosts` is the number of hosts that use the
+        engines, including this one; each is assumed to send as many other tokens as this one.
         """
         found: dict[UpstreamId, HeldPrefix] = {}
         for prefix in reversed(prefixes):
--- a/core/minttide/policy/priority_admission.py
+++ b/core/minttide/policy/priority_admission.py
@@ -32,6 +32,7 @@
 """Length of the horizon in ages of the reports, if that is longer."""
 
 MAX_HORIZON_S = 4.0
+"""Longest horizon, whatever the age of the reports."""
 
 FLOOR_FRACTION = 0.05
 """Part of the capacity that is divided by max-min among all priorities with demand."""
--- a/core/minttide/policy/shared_places.py
+++ b/core/minttide/policy/shared_places.py
@@ -316,7 +316,7 @@
             return
         service.updated_s = now_s
         own = {u: found.sums(now_s) for u, found in service.upstreams.items()}
-        others = self._read_others(own)
+        others = self._sums_of_others(own)
         sums = own if others is None else {u: own[u] + others[u] for u in own}
         service.adjust(rate_upstreams(sums), elapsed_s)
         contended = service.record_rejections(own, others, now_s)
@@ -324,7 +324,9 @@
             service.contended = contended
             self._on_change(name, sums)
 
-    def _read_others(self, upstreams: Collection[UpstreamId]) -> dict[UpstreamId, CallSums] | None:
+    def _sums_of_others(
+        self, upstreams: Collection[UpstreamId]
+    ) -> dict[UpstreamId, CallSums] | None:
         names = [n for u in upstreams for n in (answers_name(u), rejections_name(u))]
         usages = self.read_others(names)
         return None if usages is None else {u: read_sums(usages, u) for u in upstreams}
--- a/daemon/minttided/gateway/callers/plain.py
+++ b/daemon/minttided/gateway/callers/plain.py
@@ -162,7 +162,7 @@
         sent_s: float,
     ) -> None:
         """Record whether the upstream has run the request, or has ended meanwhile."""
-        status = result.response.status if result.response is not None else None
+        status = result.response.status if result.response is not None else 0
         self.places.record(upstream, result.outcome, status, sent_s, request.end_s)
         if result.response is not None and has_run(result.outcome, result.response.status):
             guard.record_start()
--- a/daemon/minttided/gateway/callers/plain_places.py
+++ b/daemon/minttided/gateway/callers/plain_places.py
@@ -42,11 +42,14 @@
         return self.shared.narrow(candidates, running, now_s())
 
     async def wait(self, request: GatewayRequest) -> None:
-        """Let a call that isn't repeatable wait for a place, for part of its objective."""
+        """Delay a call that isn't repeatable while all upstreams are full.
+
+        It waits for at most `OBJECTIVE_FRACTION` of the time left to its objective or deadline.
+        """
         if request.route.repeatable:
             return
-        objective_s = min(request.route.objective_s, left_s(self._state, request))
-        limit_s = OBJECTIVE_FRACTION * (objective_s - age_s(self._state, request))
+        objective_left_s = request.route.objective_s - age_s(self._state, request)
+        limit_s = OBJECTIVE_FRACTION * min(objective_left_s, left_s(self._state, request))
         wait_s = self.shared.draw_wait_s(request.service, limit_s, now_s())
         if wait_s <= 0.0:
             return
@@ -67,13 +70,14 @@
         self,
         upstream: UpstreamEntry,
         outcome: ExchangeOutcome,
-        status: int | None,
+        status: int,
         sent_s: float,
         end_s: float,
     ) -> None:
         """Record the end of a call that was sent at `sent_s` and had to end by `end_s`.
 
-        A failure isn't recorded, since a failing upstream may be quicker than one that works.
+        `status` is 0 without a complete response. A failure isn't recorded, since a failing
+        upstream may be quicker than one that works.
         """
         now = now_s()
         if not self._state.cfg.load_balancing:
--- a/daemon/minttided/gateway/streams/admission.py
+++ b/daemon/minttided/gateway/streams/admission.py
@@ -282,6 +282,7 @@
     first_s = prefill_ms(model, slowest, model.layers, size.prompt) / MS_PER_S
     objective_s = min(request.received_s + request.route.objective_s, request.end_s)
     account = request.account.account if request.account is not None else NO_ACCOUNT
+    # The KV cache grows with the answer; half of it is the mean over a stream's length.
     tokens = size.prompt + size.answer / 2
     latest_s = objective_s - first_s - FIRST_EVENT_MARGIN_S
     return AdmissionRequest(tokens, request.priority, account, latest_s)
--- a/daemon/minttided/gateway/streams/forwarder.py
+++ b/daemon/minttided/gateway/streams/forwarder.py
@@ -100,10 +100,10 @@
         avoided_by_all = self._avoided_engines.avoided(now_s())
         closed = self.state.notices.closed(engines, now_s())
         accused = self._find_accused(service, model, engines, failing)
-        rivals = self._choose_trial(service, engines, accused, avoided, first)
+        for_trial = self._avoided_for_trial(service, engines, accused, avoided, first)
         # If no path is left, allow engines that may have recovered or have free capacity again.
         avoid_sets = (
-            untrusted | avoided_by_all | avoided | (rivals or accused),
+            untrusted | avoided_by_all | avoided | (for_trial or accused),
             untrusted | avoided_by_all | avoided | accused,
             untrusted | avoided | accused,
             failing | avoided | accused,
@@ -131,7 +131,7 @@
         usable = [e for e in engines if e.id not in failing]
         return self.state.path_faults.find_accused(service, usable, model.layers, now_s())
 
-    def _choose_trial(
+    def _avoided_for_trial(
         self,
         service: ServiceName,
         engines: Sequence[UpstreamEntry],
@@ -139,10 +139,10 @@
         avoided: Set[UpstreamId],
         first: UpstreamId | None,
     ) -> set[UpstreamId]:
-        """Return the engines to avoid so that the path tries an accused engine; empty without one.
+        """Return the engines to avoid so that the path uses an accused engine on trial.
 
-        These are the other accused engines, and those whose layers begin with the same one. A
-        retry, which avoids engines already, tries none.
+        These are the other accused engines, and those whose layers begin with the same one. Empty
+        if none is on trial now, or for a retry, which avoids engines already.
         """
         if not accused or avoided or first is not None:
             return set()
@@ -152,8 +152,8 @@
         if entry is None or entry.layers is None:
             return set()
         start = entry.layers.first
-        rivals = {e.id for e in engines if e.layers is not None and e.layers.first == start}
-        return (rivals | accused) - {entry.id}
+        same_start = {e.id for e in engines if e.layers is not None and e.layers.first == start}
+        return (same_start | accused) - {entry.id}
 
     def _on_accusation(self, accusation: Accusation, change: AccusationChange) -> None:
         self.state.metrics.count_decision(change.value)
--- a/daemon/minttided/gateway/streams/loads.py
+++ b/daemon/minttided/gateway/streams/loads.py
@@ -88,17 +88,21 @@
     def _find_parts(self, host_count: float) -> list[Usages] | None:
         """Return the reports whose sum is the total load of all other hosts."""
         now = now_s()
-        hosts = self.hosts.fresh(now)
-        if hosts and len(hosts) >= MIN_REPORTING_FRACTION * (host_count - 1):
-            return [*hosts.values(), *self.zones.fresh(now).values()]
+        if self._has_host_reports(host_count, now):
+            return [*self.hosts.fresh(now).values(), *self.zones.fresh(now).values()]
         if now - self._peer_totals_set_s <= REPORT_TTL_S:
             return [self._peer_totals]
         return None
 
-    def age_s(self) -> float:
-        """Return the age of what `others` returns, in seconds."""
+    def _has_host_reports(self, host_count: float, now: float) -> bool:
+        """Return whether enough hosts of the zone report to this one."""
+        reporting = len(self.hosts.fresh(now))
+        return reporting > 0 and reporting >= MIN_REPORTING_FRACTION * (host_count - 1)
+
+    def age_s(self, host_count: float) -> float:
+        """Return the age in seconds of what `others` returns, if that isn't None."""
         now = now_s()
-        if self.hosts.fresh(now):
+        if self._has_host_reports(host_count, now):
             return READER_REPORT_AGE_S
         return REPLY_AGE_S + now - self._peer_totals_set_s
 
@@ -186,7 +190,7 @@
 
     def reports_age_s(self) -> float:
         """Return the age in seconds of what `others` returns."""
-        return self._peer_loads.age_s()
+        return self._peer_loads.age_s(self.count_hosts())
 
     def select_others(self, names: Collection[str]) -> Usages | None:
         """Return the named usages of all other hosts, or None without enough recent reports."""
--- a/daemon/minttided/gateway/streams/run.py
+++ b/daemon/minttided/gateway/streams/run.py
@@ -226,7 +226,8 @@
     async def _send_when_room(self) -> bool:
         """Send an admitted request once engines have room, in its turn, if that is still in time.
 
-        Returns false if that doesn't happen while the request can meet its objective.
+        Returns false if that doesn't happen while the request can meet its objective, if it wasn't
+        admitted, and if it has delivered events or mustn't be sent again.
         """
         if self._admitted is None or self.progress.events:
             return False
--- a/daemon/minttided/gateway/sync/context.py
+++ b/daemon/minttided/gateway/sync/context.py
@@ -5,8 +5,10 @@
 
 from minttide.ids import UpstreamId, ZoneId
 from minttide.interfaces import MemberView
+from minttide.layers.usage import Usage, add_usages
+from minttide.policy.admission_reports import limit_accounts
 from minttide.routing.readers import ReaderRanking
-from minttided.gateway.state import GatewayState
+from minttided.gateway.state import GatewayState, now_s
 from minttided.gateway.streams.loads import EngineLoads, PeerLoads
 from minttided.gateway.sync.config_versions import ConfigVersions
 from minttided.gateway.sync.crash_news import CrashNewsState
@@ -35,6 +37,11 @@
     config_versions: ConfigVersions = field(default_factory=ConfigVersions)
     _rankings: dict[ZoneId, ReaderRanking] = field(default_factory=dict)
 
+    def sum_zone_usages(self) -> dict[str, Usage]:
+        """Return the usages of all hosts of this zone."""
+        hosts = self.peer_loads.hosts.total(now_s())
+        return limit_accounts(add_usages([self.loads.local_usages(), hosts]))
+
     def rank_readers(self, zone: ZoneId) -> Sequence[MemberView]:
         """Return the candidates for reading on behalf of a zone, in rank order; the first reads."""
         ranking = self._rankings.get(zone)
--- a/daemon/minttided/gateway/sync/server.py
+++ b/daemon/minttided/gateway/sync/server.py
@@ -8,7 +8,7 @@
 from minttide.folds.checkpoint import Checkpoint
 from minttide.ids import Offset, UpstreamId
 from minttide.interfaces import UpstreamReply
-from minttide.layers.usage import Usage, add_usages
+from minttide.layers.usage import add_usages
 from minttide.policy.admission_reports import limit_accounts
 from minttide.policy.unreachable import UnreachableReports
 from minttide.problems import Problem, ProblemType, Ran
@@ -168,17 +168,11 @@
 
     # Replies.
 
-    def _sum_zone_usages(self) -> dict[str, Usage]:
-        """Return the load of this zone."""
-        return limit_accounts(
-            add_usages([self._context.loads.local_usages(), self._peer_loads.hosts.total(now_s())])
-        )
-
     def _make_brief_snapshot(self, start: Offset, request: SyncRequest) -> Checkpoint:
         """Return a reply without configuration and list."""
         reply = SyncReply(0.0, self._state.config_age_s, self._state.list_age_s)
         if start == LOADS_ONLY:
-            reply.usages = self._sum_zone_usages()
+            reply.usages = self._context.sum_zone_usages()
             reply.faults = self._context.fault_reports.make_zone()
         reply.crashes = self._context.crash_news.make_reply(request.crashes)
         return Checkpoint(start, encode(reply))
--- a/daemon/minttided/gateway/sync/zone_loads.py
+++ b/daemon/minttided/gateway/sync/zone_loads.py
@@ -6,8 +6,6 @@
 
 from minttide.decoding import MalformedBytesError
 from minttide.ids import ZoneId
-from minttide.layers.usage import add_usages
-from minttide.policy.admission_reports import limit_accounts
 from minttided.gateway.state import now_s
 from minttided.gateway.sync.context import SyncContext
 from minttided.gateway.sync.messages import (
@@ -59,9 +57,7 @@
         if not readers:
             return
         cfg = self._state.cfg
-        zone_usages = limit_accounts(
-            add_usages([self._context.loads.local_usages(), self._peer_loads.hosts.total(now_s())])
-        )
+        zone_usages = self._context.sum_zone_usages()
         peer = readers[0]
         crashes = self._context.crash_news.make_request(peer.host)
         leaving = self._state.leaving_processes.recent(now_s())
--- a/daemon/minttided/http/caller_ledger.py
+++ b/daemon/minttided/http/caller_ledger.py
@@ -1,4 +1,4 @@
-"""Accounts for what callers make one listener hold, and keeps it within bounds."""
+"""Accounts for what callers make one listener hold; closes connections near the bound."""
 
 import asyncio
 import logging
@@ -138,7 +138,7 @@
             end.usage.held_bytes = 0
 
     def record(self, usage: CallerConnection, held_bytes: int) -> None:
-        """Record what a connection holds now, and close others or it beyond the bound."""
+        """Record what a connection holds, and close those that `choose_holder` returns."""
         if usage not in self._ends:
             return
         self.held_bytes += held_bytes - usage.held_bytes
--- a/daemon/minttided/http/connection.py
+++ b/daemon/minttided/http/connection.py
@@ -512,6 +512,7 @@
             is_stalled = self._transport.get_write_buffer_size() >= unsent_bytes
             if is_stalled and not waiter.done():
                 raise TimeoutError("the caller doesn't read the response")
+            self._set_use(Use.UNREAD)
         self._set_use(Use.RUNNING)
         self._record_held()
 
--- a/test/admission_replay.py
+++ b/test/admission_replay.py
@@ -24,8 +24,9 @@
 """Age of a report when it arrives; it is replaced after `EXCHANGE_S`."""
 EXCHANGE_S = 0.2
 RATES = {0: 75.0, 1: 41.0, 2: 25.0}
-PATIENCE_S = {0: 0.4, 1: 0.4, 2: 0.8}
-"""Requests a second and the time to the latest start, by priority."""
+"""Requests a second of all hosts, by priority."""
+MAX_WAIT_S = {0: 0.4, 1: 0.4, 2: 0.8}
+"""Time from the arrival of a request to its latest start, by priority."""
 TOKENS = 845.0
 
 
@@ -144,7 +145,7 @@
         host = self.rng.choice(self.hosts)
         account = self.rng.choices(list(self.accounts), list(self.accounts.values()))[0]
         tokens = TOKENS * self.rng.uniform(0.4, 1.6)
-        request = AdmissionRequest(tokens, priority, account, self.now_s + PATIENCE_S[priority])
+        request = AdmissionRequest(tokens, priority, account, self.now_s + MAX_WAIT_S[priority])
         self.asked[priority] += 1
         self.by_account["asked"][account] += 1
         host.arrived.add(self.now_s, priority, tokens)
--- a/test/test_caller_limits.py
+++ b/test/test_caller_limits.py
@@ -4,7 +4,7 @@
 
 from minttide.policy.caller_limits import (
     CONNECTION_BYTES,
-    FILE_DESCRIPTORS,
+    RESERVED_DESCRIPTORS,
     CallerConnection,
     ReplacementRule,
     Use,
@@ -30,9 +30,9 @@
     bounds = derive_bounds(memory_mb * MB, descriptors)
     assert bounds.connections >= least
     assert bounds.connections * CONNECTION_BYTES <= max(0.5 * memory_mb * MB, 8 * CONNECTION_BYTES)
-    if descriptors > 2 * FILE_DESCRIPTORS:
+    if descriptors > 2 * RESERVED_DESCRIPTORS:
         listeners = bounds.directory_connections + 2 * bounds.monitor_connections
-        assert 2 * bounds.connections + listeners + FILE_DESCRIPTORS <= descriptors
+        assert 2 * bounds.connections + listeners + RESERVED_DESCRIPTORS <= descriptors
     assert bounds.held_bytes <= memory_mb * MB / 4
 
 
--- a/test/test_prefix_affinity.py
+++ b/test/test_prefix_affinity.py
@@ -80,7 +80,7 @@
 
 
 @pytest.mark.parametrize("held", [None, {}])
-def test_paths_without_retained_prefixes_are_those_of_the_search_before(held):
+def test_paths_without_held_prefixes_match_recorded_choices(held):
     """Guards against other choices or random draws where no engine keeps prompts.
 
     The digest is of the choices and the next random number of each seed on commit 03a0ecd.
@@ -95,7 +95,7 @@
     assert (digest.hexdigest(), complete) == (PATH_DIGEST, COMPLETE_PATHS)
 
 
-def test_chains_without_cached_prefixes_are_those_of_the_choice_before():
+def test_chains_without_cached_prefixes_match_recorded_choices():
     """Guards against other choices of chains; the digest is as above."""
     digest = hashlib.blake2b(digest_size=8)
     for seed in range(200):
--- a/test/test_priority_admission.py
+++ b/test/test_priority_admission.py
@@ -64,6 +64,7 @@
 
 
 def test_enough_capacity_serves_everyone_whole():
+    """Guards against refusals while capacity suffices for all priorities."""
     calm = load({0: PriorityLoad(100.0, 50.0, 50.0), 2: PriorityLoad(100.0, 50.0, 50.0)})
     assert allocate(calm).means == {0: 1.0, 2: 1.0}
 
@@ -126,12 +127,14 @@
 
 
 def test_request_that_cannot_be_served_in_time_is_refused_at_once():
+    """Guards against queueing requests that would miss their objective."""
     admission = admission_under(held=1000.0, ending_per_s=0.0)
     decision = admission.request(ask(0.5), 0.0)
     assert isinstance(decision, Refuse) and 0.25 <= decision.retry_after_s <= 6.0
 
 
 def test_waiting_requests_are_served_in_order_of_their_latest_start():
+    """Guards against a late deadline that is served before an early one."""
     admission = admission_under(held=1000.0, ending_per_s=250.0)
     later, sooner = ask(5.0), ask(4.0)
     decisions = [admission.request(r, 0.0) for r in (ask(5.0), later, sooner)]
@@ -142,6 +145,7 @@
 
 
 def test_request_whose_caller_disconnects_leaves_the_queue():
+    """Guards against disconnected callers that keep their turn."""
     admission = admission_under(held=1000.0, ending_per_s=250.0)
     requests = [ask(5.0) for _ in range(3)]
     waiting = [r for r in requests if not isinstance(admission.request(r, 0.0), Admit)]
--- a/test/test_trickling_streams.py
+++ b/test/test_trickling_streams.py
@@ -12,7 +12,7 @@
 TRICKLE_S = 6.0
 """How long bytes arrive of a stream that is stalled."""
 
-CALLER_PATIENCE_S = 2.0
+CALLER_MAX_WAIT_S = 2.0
 """Shortest gap after which a caller gives a stream up."""
 
 
@@ -71,7 +71,7 @@
 def test_stalled_stream_goes_on_elsewhere_although_bytes_arrive(case, interval_s):
     response, gap_s, _ = serve(trickle(interval_s, *STALLED[case]))
     assert response.complete and response.chunks.replace(COMMENT, b"") == ALL_EVENTS
-    assert gap_s < CALLER_PATIENCE_S
+    assert gap_s < CALLER_MAX_WAIT_S
 
 
 # Guards against a stream that is cut, or run twice, because its events arrive slowly.
