--- a/core/minttide/policy/path_faults.py
+++ b/core/minttide/policy/path_faults.py
@@ -70,10 +70,11 @@
 MAX_ACCUSED_SHARE = 0.25
 """Largest part of the engines of a service that are accused at a time."""
 
-MIN_HOLD_S = 4.0
-"""Time from an accusation to the trial, in which the failures before it leave all reports."""
+MIN_HOLD_S = 2.0
+"""Time from an accusation to the trial. An engine that has recovered is capacity that others lack
+until then; failures from before the trial don't count in it."""
 
-MAX_HOLD_S = 32.0
+MAX_HOLD_S = 4.0
 """Longest time to the next trial, after several that have failed."""
 
 TRIAL_ANSWERS = 5
