Compute the demand and lower bounds of an allocation once

Cause: _find_room and _divide_by_priority each worked out both from the same load. Change: allocate() passes them to both; no decision changes. Result: test_priority_admission, test_admission_zone and test_stream_admission pass.

--- a/core/minttide/policy/priority_admission.py
+++ b/core/minttide/policy/priority_admission.py
@@ -180,7 +180,9 @@
     horizon_s = load.horizon_s
     free = max(0.0, load.capacity - load.held + load.ending_per_s * horizon_s)
     demands = {p: q.arrived_per_s * horizon_s + q.waiting for p, q in load.priorities.items()}
-    parts = _divide_by_priority(load, demands, free)
+    wanted = _find_wanted(load)
+    floors = divide_max_min(wanted, FLOOR_FRACTION * load.capacity)
+    parts = _divide_by_priority(load, demands, wanted, floors, free)
     fractions: dict[tuple[int, AccountId], float] = {}
     rest: dict[int, float] = {}
     means: dict[int, float] = {}
@@ -195,7 +197,8 @@
     for priority in sorted(demands):
         total += demands[priority]
         ahead[priority] = max(0.0, total - free)
-    return Allocation(fractions, rest, means, ahead, _find_room(load), free, horizon_s)
+    room = _find_room(load, wanted, floors)
+    return Allocation(fractions, rest, means, ahead, room, free, horizon_s)
 
 
 def _find_wanted(load: ServiceLoad) -> dict[int, float]:
@@ -204,14 +207,14 @@
     return {p: q.arrived_per_s * hold_s + q.waiting for p, q in load.priorities.items()}
 
 
-def _find_room(load: ServiceLoad) -> dict[int, float]:
+def _find_room(
+    load: ServiceLoad, wanted: Mapping[int, float], floors: Mapping[int, float]
+) -> dict[int, float]:
     """Return the tokens that each priority may take now, beside what is reserved for others.
 
     The most urgent one isn't bounded by that, nor one below its lower bound. A burst of others thus
     can't take what will become free only later, when urgent requests need it.
     """
-    wanted = _find_wanted(load)
-    floors = divide_max_min(wanted, FLOOR_FRACTION * load.capacity)
     room: dict[int, float] = {}
     left = load.capacity - load.held
     for priority in sorted(load.priorities):
@@ -223,15 +226,17 @@
 
 
 def _divide_by_priority(
-    load: ServiceLoad, demands: Mapping[int, float], free: float
+    load: ServiceLoad,
+    demands: Mapping[int, float],
+    wanted: Mapping[int, float],
+    floors: Mapping[int, float],
+    free: float,
 ) -> dict[int, float]:
     """Return each priority's part of the tokens that become free: its lower bound, then in order.
 
     For a more urgent priority as much is reserved as its demand will come to hold, less what it
     holds already.
     """
-    wanted = _find_wanted(load)
-    floors = divide_max_min(wanted, FLOOR_FRACTION * load.capacity)
     parts = {p: min(demands[p], max(0.0, floors[p] - q.held)) for p, q in load.priorities.items()}
     parts = divide_max_min(parts, free)
     left = free
