Take a gateway's load and its listeners' bounds from the callers' accounting

The load of connections was a part of max_connections (2,000), not of the connections that this host has room for (534 with 152 MB), and BodyBudget.used_fraction repeated what read_uses says. Directory, readiness and metrics derived their bound on held bytes from 300 MiB whatever memory_mb is. Change: _read_load uses read_uses; used_fraction of bodies is gone; the listeners get the bounds of the process. The gauge of the load rises earlier on small hosts; load balancing, which would use it, is off by default.

--- a/daemon/minttided/gateway/app.py
+++ b/daemon/minttided/gateway/app.py
@@ -9,6 +9,7 @@
 
 from minttide.config.settings import Bounds
 from minttide.ids import NO_OFFSET, Address, Incarnation, Offset, ZoneId
+from minttide.policy.caller_limits import Bound
 from minttide.policy.host_load import LoadParts
 from minttide.policy.upstream_limits import SharingHosts
 from minttide.routing.freshness import ConfigFreshness
@@ -248,7 +249,7 @@
         )
         self._load_meter = LoadMeter(
             self.state,
-            lambda: self._read_load(bodies),
+            self._read_load,
             self._loads.find_others,
             self.membership.count_hosts,
         )
@@ -341,7 +342,9 @@
         self, handler: Handler, address: Address, connections: int
     ) -> Callable[[Ready], Awaitable[None]]:
         async def run(ready: Ready) -> None:
-            async with HttpServer(handler, address, Bounds(max_connections=connections)):
+            bounds = Bounds(max_connections=connections)
+            callers = CallerLedger(self._caller_bounds)
+            async with HttpServer(handler, address, bounds, callers=callers):
                 await signal_ready_and_wait(ready)
 
         return run
@@ -386,11 +389,11 @@
         level = self._load_meter.level
         return LocalVitals(applied, level, tuple(sorted(self.state.cut_off_services)))
 
-    def _read_load(self, bodies: BodyBudget) -> LoadParts:
+    def _read_load(self) -> LoadParts:
         """Return the load of memory and connections; the processor is measured elsewhere."""
-        buffers = (bodies.used_fraction, self.state.response_buffers.used_fraction)
-        connections = self.caller_server.connections / self.cfg.max_connections
-        return LoadParts(memory=max(buffers), connections=connections)
+        used = {use.bound: use.used / use.limit for use in self.caller_server.read_uses()}
+        memory = max(used[Bound.BODIES], self.state.response_buffers.used_fraction)
+        return LoadParts(memory=memory, connections=used[Bound.CONNECTIONS])
 
     def _count_zone_hosts(self) -> float:
         """Return the number of hosts in this zone that use its engines, including this one."""
--- a/daemon/minttided/http/request.py
+++ b/daemon/minttided/http/request.py
@@ -36,11 +36,6 @@
         """Return whether the limit depends on the largest size of a body."""
         return self._max_bytes is None
 
-    @property
-    def used_fraction(self) -> float:
-        """Return the part of the limit that is used, 0 where it depends on the size of a body."""
-        return self.buffered_bytes / self._max_bytes if self._max_bytes else 0.0
-
     def limit_bytes(self, max_body_bytes: int) -> int:
         """Return the limit for all bodies together, where each body may have so many bytes."""
         if self._max_bytes is None:
