Case 8: use heads of thousands of headers, which need only 60 connections

Cause: a head counts as one item of 2 KiB for the turn of its connection, whatever it costs. Change: the flooding client sends such heads; the flood of one-byte chunks stays in the stand-in.

--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,4 +1,4 @@
-"""A client that nobody controls sends bodies in chunks of one byte; ordinary callers go on."""
+"""A client that nobody controls sends heads of thousands of headers; ordinary callers go on."""
 
 import asyncio
 import subprocess
@@ -11,7 +11,8 @@
 
 from small_site import CONTACT_S, Site, main, trouble  # noqa: E402
 
-CONNECTIONS = 1000
+KIND = "heads"
+CONNECTIONS = 60
 SETTLE_S = 5.0
 LENGTH_S = 15.0
 EVERY_S = 0.5
@@ -31,7 +32,7 @@
             site.record(f"{CONNECTIONS} connections of one client begin to send to {machine.name}")
             flood = subprocess.Popen(
                 [sys.executable, str(STAND_INS / "flood.py"), machine.address("front"),
-                 str(CONNECTIONS), str(SETTLE_S + LENGTH_S + 5.0)],
+                 str(CONNECTIONS), str(SETTLE_S + LENGTH_S + 5.0), KIND],
                 stdout=subprocess.DEVNULL,
             )
         try:
